--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# The README's commands. Each installs what it needs, builds and runs.
+BUILD ?= build
+.PHONY: packages build test demo bench soak lint format
+
+packages:
+	@.ci/install
+
+build: packages
+	cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	cmake --build $(BUILD)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure
+
+demo: build
+	python3 tools/demo.py --build $(BUILD)
+
+bench: build
+	python3 bench/run.py --build $(BUILD)
+
+soak: build
+	python3 tools/soak.py --build $(BUILD)
+
+lint:
+	.ci/lint $(BUILD)
+
+format:
+	git ls-files '*.cpp' '*.h' | grep -v '/gen/' | xargs clang-format -i
--- /dev/null
+++ b/src/object/object_type.h
@@ -0,0 +1,135 @@
+/** Kinds of configuration objects and their fields. */
+#pragma once
+
+#include "core/id_type.h"
+#include "core/time_type.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace camphorfield {
+
+/** Kinds of objects that operators write. */
+enum class ObjectKind : std::uint8_t
+{
+  Index,
+  Service,
+  Route,
+  Limits,
+  Fleet,
+  End ///< Number of kinds.
+};
+
+/** Priority of a route; a lower number is served first. */
+enum class Priority : std::uint8_t
+{
+  Interactive,
+  Normal,
+  Batch,
+  End ///< Number of priorities.
+};
+
+/** What a route carries. */
+enum class RouteMode : std::uint8_t
+{
+  Query, ///< Idempotent search over all shards of an index.
+  Order, ///< Non-idempotent request to one service.
+  End    ///< Number of modes.
+};
+
+/** One shard of one snapshot version. */
+struct ShardSpec
+{
+  std::string name_;    ///< Name of the shard, unique in its version.
+  std::string service_; ///< Service whose servers hold the shard.
+};
+
+/** One snapshot version of an index with its shard map. */
+struct IndexVersionSpec
+{
+  SnapshotVersion version_;       ///< Rises with each snapshot.
+  std::vector<ShardSpec> shards_; ///< The shard map of this version.
+};
+
+/** Searchable index. */
+struct IndexSpec
+{
+  std::string name_;                       ///< Name of the object.
+  std::vector<IndexVersionSpec> versions_; ///< Versions that may be served.
+};
+
+/** One backend server. */
+struct ServerSpec
+{
+  std::string name_;               ///< Unique over all services.
+  std::string address_;            ///< "IP:port".
+  std::string failureDomain_;      ///< Where it runs.
+  std::uint32_t slots_ = 1;        ///< Requests it runs at a time.
+  std::uint32_t connections_ = 25; ///< Connections it accepts from all daemons.
+  bool draining_ = false;          ///< The operator takes it out of service.
+};
+
+/** Replica set of backend servers. */
+struct ServiceSpec
+{
+  std::string name_;                ///< Name of the object.
+  std::vector<ServerSpec> servers_; ///< Its replicas.
+  Duration connectCost_{};          ///< Cost of a new connection.
+  bool reportsLoad_ = false;        ///< Answers carry the server's load.
+};
+
+/** How a caller's requests are served. */
+struct RouteSpec
+{
+  std::string name_; ///< Name of the object, the last part of the URL.
+  RouteMode mode_ = RouteMode::Query;    ///< Query or order.
+  std::string index_;                    ///< Index searched; queries only.
+  std::string service_;                  ///< Service addressed; orders only.
+  std::string limits_;                   ///< Limits that apply.
+  Priority priority_ = Priority::Normal; ///< Order of service under load.
+  Duration deadline_{};                  ///< Longest time a caller waits.
+  Duration softAnswer_{};    ///< Answer with what is there; zero: wait.
+  double minCoverage_ = 0.0; ///< Share of shards below which it is an error.
+};
+
+/** Budgets and limits shared by routes. */
+struct LimitsSpec
+{
+  std::string name_;          ///< Name of the object.
+  double hedgeBudget_ = 0.02; ///< Hedges as a share of primary sub-requests.
+  double retryBudget_ = 0.10; ///< Retries as a share of primary sub-requests.
+  std::uint32_t maxInFlight_ = 1000; ///< Requests at a time in one daemon.
+  double callerShare_ = 0.5;         ///< Part of maxInFlight_ for one caller.
+};
+
+/** The set of daemons that the connection caps are divided among. */
+struct FleetSpec
+{
+  std::string name_;              ///< Name of the object.
+  std::uint32_t maxDaemons_ = 12; ///< Daemons that may hold connections, with
+                                  ///< replaced ones still counted.
+  std::uint32_t homesPerServer_ = 0; ///< Daemons that connect to a server;
+                                     ///< zero: all of them.
+};
+
+/** All objects of one generation, by name. */
+struct ConfigSet
+{
+  std::map<std::string, IndexSpec> indexes_;
+  std::map<std::string, ServiceSpec> services_;
+  std::map<std::string, RouteSpec> routes_;
+  std::map<std::string, LimitsSpec> limits_;
+  std::map<std::string, FleetSpec> fleets_;
+};
+
+/** A checked configuration with its place in the sequence. */
+struct PublishedConfig
+{
+  Generation generation_; ///< Rises with each accepted change.
+  std::string changeId_;  ///< Id of the change that made it.
+  ConfigSet set_;         ///< The objects.
+};
+
+} // namespace camphorfield
