Add: Thrift encoding of peer messages

Payloads are any bytes until decoded: texts and lists are limited by the payload's size before memory is taken, enumerators are checked, bytes after the message, other protocol versions and answers without a result are refused.

--- /dev/null
+++ b/src/peer/gossip_wire.cpp
@@ -0,0 +1,158 @@
+#include "core/hash_func.h"
+#include "peer/wire_internal.h"
+
+namespace camphorfield {
+
+namespace {
+
+wire::Rumor
+RumorToWire(const Rumor& aRumor)
+{
+  wire::Rumor out;
+  if (const auto* leaving = std::get_if<LeavingRumor>(&aRumor)) {
+    wire::LeavingRumor wireLeaving;
+    wireLeaving.__set_server(leaving->server_);
+    wireLeaving.__set_leaving(leaving->leaving_);
+    wireLeaving.__set_unixMicros(leaving->unixMicros_);
+    out.__set_leaving(wireLeaving);
+    return out;
+  }
+  const auto& quarantine = std::get<QuarantineRumor>(aRumor);
+  wire::QuarantineRumor wireQuarantine;
+  wireQuarantine.__set_fingerprint(IdToWire(quarantine.fingerprint_));
+  wireQuarantine.__set_crashes(static_cast<std::int32_t>(quarantine.crashes_));
+  wireQuarantine.__set_untilUnixMicros(quarantine.untilUnixMicros_);
+  out.__set_quarantine(wireQuarantine);
+  return out;
+}
+
+Rumor
+RumorFromWire(const wire::Rumor& aWire)
+{
+  if (aWire.__isset.leaving == aWire.__isset.quarantine) {
+    throw WireError("a rumor holds exactly one kind");
+  }
+  if (aWire.__isset.leaving) {
+    return LeavingRumor{ aWire.leaving.server,
+                         aWire.leaving.leaving,
+                         aWire.leaving.unixMicros };
+  }
+  QuarantineRumor quarantine;
+  IdFromWire(aWire.quarantine.fingerprint, quarantine.fingerprint_);
+  quarantine.crashes_ = static_cast<std::uint32_t>(aWire.quarantine.crashes);
+  quarantine.untilUnixMicros_ = aWire.quarantine.untilUnixMicros;
+  return quarantine;
+}
+
+void
+SetMemberTexts(const MemberRecord& aRecord, wire::Member& aMember)
+{
+  if (!aRecord.name_.empty()) {
+    aMember.__set_name(aRecord.name_);
+  }
+  if (!aRecord.peerAddress_.empty()) {
+    aMember.__set_peerAddress(aRecord.peerAddress_);
+  }
+  if (!aRecord.callerAddress_.empty()) {
+    aMember.__set_callerAddress(aRecord.callerAddress_);
+  }
+  if (!aRecord.operatorAddress_.empty()) {
+    aMember.__set_operatorAddress(aRecord.operatorAddress_);
+  }
+  if (!aRecord.failureDomain_.empty()) {
+    aMember.__set_failureDomain(aRecord.failureDomain_);
+  }
+}
+
+} // namespace
+
+wire::Member
+MemberToWire(const MemberRecord& aRecord)
+{
+  wire::Member out;
+  // The identifier is the hash of the name: ten bytes that need not travel.
+  if (aRecord.name_.empty() || aRecord.id_.value_ != HashText(aRecord.name_)) {
+    out.__set_id(IdToWire(aRecord.id_));
+  }
+  SetMemberTexts(aRecord, out);
+  out.__set_incarnation(IdToWire(aRecord.incarnation_));
+  if (aRecord.heartbeat_ != 0) {
+    out.__set_heartbeat(static_cast<std::int64_t>(aRecord.heartbeat_));
+  }
+  if (aRecord.state_ != MemberState::Alive) {
+    out.__set_state(static_cast<std::int16_t>(aRecord.state_));
+  }
+  if (aRecord.ready_) {
+    out.__set_ready(true);
+  }
+  if (aRecord.generation_.IsValid()) {
+    out.__set_generation(IdToWire(aRecord.generation_));
+  }
+  if (aRecord.load_ != 0) {
+    out.__set_load(static_cast<std::int32_t>(aRecord.load_));
+  }
+  return out;
+}
+
+MemberRecord
+MemberFromWire(const wire::Member& aMember)
+{
+  MemberRecord out;
+  out.name_ = aMember.name;
+  if (aMember.__isset.id) {
+    IdFromWire(aMember.id, out.id_);
+  } else if (!out.name_.empty()) {
+    out.id_.value_ = HashText(out.name_);
+  }
+  IdFromWire(aMember.incarnation, out.incarnation_);
+  out.heartbeat_ = static_cast<std::uint64_t>(aMember.heartbeat);
+  out.state_ = EnumFromWire<MemberState>(aMember.state);
+  out.peerAddress_ = aMember.peerAddress;
+  out.callerAddress_ = aMember.callerAddress;
+  out.operatorAddress_ = aMember.operatorAddress;
+  out.failureDomain_ = aMember.failureDomain;
+  out.ready_ = aMember.ready;
+  IdFromWire(aMember.generation, out.generation_);
+  out.load_ = static_cast<std::uint32_t>(aMember.load);
+  return out;
+}
+
+wire::Gossip
+GossipToWire(const GossipPing& aPing)
+{
+  wire::Gossip out;
+  out.__set_sequence(static_cast<std::int64_t>(aPing.sequence_));
+  out.__set_viewHash(static_cast<std::int64_t>(aPing.viewHash_));
+  if (!aPing.members_.empty()) {
+    out.__isset.members = true;
+    out.members.reserve(aPing.members_.size());
+  }
+  for (const MemberRecord& record : aPing.members_) {
+    out.members.push_back(MemberToWire(record));
+  }
+  if (!aPing.rumors_.empty()) {
+    out.__isset.rumors = true;
+    out.rumors.reserve(aPing.rumors_.size());
+  }
+  for (const Rumor& rumor : aPing.rumors_) {
+    out.rumors.push_back(RumorToWire(rumor));
+  }
+  return out;
+}
+
+void
+GossipFromWire(const wire::Gossip& aWire, GossipPing& aPing)
+{
+  aPing.sequence_ = static_cast<std::uint64_t>(aWire.sequence);
+  aPing.viewHash_ = static_cast<std::uint64_t>(aWire.viewHash);
+  aPing.members_.reserve(aWire.members.size());
+  for (const wire::Member& member : aWire.members) {
+    aPing.members_.push_back(MemberFromWire(member));
+  }
+  aPing.rumors_.reserve(aWire.rumors.size());
+  for (const wire::Rumor& rumor : aWire.rumors) {
+    aPing.rumors_.push_back(RumorFromWire(rumor));
+  }
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/peer/peer_codec.cpp
@@ -0,0 +1,254 @@
+#include "peer/peer_codec.h"
+
+#include "peer/wire_internal.h"
+
+#include <algorithm>
+#include <memory>
+#include <thrift/TConfiguration.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <utility>
+
+namespace camphorfield {
+
+namespace {
+
+using apache::thrift::TConfiguration;
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+/** Nesting of the deepest valid message is six; the rest is for skipping. */
+constexpr int kMaxNesting = 16;
+
+void
+SetBody(const GossipPing& aBody, wire::PeerFrame& aFrame)
+{
+  aFrame.__set_ping(GossipToWire(aBody));
+}
+
+void
+SetBody(const GossipAck& aBody, wire::PeerFrame& aFrame)
+{
+  const GossipPing same{
+    aBody.sequence_, aBody.members_, aBody.rumors_, aBody.viewHash_
+  };
+  aFrame.__set_ack(GossipToWire(same));
+}
+
+void
+SetBody(const GossipProbe& aBody, wire::PeerFrame& aFrame)
+{
+  wire::GossipProbe probe;
+  probe.__set_sequence(static_cast<std::int64_t>(aBody.sequence_));
+  probe.__set_target(MemberToWire(aBody.target_));
+  aFrame.__set_probe(probe);
+}
+
+void
+SetBody(const GenerationAsk& aBody, wire::PeerFrame& aFrame)
+{
+  wire::GenerationAsk ask;
+  ask.__set_call(IdToWire(aBody.call_));
+  ask.__set_generation(IdToWire(aBody.generation_));
+  aFrame.__set_generationAsk(ask);
+}
+
+void
+SetBody(const GenerationContent& aBody, wire::PeerFrame& aFrame)
+{
+  wire::GenerationContent content;
+  content.__set_call(IdToWire(aBody.call_));
+  content.__set_generation(IdToWire(aBody.generation_));
+  content.__set_changeId(aBody.changeId_);
+  content.__set_digest(aBody.digest_);
+  content.__set_content(aBody.content_);
+  aFrame.__set_generationContent(content);
+}
+
+void
+SetBody(const OrderForward& aBody, wire::PeerFrame& aFrame)
+{
+  aFrame.__set_orderForward(OrderForwardToWire(aBody));
+}
+
+void
+SetBody(const OrderForwarded& aBody, wire::PeerFrame& aFrame)
+{
+  aFrame.__set_orderForwarded(OrderForwardedToWire(aBody));
+}
+
+void
+SetBody(const OrderOutcomeCopy& aBody, wire::PeerFrame& aFrame)
+{
+  aFrame.__set_orderOutcomeCopy(OutcomeCopyToWire(aBody));
+}
+
+void
+SetBody(const RelayBatch& aBody, wire::PeerFrame& aFrame)
+{
+  aFrame.__set_relayBatch(RelayBatchToWire(aBody));
+}
+
+void
+SetBody(const RelayAnswers& aBody, wire::PeerFrame& aFrame)
+{
+  aFrame.__set_relayAnswers(RelayAnswersToWire(aBody));
+}
+
+GossipAck
+AckFromWire(const wire::Gossip& aWire)
+{
+  GossipPing same;
+  GossipFromWire(aWire, same);
+  return GossipAck{ same.sequence_,
+                    std::move(same.members_),
+                    std::move(same.rumors_),
+                    same.viewHash_ };
+}
+
+GenerationContent
+ContentFromWire(const wire::GenerationContent& aWire)
+{
+  GenerationContent out;
+  IdFromWire(aWire.call, out.call_);
+  IdFromWire(aWire.generation, out.generation_);
+  out.changeId_ = aWire.changeId;
+  out.digest_ = aWire.digest;
+  out.content_ = aWire.content;
+  return out;
+}
+
+/** How many bodies a frame holds; one in a valid frame. */
+int
+CountBodies(const wire::PeerFrame& aFrame)
+{
+  const auto& isset = aFrame.__isset;
+  return isset.ping + isset.ack + isset.probe + isset.generationAsk +
+         isset.generationContent + isset.orderForward + isset.orderForwarded +
+         isset.orderOutcomeCopy + isset.relayBatch + isset.relayAnswers;
+}
+
+PeerBody
+GossipBody(const wire::PeerFrame& aFrame)
+{
+  if (aFrame.__isset.ping) {
+    GossipPing ping;
+    GossipFromWire(aFrame.ping, ping);
+    return ping;
+  }
+  if (aFrame.__isset.ack) {
+    return AckFromWire(aFrame.ack);
+  }
+  return GossipProbe{ static_cast<std::uint64_t>(aFrame.probe.sequence),
+                      MemberFromWire(aFrame.probe.target) };
+}
+
+PeerBody
+BodyFromWire(const wire::PeerFrame& aFrame)
+{
+  const auto& isset = aFrame.__isset;
+  if (isset.ping || isset.ack || isset.probe) {
+    return GossipBody(aFrame);
+  }
+  if (isset.generationAsk) {
+    GenerationAsk ask;
+    IdFromWire(aFrame.generationAsk.call, ask.call_);
+    IdFromWire(aFrame.generationAsk.generation, ask.generation_);
+    return ask;
+  }
+  if (isset.generationContent) {
+    return ContentFromWire(aFrame.generationContent);
+  }
+  if (isset.orderForward) {
+    return OrderForwardFromWire(aFrame.orderForward);
+  }
+  if (isset.orderForwarded) {
+    return OrderForwardedFromWire(aFrame.orderForwarded);
+  }
+  if (isset.orderOutcomeCopy) {
+    return OutcomeCopyFromWire(aFrame.orderOutcomeCopy);
+  }
+  if (isset.relayBatch) {
+    return RelayBatchFromWire(aFrame.relayBatch);
+  }
+  return RelayAnswersFromWire(aFrame.relayAnswers);
+}
+
+void
+ReadFrame(std::string_view aPayload, wire::PeerFrame& aFrame)
+{
+  // No text can be longer than the payload, so a forged length is refused
+  // before memory is taken for it.
+  const auto size = static_cast<std::uint32_t>(aPayload.size());
+  const auto limit = static_cast<std::int32_t>(size);
+  // Thrift counts some headers twice against the size of a message.
+  const int messageLimit = static_cast<int>(kMaxPeerFrameBytes) * 2;
+  const auto config = std::make_shared<TConfiguration>(
+    messageLimit, static_cast<int>(kMaxPeerFrameBytes), kMaxNesting);
+  auto* bytes = reinterpret_cast<std::uint8_t*>(
+    const_cast<char*>(aPayload.data())); // only observed, never written
+  const auto buffer = std::make_shared<TMemoryBuffer>(
+    bytes, size, TMemoryBuffer::OBSERVE, config);
+  TCompactProtocolT<TMemoryBuffer> protocol(
+    buffer, limit, std::min(limit, kMaxPeerListElements));
+  aFrame.read(&protocol);
+  if (buffer->available_read() != 0) {
+    throw WireError("bytes after the message");
+  }
+}
+
+PeerMessage
+MessageFromWire(const wire::PeerFrame& aFrame)
+{
+  if (CountBodies(aFrame) != 1) {
+    throw WireError("a message holds exactly one body");
+  }
+  PeerMessage out;
+  IdFromWire(aFrame.sender, out.from_);
+  IdFromWire(aFrame.senderIncarnation, out.fromIncarnation_);
+  out.sent_.unixMicros_ = aFrame.sentUnixMicros;
+  out.sent_.logical_ = static_cast<std::uint32_t>(aFrame.sentLogical);
+  out.body_ = BodyFromWire(aFrame);
+  return out;
+}
+
+} // namespace
+
+std::string
+EncodePeerMessage(const PeerMessage& aMessage)
+{
+  wire::PeerFrame frame;
+  frame.__set_protocolVersion(kPeerProtocolVersion);
+  frame.__set_sender(IdToWire(aMessage.from_));
+  frame.__set_senderIncarnation(IdToWire(aMessage.fromIncarnation_));
+  frame.__set_sentUnixMicros(aMessage.sent_.unixMicros_);
+  frame.__set_sentLogical(static_cast<std::int32_t>(aMessage.sent_.logical_));
+  std::visit([&frame](const auto& aBody) { SetBody(aBody, frame); },
+             aMessage.body_);
+  const auto buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+  frame.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+absl::StatusOr<PeerMessage>
+DecodePeerMessage(std::string_view aPayload)
+{
+  if (aPayload.empty() || aPayload.size() > kMaxPeerFrameBytes) {
+    return absl::InvalidArgumentError("size of the payload out of range");
+  }
+  try {
+    wire::PeerFrame frame;
+    ReadFrame(aPayload, frame);
+    if (frame.protocolVersion != kPeerProtocolVersion) {
+      return absl::FailedPreconditionError("another protocol version");
+    }
+    return MessageFromWire(frame);
+  } catch (const apache::thrift::TException& error) {
+    return absl::InvalidArgumentError(error.what());
+  } catch (const WireError& error) {
+    return absl::InvalidArgumentError(error.what());
+  }
+}
+
+} // namespace camphorfield
