Change: gossip pages, record requests, listed leaving rumors

A joining daemon needs whole records of all members: at 2,400 members some 260 KB, too much for piggybacking alone. GossipPing may ask for a page of records and GossipAck says where the next one begins. LeavingRumor tells whether the VM list is its source, so that only such a rumor is withdrawn by a later list. heartbeat_ is stated as the version of a record within one life: if it rose with time, a daemon that can send but not receive would clear its own suspicion.

--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -28,6 +28,7 @@
   1: optional string server
   2: optional bool leaving
   3: optional i64 unixMicros
+  4: optional bool listed
 }
 
 struct QuarantineRumor {
@@ -48,6 +49,9 @@
   2: optional list<Member> members
   3: optional list<Rumor> rumors
   4: optional i64 viewHash
+  5: optional bool sync
+  6: optional i64 syncAfter   // ping
+  7: optional i64 syncNext    // ack
 }
 
 struct GossipProbe {
--- a/src/machine/peer_type.h
+++ b/src/machine/peer_type.h
@@ -30,7 +30,8 @@
   DaemonId id_;                 ///< Hash of name_.
   std::string name_;            ///< Name from the settings.
   Incarnation incarnation_;     ///< Start time; a restart has a larger one.
-  std::uint64_t heartbeat_ = 0; ///< Rises while the daemon lives.
+  std::uint64_t heartbeat_ = 0; ///< Version of the record within one life;
+                                ///< raised by the daemon itself alone.
   MemberState state_ = MemberState::Alive;
   std::string peerAddress_;     ///< "IP:port" for daemons.
   std::string callerAddress_;   ///< "IP:port" for callers.
@@ -47,6 +48,7 @@
   std::string server_;          ///< Name of the server.
   bool leaving_ = true;         ///< False withdraws it.
   std::int64_t unixMicros_ = 0; ///< A later one overrides.
+  bool listed_ = false;         ///< The platform's VM list says so.
 };
 
 /** A request's content crashed a backend server. */
@@ -59,13 +61,20 @@
 
 using Rumor = std::variant<LeavingRumor, QuarantineRumor>;
 
-/** Heartbeat with news; answered by GossipAck. */
+/**
+ * Heartbeat with news; answered by GossipAck. A record without a name updates
+ * a member that the receiver knows; one without an incarnation asks for the
+ * whole record.
+ */
 struct GossipPing
 {
-  std::uint64_t sequence_ = 0;        ///< Echoed by the acknowledgement.
+  std::uint64_t sequence_ = 0;        ///< Echoed by the acknowledgement; zero:
+                                      ///< none is wanted.
   std::vector<MemberRecord> members_; ///< The sender first, then news.
   std::vector<Rumor> rumors_;
   std::uint64_t viewHash_ = 0; ///< Hash of the sender's view.
+  bool sync_ = false;          ///< Answer with whole records, in order of id.
+  DaemonId syncAfter_;         ///< Where the records asked for begin.
 };
 
 /** Answer to GossipPing. */
@@ -75,6 +84,7 @@
   std::vector<MemberRecord> members_; ///< The sender first, then news.
   std::vector<Rumor> rumors_;
   std::uint64_t viewHash_ = 0;
+  DaemonId syncNext_; ///< Last record of the page; zero: there are no more.
 };
 
 /** Ask a daemon to ping a third one, which doesn't answer us. */
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -368,6 +368,11 @@
   this->unixMicros = val;
 __isset.unixMicros = true;
 }
+
+void LeavingRumor::__set_listed(const bool val) {
+  this->listed = val;
+__isset.listed = true;
+}
 std::ostream& operator<<(std::ostream& out, const LeavingRumor& obj)
 {
   obj.printTo(out);
@@ -420,6 +425,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->listed);
+          this->__isset.listed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -452,6 +465,11 @@
     xfer += oprot->writeI64(this->unixMicros);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.listed) {
+    xfer += oprot->writeFieldBegin("listed", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->listed);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -462,6 +480,7 @@
   swap(a.server, b.server);
   swap(a.leaving, b.leaving);
   swap(a.unixMicros, b.unixMicros);
+  swap(a.listed, b.listed);
   swap(a.__isset, b.__isset);
 }
 
@@ -469,12 +488,14 @@
   server = other2.server;
   leaving = other2.leaving;
   unixMicros = other2.unixMicros;
+  listed = other2.listed;
   __isset = other2.__isset;
 }
 LeavingRumor& LeavingRumor::operator=(const LeavingRumor& other3) {
   server = other3.server;
   leaving = other3.leaving;
   unixMicros = other3.unixMicros;
+  listed = other3.listed;
   __isset = other3.__isset;
   return *this;
 }
@@ -484,6 +505,7 @@
   out << "server="; (__isset.server ? (out << to_string(server)) : (out << "<null>"));
   out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
   out << ", " << "unixMicros="; (__isset.unixMicros ? (out << to_string(unixMicros)) : (out << "<null>"));
+  out << ", " << "listed="; (__isset.listed ? (out << to_string(listed)) : (out << "<null>"));
   out << ")";
 }
 
@@ -765,6 +787,21 @@
   this->viewHash = val;
 __isset.viewHash = true;
 }
+
+void Gossip::__set_sync(const bool val) {
+  this->sync = val;
+__isset.sync = true;
+}
+
+void Gossip::__set_syncAfter(const int64_t val) {
+  this->syncAfter = val;
+__isset.syncAfter = true;
+}
+
+void Gossip::__set_syncNext(const int64_t val) {
+  this->syncNext = val;
+__isset.syncNext = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -849,6 +886,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->sync);
+          this->__isset.sync = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->syncAfter);
+          this->__isset.syncAfter = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->syncNext);
+          this->__isset.syncNext = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -902,6 +963,21 @@
     xfer += oprot->writeI64(this->viewHash);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.sync) {
+    xfer += oprot->writeFieldBegin("sync", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->sync);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.syncAfter) {
+    xfer += oprot->writeFieldBegin("syncAfter", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->syncAfter);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.syncNext) {
+    xfer += oprot->writeFieldBegin("syncNext", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->syncNext);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -913,6 +989,9 @@
   swap(a.members, b.members);
   swap(a.rumors, b.rumors);
   swap(a.viewHash, b.viewHash);
+  swap(a.sync, b.sync);
+  swap(a.syncAfter, b.syncAfter);
+  swap(a.syncNext, b.syncNext);
   swap(a.__isset, b.__isset);
 }
 
@@ -921,6 +1000,9 @@
   members = other20.members;
   rumors = other20.rumors;
   viewHash = other20.viewHash;
+  sync = other20.sync;
+  syncAfter = other20.syncAfter;
+  syncNext = other20.syncNext;
   __isset = other20.__isset;
 }
 Gossip& Gossip::operator=(const Gossip& other21) {
@@ -928,6 +1010,9 @@
   members = other21.members;
   rumors = other21.rumors;
   viewHash = other21.viewHash;
+  sync = other21.sync;
+  syncAfter = other21.syncAfter;
+  syncNext = other21.syncNext;
   __isset = other21.__isset;
   return *this;
 }
@@ -938,6 +1023,9 @@
   out << ", " << "members="; (__isset.members ? (out << to_string(members)) : (out << "<null>"));
   out << ", " << "rumors="; (__isset.rumors ? (out << to_string(rumors)) : (out << "<null>"));
   out << ", " << "viewHash="; (__isset.viewHash ? (out << to_string(viewHash)) : (out << "<null>"));
+  out << ", " << "sync="; (__isset.sync ? (out << to_string(sync)) : (out << "<null>"));
+  out << ", " << "syncAfter="; (__isset.syncAfter ? (out << to_string(syncAfter)) : (out << "<null>"));
+  out << ", " << "syncNext="; (__isset.syncNext ? (out << to_string(syncNext)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -201,10 +201,11 @@
 std::ostream& operator<<(std::ostream& out, const Member& obj);
 
 typedef struct _LeavingRumor__isset {
-  _LeavingRumor__isset() : server(false), leaving(false), unixMicros(false) {}
+  _LeavingRumor__isset() : server(false), leaving(false), unixMicros(false), listed(false) {}
   bool server :1;
   bool leaving :1;
   bool unixMicros :1;
+  bool listed :1;
 } _LeavingRumor__isset;
 
 class LeavingRumor : public virtual ::apache::thrift::TBase {
@@ -215,13 +216,15 @@
   LeavingRumor() noexcept
                : server(),
                  leaving(0),
-                 unixMicros(0) {
+                 unixMicros(0),
+                 listed(0) {
   }
 
   virtual ~LeavingRumor() noexcept;
   std::string server;
   bool leaving;
   int64_t unixMicros;
+  bool listed;
 
   _LeavingRumor__isset __isset;
 
@@ -231,6 +234,8 @@
 
   void __set_unixMicros(const int64_t val);
 
+  void __set_listed(const bool val);
+
   bool operator == (const LeavingRumor & rhs) const
   {
     if (__isset.server != rhs.__isset.server)
@@ -245,6 +250,10 @@
       return false;
     else if (__isset.unixMicros && !(unixMicros == rhs.unixMicros))
       return false;
+    if (__isset.listed != rhs.__isset.listed)
+      return false;
+    else if (__isset.listed && !(listed == rhs.listed))
+      return false;
     return true;
   }
   bool operator != (const LeavingRumor &rhs) const {
@@ -382,11 +391,14 @@
 std::ostream& operator<<(std::ostream& out, const Rumor& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : sequence(false), members(false), rumors(false), viewHash(false) {}
+  _Gossip__isset() : sequence(false), members(false), rumors(false), viewHash(false), sync(false), syncAfter(false), syncNext(false) {}
   bool sequence :1;
   bool members :1;
   bool rumors :1;
   bool viewHash :1;
+  bool sync :1;
+  bool syncAfter :1;
+  bool syncNext :1;
 } _Gossip__isset;
 
 /**
@@ -399,7 +411,10 @@
   Gossip& operator=(const Gossip&);
   Gossip() noexcept
          : sequence(0),
-           viewHash(0) {
+           viewHash(0),
+           sync(0),
+           syncAfter(0),
+           syncNext(0) {
   }
 
   virtual ~Gossip() noexcept;
@@ -407,6 +422,9 @@
   std::vector<Member>  members;
   std::vector<Rumor>  rumors;
   int64_t viewHash;
+  bool sync;
+  int64_t syncAfter;
+  int64_t syncNext;
 
   _Gossip__isset __isset;
 
@@ -418,6 +436,12 @@
 
   void __set_viewHash(const int64_t val);
 
+  void __set_sync(const bool val);
+
+  void __set_syncAfter(const int64_t val);
+
+  void __set_syncNext(const int64_t val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (__isset.sequence != rhs.__isset.sequence)
@@ -436,6 +460,18 @@
       return false;
     else if (__isset.viewHash && !(viewHash == rhs.viewHash))
       return false;
+    if (__isset.sync != rhs.__isset.sync)
+      return false;
+    else if (__isset.sync && !(sync == rhs.sync))
+      return false;
+    if (__isset.syncAfter != rhs.__isset.syncAfter)
+      return false;
+    else if (__isset.syncAfter && !(syncAfter == rhs.syncAfter))
+      return false;
+    if (__isset.syncNext != rhs.__isset.syncNext)
+      return false;
+    else if (__isset.syncNext && !(syncNext == rhs.syncNext))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/src/peer/gossip_wire.cpp
+++ b/src/peer/gossip_wire.cpp
@@ -14,6 +14,9 @@
     wireLeaving.__set_server(leaving->server_);
     wireLeaving.__set_leaving(leaving->leaving_);
     wireLeaving.__set_unixMicros(leaving->unixMicros_);
+    if (leaving->listed_) {
+      wireLeaving.__set_listed(true);
+    }
     out.__set_leaving(wireLeaving);
     return out;
   }
@@ -35,7 +38,8 @@
   if (aWire.__isset.leaving) {
     return LeavingRumor{ aWire.leaving.server,
                          aWire.leaving.leaving,
-                         aWire.leaving.unixMicros };
+                         aWire.leaving.unixMicros,
+                         aWire.leaving.listed };
   }
   QuarantineRumor quarantine;
   IdFromWire(aWire.quarantine.fingerprint, quarantine.fingerprint_);
@@ -118,40 +122,39 @@
 }
 
 wire::Gossip
-GossipToWire(const GossipPing& aPing)
+GossipToWire(std::uint64_t aSequence,
+             const std::vector<MemberRecord>& aMembers,
+             const std::vector<Rumor>& aRumors,
+             std::uint64_t aViewHash)
 {
   wire::Gossip out;
-  out.__set_sequence(static_cast<std::int64_t>(aPing.sequence_));
-  out.__set_viewHash(static_cast<std::int64_t>(aPing.viewHash_));
-  if (!aPing.members_.empty()) {
-    out.__isset.members = true;
-    out.members.reserve(aPing.members_.size());
-  }
-  for (const MemberRecord& record : aPing.members_) {
+  out.__set_sequence(static_cast<std::int64_t>(aSequence));
+  out.__set_viewHash(static_cast<std::int64_t>(aViewHash));
+  out.__isset.members = !aMembers.empty();
+  out.members.reserve(aMembers.size());
+  for (const MemberRecord& record : aMembers) {
     out.members.push_back(MemberToWire(record));
   }
-  if (!aPing.rumors_.empty()) {
-    out.__isset.rumors = true;
-    out.rumors.reserve(aPing.rumors_.size());
-  }
-  for (const Rumor& rumor : aPing.rumors_) {
+  out.__isset.rumors = !aRumors.empty();
+  out.rumors.reserve(aRumors.size());
+  for (const Rumor& rumor : aRumors) {
     out.rumors.push_back(RumorToWire(rumor));
   }
   return out;
 }
 
 void
-GossipFromWire(const wire::Gossip& aWire, GossipPing& aPing)
+NewsFromWire(const wire::Gossip& aWire,
+             std::vector<MemberRecord>& aMembers,
+             std::vector<Rumor>& aRumors)
 {
-  aPing.sequence_ = static_cast<std::uint64_t>(aWire.sequence);
-  aPing.viewHash_ = static_cast<std::uint64_t>(aWire.viewHash);
-  aPing.members_.reserve(aWire.members.size());
+  aMembers.reserve(aWire.members.size());
   for (const wire::Member& member : aWire.members) {
-    aPing.members_.push_back(MemberFromWire(member));
+    aMembers.push_back(MemberFromWire(member));
   }
-  aPing.rumors_.reserve(aWire.rumors.size());
+  aRumors.reserve(aWire.rumors.size());
   for (const wire::Rumor& rumor : aWire.rumors) {
-    aPing.rumors_.push_back(RumorFromWire(rumor));
+    aRumors.push_back(RumorFromWire(rumor));
   }
 }
 
--- a/src/peer/peer_codec.cpp
+++ b/src/peer/peer_codec.cpp
@@ -23,16 +23,24 @@
 void
 SetBody(const GossipPing& aBody, wire::PeerFrame& aFrame)
 {
-  aFrame.__set_ping(GossipToWire(aBody));
+  wire::Gossip gossip = GossipToWire(
+    aBody.sequence_, aBody.members_, aBody.rumors_, aBody.viewHash_);
+  if (aBody.sync_) {
+    gossip.__set_sync(true);
+    gossip.__set_syncAfter(IdToWire(aBody.syncAfter_));
+  }
+  aFrame.__set_ping(gossip);
 }
 
 void
 SetBody(const GossipAck& aBody, wire::PeerFrame& aFrame)
 {
-  const GossipPing same{
-    aBody.sequence_, aBody.members_, aBody.rumors_, aBody.viewHash_
-  };
-  aFrame.__set_ack(GossipToWire(same));
+  wire::Gossip gossip = GossipToWire(
+    aBody.sequence_, aBody.members_, aBody.rumors_, aBody.viewHash_);
+  if (aBody.syncNext_.IsValid()) {
+    gossip.__set_syncNext(IdToWire(aBody.syncNext_));
+  }
+  aFrame.__set_ack(gossip);
 }
 
 void
@@ -95,15 +103,27 @@
   aFrame.__set_relayAnswers(RelayAnswersToWire(aBody));
 }
 
+GossipPing
+PingFromWire(const wire::Gossip& aWire)
+{
+  GossipPing out;
+  out.sequence_ = static_cast<std::uint64_t>(aWire.sequence);
+  out.viewHash_ = static_cast<std::uint64_t>(aWire.viewHash);
+  out.sync_ = aWire.sync;
+  IdFromWire(aWire.syncAfter, out.syncAfter_);
+  NewsFromWire(aWire, out.members_, out.rumors_);
+  return out;
+}
+
 GossipAck
 AckFromWire(const wire::Gossip& aWire)
 {
-  GossipPing same;
-  GossipFromWire(aWire, same);
-  return GossipAck{ same.sequence_,
-                    std::move(same.members_),
-                    std::move(same.rumors_),
-                    same.viewHash_ };
+  GossipAck out;
+  out.sequence_ = static_cast<std::uint64_t>(aWire.sequence);
+  out.viewHash_ = static_cast<std::uint64_t>(aWire.viewHash);
+  IdFromWire(aWire.syncNext, out.syncNext_);
+  NewsFromWire(aWire, out.members_, out.rumors_);
+  return out;
 }
 
 GenerationContent
@@ -132,9 +152,7 @@
 GossipBody(const wire::PeerFrame& aFrame)
 {
   if (aFrame.__isset.ping) {
-    GossipPing ping;
-    GossipFromWire(aFrame.ping, ping);
-    return ping;
+    return PingFromWire(aFrame.ping);
   }
   if (aFrame.__isset.ack) {
     return AckFromWire(aFrame.ack);
--- a/src/peer/wire_internal.h
+++ b/src/peer/wire_internal.h
@@ -7,6 +7,7 @@
 #include <peer_types.h>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 namespace camphorfield {
 
@@ -53,11 +54,17 @@
 MemberRecord
 MemberFromWire(const wire::Member& aMember);
 
+/** News of a ping or of an acknowledgement. */
 wire::Gossip
-GossipToWire(const GossipPing& aPing);
+GossipToWire(std::uint64_t aSequence,
+             const std::vector<MemberRecord>& aMembers,
+             const std::vector<Rumor>& aRumors,
+             std::uint64_t aViewHash);
 
 void
-GossipFromWire(const wire::Gossip& aWire, GossipPing& aPing);
+NewsFromWire(const wire::Gossip& aWire,
+             std::vector<MemberRecord>& aMembers,
+             std::vector<Rumor>& aRumors);
 
 wire::RelayBatch
 RelayBatchToWire(const RelayBatch& aBatch);
--- a/tests/peer/peer_codec_test.cpp
+++ b/tests/peer/peer_codec_test.cpp
@@ -98,10 +98,12 @@
 {
   return GossipPing{ 3,
                      { FullRecord(), BriefRecord() },
-                     { LeavingRumor{ "b1", false, 123 },
+                     { LeavingRumor{ "b1", false, 123, true },
                        QuarantineRumor{
                          Fingerprint{ 0x9000000000000000ULL }, 2, 456 } },
-                     0xaaaaaaaaaaaaaaaaULL };
+                     0xaaaaaaaaaaaaaaaaULL,
+                     true,
+                     DaemonId{ 0xbbbbbbbbbbbbbbbbULL } };
 }
 
 /** One message of every kind, all fields set. */
@@ -111,8 +113,11 @@
   const GossipPing ping = FullPing();
   std::vector<PeerMessage> all;
   all.push_back(Message(ping));
-  all.push_back(Message(
-    GossipAck{ ping.sequence_, ping.members_, ping.rumors_, ping.viewHash_ }));
+  all.push_back(Message(GossipAck{ ping.sequence_,
+                                   ping.members_,
+                                   ping.rumors_,
+                                   ping.viewHash_,
+                                   DaemonId{ 5 } }));
   all.push_back(Message(GossipProbe{ 6, FullRecord() }));
   all.push_back(Message(GenerationAsk{ PeerCallId{ 1 }, Generation{ 2 } }));
   all.push_back(Message(
@@ -203,6 +208,13 @@
   CHECK_TRUE(leaving.server_ == "b1");
   CHECK_FALSE(leaving.leaving_);
   LONGS_EQUAL(123, leaving.unixMicros_);
+  CHECK_TRUE(leaving.listed_);
+  CHECK_TRUE(ping.sync_);
+  CHECK_TRUE(ping.syncAfter_ == FullPing().syncAfter_);
+  const auto ack = RoundTripBody(GossipAck{ 9, {}, {}, 8, DaemonId{ 7 } });
+  LONGS_EQUAL(9, ack.sequence_);
+  LONGS_EQUAL(8, ack.viewHash_);
+  LONGS_EQUAL(7, ack.syncNext_.value_);
   const auto& quarantine = std::get<QuarantineRumor>(ping.rumors_[1]);
   CHECK_TRUE(quarantine.fingerprint_.value_ == 0x9000000000000000ULL);
   LONGS_EQUAL(2, quarantine.crashes_);
