--- /dev/null
+++ b/src/core/name_func.cpp
@@ -0,0 +1,29 @@
+#include "core/name_func.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr std::size_t kMaxNameBytes = 64;
+
+bool
+IsNameChar(char aChar)
+{
+  return (aChar >= 'a' && aChar <= 'z') || (aChar >= 'A' && aChar <= 'Z') ||
+         (aChar >= '0' && aChar <= '9') || aChar == '.' || aChar == '_' ||
+         aChar == '-';
+}
+
+} // namespace
+
+bool
+IsValidName(std::string_view aName)
+{
+  return !aName.empty() && aName.size() <= kMaxNameBytes &&
+         std::all_of(aName.begin(), aName.end(), IsNameChar);
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/core/name_func.h
@@ -0,0 +1,16 @@
+/** Names of daemons, callers, routes and objects. */
+#pragma once
+
+#include <string_view>
+
+namespace camphorfield {
+
+/**
+ * Tells whether a name is allowed.
+ * @param aName Candidate.
+ * @return True for 1 to 64 letters, digits, '.', '_' or '-'.
+ */
+bool
+IsValidName(std::string_view aName);
+
+} // namespace camphorfield
--- a/src/machine/caller_type.h
+++ b/src/machine/caller_type.h
@@ -4,6 +4,7 @@
 #include "core/id_type.h"
 #include "core/result_type.h"
 #include "core/time_type.h"
+#include "object/object_type.h"
 
 #include <memory>
 #include <string>
--- /dev/null
+++ b/src/table/uncovered_table.h
@@ -0,0 +1,17 @@
+/** Names of the reasons for a missing shard. */
+#pragma once
+
+#include "machine/caller_type.h"
+
+#include <array>
+#include <cstddef>
+
+namespace camphorfield {
+
+constexpr std::array<const char*,
+                     static_cast<std::size_t>(UncoveredReason::End)>
+  kUncoveredNames{
+    "timeout", "no_replica", "refused", "wrong_version", "corrupt", "failed",
+  };
+
+} // namespace camphorfield
