Add: runtime, HTTP, peer and platform drivers, daemon machine, command line

Cause: the decision core needs hosts that carry its events and decisions. Change: fiber scheduler over Asio workers, HTTP client and server, links to backend servers and daemons, platform client, callers' and operators' HTTP, timeline, log, metrics, CLI; the daemon machine joins the packages.

--- /dev/null
+++ b/src/cli/change_wait.h
@@ -0,0 +1,15 @@
+/** Waiting until a change is in force on all live daemons. */
+#pragma once
+
+#include "cli/settings.h"
+
+namespace camphorfield {
+
+/**
+ * Polls a daemon's status until all live members report its generation.
+ * @return False when the time of the flags ran out.
+ */
+bool
+WaitInForce(const OperatorFlags& aFlags);
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/daemon/daemon_life.cpp
@@ -0,0 +1,253 @@
+#include "daemon/daemon_func.h"
+#include "daemon/daemon_internal.h"
+
+#include "core/hash_func.h"
+#include "core/result_func.h"
+#include "membership/membership_func.h"
+#include "order/order_func.h"
+#include "publish/publish_func.h"
+#include "route/route_func.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr Duration kReviewInterval = std::chrono::milliseconds(200);
+constexpr Duration kDrainInterval = std::chrono::milliseconds(20);
+
+// Gossip needs a moment to take the daemon out of other daemons' answers, and
+// an answer given in that moment is kept for its full time.
+constexpr Duration kLeaveMargin = std::chrono::seconds(2);
+
+constexpr int kExitLimitReached = 4;
+
+/** What the answer to a request would be under the configuration in force. */
+const RouteSpec*
+FindRoute(const DaemonState& aState, const std::string& aName)
+{
+  const auto config = PublishCurrent(aState.publish_);
+  if (config == nullptr) {
+    return nullptr;
+  }
+  const auto found = config->set_.routes_.find(aName);
+  return found == config->set_.routes_.end() ? nullptr : &found->second;
+}
+
+Generation
+CurrentGeneration(const DaemonState& aState)
+{
+  const auto config = PublishCurrent(aState.publish_);
+  return config == nullptr ? Generation{} : config->generation_;
+}
+
+void
+Record(const Step& aStep, TimelineKind aKind, std::string aText)
+{
+  TimelineRecord record;
+  record.kind_ = aKind;
+  record.number_ = CurrentGeneration(aStep.state_).value_;
+  record.text_ = std::move(aText);
+  aStep.out_.emplace_back(std::move(record));
+}
+
+void
+ReviewReadiness(const Step& aStep)
+{
+  DaemonState& state = aStep.state_;
+  const bool ready = state.ready_ || PublishIsConfirmed(state.publish_);
+  if (ready == state.ready_) {
+    return;
+  }
+  state.ready_ = ready;
+  MembershipSetReady(state.membership_, ready);
+  Record(aStep, TimelineKind::DaemonReady, "");
+}
+
+bool
+IsIdle(const DaemonState& aState)
+{
+  return aState.openQueries_ == 0 && aState.openOrders_ == 0 &&
+         RouteIsIdle(aState.route_) && OrderIsIdle(aState.order_);
+}
+
+void
+EndDaemon(const Step& aStep, int aStatus, const char* aReason)
+{
+  aStep.state_.phase_ = DaemonPhase::Ended;
+  Record(aStep, TimelineKind::DaemonStopped, aReason);
+  aStep.out_.emplace_back(ExitProcess{ aStatus });
+}
+
+void
+ReviewStop(const Step& aStep)
+{
+  DaemonState& state = aStep.state_;
+  const DaemonSettings& settings = state.settings_;
+  const Duration since = aStep.now_.mono_ - state.stopAsked_;
+  if (state.phase_ == DaemonPhase::Leaving &&
+      since >= settings.entriesKeepFor_ + kLeaveMargin) {
+    state.phase_ = DaemonPhase::Draining;
+  }
+  if (state.phase_ != DaemonPhase::Draining) {
+    return;
+  }
+  if (IsIdle(state)) {
+    EndDaemon(aStep, 0, "all requests finished");
+    return;
+  }
+  if (since >= settings.stopLimit_) {
+    EndDaemon(aStep, kExitLimitReached, "time limit reached");
+  }
+}
+
+PublishSettings
+PublishSettingsOf(const DaemonSettings& aSettings, DaemonId aSelf)
+{
+  PublishSettings settings;
+  settings.self_ = aSelf;
+  settings.failureDomain_ = aSettings.failureDomain_;
+  settings.keyPrefix_ = aSettings.storePrefix_;
+  return settings;
+}
+
+MembershipSettings
+MembershipSettingsOf(const DaemonSettings& aSettings, DaemonId aSelf)
+{
+  MembershipSettings settings;
+  settings.self_.id_ = aSelf;
+  settings.self_.name_ = aSettings.name_;
+  settings.self_.incarnation_ = aSettings.incarnation_;
+  settings.self_.peerAddress_ = aSettings.peerAddress_;
+  settings.self_.callerAddress_ = aSettings.callerAddress_;
+  settings.self_.operatorAddress_ = aSettings.operatorAddress_;
+  settings.self_.failureDomain_ = aSettings.failureDomain_;
+  settings.seeds_ = aSettings.seeds_;
+  settings.entriesKeepFor_ = aSettings.entriesKeepFor_;
+  return settings;
+}
+
+OrderSettings
+OrderSettingsOf(const DaemonSettings& aSettings, DaemonId aSelf)
+{
+  OrderSettings settings;
+  settings.self_ = aSelf;
+  settings.name_ = aSettings.name_;
+  settings.incarnation_ = aSettings.incarnation_;
+  settings.failureDomain_ = aSettings.failureDomain_;
+  settings.prefix_ = aSettings.storePrefix_ + "/orders";
+  return settings;
+}
+
+} // namespace
+
+DaemonState
+MakeDaemonState(const DaemonSettings& aSettings, const Now& aNow, Rng& aRng)
+{
+  DaemonState state;
+  state.settings_ = aSettings;
+  state.self_ = DaemonId{ HashText(aSettings.name_) };
+  state.nextReview_ = aNow.mono_;
+  state.publish_ =
+    MakePublishState(PublishSettingsOf(aSettings, state.self_), aRng);
+  state.membership_ = MakeMembershipState(
+    MembershipSettingsOf(aSettings, state.self_), aNow, aRng);
+  state.route_ = MakeRouteState(
+    RouteSettings{ state.self_, aSettings.name_, aSettings.failureDomain_ });
+  state.order_ =
+    MakeOrderState(OrderSettingsOf(aSettings, state.self_), aNow, aRng);
+  return state;
+}
+
+ResultCode
+AdmitRequest(const DaemonState& aState, const CallerRequest& aRequest)
+{
+  if (!aState.ready_) {
+    return ResultCode::NotReady;
+  }
+  // Callers that hold a kept answer are served through the Leaving phase.
+  if (aState.phase_ == DaemonPhase::Draining ||
+      aState.phase_ == DaemonPhase::Ended) {
+    return ResultCode::Stopping;
+  }
+  const RouteSpec* route = FindRoute(aState, aRequest.route_);
+  if (route == nullptr) {
+    return ResultCode::UnknownRoute;
+  }
+  return route->mode_ == aRequest.mode_ ? ResultCode::Ok
+                                        : ResultCode::BadRequest;
+}
+
+void
+RefuseRequest(const Step& aStep,
+              const CallerRequest& aRequest,
+              ResultCode aCode)
+{
+  TimelineRecord record;
+  record.kind_ = TimelineKind::RequestRefused;
+  record.request_ = aRequest.id_.value_;
+  record.object_ = aRequest.route_;
+  record.text_ = GetResultRow(aCode).name_;
+  aStep.out_.emplace_back(std::move(record));
+  const Generation generation = CurrentGeneration(aStep.state_);
+  if (aRequest.mode_ == RouteMode::Order) {
+    ++aStep.state_.openOrders_;
+    OrderAnswer answer;
+    answer.id_ = aRequest.id_;
+    answer.code_ = aCode;
+    answer.key_ = aRequest.idempotencyKey_;
+    answer.generation_ = generation;
+    aStep.out_.emplace_back(std::move(answer));
+    return;
+  }
+  ++aStep.state_.openQueries_;
+  QueryAnswer answer;
+  answer.id_ = aRequest.id_;
+  answer.code_ = aCode;
+  answer.generation_ = generation;
+  aStep.out_.emplace_back(std::move(answer));
+}
+
+void
+CompleteEntries(const Step& aStep, EntriesAnswer& aAnswer)
+{
+  if (aAnswer.tokensWanted_ == 0) {
+    return;
+  }
+  aAnswer.tokens_ = OrderIssueTokens(
+    aStep.state_.order_, aAnswer.tokensWanted_, aStep.now_, aStep.rng_);
+}
+
+void
+BeginStop(const Step& aStep, const StopAsked& aStop)
+{
+  aStep.state_.phase_ = DaemonPhase::Leaving;
+  aStep.state_.stopAsked_ = aStep.now_.mono_;
+  Record(aStep, TimelineKind::DaemonStopping, aStop.reason_);
+}
+
+void
+Review(const Step& aStep)
+{
+  DaemonState& state = aStep.state_;
+  if (aStep.now_.mono_ < state.nextReview_ ||
+      state.phase_ == DaemonPhase::Ended) {
+    return;
+  }
+  const bool isStopping = state.phase_ != DaemonPhase::Serving;
+  state.nextReview_ =
+    aStep.now_.mono_ + (isStopping ? kDrainInterval : kReviewInterval);
+  ReviewReadiness(aStep);
+  MembershipSetLoad(state.membership_, RouteLoad(state.route_));
+  ReviewStop(aStep);
+}
+
+DaemonBusy
+GetBusy(const DaemonState& aState)
+{
+  return DaemonBusy{ aState.openQueries_, aState.openOrders_ };
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/runtime/event_sink.h
@@ -0,0 +1,13 @@
+/** Where the drivers hand in their events. */
+#pragma once
+
+#include "machine/event_type.h"
+
+#include <functional>
+
+namespace camphorfield {
+
+/** Takes an event from any thread; never waits for a fiber. */
+using EventSink = std::function<void(Event)>;
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/runtime/fiber_scheduler.cpp
@@ -0,0 +1,69 @@
+#include "runtime/fiber_scheduler.h"
+
+#include <boost/asio/post.hpp>
+
+namespace camphorfield {
+
+namespace {
+
+// Without this, fibers that wake each other would starve the sockets.
+constexpr std::uint32_t kPicksBetweenPolls = 32;
+
+} // namespace
+
+// The scheduler of a thread is destroyed after the locals of the thread's
+// function and may be notified until then, so it shares the event loop.
+FiberScheduler::FiberScheduler(
+  std::shared_ptr<boost::asio::io_context> aContext)
+  : context_(std::move(aContext))
+{
+}
+
+void
+FiberScheduler::awakened(boost::fibers::context* aFiber) noexcept
+{
+  aFiber->ready_link(ready_);
+}
+
+boost::fibers::context*
+FiberScheduler::pick_next() noexcept
+{
+  if (ready_.empty()) {
+    return nullptr;
+  }
+  if (++picks_ >= kPicksBetweenPolls) {
+    picks_ = 0;
+    context_->poll();
+  }
+  boost::fibers::context* next = &ready_.front();
+  ready_.pop_front();
+  return next;
+}
+
+bool
+FiberScheduler::has_ready_fibers() const noexcept
+{
+  return !ready_.empty();
+}
+
+void
+FiberScheduler::suspend_until(
+  const std::chrono::steady_clock::time_point& aUntil) noexcept
+{
+  picks_ = 0;
+  if (aUntil == std::chrono::steady_clock::time_point::max()) {
+    context_->run_one();
+  } else {
+    context_->run_one_until(aUntil);
+  }
+  // Handlers that are due already cost no further wait.
+  context_->poll();
+}
+
+void
+FiberScheduler::notify() noexcept
+{
+  boost::asio::post(*context_, []() {});
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/runtime/host.cpp
@@ -0,0 +1,236 @@
+#include "runtime/host.h"
+
+#include "daemon/daemon_func.h"
+#include "observe/log.h"
+#include "peer/peer_codec.h"
+#include "platform/platform_client.h"
+#include "runtime/clock.h"
+
+#include <type_traits>
+#include <utility>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr unsigned kWorkerBits = 8; // low bits of a request id name its worker
+
+std::uint64_t
+WorkerOf(std::uint64_t aRequestId)
+{
+  return aRequestId & ((1U << kWorkerBits) - 1);
+}
+
+std::string
+LifeText(const DaemonSettings& aSettings)
+{
+  return aSettings.name_ + "." + std::to_string(aSettings.incarnation_.value_);
+}
+
+} // namespace
+
+Host::Host(const DaemonSettings& aSettings,
+           WorkerPool& aPool,
+           ExitHandler aExit)
+  : settings_(aSettings)
+  , pool_(aPool)
+  , exit_(std::move(aExit))
+  , timeline_(aSettings.name_, aSettings.timelineEvents_)
+  , servers_(
+      aPool,
+      [this](Event aEvent) { Submit(std::move(aEvent)); },
+      LifeText(aSettings))
+  , peers_(
+      aPool,
+      [this](Event aEvent) { Submit(std::move(aEvent)); },
+      [this](const std::string& aPayload) { OnFrame(aPayload); })
+  , platform_(std::make_unique<PlatformClient>(
+      aPool,
+      [this](Event aEvent) { Submit(std::move(aEvent)); },
+      aSettings.platformAddress_))
+  , pending_(aPool.Size())
+  , timer_(aPool.At(0).Context())
+  , rng_(aSettings.seed_)
+{
+  state_ = MakeDaemonState(aSettings, ReadClock(), rng_);
+}
+
+Host::~Host() = default;
+
+absl::Status
+Host::Start()
+{
+  const absl::Status status = peers_.Listen(settings_.peerAddress_);
+  if (!status.ok()) {
+    return status;
+  }
+  Submit(Tick{});
+  return absl::OkStatus();
+}
+
+void
+Host::Submit(Event aEvent)
+{
+  const std::lock_guard lock(coreMutex_);
+  Step(aEvent);
+}
+
+// Decisions are handed to the workers' queues under the lock, so that two
+// steps' decisions about one connection can't overtake each other.
+void
+Host::Step(const Event& aEvent)
+{
+  const Now now = ReadClock();
+  if (const auto* message = std::get_if<PeerMessage>(&aEvent)) {
+    hybrid_ = std::max(hybrid_, message->sent_);
+  }
+  decisions_.clear();
+  DaemonOnEvent(state_, aEvent, now, rng_, decisions_);
+  for (Decision& decision : decisions_) {
+    Carry(decision);
+  }
+  const TimePoint wake = DaemonNextWake(state_);
+  if (wake < armed_) {
+    armed_ = wake;
+    ArmTimer(wake);
+  }
+}
+
+// The clock's part that grows without wall time keeps events of one
+// microsecond, and of a clock that was set back, in causal order.
+HybridTime
+Host::Stamp(std::int64_t aUnixMicros)
+{
+  if (aUnixMicros > hybrid_.unixMicros_) {
+    hybrid_ = HybridTime{ aUnixMicros, 0 };
+  } else {
+    ++hybrid_.logical_;
+  }
+  return hybrid_;
+}
+
+void
+Host::Carry(Decision& aDecision)
+{
+  std::visit(
+    [this](auto& aItem) {
+      using Item = std::decay_t<decltype(aItem)>;
+      if constexpr (std::is_same_v<Item, QueryAnswer> ||
+                    std::is_same_v<Item, OrderAnswer> ||
+                    std::is_same_v<Item, EntriesAnswer> ||
+                    std::is_same_v<Item, OperatorAnswer>) {
+        const std::uint64_t id = aItem.id_.value_;
+        Complete(id, std::move(aItem));
+      } else if constexpr (std::is_same_v<Item, OpenConnection>) {
+        servers_.Open(aItem);
+      } else if constexpr (std::is_same_v<Item, CloseConnection>) {
+        servers_.Close(aItem);
+      } else if constexpr (std::is_same_v<Item, SubRequest>) {
+        servers_.Send(aItem);
+      } else if constexpr (std::is_same_v<Item, SendPeer>) {
+        CarryPeer(aItem);
+      } else if constexpr (std::is_same_v<Item, PlatformCall>) {
+        platform_->Call(aItem);
+      } else if constexpr (std::is_same_v<Item, TimelineRecord>) {
+        timeline_.Add(Stamp(ReadClock().unixMicros_), std::move(aItem));
+      } else if constexpr (std::is_same_v<Item, ExitProcess>) {
+        exit_(aItem.status_);
+      }
+    },
+    aDecision);
+}
+
+void
+Host::CarryPeer(SendPeer& aSend)
+{
+  PeerMessage message;
+  message.from_ = state_.self_;
+  message.fromIncarnation_ = settings_.incarnation_;
+  message.sent_ = Stamp(ReadClock().unixMicros_);
+  message.body_ = std::move(aSend.body_);
+  PeerFrame frame;
+  frame.to_ = aSend.to_;
+  frame.address_ = std::move(aSend.address_);
+  frame.call_ = aSend.call_;
+  frame.payload_ = EncodePeerMessage(message);
+  peers_.Send(std::move(frame));
+}
+
+void
+Host::OnFrame(const std::string& aPayload)
+{
+  absl::StatusOr<PeerMessage> message = DecodePeerMessage(aPayload);
+  if (!message.ok()) {
+    WriteLog(LogLevel::Warning,
+             "peer frame refused",
+             { { "reason", std::string(message.status().message()) } });
+    return;
+  }
+  Submit(*std::move(message));
+}
+
+std::uint64_t
+Host::IssueRequestId(std::uint32_t aWorker)
+{
+  return (nextRequest_++ << kWorkerBits) | aWorker;
+}
+
+HostAnswer
+Host::Ask(std::uint64_t aId, Event aEvent)
+{
+  HostPromise promise;
+  boost::fibers::future<HostAnswer> future = promise.get_future();
+  pending_[WorkerOf(aId)].emplace(aId, &promise);
+  Submit(std::move(aEvent));
+  return future.get();
+}
+
+void
+Host::Abandon(std::uint64_t aId)
+{
+  Submit(CallerGone{ CallerRequestId{ aId } });
+  QueryAnswer nothing;
+  nothing.code_ = ResultCode::Internal;
+  Fulfil(aId, nothing);
+}
+
+void
+Host::Complete(std::uint64_t aId, HostAnswer aAnswer)
+{
+  auto answer = std::make_shared<HostAnswer>(std::move(aAnswer));
+  pool_.At(WorkerOf(aId)).Post([this, aId, answer]() {
+    Fulfil(aId, std::move(*answer));
+  });
+}
+
+// The entry goes first: a second answer, after an Abandon, finds none.
+void
+Host::Fulfil(std::uint64_t aId, HostAnswer aAnswer)
+{
+  PendingMap& pending = pending_[WorkerOf(aId)];
+  const auto found = pending.find(aId);
+  if (found == pending.end()) {
+    return;
+  }
+  HostPromise* promise = found->second;
+  pending.erase(found);
+  promise->set_value(std::move(aAnswer));
+}
+
+void
+Host::ArmTimer(TimePoint aWake)
+{
+  pool_.At(0).Post([this, aWake]() {
+    timer_.expires_at(ToSteady(aWake));
+    timer_.async_wait([this](const boost::system::error_code& aError) {
+      if (aError) {
+        return;
+      }
+      const std::lock_guard lock(coreMutex_);
+      armed_ = kNever;
+      Step(Tick{});
+    });
+  });
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/runtime/http_server.cpp
@@ -0,0 +1,259 @@
+#include "runtime/http_server.h"
+
+#include "runtime/address_func.h"
+#include "runtime/fiber_io.h"
+#include "runtime/http_beast.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/fiber/operations.hpp>
+#include <optional>
+#include <sstream>
+
+namespace camphorfield {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+/** Shared by the acceptor's and the sessions' fibers. */
+struct HttpServerState
+{
+  HttpServerState(WorkerPool& aPool,
+                  HttpServerLimits aLimits,
+                  HttpHandler aHandler)
+    : pool_(aPool)
+    , limits_(aLimits)
+    , handler_(std::move(aHandler))
+  {
+  }
+
+  WorkerPool& pool_;
+  HttpServerLimits limits_;
+  HttpHandler handler_;
+  std::optional<tcp::acceptor> acceptor_;
+  tcp::endpoint local_;
+  std::atomic<bool> closing_{ false };
+  std::atomic<std::uint32_t> sessions_{ 0 };
+};
+
+namespace {
+
+constexpr std::uint32_t kMaxHeaderBytes = 16U * 1024;
+constexpr auto kAcceptPause = std::chrono::milliseconds(20);
+constexpr Duration kWriteTimeout = std::chrono::seconds(10);
+
+using Request = http::request<http::string_body>;
+using Parser = http::request_parser<http::string_body>;
+
+/** One accepted connection. */
+class Session final : public HttpSession
+{
+public:
+  Session(std::shared_ptr<HttpServerState> aServer,
+          tcp::socket aSocket,
+          std::uint32_t aWorker)
+    : server_(std::move(aServer))
+    , stream_(std::move(aSocket))
+    , worker_(aWorker)
+  {
+    ++server_->sessions_;
+  }
+  ~Session() override { --server_->sessions_; }
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
+  std::uint32_t WorkerIndex() const override { return worker_; }
+  void WatchGone(std::function<void()> aOnGone) override;
+
+  /** Serves requests until the connection ends. */
+  void Run();
+
+private:
+  bool ServeOne();
+  bool Answer(const HttpResponse& aResponse, bool aKeepAlive);
+  bool RefuseMalformed(const boost::system::error_code& aError);
+
+  std::shared_ptr<HttpServerState> server_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::uint32_t worker_;
+  std::shared_ptr<bool> watching_ = std::make_shared<bool>(false);
+};
+
+void
+Session::WatchGone(std::function<void()> aOnGone)
+{
+  watching_ = std::make_shared<bool>(true);
+  stream_.socket().async_wait(
+    tcp::socket::wait_read,
+    [this, watching = watching_, function = std::move(aOnGone)](
+      const boost::system::error_code& aError) {
+      if (!*watching || aError == boost::asio::error::operation_aborted) {
+        return;
+      }
+      // A client may send its next request early; only an end counts.
+      boost::system::error_code failed;
+      if (stream_.socket().available(failed) == 0 || failed) {
+        function();
+      }
+    });
+}
+
+void
+Session::Run()
+{
+  while (ServeOne()) {
+  }
+  boost::system::error_code ignored;
+  stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+bool
+Session::RefuseMalformed(const boost::system::error_code& aError)
+{
+  const boost::system::error_code known = http::error::bad_version;
+  if (aError.category() != known.category() ||
+      aError == http::error::end_of_stream ||
+      aError == http::error::partial_message) {
+    return false;
+  }
+  HttpResponse response;
+  response.status_ = 400;
+  if (aError == http::error::body_limit) {
+    response.status_ = 413;
+  }
+  if (aError == http::error::header_limit) {
+    response.status_ = 431;
+  }
+  response.fields_.push_back({ "Content-Type", "application/json" });
+  response.body_ = response.status_ == 413
+                     ? R"({"code":1102,"result":"TOO_LARGE"})"
+                     : R"({"code":1100,"result":"BAD_REQUEST"})";
+  Answer(response, false);
+  return false;
+}
+
+bool
+Session::ServeOne()
+{
+  Parser parser;
+  parser.body_limit(server_->limits_.maxBodyBytes_);
+  parser.header_limit(kMaxHeaderBytes);
+  stream_.expires_after(server_->limits_.requestTimeout_);
+  const IoResult read = AwaitIo([&](auto aHandler) {
+    http::async_read(stream_, buffer_, parser, aHandler);
+  });
+  if (read.error_) {
+    return RefuseMalformed(read.error_);
+  }
+  stream_.expires_never();
+  Request message = parser.release();
+  HttpRequest request;
+  request.method_ = FromVerb(message.method());
+  request.target_ = std::string(message.target());
+  CopyFields(message.base(), request.fields_);
+  request.body_ = std::move(message.body());
+  const HttpResponse response = server_->handler_(request, *this);
+  *watching_ = false;
+  const bool keepAlive =
+    message.keep_alive() && !response.close_ && !server_->closing_;
+  return Answer(response, keepAlive) && keepAlive;
+}
+
+bool
+Session::Answer(const HttpResponse& aResponse, bool aKeepAlive)
+{
+  http::response<http::string_body> message;
+  message.version(11);
+  message.result(aResponse.status_);
+  SetFields(aResponse.fields_, message.base());
+  message.keep_alive(aKeepAlive);
+  message.body() = aResponse.body_;
+  message.prepare_payload();
+  stream_.expires_after(kWriteTimeout);
+  const IoResult written = AwaitIo(
+    [&](auto aHandler) { http::async_write(stream_, message, aHandler); });
+  return !written.error_;
+}
+
+void
+StartSession(const std::shared_ptr<HttpServerState>& aServer,
+             tcp::socket aSocket,
+             std::uint32_t aWorker)
+{
+  TuneSocket(aSocket);
+  auto session =
+    std::make_shared<Session>(aServer, std::move(aSocket), aWorker);
+  aServer->pool_.At(aWorker).Spawn([session]() { session->Run(); });
+}
+
+void
+AcceptLoop(const std::shared_ptr<HttpServerState>& aServer)
+{
+  std::uint32_t next = 0;
+  while (true) {
+    const std::uint32_t worker = next++ % aServer->pool_.Size();
+    tcp::socket socket(aServer->pool_.At(worker).Context());
+    const IoResult accepted = AwaitIo([&](auto aHandler) {
+      aServer->acceptor_->async_accept(socket, aHandler);
+    });
+    if (accepted.error_ == boost::asio::error::operation_aborted) {
+      return;
+    }
+    if (accepted.error_) {
+      // Out of file descriptors: others will be freed.
+      boost::this_fiber::sleep_for(kAcceptPause);
+      continue;
+    }
+    if (aServer->sessions_ >= aServer->limits_.maxSessions_) {
+      continue;
+    }
+    StartSession(aServer, std::move(socket), worker);
+  }
+}
+
+} // namespace
+
+HttpServer::HttpServer(WorkerPool& aPool,
+                       HttpServerLimits aLimits,
+                       HttpHandler aHandler)
+  : state_(
+      std::make_shared<HttpServerState>(aPool, aLimits, std::move(aHandler)))
+{
+}
+
+absl::Status
+HttpServer::Listen(const std::string& aAddress)
+{
+  state_->acceptor_.emplace(state_->pool_.At(0).Context());
+  absl::Status status = ListenOn(*state_->acceptor_, aAddress);
+  if (!status.ok()) {
+    return status;
+  }
+  state_->local_ = state_->acceptor_->local_endpoint();
+  state_->pool_.At(0).Spawn([state = state_]() { AcceptLoop(state); });
+  return absl::OkStatus();
+}
+
+std::string
+HttpServer::LocalAddress() const
+{
+  std::ostringstream text;
+  text << state_->local_;
+  return text.str();
+}
+
+void
+HttpServer::BeginClosing()
+{
+  state_->closing_ = true;
+}
+
+} // namespace camphorfield
