--- a/tests/standin/platform.cpp
+++ b/tests/standin/platform.cpp
@@ -45,25 +45,6 @@
   return aRequest.method_ == "DELETE" ? CallKind::Delete : CallKind::End;
 }
 
-/** Count a call; false when it exceeds the limit. */
-bool
-CountRate(CallRate& aRate, double aLimit)
-{
-  const std::int64_t second = std::chrono::duration_cast<std::chrono::seconds>(
-                                Clock::now().time_since_epoch())
-                                .count();
-  if (second != aRate.second_) {
-    aRate.second_ = second;
-    aRate.count_ = 0;
-  }
-  if (aLimit > 0 && static_cast<double>(aRate.count_) >= aLimit) {
-    return false;
-  }
-  ++aRate.count_;
-  aRate.peak_ = std::max(aRate.peak_, aRate.count_);
-  return true;
-}
-
 bool
 AdmitCall(PlatformStandin& aPlatform, CallKind aKind)
 {
@@ -287,6 +268,21 @@
 
 } // namespace
 
+bool
+CountRate(CallRate& aRate, double aLimit, std::int64_t aSecond)
+{
+  if (aSecond != aRate.second_) {
+    aRate.second_ = aSecond;
+    aRate.count_ = 0;
+  }
+  if (aLimit > 0 && static_cast<double>(aRate.count_) >= aLimit) {
+    return false;
+  }
+  ++aRate.count_;
+  aRate.peak_ = std::max(aRate.peak_, aRate.count_);
+  return true;
+}
+
 const StoreCopy&
 ReadView(const PlatformStandin& aPlatform)
 {
--- a/tests/standin/platform_base.h
+++ b/tests/standin/platform_base.h
@@ -138,6 +138,15 @@
 HttpReply
 PlatformAdmin(PlatformStandin& aPlatform, const HttpRequest& aRequest);
 
+/**
+ * Count a call.
+ * @param aLimit Calls in one second; zero: no limit.
+ * @param aSecond The present second.
+ * @return False when it exceeds the limit; it is not counted then.
+ */
+bool
+CountRate(CallRate& aRate, double aLimit, std::int64_t aSecond);
+
 /** Wake the watches that see a change. */
 void
 WakeWatches(PlatformStandin& aPlatform);
