--- a/tests/standin/platform.cpp
+++ b/tests/standin/platform.cpp
@@ -48,9 +48,13 @@
 bool
 AdmitCall(PlatformStandin& aPlatform, CallKind aKind)
 {
+  const std::int64_t second = std::chrono::duration_cast<std::chrono::seconds>(
+                                Clock::now().time_since_epoch())
+                                .count();
+  const PlatformFaults& faults = aPlatform.faults_;
   const bool admitted =
-    IsWrite(aKind) ? CountRate(aPlatform.writes_, aPlatform.faults_.writesPerS_)
-                   : CountRate(aPlatform.reads_, aPlatform.faults_.readsPerS_);
+    IsWrite(aKind) ? CountRate(aPlatform.writes_, faults.writesPerS_, second)
+                   : CountRate(aPlatform.reads_, faults.readsPerS_, second);
   const CallKind counted = admitted ? aKind : CallKind::Throttled;
   ++aPlatform.counts_[static_cast<std::size_t>(counted)];
   return admitted;
