--- a/tests/standin/http_server.cpp
+++ b/tests/standin/http_server.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cctype>
+#include <cmath>
 #include <optional>
 #include <stdexcept>
 #include <vector>
@@ -283,7 +284,8 @@
     state_->connections_.begin(), state_->connections_.end());
   std::shuffle(open.begin(), open.end(), aRng);
   const double count = aShare * static_cast<double>(open.size());
-  open.resize(std::min(open.size(), static_cast<std::size_t>(count + 0.5)));
+  open.resize(
+    std::min(open.size(), static_cast<std::size_t>(std::lround(count))));
   for (const auto& connection : open) {
     connection->Silence();
   }
--- a/tests/standin/http_text.cpp
+++ b/tests/standin/http_text.cpp
@@ -20,7 +20,7 @@
 AppendHeaders(const HttpHeaders& aHeaders, std::string& aOut)
 {
   for (const auto& [name, value] : aHeaders) {
-    aOut += name + ": " + value + "\r\n";
+    aOut.append(name).append(": ").append(value).append("\r\n");
   }
 }
 
@@ -117,7 +117,8 @@
   std::string out = aRequest.method_ + " " + PercentEncode(aRequest.path_);
   char separator = '?';
   for (const auto& [name, value] : aRequest.query_) {
-    out += separator + PercentEncode(name) + "=" + PercentEncode(value);
+    out += separator;
+    out.append(PercentEncode(name)).append("=").append(PercentEncode(value));
     separator = '&';
   }
   out += " HTTP/1.1\r\nHost: standin\r\n";
--- a/tests/standin/platform.cpp
+++ b/tests/standin/platform.cpp
@@ -167,7 +167,7 @@
   StoredObject& object = aPlatform.store_.objects_[aKey];
   object.version_ = version;
   object.value_ = std::make_shared<const std::string>(aRequest.body_);
-  const HttpReply reply =
+  HttpReply reply =
     ObjectReply(aKind == CallKind::Create ? 201 : 200, object, false);
   WakeWatches(aPlatform);
   return reply;
