--- a/src/machine/peer_type.h
+++ b/src/machine/peer_type.h
@@ -89,16 +89,21 @@
 {
   PeerCallId call_;
   Generation generation_; ///< Zero: the newest that the peer has.
+  Generation base_; ///< Generation that the asker has; zero: none. The peer
+                    ///< leaves out what has not changed since.
 };
 
-/** Content of a generation. */
+/**
+ * Content of a generation. With no call and no content it is a notice that the
+ * sender has this generation, and the receiver may ask for it.
+ */
 struct GenerationContent
 {
   PeerCallId call_;
   Generation generation_; ///< Zero: the peer has none.
   std::string changeId_;
   std::string digest_;  ///< Digest of content_.
-  std::string content_; ///< Encoded ConfigSet.
+  std::string content_; ///< Encoded by publish; opaque to others.
 };
 
 /** Hand an order to the daemon that owns its key. */
--- /dev/null
+++ b/src/object/change_json.cpp
@@ -0,0 +1,121 @@
+#include "object/json_internal.h"
+#include "object/json_scan.h"
+#include "object/object_diff.h"
+#include "object/object_json.h"
+#include "table/object_table.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+
+namespace camphorfield {
+
+namespace json = boost::json;
+
+namespace {
+
+json::value
+ParseScanned(std::string_view aText)
+{
+  json::parse_options options;
+  options.max_depth = kMaxJsonDepth;
+  boost::system::error_code error;
+  return json::parse({ aText.data(), aText.size() }, error, {}, options);
+}
+
+ObjectKey
+DecodeKey(FieldReader& aReader)
+{
+  std::size_t kind = 0;
+  ObjectKey key;
+  ReadName(aReader,
+           "kind",
+           Need::Required,
+           { kObjectKindNames.begin(), kObjectKindNames.end() },
+           kind);
+  ReadText(aReader, "name", Need::Required, key.name_);
+  FinishFields(aReader);
+  key.kind_ = static_cast<ObjectKind>(kind);
+  return key;
+}
+
+void
+DecodePuts(FieldReader& aReader, Change& aChange)
+{
+  const json::array* list = FindList(aReader, "put", Need::Optional);
+  for (std::size_t i = 0; list != nullptr && i < list->size(); i++) {
+    const std::size_t before = aReader.faults_->size();
+    ConfigObject object = DecodeObject((*list)[i], *aReader.faults_);
+    // An object that could not be named is named by its place.
+    for (std::size_t f = before; f < aReader.faults_->size(); f++) {
+      ConfigFault& fault = (*aReader.faults_)[f];
+      if (fault.object_ == "change") {
+        const std::string place = "put[" + std::to_string(i) + "]";
+        fault.field_ =
+          fault.field_.empty() ? place : place + "." + fault.field_;
+      }
+    }
+    aChange.puts_.push_back(std::move(object));
+  }
+}
+
+void
+DecodeDeletes(FieldReader& aReader, Change& aChange)
+{
+  const json::array* list = FindList(aReader, "delete", Need::Optional);
+  for (std::size_t i = 0; list != nullptr && i < list->size(); i++) {
+    FieldReader entry;
+    if (EnterEntry(aReader, "delete", *list, i, entry)) {
+      aChange.deletes_.push_back(DecodeKey(entry));
+    }
+  }
+}
+
+} // namespace
+
+ConfigFaults
+ParseChange(std::string_view aText, Change& aChange)
+{
+  ConfigFaults faults;
+  if (!ScanJson(aText, kMaxChangeBytes, faults)) {
+    return faults;
+  }
+  const json::value document = ParseScanned(aText);
+  FieldReader reader{ nullptr, "change", "", &faults, {} };
+  if (!document.is_object()) {
+    ReportField(reader, ConfigFaultCode::NotAnObject, "", "");
+    return faults;
+  }
+  reader.json_ = &document.get_object();
+  DecodePuts(reader, aChange);
+  DecodeDeletes(reader, aChange);
+  ReadNumber(reader, "based_on", Need::Required, aChange.basedOn_.value_);
+  FinishFields(reader);
+  return faults;
+}
+
+absl::StatusOr<ConfigSet>
+DecodeConfigSet(std::string_view aText)
+{
+  ConfigFaults faults;
+  ConfigSet set;
+  if (ScanJson(aText, kMaxSetBytes, faults)) {
+    const json::value document = ParseScanned(aText);
+    if (!document.is_array()) {
+      AddFault(faults, ConfigFaultCode::WrongType, "set", "", "not a list");
+    } else {
+      for (const json::value& entry : document.get_array()) {
+        PutObject(set, DecodeObject(entry, faults));
+      }
+    }
+  }
+  if (!faults.empty()) {
+    const ConfigFault& first = faults.front();
+    return absl::InvalidArgumentError(
+      std::string(GetConfigFaultRow(first.code_).name_) + " " + first.object_ +
+      " " + first.field_ + " " + first.reason_);
+  }
+  return set;
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/object/check_step.cpp
@@ -0,0 +1,221 @@
+#include "object/change_type.h"
+#include "object/check_internal.h"
+#include "object/object_check.h"
+
+#include <algorithm>
+#include <map>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr std::size_t kMaxReasonBytes = 400; ///< Of a list of referrers.
+
+const IndexVersionSpec*
+FindVersion(const IndexSpec& aIndex, SnapshotVersion aVersion)
+{
+  for (const IndexVersionSpec& version : aIndex.versions_) {
+    if (version.version_ == aVersion) {
+      return &version;
+    }
+  }
+  return nullptr;
+}
+
+/** Largest version that the index had in force. */
+SnapshotVersion
+NewestVersion(const IndexSpec& aIndex)
+{
+  SnapshotVersion newest;
+  for (const IndexVersionSpec& version : aIndex.versions_) {
+    newest = std::max(newest, version.version_);
+  }
+  return newest;
+}
+
+void
+CheckIndexStep(const IndexSpec& aBefore,
+               const IndexSpec& aAfter,
+               const ObjectFaults& aFaults)
+{
+  std::size_t kept = 0;
+  for (std::size_t i = 0; i < aAfter.versions_.size(); i++) {
+    const IndexVersionSpec& version = aAfter.versions_[i];
+    const IndexVersionSpec* old = FindVersion(aBefore, version.version_);
+    const std::string text = std::to_string(version.version_.value_);
+    if (old == nullptr) {
+      if (version.version_ < NewestVersion(aBefore)) {
+        Report(aFaults,
+               ConfigFaultCode::VersionNotNew,
+               EntryPath("versions", i, "version"),
+               text);
+      }
+      continue;
+    }
+    kept++;
+    // Two daemons on neighbouring generations would otherwise ask for different
+    // shards under the same version.
+    if (old->shards_ != version.shards_) {
+      Report(aFaults,
+             ConfigFaultCode::ShardMapChanged,
+             EntryPath("versions", i, "shards"),
+             text);
+    }
+  }
+  if (kept == 0 && !aBefore.versions_.empty() && !aAfter.versions_.empty()) {
+    Report(aFaults, ConfigFaultCode::VersionsAllDropped, "versions");
+  }
+}
+
+void
+CheckServiceStep(const ServiceSpec& aBefore,
+                 const ServiceSpec& aAfter,
+                 const ObjectFaults& aFaults)
+{
+  const auto kept = [&](const ServerSpec& aServer) {
+    return std::any_of(aBefore.servers_.begin(),
+                       aBefore.servers_.end(),
+                       [&](const ServerSpec& aOld) {
+                         return aOld.name_ == aServer.name_ &&
+                                aOld.address_ == aServer.address_;
+                       });
+  };
+  const std::vector<ServerSpec>& servers = aAfter.servers_;
+  if (!servers.empty() && !aBefore.servers_.empty() &&
+      std::none_of(servers.begin(), servers.end(), kept)) {
+    Report(aFaults, ConfigFaultCode::ServersAllReplaced, "servers");
+  }
+}
+
+/** A server that is in two services while daemons change over counts twice. */
+void
+CheckServerMoves(const ConfigSet& aBefore,
+                 const ConfigSet& aAfter,
+                 ConfigFaults& aFaults)
+{
+  std::map<std::string, std::string> homes;
+  for (const auto& [name, service] : aBefore.services_) {
+    for (const ServerSpec& server : service.servers_) {
+      homes.emplace(server.name_, name);
+    }
+  }
+  for (const auto& [name, service] : aAfter.services_) {
+    const ObjectFaults faults{ &aFaults,
+                               KeyText({ ObjectKind::Service, name }) };
+    for (std::size_t i = 0; i < service.servers_.size(); i++) {
+      const auto home = homes.find(service.servers_[i].name_);
+      if (home != homes.end() && home->second != name) {
+        Report(faults,
+               ConfigFaultCode::ServerMoved,
+               EntryPath("servers", i, "name"),
+               home->first + " of service/" + home->second);
+      }
+    }
+  }
+}
+
+/** Referring objects by what they refer to, as text for the reason. */
+using Referrers = std::map<ObjectKey, std::string>;
+
+void
+NoteReferrer(Referrers& aReferrers,
+             const ObjectKey& aTarget,
+             const ObjectKey& aReferrer)
+{
+  std::string& text = aReferrers[aTarget];
+  const std::string referrer = KeyText(aReferrer);
+  // Routes and indexes come one after the other: only the last can repeat.
+  if (text.ends_with(referrer) || text.size() > kMaxReasonBytes) {
+    return;
+  }
+  text += (text.empty() ? "" : ", ") + referrer;
+}
+
+/** One pass over the set, since a change may delete very many objects. */
+Referrers
+FindReferrers(const ConfigSet& aSet)
+{
+  Referrers referrers;
+  for (const auto& [name, index] : aSet.indexes_) {
+    for (const IndexVersionSpec& version : index.versions_) {
+      for (const ShardSpec& shard : version.shards_) {
+        NoteReferrer(referrers,
+                     { ObjectKind::Service, shard.service_ },
+                     { ObjectKind::Index, name });
+      }
+    }
+  }
+  for (const auto& [name, route] : aSet.routes_) {
+    const ObjectKey self{ ObjectKind::Route, name };
+    NoteReferrer(referrers, { ObjectKind::Service, route.service_ }, self);
+    NoteReferrer(referrers, { ObjectKind::Index, route.index_ }, self);
+    NoteReferrer(referrers, { ObjectKind::Limits, route.limits_ }, self);
+  }
+  return referrers;
+}
+
+template<typename Specs>
+void
+CheckDeletes(const Specs& aBefore,
+             const Specs& aAfter,
+             ObjectKind aKind,
+             const Referrers& aReferrers,
+             ConfigFaults& aFaults)
+{
+  for (const auto& [name, spec] : aBefore) {
+    if (aAfter.count(name) != 0) {
+      continue;
+    }
+    const ObjectKey key{ aKind, name };
+    const auto referrers = aReferrers.find(key);
+    if (referrers != aReferrers.end()) {
+      const ObjectFaults faults{ &aFaults, KeyText(key) };
+      Report(faults, ConfigFaultCode::DeleteReferenced, "", referrers->second);
+    }
+  }
+}
+
+} // namespace
+
+ConfigFaults
+CheckStep(const ConfigSet& aBefore, const ConfigSet& aAfter)
+{
+  ConfigFaults faults;
+  for (const auto& [name, index] : aAfter.indexes_) {
+    const auto old = aBefore.indexes_.find(name);
+    if (old != aBefore.indexes_.end()) {
+      CheckIndexStep(
+        old->second, index, { &faults, KeyText({ ObjectKind::Index, name }) });
+    }
+  }
+  for (const auto& [name, service] : aAfter.services_) {
+    const auto old = aBefore.services_.find(name);
+    if (old != aBefore.services_.end()) {
+      CheckServiceStep(old->second,
+                       service,
+                       { &faults, KeyText({ ObjectKind::Service, name }) });
+    }
+  }
+  for (const auto& [name, route] : aAfter.routes_) {
+    const auto old = aBefore.routes_.find(name);
+    if (old != aBefore.routes_.end() && old->second.mode_ != route.mode_) {
+      Report({ &faults, KeyText({ ObjectKind::Route, name }) },
+             ConfigFaultCode::RouteModeChanged,
+             "mode");
+    }
+  }
+  CheckServerMoves(aBefore, aAfter, faults);
+  const Referrers referrers = FindReferrers(aAfter);
+  CheckDeletes(
+    aBefore.indexes_, aAfter.indexes_, ObjectKind::Index, referrers, faults);
+  CheckDeletes(aBefore.services_,
+               aAfter.services_,
+               ObjectKind::Service,
+               referrers,
+               faults);
+  CheckDeletes(
+    aBefore.limits_, aAfter.limits_, ObjectKind::Limits, referrers, faults);
+  return faults;
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/object/json_reader.cpp
@@ -0,0 +1,336 @@
+#include "object/json_internal.h"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/value.hpp>
+#include <cmath>
+#include <limits>
+
+namespace camphorfield {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t kQuotedBytes = 60; ///< Of a wrong value, in a reason.
+
+std::string
+Quote(std::string_view aText)
+{
+  // Cutting inside a character would make the fault itself invalid UTF-8.
+  std::size_t size = std::min(aText.size(), kQuotedBytes);
+  while (size < aText.size() && size > 0 &&
+         (static_cast<unsigned char>(aText[size]) & 0xC0U) == 0x80U) {
+    size--;
+  }
+  const bool whole = size == aText.size();
+  return "'" + std::string(aText.substr(0, size)) + (whole ? "'" : "...'");
+}
+
+std::string_view
+TypeName(const json::value& aValue)
+{
+  switch (aValue.kind()) {
+    case json::kind::null:
+      return "null";
+    case json::kind::bool_:
+      return "a truth value";
+    case json::kind::string:
+      return "a text";
+    case json::kind::array:
+      return "a list";
+    case json::kind::object:
+      return "an object";
+    default:
+      return "a number";
+  }
+}
+
+void
+ReportType(FieldReader& aReader,
+           std::string_view aField,
+           std::string_view aWanted,
+           const json::value& aValue)
+{
+  const std::string reason = "expected " + std::string(aWanted) + ", found " +
+                             std::string(TypeName(aValue));
+  ReportField(aReader, ConfigFaultCode::WrongType, aField, reason);
+}
+
+/** Read a whole number from zero to aMax. */
+bool
+ReadWhole(FieldReader& aReader,
+          std::string_view aField,
+          const json::value& aValue,
+          std::uint64_t aMax,
+          std::uint64_t& aOut)
+{
+  if (!aValue.is_number()) {
+    ReportType(aReader, aField, "a whole number", aValue);
+    return false;
+  }
+  if (aValue.is_double() &&
+      aValue.get_double() != std::floor(aValue.get_double())) {
+    ReportField(aReader, ConfigFaultCode::NotWhole, aField, "");
+    return false;
+  }
+  const bool negative = aValue.is_int64() && aValue.get_int64() < 0;
+  const std::uint64_t number =
+    aValue.is_int64()    ? static_cast<std::uint64_t>(aValue.get_int64())
+    : aValue.is_uint64() ? aValue.get_uint64()
+                         : 0;
+  if (aValue.is_double() || negative || number > aMax) {
+    const std::string reason = "0 to " + std::to_string(aMax);
+    ReportField(aReader, ConfigFaultCode::NumberRange, aField, reason);
+    return false;
+  }
+  aOut = number;
+  return true;
+}
+
+/** A field that names a duration in another unit, such as "deadline_s". */
+bool
+IsOtherUnit(const FieldReader& aReader, std::string_view aField)
+{
+  for (const std::string_view known : aReader.known_) {
+    if (!known.ends_with("_ms")) {
+      continue;
+    }
+    const std::string_view stem = known.substr(0, known.size() - 3);
+    const bool bare = aField == stem;
+    if (bare || (aField.starts_with(stem) && aField[stem.size()] == '_')) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+void
+ReportField(FieldReader& aReader,
+            ConfigFaultCode aCode,
+            std::string_view aField,
+            std::string_view aReason)
+{
+  std::string path = aReader.path_;
+  if (!path.empty() && !aField.empty()) {
+    path += '.';
+  }
+  path += aField;
+  AddFault(*aReader.faults_, aCode, aReader.object_, path, aReason);
+}
+
+const json::value*
+FindField(FieldReader& aReader, std::string_view aField, Need aNeed)
+{
+  aReader.known_.push_back(aField);
+  const json::value* value =
+    aReader.json_->if_contains({ aField.data(), aField.size() });
+  if (value == nullptr && aNeed == Need::Required) {
+    ReportField(aReader, ConfigFaultCode::MissingField, aField, "");
+  }
+  return value;
+}
+
+void
+ReadText(FieldReader& aReader,
+         std::string_view aField,
+         Need aNeed,
+         std::string& aOut)
+{
+  const json::value* value = FindField(aReader, aField, aNeed);
+  if (value == nullptr) {
+    return;
+  }
+  if (!value->is_string()) {
+    ReportType(aReader, aField, "a text", *value);
+    return;
+  }
+  const json::string& text = value->get_string();
+  if (text.size() > kMaxTextBytes) {
+    const std::string reason = std::to_string(text.size()) +
+                               " bytes, at most " +
+                               std::to_string(kMaxTextBytes);
+    ReportField(aReader, ConfigFaultCode::TextTooLong, aField, reason);
+    return;
+  }
+  aOut.assign(text.data(), text.size());
+}
+
+void
+ReadCount(FieldReader& aReader,
+          std::string_view aField,
+          Need aNeed,
+          std::uint32_t& aOut)
+{
+  const json::value* value = FindField(aReader, aField, aNeed);
+  std::uint64_t number = 0;
+  constexpr std::uint64_t kMax = std::numeric_limits<std::uint32_t>::max();
+  if (value != nullptr && ReadWhole(aReader, aField, *value, kMax, number)) {
+    aOut = static_cast<std::uint32_t>(number);
+  }
+}
+
+void
+ReadNumber(FieldReader& aReader,
+           std::string_view aField,
+           Need aNeed,
+           std::uint64_t& aOut)
+{
+  const json::value* value = FindField(aReader, aField, aNeed);
+  constexpr std::uint64_t kMax = std::numeric_limits<std::int64_t>::max();
+  if (value != nullptr) {
+    ReadWhole(aReader, aField, *value, kMax, aOut);
+  }
+}
+
+void
+ReadFlag(FieldReader& aReader, std::string_view aField, bool& aOut)
+{
+  const json::value* value = FindField(aReader, aField, Need::Optional);
+  if (value == nullptr) {
+    return;
+  }
+  if (!value->is_bool()) {
+    ReportType(aReader, aField, "a truth value", *value);
+    return;
+  }
+  aOut = value->get_bool();
+}
+
+void
+ReadShare(FieldReader& aReader, std::string_view aField, double& aOut)
+{
+  const json::value* value = FindField(aReader, aField, Need::Optional);
+  if (value == nullptr) {
+    return;
+  }
+  if (!value->is_number()) {
+    ReportType(aReader, aField, "a number", *value);
+    return;
+  }
+  // The parser may be off by the last bit: without fixed steps the encoded form
+  // would drift from one daemon to the next, and with it the digests.
+  const double number = value->to_number<double>();
+  if (!(std::abs(number) <= kShareSteps)) {
+    ReportField(aReader, ConfigFaultCode::NumberRange, aField, "");
+    return;
+  }
+  aOut = std::round(number * kShareSteps) / kShareSteps;
+}
+
+void
+ReadMillis(FieldReader& aReader,
+           std::string_view aField,
+           Need aNeed,
+           Duration& aOut)
+{
+  const json::value* value = FindField(aReader, aField, aNeed);
+  if (value == nullptr) {
+    return;
+  }
+  if (value->is_string()) {
+    const json::string& text = value->get_string();
+    const std::string reason =
+      Quote({ text.data(), text.size() }) + " instead of a number";
+    ReportField(aReader, ConfigFaultCode::WrongUnit, aField, reason);
+    return;
+  }
+  if (!value->is_number()) {
+    ReportType(aReader, aField, "a number", *value);
+    return;
+  }
+  const double millis = value->to_number<double>();
+  if (!(millis >= 0.0 && millis <= kMaxMillis)) {
+    ReportField(aReader,
+                ConfigFaultCode::NumberRange,
+                aField,
+                "0 to 3600000 milliseconds");
+    return;
+  }
+  aOut = Duration(std::llround(millis * 1000.0));
+}
+
+void
+ReadName(FieldReader& aReader,
+         std::string_view aField,
+         Need aNeed,
+         const std::vector<std::string_view>& aNames,
+         std::size_t& aOut)
+{
+  std::string text;
+  const std::size_t before = aReader.faults_->size();
+  ReadText(aReader, aField, aNeed, text);
+  const bool absent =
+    !aReader.json_->contains({ aField.data(), aField.size() });
+  if (absent || aReader.faults_->size() != before) {
+    return;
+  }
+  const auto found = std::find(aNames.begin(), aNames.end(), text);
+  if (found == aNames.end()) {
+    ReportField(aReader, ConfigFaultCode::UnknownValue, aField, Quote(text));
+    return;
+  }
+  aOut = static_cast<std::size_t>(found - aNames.begin());
+}
+
+const json::array*
+FindList(FieldReader& aReader, std::string_view aField, Need aNeed)
+{
+  const json::value* value = FindField(aReader, aField, aNeed);
+  if (value == nullptr) {
+    return nullptr;
+  }
+  if (!value->is_array()) {
+    ReportType(aReader, aField, "a list", *value);
+    return nullptr;
+  }
+  if (value->get_array().size() > kMaxListEntries) {
+    const std::string reason = "at most " + std::to_string(kMaxListEntries);
+    ReportField(aReader, ConfigFaultCode::TooManyEntries, aField, reason);
+    return nullptr;
+  }
+  return &value->get_array();
+}
+
+bool
+EnterEntry(FieldReader& aReader,
+           std::string_view aField,
+           const json::array& aList,
+           std::size_t aIndex,
+           FieldReader& aEntry)
+{
+  const std::string step =
+    std::string(aField) + "[" + std::to_string(aIndex) + "]";
+  if (!aList[aIndex].is_object()) {
+    ReportField(aReader,
+                ConfigFaultCode::NotAnObject,
+                step,
+                "found " + std::string(TypeName(aList[aIndex])));
+    return false;
+  }
+  aEntry.json_ = &aList[aIndex].get_object();
+  aEntry.object_ = aReader.object_;
+  aEntry.path_ = aReader.path_.empty() ? step : aReader.path_ + "." + step;
+  aEntry.faults_ = aReader.faults_;
+  return true;
+}
+
+void
+FinishFields(FieldReader& aReader)
+{
+  for (const auto& field : *aReader.json_) {
+    const std::string_view name{ field.key().data(), field.key().size() };
+    const auto& known = aReader.known_;
+    if (std::find(known.begin(), known.end(), name) != known.end()) {
+      continue;
+    }
+    const ConfigFaultCode code = IsOtherUnit(aReader, name)
+                                   ? ConfigFaultCode::WrongUnit
+                                   : ConfigFaultCode::UnknownField;
+    ReportField(aReader, code, Quote(name), "");
+  }
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/object/json_scan.cpp
@@ -0,0 +1,129 @@
+#include "object/json_scan.h"
+
+#include "object/fault_func.h"
+
+#include <boost/json/basic_parser_impl.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace camphorfield {
+
+namespace json = boost::json;
+
+namespace {
+
+using JsonError = boost::system::error_code;
+using JsonText = json::string_view;
+
+/** One open object or array. */
+struct OpenScope
+{
+  std::set<std::string> fields_; ///< Fields seen; empty for an array.
+};
+
+/**
+ * Handler of Boost.JSON's parser that only looks for repeated fields: its own
+ * container keeps the last of them silently, so that an operator who wrote a
+ * field twice would get one of the two without a word.
+ */
+struct ScanHandler
+{
+  // Names and limits that boost::json::basic_parser asks for.
+  // NOLINTBEGIN(readability-identifier-naming)
+  constexpr static std::size_t max_object_size = static_cast<std::size_t>(-1);
+  constexpr static std::size_t max_array_size = static_cast<std::size_t>(-1);
+  constexpr static std::size_t max_key_size = static_cast<std::size_t>(-1);
+  constexpr static std::size_t max_string_size = static_cast<std::size_t>(-1);
+  // NOLINTEND(readability-identifier-naming)
+
+  ConfigFaults* faults_ = nullptr; ///< Where faults go.
+  std::vector<OpenScope> open_;    ///< Objects and arrays around the position.
+  std::string key_;                ///< Parts of a field's name so far.
+
+  bool Open()
+  {
+    open_.emplace_back();
+    return true;
+  }
+  bool Close()
+  {
+    open_.pop_back();
+    return true;
+  }
+
+  bool on_document_begin(JsonError&) { return true; }
+  bool on_document_end(JsonError&) { return true; }
+  bool on_object_begin(JsonError&) { return Open(); }
+  bool on_object_end(std::size_t, JsonError&) { return Close(); }
+  bool on_array_begin(JsonError&) { return Open(); }
+  bool on_array_end(std::size_t, JsonError&) { return Close(); }
+  bool on_key_part(JsonText aPart, std::size_t, JsonError&)
+  {
+    key_.append(aPart.data(), aPart.size());
+    return true;
+  }
+  bool on_key(JsonText aPart, std::size_t, JsonError&)
+  {
+    key_.append(aPart.data(), aPart.size());
+    if (!open_.back().fields_.insert(key_).second) {
+      AddFault(*faults_, ConfigFaultCode::DuplicateField, "change", key_, "");
+    }
+    key_.clear();
+    return true;
+  }
+  bool on_string_part(JsonText, std::size_t, JsonError&) { return true; }
+  bool on_string(JsonText, std::size_t, JsonError&) { return true; }
+  bool on_number_part(JsonText, JsonError&) { return true; }
+  bool on_int64(std::int64_t, JsonText, JsonError&) { return true; }
+  bool on_uint64(std::uint64_t, JsonText, JsonError&) { return true; }
+  bool on_double(double, JsonText, JsonError&) { return true; }
+  bool on_bool(bool, JsonError&) { return true; }
+  bool on_null(JsonError&) { return true; }
+  bool on_comment_part(JsonText, JsonError&) { return true; }
+  bool on_comment(JsonText, JsonError&) { return true; }
+};
+
+ConfigFaultCode
+CodeOf(const JsonError& aError)
+{
+  if (aError == json::error::too_deep) {
+    return ConfigFaultCode::TooDeep;
+  }
+  const bool encoding = aError == json::error::illegal_leading_surrogate ||
+                        aError == json::error::illegal_trailing_surrogate ||
+                        aError == json::error::expected_utf16_escape;
+  return encoding ? ConfigFaultCode::NotUtf8 : ConfigFaultCode::NotJson;
+}
+
+} // namespace
+
+bool
+ScanJson(std::string_view aText, std::size_t aMaxBytes, ConfigFaults& aFaults)
+{
+  if (aText.size() > aMaxBytes) {
+    const std::string reason = std::to_string(aText.size()) +
+                               " bytes, at most " + std::to_string(aMaxBytes);
+    AddFault(aFaults, ConfigFaultCode::DocumentTooLarge, "change", "", reason);
+    return false;
+  }
+  json::parse_options options;
+  options.max_depth = kMaxJsonDepth;
+  json::basic_parser<ScanHandler> parser(options);
+  parser.handler().faults_ = &aFaults;
+  const std::size_t before = aFaults.size();
+  JsonError error;
+  const std::size_t used =
+    parser.write_some(false, aText.data(), aText.size(), error);
+  if (!error && used != aText.size()) {
+    error = json::error::extra_data;
+  }
+  if (error) {
+    const std::string reason =
+      error.message() + " at byte " + std::to_string(used);
+    AddFault(aFaults, CodeOf(error), "change", "", reason);
+  }
+  return aFaults.size() == before;
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/object/object_diff.h
@@ -0,0 +1,42 @@
+/** Merge of a change onto a set, and differences between sets. */
+#pragma once
+
+#include "object/change_type.h"
+
+#include <string>
+#include <vector>
+
+namespace camphorfield {
+
+/** Create or replace one object. */
+void
+PutObject(ConfigSet& aSet, ConfigObject aObject);
+
+/**
+ * Remove one object.
+ * @return False when there is none.
+ */
+bool
+DeleteObject(ConfigSet& aSet, const ObjectKey& aKey);
+
+/** All objects of a set, sorted by kind and name. */
+std::vector<ConfigObject>
+ListObjects(const ConfigSet& aSet);
+
+/** Objects named by a change, sorted and each once. */
+std::vector<ObjectKey>
+TouchedObjects(const Change& aChange);
+
+/** The set after a change; deletes come after the puts. */
+ConfigSet
+MergeChange(const ConfigSet& aSet, const Change& aChange);
+
+/** What differs between two sets, sorted by kind and name. */
+std::vector<ObjectDiff>
+DiffSets(const ConfigSet& aBefore, const ConfigSet& aAfter);
+
+/** JSON list of differences. */
+std::string
+EncodeDiff(const std::vector<ObjectDiff>& aDiff);
+
+} // namespace camphorfield
--- a/src/object/object_type.h
+++ b/src/object/object_type.h
@@ -44,6 +44,8 @@
 {
   std::string name_;    ///< Name of the shard, unique in its version.
   std::string service_; ///< Service whose servers hold the shard.
+
+  bool operator==(const ShardSpec&) const = default;
 };
 
 /** One snapshot version of an index with its shard map. */
@@ -51,6 +53,8 @@
 {
   SnapshotVersion version_;       ///< Rises with each snapshot.
   std::vector<ShardSpec> shards_; ///< The shard map of this version.
+
+  bool operator==(const IndexVersionSpec&) const = default;
 };
 
 /** Searchable index. */
@@ -58,6 +62,8 @@
 {
   std::string name_;                       ///< Name of the object.
   std::vector<IndexVersionSpec> versions_; ///< Versions that may be served.
+
+  bool operator==(const IndexSpec&) const = default;
 };
 
 /** One backend server. */
@@ -69,6 +75,8 @@
   std::uint32_t slots_ = 1;        ///< Requests it runs at a time.
   std::uint32_t connections_ = 25; ///< Connections it accepts from all daemons.
   bool draining_ = false;          ///< The operator takes it out of service.
+
+  bool operator==(const ServerSpec&) const = default;
 };
 
 /** Replica set of backend servers. */
@@ -78,6 +86,8 @@
   std::vector<ServerSpec> servers_; ///< Its replicas.
   Duration connectCost_{};          ///< Cost of a new connection.
   bool reportsLoad_ = false;        ///< Answers carry the server's load.
+
+  bool operator==(const ServiceSpec&) const = default;
 };
 
 /** How a caller's requests are served. */
@@ -92,6 +102,8 @@
   Duration deadline_{};                  ///< Longest time a caller waits.
   Duration softAnswer_{};    ///< Answer with what is there; zero: wait.
   double minCoverage_ = 0.0; ///< Share of shards below which it is an error.
+
+  bool operator==(const RouteSpec&) const = default;
 };
 
 /** Budgets and limits shared by routes. */
@@ -102,6 +114,8 @@
   double retryBudget_ = 0.10; ///< Retries as a share of primary sub-requests.
   std::uint32_t maxInFlight_ = 1000; ///< Requests at a time in one daemon.
   double callerShare_ = 0.5;         ///< Part of maxInFlight_ for one caller.
+
+  bool operator==(const LimitsSpec&) const = default;
 };
 
 /** The set of daemons that the connection caps are divided among. */
@@ -112,6 +126,8 @@
                                   ///< replaced ones still counted.
   std::uint32_t homesPerServer_ = 0; ///< Daemons that connect to a server;
                                      ///< zero: all of them.
+
+  bool operator==(const FleetSpec&) const = default;
 };
 
 /** All objects of one generation, by name. */
@@ -122,6 +138,8 @@
   std::map<std::string, RouteSpec> routes_;
   std::map<std::string, LimitsSpec> limits_;
   std::map<std::string, FleetSpec> fleets_;
+
+  bool operator==(const ConfigSet&) const = default;
 };
 
 /** A checked configuration with its place in the sequence. */
--- /dev/null
+++ b/src/publish/publish_adopt.cpp
@@ -0,0 +1,119 @@
+#include "publish/publish_internal.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+namespace {
+
+const ConfigSet kEmptySet;
+
+const ConfigSet&
+CurrentSet(const PublishState& aState)
+{
+  return aState.current_ == nullptr ? kEmptySet : aState.current_->set_;
+}
+
+void
+KeepManifest(PublishState& aState)
+{
+  aState.recent_[CurrentGeneration(aState)] = aState.content_->manifest_;
+  while (aState.recent_.size() > kRecentManifests) {
+    aState.recent_.erase(aState.recent_.begin());
+  }
+}
+
+} // namespace
+
+bool
+AdoptContent(PublishStep& aStep, Content aContent, std::string_view aSource)
+{
+  PublishState& state = aStep.state_;
+  const Generation generation = NewestEntry(aContent.pointer_).generation_;
+  if (generation <= CurrentGeneration(state)) {
+    return false;
+  }
+  absl::StatusOr<ConfigSet> set =
+    AssembleSet(*state.content_, CurrentSet(state), aContent);
+  if (!set.ok()) {
+    RefuseGeneration(aStep, generation, std::string(set.status().message()));
+    return false;
+  }
+  return AdoptSet(aStep, std::move(aContent), *std::move(set), aSource);
+}
+
+bool
+AdoptSet(PublishStep& aStep,
+         Content aContent,
+         ConfigSet aSet,
+         std::string_view aSource)
+{
+  PublishState& state = aStep.state_;
+  const HistoryEntry& entry = NewestEntry(aContent.pointer_);
+  // The one place where the generation in force is set: it only rises.
+  if (entry.generation_ <= CurrentGeneration(state)) {
+    return false;
+  }
+  auto config = std::make_shared<PublishedConfig>();
+  config->generation_ = entry.generation_;
+  config->changeId_ = entry.changeId_;
+  config->set_ = std::move(aSet);
+  state.content_ = std::make_shared<const Content>(std::move(aContent));
+  state.current_ = std::move(config);
+  KeepManifest(state);
+  Record(aStep,
+         TimelineKind::GenerationAdopted,
+         state.current_->generation_.value_,
+         state.current_->changeId_,
+         aSource);
+  aStep.out_.emplace_back(ConfigAdopted{ state.current_ });
+  const bool shown = state.current_->generation_ == state.seenInStore_ &&
+                     state.current_->changeId_ == state.seenChange_;
+  const bool beyond = state.seenInStore_.IsValid() &&
+                      state.current_->generation_ > state.seenInStore_;
+  state.confirmed_ = state.confirmed_ || shown || beyond;
+  state.fetch_.failures_ = 0;
+  state.fetch_.tried_.clear();
+  std::erase_if(state.fetch_.notices_, [&](const auto& aNotice) {
+    return aNotice.second <= state.current_->generation_;
+  });
+  SendNotices(aStep);
+  return true;
+}
+
+void
+RefuseGeneration(PublishStep& aStep,
+                 Generation aGeneration,
+                 std::string_view aReason)
+{
+  PublishState& state = aStep.state_;
+  const Generation current = CurrentGeneration(state);
+  const std::string text =
+    std::string(aReason) + "; in force stays " + std::to_string(current.value_);
+  // A store that stays behind is read again and again; one record is enough.
+  const std::string mark = std::to_string(aGeneration.value_) + " " + text;
+  if (state.refused_ == mark) {
+    return;
+  }
+  state.refused_ = mark;
+  Record(aStep,
+         TimelineKind::GenerationRefused,
+         aGeneration.value_,
+         "generation",
+         text);
+}
+
+void
+ConfirmByPeers(PublishStep& aStep)
+{
+  PublishState& state = aStep.state_;
+  const bool settled =
+    state.firstPeerAt_ != kNever &&
+    aStep.now_.mono_ >= state.firstPeerAt_ + state.settings_.settleTime_;
+  if (state.confirmed_ || !settled || state.current_ == nullptr) {
+    return;
+  }
+  state.confirmed_ = state.current_->generation_ >= HighestHeard(state);
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/publish/publish_read.cpp
@@ -0,0 +1,215 @@
+#include "core/hash_func.h"
+#include "publish/publish_internal.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr Duration kRepairSpread = std::chrono::seconds(2);
+
+/** Whether a peer already tells of a generation, so that the store need not. */
+bool
+PeersHave(const PublishState& aState, Generation aGeneration)
+{
+  return HighestHeard(aState) >= aGeneration && !FetchIsExhausted(aState);
+}
+
+void
+FollowPointer(PublishStep& aStep, const Pointer& aPointer)
+{
+  PublishState& state = aStep.state_;
+  const HistoryEntry& entry = NewestEntry(aPointer);
+  if (PeersHave(state, entry.generation_)) {
+    RunFetch(aStep);
+    return;
+  }
+  ContentLoad& load = state.loads_[static_cast<std::size_t>(LoadUse::Follow)];
+  const Generation loading = NewestEntry(load.content_.pointer_).generation_;
+  if (!load.active_ || loading < entry.generation_) {
+    StartLoad(aStep, LoadUse::Follow, aPointer, entry);
+  }
+}
+
+/** The store holds something older than, or other than, what is in force. */
+void
+OnPointerBehind(PublishStep& aStep, const HistoryEntry& aEntry)
+{
+  RefuseGeneration(aStep,
+                   aEntry.generation_,
+                   "the store shows change '" + aEntry.changeId_ + "'");
+  QueueRepair(aStep);
+}
+
+/** Mean time between two audits of one daemon: the fleet's total is fixed. */
+Duration
+AuditPause(PublishStep& aStep)
+{
+  const PublishState& state = aStep.state_;
+  const std::size_t members =
+    state.members_ == nullptr
+      ? 1
+      : std::max<std::size_t>(1, state.members_->size());
+  const Duration mean =
+    state.settings_.auditInterval_ * static_cast<Duration::rep>(members);
+  return mean / 2 + DrawUpTo(aStep, mean);
+}
+
+void
+ScheduleRead(PublishStep& aStep, bool aFailed)
+{
+  PublishState& state = aStep.state_;
+  PointerReader& reader = state.reader_;
+  const bool urgent =
+    (!state.confirmed_ && !reader.answered_) || FetchIsExhausted(state);
+  reader.failures_ = aFailed || urgent ? reader.failures_ + 1 : 0;
+  reader.nextAt_ = aFailed || urgent ? BackoffAt(aStep, reader.failures_)
+                                     : aStep.now_.mono_ + AuditPause(aStep);
+  // A daemon that got its generation from peers has no cause to press a store
+  // that is out; its watchers do so for all.
+  if (aFailed && state.confirmed_ && !FetchIsExhausted(state)) {
+    reader.nextAt_ = aStep.now_.mono_ + AuditPause(aStep);
+  }
+}
+
+void
+RunWatch(PublishStep& aStep)
+{
+  PublishState& state = aStep.state_;
+  PointerWatch& watch = state.watch_;
+  const bool due = watch.nextAt_ == kNever || watch.nextAt_ <= aStep.now_.mono_;
+  if (!state.watcher_ || state.stopping_ || watch.inFlight_ || !due ||
+      !state.reader_.answered_) {
+    return;
+  }
+  watch.inFlight_ = true;
+  watch.nextAt_ = kNever;
+  PlatformCall call;
+  call.op_ = PlatformOp::Watch;
+  call.key_ = PointerKey(state);
+  call.expectedVersion_ = state.pointerVersion_;
+  call.timeout_ = state.settings_.watchTimeout_;
+  StartCall(aStep, std::move(call), { CallUse::Watch, LoadUse::Follow, 0 });
+}
+
+} // namespace
+
+void
+OnPointerSeen(PublishStep& aStep, const PlatformObject& aObject)
+{
+  PublishState& state = aStep.state_;
+  state.pointerVersion_ = aObject.version_;
+  state.storeEmpty_ = false;
+  const absl::StatusOr<Pointer> pointer = DecodePointer(aObject.value_);
+  if (!pointer.ok()) {
+    RefuseGeneration(aStep, {}, "the store's pointer can't be read");
+    return;
+  }
+  const HistoryEntry& entry = NewestEntry(*pointer);
+  const Generation current = CurrentGeneration(state);
+  state.seenInStore_ = entry.generation_;
+  state.seenChange_ = entry.changeId_;
+  if (entry.generation_ > current) {
+    FollowPointer(aStep, *pointer);
+    return;
+  }
+  const bool same =
+    entry.generation_ == current &&
+    entry.changeId_ == NewestEntry(state.content_->pointer_).changeId_;
+  if (!same) {
+    OnPointerBehind(aStep, entry);
+    return;
+  }
+  state.confirmed_ = true;
+}
+
+void
+OnPointerAbsent(PublishStep& aStep)
+{
+  PublishState& state = aStep.state_;
+  state.pointerVersion_ = 0;
+  state.storeEmpty_ = true;
+  if (state.current_ != nullptr) {
+    OnPointerBehind(aStep, {});
+  }
+}
+
+void
+ElectWatchers(PublishStep& aStep)
+{
+  PublishState& state = aStep.state_;
+  if (state.members_ == nullptr) {
+    return;
+  }
+  const std::string& domain = state.settings_.failureDomain_;
+  const std::uint64_t seed = HashText(domain);
+  const std::uint64_t own = HashPair(state.settings_.self_.value_, seed);
+  std::uint32_t ahead = 0;
+  for (const MemberRecord& member : *state.members_) {
+    const bool rival = member.failureDomain_ == domain &&
+                       member.state_ == MemberState::Alive &&
+                       member.id_ != state.settings_.self_;
+    if (rival && HashPair(member.id_.value_, seed) > own) {
+      ahead++;
+    }
+  }
+  state.watcher_ = ahead < state.settings_.watchersPerDomain_;
+}
+
+void
+RunReaders(PublishStep& aStep)
+{
+  PublishState& state = aStep.state_;
+  PointerReader& reader = state.reader_;
+  if (!reader.inFlight_ && reader.nextAt_ <= aStep.now_.mono_) {
+    reader.inFlight_ = true;
+    reader.nextAt_ = kNever;
+    StartGet(aStep, PointerKey(state), { CallUse::Read, LoadUse::Follow, 0 });
+  }
+  RunWatch(aStep);
+}
+
+void
+OnPointerReply(PublishStep& aStep, const PlatformReply& aReply, CallUse aUse)
+{
+  PublishState& state = aStep.state_;
+  const bool failed = aReply.status_ == PlatformStatus::Unreachable ||
+                      aReply.status_ == PlatformStatus::Throttled;
+  if (!failed) {
+    state.reader_.answered_ = true;
+  }
+  const PlatformObject* object = ReplyObject(aReply);
+  // A store that answers with old and new versions in turn would end each watch
+  // at once; it is treated like a failure.
+  const bool backwards =
+    object != nullptr && object->version_ < state.pointerVersion_;
+  if (object != nullptr) {
+    OnPointerSeen(aStep, *object);
+  } else if (aReply.status_ == PlatformStatus::NotFound) {
+    OnPointerAbsent(aStep);
+  }
+  if (aUse == CallUse::Read) {
+    state.reader_.inFlight_ = false;
+    ScheduleRead(aStep, failed);
+    return;
+  }
+  state.watch_.inFlight_ = false;
+  const bool pause = failed || backwards;
+  state.watch_.failures_ = pause ? state.watch_.failures_ + 1 : 0;
+  if (pause || aReply.status_ == PlatformStatus::NotFound) {
+    state.watch_.nextAt_ = BackoffAt(aStep, state.watch_.failures_);
+  }
+}
+
+void
+QueueRepair(PublishStep& aStep)
+{
+  PublishState& state = aStep.state_;
+  // All watchers see the store go back at the same time; one repair is enough.
+  if (state.repairAt_ == kNever && !state.stopping_) {
+    state.repairAt_ = aStep.now_.mono_ + DrawUpTo(aStep, kRepairSpread);
+  }
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/publish/publish_sweep.cpp
@@ -0,0 +1,193 @@
+#include "publish/publish_internal.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+namespace {
+
+/** Steps of a sweep; the removals follow. */
+enum class SweepStep : std::uint8_t
+{
+  NextManifest, ///< What stays.
+  OldManifest,  ///< What the old generation used.
+  ListChunks,   ///< What attempts at the old generation wrote.
+  ListManifests,
+  Remove
+};
+
+std::string
+PartKey(const PublishState& aState, std::string_view aPart)
+{
+  const std::string number =
+    std::to_string(aState.sweep_.old_.generation_.value_);
+  return aState.settings_.keyPrefix_ + "/config/" + std::string(aPart) + "/" +
+         number + "-";
+}
+
+void
+StartList(PublishStep& aStep, std::string_view aPart)
+{
+  PlatformCall call;
+  call.op_ = PlatformOp::List;
+  call.key_ = PartKey(aStep.state_, aPart);
+  StartCall(aStep, std::move(call), { CallUse::Sweep, LoadUse::Follow, 0 });
+}
+
+/** Remove the next piece of garbage, or end. */
+void
+RemoveNext(PublishStep& aStep)
+{
+  Sweep& sweep = aStep.state_.sweep_;
+  if (sweep.garbage_.empty()) {
+    sweep.sweptTo_ = sweep.old_.generation_;
+    sweep.active_ = false;
+    return;
+  }
+  const auto& [key, version] = *sweep.garbage_.begin();
+  if (version == 0) {
+    StartGet(aStep, key, { CallUse::Sweep, LoadUse::Follow, 0 });
+    return;
+  }
+  PlatformCall call;
+  call.op_ = PlatformOp::Delete;
+  call.key_ = key;
+  call.expectedVersion_ = version;
+  StartCall(aStep, std::move(call), { CallUse::Sweep, LoadUse::Follow, 0 });
+}
+
+void
+NextStep(PublishStep& aStep)
+{
+  Sweep& sweep = aStep.state_.sweep_;
+  const PendingCall use{ CallUse::Sweep, LoadUse::Follow, 0 };
+  switch (static_cast<SweepStep>(sweep.step_)) {
+    case SweepStep::NextManifest:
+      StartGet(aStep, sweep.next_.manifestKey_, use);
+      return;
+    case SweepStep::OldManifest:
+      StartGet(aStep, sweep.old_.manifestKey_, use);
+      return;
+    case SweepStep::ListChunks:
+      StartList(aStep, "chunk");
+      return;
+    case SweepStep::ListManifests:
+      StartList(aStep, "manifest");
+      return;
+    default:
+      RemoveNext(aStep);
+      return;
+  }
+}
+
+void
+NoteGarbage(Sweep& aSweep, const std::string& aKey, std::uint64_t aVersion)
+{
+  if (aSweep.kept_.count(aKey) == 0) {
+    std::uint64_t& version = aSweep.garbage_[aKey];
+    version = std::max(version, aVersion);
+  }
+}
+
+/** Take up what one read of a sweep brought; false ends the sweep. */
+bool
+TakeRead(Sweep& aSweep, const PlatformReply& aReply)
+{
+  const auto step = static_cast<SweepStep>(aSweep.step_);
+  const PlatformObject* object = ReplyObject(aReply);
+  if (step == SweepStep::NextManifest || step == SweepStep::OldManifest) {
+    // An earlier sweep may have ended here, after the old manifest was gone.
+    if (step == SweepStep::OldManifest &&
+        aReply.status_ == PlatformStatus::NotFound) {
+      return true;
+    }
+    const absl::StatusOr<Manifest> manifest =
+      DecodeManifest(object == nullptr ? "" : object->value_);
+    if (!manifest.ok()) {
+      return false;
+    }
+    for (const ChunkRef& chunk : manifest->chunks_) {
+      if (step == SweepStep::NextManifest) {
+        aSweep.kept_.insert(chunk.key_);
+      } else {
+        NoteGarbage(aSweep, chunk.key_, 0);
+      }
+    }
+    return true;
+  }
+  for (const PlatformObject& listed : aReply.objects_) {
+    NoteGarbage(aSweep, listed.key_, listed.version_);
+  }
+  return aReply.status_ == PlatformStatus::Ok;
+}
+
+/** Take up the reply to a read or a removal of the first piece of garbage. */
+void
+TakeRemoval(Sweep& aSweep, const PlatformReply& aReply)
+{
+  const auto first = aSweep.garbage_.begin();
+  const PlatformObject* object = ReplyObject(aReply);
+  if (aReply.op_ == PlatformOp::Get && object != nullptr) {
+    first->second = object->version_;
+    return;
+  }
+  aSweep.garbage_.erase(first);
+}
+
+} // namespace
+
+void
+StartSweep(PublishStep& aStep)
+{
+  PublishState& state = aStep.state_;
+  Sweep& sweep = state.sweep_;
+  const Pointer& pointer = state.content_->pointer_;
+  const Generation done = std::max(pointer.swept_, sweep.sweptTo_);
+  if (sweep.active_) {
+    return;
+  }
+  for (std::size_t i = 0; i + 1 < pointer.history_.size(); i++) {
+    const HistoryEntry& entry = pointer.history_[i];
+    if (entry.generation_ <= done) {
+      continue;
+    }
+    if (HasContent(pointer, entry)) {
+      return;
+    }
+    sweep = Sweep{};
+    sweep.sweptTo_ = done;
+    sweep.active_ = true;
+    sweep.old_ = entry;
+    sweep.next_ = pointer.history_[i + 1];
+    NextStep(aStep);
+    return;
+  }
+}
+
+void
+OnSweepReply(PublishStep& aStep, const PlatformReply& aReply)
+{
+  Sweep& sweep = aStep.state_.sweep_;
+  if (!sweep.active_) {
+    return;
+  }
+  const bool failed = aReply.status_ == PlatformStatus::Unreachable ||
+                      aReply.status_ == PlatformStatus::Throttled;
+  // Nothing waits for a sweep: the next change of configuration takes it up
+  // again, from the beginning.
+  if (failed) {
+    sweep.active_ = false;
+    return;
+  }
+  if (sweep.step_ == static_cast<std::uint32_t>(SweepStep::Remove)) {
+    TakeRemoval(sweep, aReply);
+  } else if (TakeRead(sweep, aReply)) {
+    sweep.step_++;
+  } else {
+    sweep.active_ = false;
+    return;
+  }
+  NextStep(aStep);
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/tests/publish/fleet_fixture.cpp
@@ -0,0 +1,523 @@
+#include "publish/fleet_fixture.h"
+
+#include "core/digest_func.h"
+#include "core/hash_func.h"
+#include "object/object_json.h"
+
+#include <algorithm>
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+namespace camphorfield::test {
+
+namespace {
+
+constexpr Duration kPeerLatency = std::chrono::milliseconds(1);
+constexpr Duration kGossipPeriod = std::chrono::milliseconds(250);
+constexpr Duration kPollPeriod = std::chrono::milliseconds(5);
+constexpr std::int64_t kStartMicros = 1'800'000'000'000'000;
+
+bool
+IsSwap(const PlatformCall& aCall)
+{
+  return aCall.key_.ends_with("/config/pointer") &&
+         (aCall.op_ == PlatformOp::Create || aCall.op_ == PlatformOp::Update);
+}
+
+PlatformReply
+ReplyTo(const PlatformCall& aCall, PlatformStatus aStatus)
+{
+  return { aCall.id_, aCall.user_, aCall.op_, aStatus, aCall.key_, {}, {} };
+}
+
+} // namespace
+
+Fleet::Fleet(std::size_t aDaemons, std::size_t aDomains, std::uint64_t aSeed)
+  : now_(std::chrono::seconds(1000))
+  , rng_(aSeed)
+{
+  for (std::size_t i = 0; i < aDaemons; i++) {
+    FakeDaemon daemon;
+    daemon.name_ = "vm-" + std::to_string(i);
+    daemon.settings_.self_ = DaemonId{ HashText(daemon.name_) };
+    daemon.settings_.failureDomain_ = "fd-" + std::to_string(i % aDomains);
+    daemons_.push_back(std::move(daemon));
+  }
+  for (std::size_t i = 0; i < aDaemons; i++) {
+    Restart(i);
+  }
+  Post(kGossipPeriod, [this] { Gossip(); });
+}
+
+Now
+Fleet::NowOf() const
+{
+  return { now_, kStartMicros + now_.time_since_epoch().count() };
+}
+
+void
+Fleet::Post(Duration aDelay, std::function<void()> aWork)
+{
+  queue_.emplace(now_ + aDelay, std::move(aWork));
+}
+
+void
+Fleet::Tell(std::size_t aDaemon, std::function<void(FakeDaemon&)> aWork)
+{
+  FakeDaemon& daemon = daemons_[aDaemon];
+  if (!daemon.alive_) {
+    return;
+  }
+  if (daemon.paused_) {
+    daemon.held_.push_back(
+      [this, aDaemon, work = std::move(aWork)] { Tell(aDaemon, work); });
+    return;
+  }
+  aWork(daemon);
+}
+
+template<typename Event>
+void
+Fleet::Deliver(std::size_t aDaemon, const Event& aEvent)
+{
+  Tell(aDaemon, [this, aDaemon, aEvent](FakeDaemon& aTo) {
+    Decisions out;
+    PublishOnEvent(aTo.state_, aEvent, NowOf(), aTo.rng_, out);
+    Carry(aDaemon, std::move(out));
+  });
+}
+
+void
+Fleet::NoteAdopted(FakeDaemon& aDaemon, const ConfigAdopted& aAdopted)
+{
+  const Generation generation = aAdopted.config_->generation_;
+  if (!aDaemon.adopted_.empty() && aDaemon.adopted_.back() >= generation) {
+    reversals_++;
+  }
+  aDaemon.adopted_.push_back(generation);
+  aDaemon.adoptedAt_.emplace(generation, now_);
+  const std::string digest =
+    DigestText(EncodeConfigSet(aAdopted.config_->set_));
+  if (contents_.emplace(generation, digest).first->second != digest) {
+    forks_++;
+  }
+}
+
+void
+Fleet::Carry(std::size_t aDaemon, Decisions aDecisions)
+{
+  for (Decision& decision : aDecisions) {
+    if (const auto* call = std::get_if<PlatformCall>(&decision)) {
+      CarryCall(aDaemon, *call);
+    } else if (const auto* send = std::get_if<SendPeer>(&decision)) {
+      CarryPeer(aDaemon, *send);
+    } else if (const auto* answer = std::get_if<OperatorAnswer>(&decision)) {
+      CHECK_TRUE(answers_.emplace(answer->id_, *answer).second);
+    } else if (const auto* record = std::get_if<TimelineRecord>(&decision)) {
+      daemons_[aDaemon].timeline_.push_back(*record);
+    } else if (const auto* adopted = std::get_if<ConfigAdopted>(&decision)) {
+      NoteAdopted(daemons_[aDaemon], *adopted);
+    }
+  }
+}
+
+void
+Fleet::CarryPeer(std::size_t aDaemon, const SendPeer& aSend)
+{
+  FakeDaemon& from = daemons_[aDaemon];
+  from.peerMessages_++;
+  if (const auto* content = std::get_if<GenerationContent>(&aSend.body_)) {
+    from.peerBytes_ += content->content_.size();
+  }
+  const std::size_t to = IndexOf(aSend.to_);
+  const bool cut =
+    from.cutFromPeers_ || daemons_[to].cutFromPeers_ || !daemons_[to].alive_;
+  if (cut) {
+    const PeerUnreachable lost{ aSend.to_, aSend.address_, aSend.call_ };
+    Post(kPeerLatency, [this, aDaemon, lost] { Deliver(aDaemon, lost); });
+    return;
+  }
+  PeerMessage message{ from.settings_.self_, {}, {}, aSend.body_ };
+  Post(kPeerLatency, [this, to, message] { Deliver(to, message); });
+}
+
+std::size_t
+Fleet::IndexOf(DaemonId aId) const
+{
+  for (std::size_t i = 0; i < daemons_.size(); i++) {
+    if (daemons_[i].settings_.self_ == aId) {
+      return i;
+    }
+  }
+  FAIL("message to an unknown daemon");
+  return 0;
+}
+
+PlatformReply
+Fleet::Execute(const PlatformCall& aCall)
+{
+  PlatformReply reply = ReplyTo(aCall, PlatformStatus::Ok);
+  const bool read =
+    aCall.op_ == PlatformOp::Get || aCall.op_ == PlatformOp::Watch;
+  if (aCall.op_ == PlatformOp::List) {
+    for (const auto& [key, object] : store_.objects_) {
+      if (key.starts_with(aCall.key_)) {
+        reply.objects_.push_back(object);
+      }
+    }
+    return reply;
+  }
+  auto& objects = read && store_.stale_ ? *store_.stale_ : store_.objects_;
+  const auto found = objects.find(aCall.key_);
+  const std::uint64_t version =
+    found == objects.end() ? 0 : found->second.version_;
+  if (read) {
+    reply.status_ =
+      version == 0 ? PlatformStatus::NotFound : PlatformStatus::Ok;
+    if (version != 0) {
+      reply.objects_.push_back(found->second);
+    }
+    return reply;
+  }
+  const std::uint64_t wanted =
+    aCall.op_ == PlatformOp::Create ? 0 : aCall.expectedVersion_;
+  if (version != wanted) {
+    reply.status_ = PlatformStatus::Conflict;
+    return reply;
+  }
+  if (aCall.op_ == PlatformOp::Delete) {
+    objects.erase(found);
+    return reply;
+  }
+  CHECK_TRUE(aCall.value_.size() <= 1024 * 1024);
+  store_.bytesWritten_ += aCall.value_.size();
+  PlatformObject object{ aCall.key_, ++store_.lastVersion_, aCall.value_ };
+  objects[aCall.key_] = object;
+  object.value_.clear();
+  reply.objects_.push_back(std::move(object));
+  return reply;
+}
+
+void
+Fleet::Reply(std::size_t aDaemon, std::uint64_t aLife, PlatformReply aReply)
+{
+  if (daemons_[aDaemon].life_ == aLife) {
+    Deliver(aDaemon, aReply);
+  }
+}
+
+void
+Fleet::PollWatch(std::size_t aDaemon,
+                 std::uint64_t aLife,
+                 PlatformCall aCall,
+                 TimePoint aUntil)
+{
+  if (store_.down_ || daemons_[aDaemon].cutFromStore_) {
+    Reply(aDaemon, aLife, ReplyTo(aCall, PlatformStatus::Unreachable));
+    return;
+  }
+  const PlatformReply reply = Execute(aCall);
+  const std::uint64_t version =
+    reply.objects_.empty() ? 0 : reply.objects_.front().version_;
+  if (version != aCall.expectedVersion_) {
+    Reply(aDaemon, aLife, reply);
+    return;
+  }
+  if (now_ >= aUntil) {
+    Reply(aDaemon, aLife, ReplyTo(aCall, PlatformStatus::Unchanged));
+    return;
+  }
+  Post(kPollPeriod, [=, this] { PollWatch(aDaemon, aLife, aCall, aUntil); });
+}
+
+void
+Fleet::CarryCall(std::size_t aDaemon, const PlatformCall& aCall)
+{
+  FakeDaemon& daemon = daemons_[aDaemon];
+  const std::uint64_t life = daemon.life_;
+  store_.calls_[static_cast<std::size_t>(aCall.op_)]++;
+  store_.callsInSecond_[now_.time_since_epoch() / std::chrono::seconds(1)]++;
+  const auto reply = [=, this](PlatformStatus aStatus, Duration aDelay) {
+    Post(aDelay, [=, this] { Reply(aDaemon, life, ReplyTo(aCall, aStatus)); });
+  };
+  const bool swap = IsSwap(aCall);
+  if (store_.down_ || daemon.cutFromStore_) {
+    reply(PlatformStatus::Unreachable, aCall.timeout_);
+    return;
+  }
+  if (store_.throttle_ > 0) {
+    store_.throttle_--;
+    reply(PlatformStatus::Throttled, store_.latency_);
+    return;
+  }
+  if (swap && store_.loseRequests_ > 0) {
+    store_.loseRequests_--;
+    if (store_.lateEffect_.count() > 0) {
+      Post(store_.lateEffect_, [=, this] { Execute(aCall); });
+    }
+    reply(PlatformStatus::Unreachable, aCall.timeout_);
+    return;
+  }
+  Post(store_.latency_, [=, this] {
+    if (aCall.op_ == PlatformOp::Watch) {
+      PollWatch(aDaemon, life, aCall, now_ + aCall.timeout_);
+      return;
+    }
+    const PlatformReply done = Execute(aCall);
+    if (swap && store_.downAfterSwap_) {
+      store_.downAfterSwap_ = false;
+      store_.down_ = true;
+    }
+    if (swap && store_.loseReplies_ > 0) {
+      store_.loseReplies_--;
+      reply(PlatformStatus::Unreachable, aCall.timeout_);
+      return;
+    }
+    Post(store_.latency_, [=, this] { Reply(aDaemon, life, done); });
+  });
+}
+
+void
+Fleet::Gossip()
+{
+  Post(kGossipPeriod, [this] { Gossip(); });
+  if (!gossip_) {
+    return;
+  }
+  auto members = std::make_shared<std::vector<MemberRecord>>();
+  for (const FakeDaemon& daemon : daemons_) {
+    if (!daemon.alive_ || daemon.cutFromPeers_) {
+      continue;
+    }
+    MemberRecord record;
+    record.id_ = daemon.settings_.self_;
+    record.name_ = daemon.name_;
+    record.failureDomain_ = daemon.settings_.failureDomain_;
+    record.peerAddress_ = daemon.name_ + ":1";
+    if (PublishCurrent(daemon.state_) != nullptr) {
+      record.generation_ = PublishCurrent(daemon.state_)->generation_;
+    }
+    members->push_back(std::move(record));
+  }
+  std::sort(members->begin(),
+            members->end(),
+            [](const auto& aA, const auto& aB) { return aA.id_ < aB.id_; });
+  for (std::size_t i = 0; i < daemons_.size(); i++) {
+    if (!daemons_[i].cutFromPeers_) {
+      Deliver(i, MembersChanged{ members });
+    }
+  }
+}
+
+bool
+Fleet::Step(TimePoint aLimit)
+{
+  TimePoint next = queue_.empty() ? kNever : queue_.begin()->first;
+  std::size_t due = daemons_.size();
+  for (std::size_t i = 0; i < daemons_.size(); i++) {
+    const FakeDaemon& daemon = daemons_[i];
+    const TimePoint wake = daemon.alive_ && !daemon.paused_
+                             ? std::max(now_, PublishNextWake(daemon.state_))
+                             : kNever;
+    if (wake < next) {
+      next = wake;
+      due = i;
+    }
+  }
+  if (next > aLimit) {
+    now_ = aLimit;
+    return false;
+  }
+  now_ = std::max(now_, next);
+  if (due < daemons_.size()) {
+    Deliver(due, Tick{});
+    return true;
+  }
+  const std::function<void()> work = std::move(queue_.begin()->second);
+  queue_.erase(queue_.begin());
+  work();
+  return true;
+}
+
+void
+Fleet::Run(Duration aTime)
+{
+  const TimePoint limit = now_ + aTime;
+  while (Step(limit)) {
+  }
+}
+
+bool
+Fleet::RunUntil(const std::function<bool()>& aDone, Duration aLimit)
+{
+  const TimePoint limit = now_ + aLimit;
+  while (!aDone()) {
+    if (!Step(limit)) {
+      return aDone();
+    }
+  }
+  return true;
+}
+
+OperatorRequestId
+Fleet::Ask(std::size_t aDaemon, OperatorRequest aRequest)
+{
+  aRequest.id_ = OperatorRequestId{ ++lastRequest_ };
+  Deliver(aDaemon, aRequest);
+  return aRequest.id_;
+}
+
+OperatorRequestId
+Fleet::Apply(std::size_t aDaemon,
+             const std::string& aText,
+             const std::string& aId)
+{
+  return Ask(aDaemon, { {}, OperatorOp::Apply, aText, aId, {} });
+}
+
+OperatorAnswer
+Fleet::Answer(std::size_t aDaemon, OperatorRequest aRequest, Duration aLimit)
+{
+  const OperatorRequestId id = Ask(aDaemon, std::move(aRequest));
+  CHECK_TRUE(RunUntil([&] { return Answered(id) != nullptr; }, aLimit));
+  const OperatorAnswer* answer = Answered(id);
+  return answer == nullptr ? OperatorAnswer{} : *answer;
+}
+
+OperatorAnswer
+Fleet::ApplyNow(std::size_t aDaemon,
+                const std::string& aText,
+                const std::string& aId,
+                Duration aLimit)
+{
+  return Answer(aDaemon, { {}, OperatorOp::Apply, aText, aId, {} }, aLimit);
+}
+
+const OperatorAnswer*
+Fleet::Answered(OperatorRequestId aId) const
+{
+  const auto found = answers_.find(aId);
+  return found == answers_.end() ? nullptr : &found->second;
+}
+
+void
+Fleet::Restart(std::size_t aDaemon)
+{
+  FakeDaemon& daemon = daemons_[aDaemon];
+  daemon.life_++;
+  daemon.alive_ = true;
+  daemon.paused_ = false;
+  daemon.held_.clear();
+  daemon.adopted_.clear();
+  daemon.adoptedAt_.clear();
+  daemon.rng_ = Rng{ rng_() };
+  daemon.state_ = MakePublishState(daemon.settings_, daemon.rng_);
+}
+
+void
+Fleet::Kill(std::size_t aDaemon)
+{
+  daemons_[aDaemon].alive_ = false;
+}
+
+void
+Fleet::Pause(std::size_t aDaemon, bool aPaused)
+{
+  FakeDaemon& daemon = daemons_[aDaemon];
+  daemon.paused_ = aPaused;
+  if (aPaused) {
+    return;
+  }
+  const auto held = std::move(daemon.held_);
+  daemon.held_.clear();
+  for (const auto& work : held) {
+    work();
+  }
+}
+
+bool
+Fleet::AllAt(Generation aGeneration) const
+{
+  return std::all_of(daemons_.begin(), daemons_.end(), [&](const auto& aOne) {
+    const auto config = PublishCurrent(aOne.state_);
+    return !aOne.alive_ || aOne.paused_ ||
+           (config != nullptr && config->generation_ == aGeneration);
+  });
+}
+
+std::size_t
+Fleet::Records(TimelineKind aKind) const
+{
+  std::size_t count = 0;
+  for (const FakeDaemon& daemon : daemons_) {
+    for (const TimelineRecord& record : daemon.timeline_) {
+      count += record.kind_ == aKind ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+std::uint64_t
+Fleet::StoreCalls() const
+{
+  std::uint64_t sum = 0;
+  for (const std::uint64_t calls : store_.calls_) {
+    sum += calls;
+  }
+  return sum;
+}
+
+void
+Fleet::ResetCounts()
+{
+  store_.calls_ = {};
+  store_.callsInSecond_.clear();
+  for (FakeDaemon& daemon : daemons_) {
+    daemon.peerMessages_ = 0;
+    daemon.peerBytes_ = 0;
+  }
+}
+
+std::string
+BaseDocument()
+{
+  return R"({"based_on":0,"put":[
+{"kind":"index","name":"tapes","versions":[
+ {"version":7,"shards":[{"name":"s0","service":"desk-0"},
+                        {"name":"s1","service":"desk-1"}]}]},
+{"kind":"service","name":"desk-0","servers":[
+ {"name":"desk-0a","address":"10.0.0.1:80","failure_domain":"fd-0"},
+ {"name":"desk-0b","address":"10.0.0.2:80","failure_domain":"fd-1"}]},
+{"kind":"service","name":"desk-1","servers":[
+ {"name":"desk-1a","address":"10.0.0.3:80","failure_domain":"fd-0"},
+ {"name":"desk-1b","address":"10.0.0.4:80","failure_domain":"fd-1"}]},
+{"kind":"limits","name":"normal"},
+{"kind":"limits","name":"batch"},
+{"kind":"route","name":"search","mode":"query","index":"tapes",
+ "limits":"normal","deadline_ms":500,"soft_answer_ms":100},
+{"kind":"route","name":"reorder","mode":"order","service":"desk-0",
+ "limits":"normal","deadline_ms":2000}]})";
+}
+
+std::string
+LimitsDocument(const std::string& aName,
+               std::uint32_t aInFlight,
+               std::uint64_t aBasedOn)
+{
+  return R"({"based_on":)" + std::to_string(aBasedOn) +
+         R"(,"put":[{"kind":"limits","name":")" + aName +
+         R"(","max_in_flight":)" + std::to_string(aInFlight) + "}]}";
+}
+
+std::uint64_t
+NumberOf(const OperatorAnswer& aAnswer, const std::string& aField)
+{
+  const boost::json::value answer = boost::json::parse(aAnswer.text_);
+  const boost::json::value* field = answer.get_object().if_contains(aField);
+  return field == nullptr ? 0 : field->to_number<std::uint64_t>();
+}
+
+} // namespace camphorfield::test
