--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -14,7 +14,11 @@
   std::uint64_t value_ = 0; ///< Zero is never issued.
 
   constexpr bool IsValid() const { return value_ != 0; }
-  constexpr auto operator<=>(const Id&) const = default;
+  constexpr bool operator==(const Id&) const = default;
+  constexpr std::strong_ordering operator<=>(const Id& aOther) const
+  {
+    return value_ <=> aOther.value_;
+  }
 };
 
 using CallerRequestId = Id<struct CallerRequestTag>;     ///< One request.
--- /dev/null
+++ b/src/route/admission.cpp
@@ -0,0 +1,154 @@
+#include "route/admission.h"
+
+#include "route/server_health.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace camphorfield {
+
+namespace {
+
+/** Part of the limit that each priority may fill. */
+constexpr std::array<double, static_cast<std::size_t>(Priority::End)>
+  kPriorityShare{ 1.0, 0.9, 0.7 };
+constexpr double kEstimateMargin = 0.9; ///< Of the time left.
+constexpr Duration kRetryAfterFloor = milliseconds(100);
+
+/** What the servers of a service can do. */
+struct Capacity
+{
+  double places_ = 0.0;
+  double latency_ = 0.0; ///< Weighted by places, in microseconds.
+};
+
+Capacity
+GetCapacity(const RouteState& aState, ServiceIndex aService)
+{
+  Capacity capacity;
+  for (const ServerIndex index : aState.services_[aService].servers_) {
+    const ServerState& server = aState.servers_[index];
+    if (!server.configured_ || IsLeaving(server) || IsDown(aState, index) ||
+        IsEjected(server)) {
+      continue;
+    }
+    const double places = std::floor(server.limit_);
+    capacity.places_ += places;
+    capacity.latency_ += places * server.latency_;
+  }
+  if (capacity.places_ > 0.0) {
+    capacity.latency_ /= capacity.places_;
+  }
+  return capacity;
+}
+
+Duration
+SlowestEstimate(const RouteState& aState,
+                const CompiledVersion& aVersion,
+                Priority aPriority)
+{
+  Duration slowest{};
+  for (std::size_t i = 0; i < aVersion.services_.size(); ++i) {
+    slowest = std::max(
+      slowest,
+      EstimateTime(
+        aState, aVersion.services_[i], aPriority, aVersion.perService_[i]));
+  }
+  return slowest;
+}
+
+std::uint32_t
+ShareOf(std::uint32_t aWhole, double aShare)
+{
+  return std::max<std::uint32_t>(
+    1, static_cast<std::uint32_t>(std::floor(aWhole * aShare)));
+}
+
+} // namespace
+
+Duration
+EstimateTime(const RouteState& aState,
+             ServiceIndex aService,
+             Priority aPriority,
+             std::uint32_t aMore)
+{
+  const Capacity capacity = GetCapacity(aState, aService);
+  // Nothing is known of a service that can't be reached: its shards will be
+  // labelled, which must not refuse the rest of the query.
+  if (capacity.places_ <= 0.0 || capacity.latency_ <= 0.0) {
+    return Duration::zero();
+  }
+  const ServiceState& service = aState.services_[aService];
+  double busy = 0.0;
+  for (const ServerIndex index : service.servers_) {
+    busy += aState.servers_[index].inFlight_;
+  }
+  const double ahead = busy + CountAhead(service.queue_, aPriority) + aMore;
+  const double rounds = std::max(1.0, ahead / capacity.places_);
+  return Duration(static_cast<std::int64_t>(rounds * capacity.latency_));
+}
+
+Admission
+AdmitQuery(Step& aStep,
+           const CompiledRoute& aRoute,
+           const CompiledVersion& aVersion,
+           const std::string& aCaller,
+           Duration aTime)
+{
+  const RouteState& state = aStep.state_;
+  const LimitsState& limits = state.limits_[aRoute.limitsIndex_];
+  const LimitsSpec& spec = aRoute.limits_;
+  const Priority priority = aRoute.spec_.priority_;
+  const double share = kPriorityShare[static_cast<std::size_t>(priority)];
+  if (limits.inFlight_ >= ShareOf(spec.maxInFlight_, share)) {
+    return { ResultCode::Overloaded, kRetryAfterFloor };
+  }
+  const auto caller = limits.callers_.find(aCaller);
+  if (caller != limits.callers_.end() &&
+      caller->second.inFlight_ >=
+        ShareOf(spec.maxInFlight_, spec.callerShare_)) {
+    return { ResultCode::CallerOverLimit, kRetryAfterFloor };
+  }
+  const Duration estimate = SlowestEstimate(state, aVersion, priority);
+  const auto usable = Duration(static_cast<std::int64_t>(
+    static_cast<double>(aTime.count()) * kEstimateMargin));
+  if (estimate <= usable) {
+    return {};
+  }
+  const ResultCode code = estimate > aRoute.spec_.deadline_
+                            ? ResultCode::Overloaded
+                            : ResultCode::DeadlineTooShort;
+  return { code, std::max(kRetryAfterFloor, estimate - usable) };
+}
+
+std::uint64_t
+EnterQuery(Step& aStep, const Query& aQuery)
+{
+  LimitsState& limits = aStep.state_.limits_[aQuery.route_->limitsIndex_];
+  ++limits.inFlight_;
+  CallerShare& caller = limits.callers_[aQuery.caller_];
+  ++caller.inFlight_;
+  // Start-time fair queueing: a caller's next query starts where its last one
+  // ended in virtual time, so that one caller's backlog doesn't delay others.
+  const std::uint64_t tag = std::max(aStep.state_.virtualTime_, caller.tag_);
+  caller.tag_ = tag + aQuery.version_->shards_.size();
+  return tag;
+}
+
+void
+LeaveQuery(Step& aStep, const Query& aQuery)
+{
+  LimitsState& limits = aStep.state_.limits_[aQuery.route_->limitsIndex_];
+  --limits.inFlight_;
+  const auto caller = limits.callers_.find(aQuery.caller_);
+  if (caller == limits.callers_.end()) {
+    return;
+  }
+  --caller->second.inFlight_;
+  if (caller->second.inFlight_ == 0) {
+    limits.callers_.erase(caller);
+  }
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/route/latency_hist.cpp
@@ -0,0 +1,75 @@
+#include "route/latency_hist.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr std::uint32_t kHalveAt = 4096;
+constexpr std::size_t kStepBits = std::bit_width(kHistSteps) - 1;
+
+std::size_t
+BucketOf(std::uint64_t aMicros)
+{
+  if (aMicros < kHistSteps) {
+    return aMicros;
+  }
+  const std::size_t power = std::bit_width(aMicros) - 1 - kStepBits;
+  const std::size_t step = (aMicros >> power) - kHistSteps;
+  return std::min((power + 1) * kHistSteps + step, kHistBuckets - 1);
+}
+
+std::uint64_t
+UpperBound(std::size_t aBucket)
+{
+  if (aBucket < kHistSteps) {
+    return aBucket;
+  }
+  const std::size_t power = aBucket / kHistSteps - 1;
+  const std::uint64_t step = aBucket % kHistSteps + kHistSteps;
+  return ((step + 1) << power) - 1;
+}
+
+// Halving makes old samples fade without a clock: the histogram follows a
+// change within a few thousand answers.
+void
+Halve(LatencyHist& aHist)
+{
+  aHist.total_ = 0;
+  for (std::uint32_t& count : aHist.counts_) {
+    count /= 2;
+    aHist.total_ += count;
+  }
+}
+
+} // namespace
+
+void
+AddSample(LatencyHist& aHist, Duration aTime)
+{
+  const std::int64_t micros = std::max<std::int64_t>(aTime.count(), 0);
+  ++aHist.counts_[BucketOf(static_cast<std::uint64_t>(micros))];
+  ++aHist.total_;
+  ++aHist.sinceRefresh_;
+  if (aHist.total_ >= kHalveAt) {
+    Halve(aHist);
+  }
+}
+
+Duration
+GetQuantile(const LatencyHist& aHist, double aQuantile)
+{
+  const double rank = aQuantile * aHist.total_;
+  std::uint64_t seen = 0;
+  for (std::size_t i = 0; i < kHistBuckets; ++i) {
+    seen += aHist.counts_[i];
+    if (seen > 0 && static_cast<double>(seen) >= rank) {
+      return Duration(static_cast<std::int64_t>(UpperBound(i)));
+    }
+  }
+  return Duration::zero();
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/route/quarantine.cpp
@@ -0,0 +1,292 @@
+#include "route/quarantine.h"
+
+#include "core/hash_func.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr std::uint64_t kBodySeed = 1;
+
+bool
+IsExpired(const Suspicion& aSuspicion, const Now& aNow)
+{
+  return aSuspicion.untilUnix_ <= aNow.unixMicros_;
+}
+
+void
+Spread(Step& aStep, Fingerprint aContent, const Suspicion& aSuspicion)
+{
+  aStep.out_.emplace_back(SpreadRumor{
+    QuarantineRumor{ aContent, aSuspicion.crashes_, aSuspicion.untilUnix_ } });
+}
+
+void
+Quarantine(Step& aStep, Fingerprint aContent, Suspicion& aSuspicion)
+{
+  aSuspicion.quarantined_ = true;
+  aSuspicion.crashes_ = std::max(aSuspicion.crashes_, kCrashesToQuarantine);
+  aSuspicion.untilUnix_ = aStep.now_.unixMicros_ + kQuarantineLife.count();
+  ++aStep.state_.stats_.quarantined_;
+  aStep.out_.emplace_back(TimelineRecord{ TimelineKind::RequestQuarantined,
+                                          0,
+                                          "",
+                                          aContent.value_,
+                                          "its runs crashed servers" });
+}
+
+void
+DropExpired(Step& aStep)
+{
+  std::map<Fingerprint, Suspicion>& all = aStep.state_.suspicions_;
+  std::erase_if(all, [&](const auto& aItem) {
+    return IsExpired(aItem.second, aStep.now_);
+  });
+}
+
+void
+AddCrash(Step& aStep, ServerIndex aServer, Fingerprint aContent, bool aAlone)
+{
+  RouteState& state = aStep.state_;
+  const TimePoint now = aStep.now_.mono_;
+  if (state.suspicions_.size() >= kMaxSuspects) {
+    DropExpired(aStep);
+  }
+  if (state.suspicions_.size() >= kMaxSuspects) {
+    return;
+  }
+  Suspicion& suspicion = state.suspicions_[aContent];
+  // Two connections that broke in one crash are one crash.
+  const bool same =
+    suspicion.crashed_ == aServer && now - suspicion.crashedAt_ < kCrashWindow;
+  suspicion.proven_ |= aAlone;
+  if (same) {
+    return;
+  }
+  suspicion.crashed_ = aServer;
+  suspicion.crashedAt_ = now;
+  suspicion.trialAfter_ = now + kSuspectRetryDelay;
+  AddTimer(state.timers_,
+           { suspicion.trialAfter_, 0, 0, TimerKind::SuspectTrial });
+  ++suspicion.crashes_;
+  suspicion.untilUnix_ = std::max(
+    suspicion.untilUnix_, aStep.now_.unixMicros_ + kSuspectLife.count());
+  if (!suspicion.quarantined_ && suspicion.proven_ &&
+      suspicion.crashes_ >= kCrashesToQuarantine) {
+    Quarantine(aStep, aContent, suspicion);
+    MarkWaitingServices(state);
+  }
+  Spread(aStep, aContent, suspicion);
+}
+
+void
+BlameBroken(Step& aStep, ServerIndex aServer)
+{
+  // Moved: what is added meanwhile belongs to another crash.
+  std::vector<BrokenRequest> broken;
+  broken.swap(aStep.state_.servers_[aServer].broken_);
+  std::size_t blamed = 0;
+  for (const BrokenRequest& request : broken) {
+    const bool stale = aStep.now_.mono_ - request.at_ > kCrashWindow;
+    if (!stale && blamed++ < kMaxSuspectsPerCrash) {
+      const bool alone = request.alone_ && broken.size() == 1;
+      AddCrash(aStep, aServer, request.fingerprint_, alone);
+    }
+  }
+}
+
+void
+NoteCrash(Step& aStep, ServerIndex aServer)
+{
+  ServerState& server = aStep.state_.servers_[aServer];
+  const TimePoint now = aStep.now_.mono_;
+  if (server.crashedAt_ == TimePoint{} ||
+      now - server.crashedAt_ > kCrashWindow) {
+    server.crashedAt_ = now;
+    ++aStep.state_.stats_.crashes_;
+  }
+  BlameBroken(aStep, aServer);
+}
+
+void
+ClearContent(Step& aStep, Fingerprint aContent)
+{
+  RouteState& state = aStep.state_;
+  if (state.suspicions_.erase(aContent) == 0) {
+    return;
+  }
+  aStep.out_.emplace_back(
+    SpreadRumor{ QuarantineRumor{ aContent, 0, aStep.now_.unixMicros_ } });
+  MarkWaitingServices(state);
+}
+
+void
+RememberBroken(Step& aStep, const Connection& aConnection)
+{
+  const Sub* sub = FindSlot(aStep.state_.subs_, aConnection.sub_);
+  if (sub == nullptr || !sub->fingerprint_.IsValid()) {
+    return;
+  }
+  ServerState& server = aStep.state_.servers_[aConnection.server_];
+  server.broken_.push_back(
+    { sub->fingerprint_, aStep.now_.mono_, sub->alone_ });
+}
+
+} // namespace
+
+void
+MarkWaitingServices(RouteState& aState)
+{
+  for (ServiceIndex i = 0; i < aState.services_.size(); ++i) {
+    if (!aState.services_[i].queue_.heap_.empty()) {
+      MarkService(aState, i);
+    }
+  }
+}
+
+Fingerprint
+MakeFingerprint(std::string_view aCaller,
+                std::string_view aRoute,
+                const SharedText& aBody)
+{
+  const std::uint64_t body =
+    aBody == nullptr ? kBodySeed : HashText(*aBody, kBodySeed);
+  return { HashPair(HashPair(HashText(aCaller), HashText(aRoute)), body) };
+}
+
+SuspectVerdict
+JudgeContent(const RouteState& aState, Fingerprint aContent, const Now& aNow)
+{
+  if (aState.suspicions_.empty()) {
+    return SuspectVerdict::Clear;
+  }
+  const auto found = aState.suspicions_.find(aContent);
+  if (found == aState.suspicions_.end() || IsExpired(found->second, aNow)) {
+    return SuspectVerdict::Clear;
+  }
+  const Suspicion& suspicion = found->second;
+  if (suspicion.quarantined_ || suspicion.elsewhere_) {
+    return SuspectVerdict::Refused;
+  }
+  const bool soon = aNow.mono_ < suspicion.trialAfter_;
+  return suspicion.trial_ != 0 || soon ? SuspectVerdict::Wait
+                                       : SuspectVerdict::Trial;
+}
+
+void
+NoteTrial(RouteState& aState, Fingerprint aContent, std::uint64_t aSub)
+{
+  const auto found = aState.suspicions_.find(aContent);
+  if (found != aState.suspicions_.end()) {
+    found->second.trial_ = aSub;
+  }
+}
+
+bool
+IsRefusedContent(const RouteState& aState,
+                 Fingerprint aContent,
+                 const Now& aNow)
+{
+  // While one trial is open, more of the same would only add crashes.
+  const SuspectVerdict verdict = JudgeContent(aState, aContent, aNow);
+  return verdict == SuspectVerdict::Refused || verdict == SuspectVerdict::Wait;
+}
+
+void
+NoteBroken(Step& aStep,
+           const Connection& aConnection,
+           const ConnectionEnded& aEvent)
+{
+  const ServerIndex index = aConnection.server_;
+  ServerState& server = aStep.state_.servers_[index];
+  const TimePoint now = aStep.now_.mono_;
+  if (!aEvent.wasOpen_) {
+    if (aEvent.reason_ == ConnectionEnd::Refused && server.breaks_ > 0 &&
+        now - server.brokenAt_ < kCrashWindow) {
+      NoteCrash(aStep, index);
+    }
+    return;
+  }
+  if (aEvent.reason_ != ConnectionEnd::Reset) {
+    return;
+  }
+  if (now - server.brokenAt_ >= kCrashWindow) {
+    server.brokenAt_ = now;
+    server.breaks_ = 0;
+    server.broken_.clear();
+  }
+  ++server.breaks_;
+  if (aEvent.requestSent_) {
+    RememberBroken(aStep, aConnection);
+  }
+  if (server.breaks_ > 1) {
+    NoteCrash(aStep, index);
+  }
+}
+
+void
+NoteRun(Step& aStep, const Sub& aSub, SubEnd aEnd)
+{
+  const auto found = aStep.state_.suspicions_.find(aSub.fingerprint_);
+  if (found == aStep.state_.suspicions_.end() ||
+      found->second.trial_ != aSub.key_) {
+    return;
+  }
+  found->second.trial_ = 0;
+  if (aEnd == SubEnd::Ok || aEnd == SubEnd::Rejected) {
+    ClearContent(aStep, aSub.fingerprint_);
+  } else if (aEnd == SubEnd::Lost) {
+    // A second connection lost in a run alone is taken for a crash at once:
+    // waiting for proof could cost a third server.
+    AddCrash(aStep, aSub.server_, aSub.fingerprint_, aSub.alone_);
+  }
+  MarkWaitingServices(aStep.state_);
+}
+
+void
+MarkNotAlone(RouteState& aState, ServerIndex aServer)
+{
+  for (const std::uint32_t slot : aState.servers_[aServer].connections_) {
+    const std::uint64_t key = aState.connections_.slots_[slot].sub_;
+    Sub* sub = FindSlot(aState.subs_, key);
+    if (sub != nullptr) {
+      sub->alone_ = false;
+    }
+  }
+}
+
+void
+HearQuarantine(Step& aStep, const QuarantineRumor& aRumor)
+{
+  RouteState& state = aStep.state_;
+  if (aRumor.crashes_ == 0) {
+    state.suspicions_.erase(aRumor.fingerprint_);
+    MarkWaitingServices(state);
+    return;
+  }
+  if (aRumor.untilUnixMicros_ <= aStep.now_.unixMicros_ ||
+      state.suspicions_.size() >= kMaxSuspects) {
+    return;
+  }
+  Suspicion& suspicion = state.suspicions_[aRumor.fingerprint_];
+  // The own rumor may come back.
+  if (suspicion.untilUnix_ == aRumor.untilUnixMicros_ &&
+      suspicion.crashes_ == aRumor.crashes_) {
+    return;
+  }
+  const bool known = suspicion.crashes_ > 0 && !suspicion.elsewhere_;
+  suspicion.elsewhere_ = true;
+  suspicion.quarantined_ |= aRumor.crashes_ >= kCrashesToQuarantine || known;
+  suspicion.crashes_ = std::max(suspicion.crashes_, aRumor.crashes_);
+  const std::int64_t elsewhere =
+    aStep.now_.unixMicros_ + kSuspectElsewhereLife.count();
+  const std::int64_t until = suspicion.quarantined_
+                               ? aRumor.untilUnixMicros_
+                               : std::min(aRumor.untilUnixMicros_, elsewhere);
+  suspicion.untilUnix_ = std::max(suspicion.untilUnix_, until);
+  MarkWaitingServices(state);
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/route/query_shard.cpp
@@ -0,0 +1,440 @@
+#include "route/budget.h"
+#include "route/owner.h"
+#include "route/quarantine.h"
+#include "route/query_cmd.h"
+#include "route/server_choice.h"
+#include "route/server_health.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+namespace {
+
+std::span<const ServerIndex>
+TriedOf(const ShardRun& aRun)
+{
+  return { aRun.triedServers_.data(), aRun.tried_ };
+}
+
+void
+AddTried(ShardRun& aRun, ServerIndex aServer)
+{
+  const auto end = aRun.triedServers_.begin() + aRun.tried_;
+  if (std::find(aRun.triedServers_.begin(), end, aServer) != end) {
+    return;
+  }
+  // The oldest is forgotten: it has had the longest time to recover.
+  if (aRun.tried_ == kMaxTried) {
+    std::shift_left(aRun.triedServers_.begin(), aRun.triedServers_.end(), 1);
+    --aRun.tried_;
+  }
+  aRun.triedServers_[aRun.tried_++] = aServer;
+}
+
+ChoiceDemand
+DemandOf(const Query& aQuery, std::uint32_t aShard)
+{
+  ChoiceDemand demand;
+  demand.service_ = aQuery.version_->shards_[aShard].service_;
+  demand.version_ = aQuery.version_->version_;
+  demand.priority_ = aQuery.route_->spec_.priority_;
+  demand.tried_ = TriedOf(aQuery.shards_[aShard]);
+  return demand;
+}
+
+SubPlan
+PlanOf(const Query& aQuery, std::uint32_t aShard, ServerIndex aServer)
+{
+  SubPlan plan;
+  plan.owner_ = { OwnerKind::Query, aShard, aQuery.key_ };
+  plan.server_ = aServer;
+  plan.shard_ = aQuery.version_->shards_[aShard].name_;
+  plan.version_ = aQuery.version_->version_;
+  plan.deadline_ = aQuery.deadline_;
+  plan.body_ = aQuery.body_;
+  plan.fingerprint_ = aQuery.fingerprint_;
+  plan.patient_ = aQuery.shards_[aShard].silent_ >= kSilentAttempts;
+  return plan;
+}
+
+void
+Trace(Step& aStep,
+      const Query& aQuery,
+      TimelineKind aKind,
+      ServerIndex aServer,
+      std::uint64_t aSub,
+      const char* aWhy)
+{
+  aStep.out_.emplace_back(
+    TimelineRecord{ aKind,
+                    aQuery.id_.value_,
+                    aStep.state_.servers_[aServer].spec_.name_,
+                    aSub,
+                    aWhy });
+}
+
+void
+CountAttempt(Step& aStep, const Query& aQuery, const ShardRun& aRun)
+{
+  if (aRun.attempts_ > 0) {
+    return;
+  }
+  ++aStep.state_.stats_.primaries_;
+  LimitsState& limits = aStep.state_.limits_[aQuery.route_->limitsIndex_];
+  EarnTokens(limits, aQuery.route_->limits_);
+}
+
+void
+SendShard(Step& aStep,
+          Query& aQuery,
+          std::uint32_t aShard,
+          const Choice& aChoice,
+          bool aTrial)
+{
+  SubPlan plan = PlanOf(aQuery, aShard, aChoice.server_);
+  plan.probe_ = aChoice.probe_;
+  plan.exclusive_ = aTrial;
+  ShardRun& run = aQuery.shards_[aShard];
+  CountAttempt(aStep, aQuery, run);
+  run.primary_ = SendSub(aStep, plan);
+  run.phase_ = ShardPhase::Running;
+  run.queued_ = false;
+  ++run.attempts_;
+  aQuery.sent_ = true;
+  if (aTrial) {
+    NoteTrial(aStep.state_, aQuery.fingerprint_, run.primary_);
+  }
+  if (aQuery.traced_) {
+    Trace(aStep,
+          aQuery,
+          TimelineKind::SubSent,
+          aChoice.server_,
+          run.primary_,
+          aChoice.probe_ ? "probe" : "");
+  }
+}
+
+UncoveredReason
+ReasonOf(SubEnd aEnd)
+{
+  switch (aEnd) {
+    case SubEnd::Refused:
+    case SubEnd::NotRun:
+    case SubEnd::Rejected:
+      return UncoveredReason::Refused;
+    case SubEnd::WrongVersion:
+      return UncoveredReason::WrongVersion;
+    case SubEnd::Corrupt:
+      return UncoveredReason::Corrupt;
+    case SubEnd::Failed:
+    case SubEnd::Lost:
+      return UncoveredReason::Failed;
+    default:
+      return UncoveredReason::Timeout;
+  }
+}
+
+bool
+MayHaveRun(SubEnd aEnd)
+{
+  return aEnd == SubEnd::Failed || aEnd == SubEnd::Corrupt ||
+         aEnd == SubEnd::Lost || aEnd == SubEnd::Silent;
+}
+
+Duration
+PauseAfter(SubEnd aEnd)
+{
+  switch (aEnd) {
+    case SubEnd::Refused:
+    case SubEnd::NotRun:
+    case SubEnd::NotSent:
+      return kRefusedPause;
+    // Until then it shows whether the server crashed.
+    case SubEnd::Lost:
+      return kResetRetryDelay;
+    default:
+      return Duration::zero();
+  }
+}
+
+void
+RetryShard(Step& aStep,
+           Query& aQuery,
+           std::uint32_t aShard,
+           const Sub& aSub,
+           SubEnd aEnd)
+{
+  ShardRun& run = aQuery.shards_[aShard];
+  RouteStats& stats = aStep.state_.stats_;
+  const TimePoint now = aStep.now_.mono_;
+  run.phase_ = ShardPhase::Waiting;
+  if (aEnd != SubEnd::NotSent) {
+    AddTried(run, aSub.server_);
+  }
+  const bool late = now + kRetryMargin >= aQuery.deadline_;
+  if (late || aEnd == SubEnd::Rejected || aEnd == SubEnd::Expired ||
+      run.attempts_ >= kMaxAttempts) {
+    GiveUpShard(aStep, aQuery, aShard, run.reason_);
+    return;
+  }
+  LimitsState& limits = aStep.state_.limits_[aQuery.route_->limitsIndex_];
+  const bool extra = MayHaveRun(aEnd) || aEnd == SubEnd::Refused;
+  if (extra && !SpendRetry(limits)) {
+    GiveUpShard(aStep, aQuery, aShard, run.reason_);
+    return;
+  }
+  stats.retries_ += extra ? 1 : 0;
+  stats.movedNotRun_ += extra ? 0 : 1;
+  Trace(aStep,
+        aQuery,
+        TimelineKind::SubRetried,
+        aSub.server_,
+        aSub.key_,
+        MayHaveRun(aEnd) ? "failed" : "not run");
+  const Duration pause = PauseAfter(aEnd);
+  if (pause > Duration::zero()) {
+    AddTimer(aStep.state_.timers_,
+             { now + pause, aQuery.key_, aShard, TimerKind::ShardRetry });
+    return;
+  }
+  EnqueueShard(aStep, aQuery, aShard);
+}
+
+void
+CoverShard(Step& aStep,
+           Query& aQuery,
+           std::uint32_t aShard,
+           const Sub& aSub,
+           const SharedText& aBody)
+{
+  ShardRun& run = aQuery.shards_[aShard];
+  run.phase_ = ShardPhase::Covered;
+  run.body_ = aBody;
+  --aQuery.open_;
+  ++aQuery.covered_;
+  aStep.state_.stats_.hedgesWon_ += aSub.hedge_ ? 1 : 0;
+  if (aQuery.traced_) {
+    Trace(
+      aStep, aQuery, TimelineKind::SubAnswered, aSub.server_, aSub.key_, "");
+  }
+  const std::uint64_t loser = run.primary_ != 0 ? run.primary_ : run.hedge_;
+  run.primary_ = 0;
+  run.hedge_ = 0;
+  if (loser != 0) {
+    AbandonSub(aStep, loser, true);
+  }
+  MaybeFinish(aStep, aQuery);
+}
+
+TaskState
+RunWithout(Step& aStep,
+           Query& aQuery,
+           std::uint32_t aShard,
+           UncoveredReason aWhy)
+{
+  const ShardRun& run = aQuery.shards_[aShard];
+  if (aWhy == UncoveredReason::WrongVersion && RestartQuery(aStep, aQuery)) {
+    return TaskState::Done;
+  }
+  // What an attempt met says more than that no other server is left.
+  const bool met = run.attempts_ > 0 && aWhy == UncoveredReason::NoReplica;
+  GiveUpShard(aStep, aQuery, aShard, met ? run.reason_ : aWhy);
+  return TaskState::Done;
+}
+
+} // namespace
+
+void
+EnqueueShard(Step& aStep, Query& aQuery, std::uint32_t aShard)
+{
+  RouteState& state = aStep.state_;
+  const ServiceIndex service = aQuery.version_->shards_[aShard].service_;
+  Task task;
+  task.owner_ = { OwnerKind::Query, aShard, aQuery.key_ };
+  task.tag_ = aQuery.tag_;
+  task.sequence_ = ++state.taskSequence_;
+  task.priority_ = aQuery.route_->spec_.priority_;
+  aQuery.shards_[aShard].queued_ = true;
+  if (task.priority_ == Priority::Interactive) {
+    state.services_[service].interactiveAt_ = aStep.now_.mono_;
+  }
+  PushTask(state.services_[service].queue_, task);
+  MarkService(state, service);
+}
+
+void
+EnqueueShards(Step& aStep, Query& aQuery)
+{
+  const std::size_t count = aQuery.version_->shards_.size();
+  aQuery.shards_.assign(count, ShardRun{});
+  aQuery.open_ = static_cast<std::uint32_t>(count);
+  for (std::uint32_t i = 0; i < count; ++i) {
+    EnqueueShard(aStep, aQuery, i);
+  }
+}
+
+void
+ReleaseShards(Step& aStep, Query& aQuery)
+{
+  RouteState& state = aStep.state_;
+  const Priority priority = aQuery.route_->spec_.priority_;
+  for (std::size_t i = 0; i < aQuery.shards_.size(); ++i) {
+    ShardRun& run = aQuery.shards_[i];
+    if (run.queued_) {
+      const ServiceIndex service = aQuery.version_->shards_[i].service_;
+      DropLive(state.services_[service].queue_, priority);
+      run.queued_ = false;
+    }
+    AbandonSub(aStep, run.primary_, true);
+    AbandonSub(aStep, run.hedge_, true);
+    run.primary_ = 0;
+    run.hedge_ = 0;
+  }
+  aQuery.shards_.clear();
+}
+
+void
+GiveUpShard(Step& aStep,
+            Query& aQuery,
+            std::uint32_t aShard,
+            UncoveredReason aReason)
+{
+  ShardRun& run = aQuery.shards_[aShard];
+  run.phase_ = ShardPhase::Uncovered;
+  run.reason_ = aReason;
+  run.queued_ = false;
+  --aQuery.open_;
+  MaybeFinish(aStep, aQuery);
+}
+
+void
+ResumeShard(Step& aStep, std::uint64_t aQuery, std::uint32_t aShard)
+{
+  Query* query = FindSlot(aStep.state_.queries_, aQuery);
+  if (query == nullptr || aShard >= query->shards_.size()) {
+    return;
+  }
+  const ShardRun& run = query->shards_[aShard];
+  if (run.phase_ != ShardPhase::Waiting) {
+    return;
+  }
+  if (run.queued_) {
+    MarkService(aStep.state_, query->version_->shards_[aShard].service_);
+    return;
+  }
+  EnqueueShard(aStep, *query, aShard);
+}
+
+bool
+IsShardWaiting(RouteState& aState, const Task& aTask)
+{
+  const Query* query = FindSlot(aState.queries_, aTask.owner_.key_);
+  return query != nullptr && aTask.owner_.shard_ < query->shards_.size() &&
+         query->shards_[aTask.owner_.shard_].queued_;
+}
+
+TaskState
+RunShardTask(Step& aStep, const Task& aTask)
+{
+  RouteState& state = aStep.state_;
+  Query& query = *FindSlot(state.queries_, aTask.owner_.key_);
+  const std::uint32_t shard = aTask.owner_.shard_;
+  query.shards_[shard].queued_ = false;
+  const SuspectVerdict verdict =
+    JudgeContent(state, query.fingerprint_, aStep.now_);
+  if (verdict == SuspectVerdict::Refused) {
+    GiveUpShard(aStep, query, shard, UncoveredReason::Failed);
+    return TaskState::Done;
+  }
+  if (verdict == SuspectVerdict::Wait) {
+    query.shards_[shard].queued_ = true;
+    return TaskState::Stuck;
+  }
+  ChoiceDemand demand = DemandOf(query, shard);
+  demand.alone_ = verdict == SuspectVerdict::Trial;
+  const Choice choice = ChooseServer(aStep, demand);
+  if (choice.state_ == ChoiceState::None) {
+    return RunWithout(aStep, query, shard, choice.reason_);
+  }
+  if (choice.state_ == ChoiceState::Busy) {
+    query.shards_[shard].queued_ = true;
+    return choice.anyFree_ ? TaskState::Stuck : TaskState::Busy;
+  }
+  state.virtualTime_ = std::max(state.virtualTime_, aTask.tag_);
+  SendShard(aStep, query, shard, choice, demand.alone_);
+  return TaskState::Done;
+}
+
+void
+OnShardEnd(Step& aStep, const Sub& aSub, SubEnd aEnd, const SharedText& aBody)
+{
+  Query* query = FindSlot(aStep.state_.queries_, aSub.owner_.key_);
+  const std::uint32_t shard = aSub.owner_.shard_;
+  if (query == nullptr || shard >= query->shards_.size()) {
+    ++aStep.state_.stats_.late_;
+    return;
+  }
+  ShardRun& run = query->shards_[shard];
+  if (run.primary_ != aSub.key_ && run.hedge_ != aSub.key_) {
+    ++aStep.state_.stats_.late_;
+    return;
+  }
+  (run.primary_ == aSub.key_ ? run.primary_ : run.hedge_) = 0;
+  if (aEnd == SubEnd::Ok) {
+    CoverShard(aStep, *query, shard, aSub, aBody);
+    return;
+  }
+  run.reason_ = ReasonOf(aEnd);
+  run.silent_ += aEnd == SubEnd::Silent ? 1 : 0;
+  // The other attempt may still answer.
+  if (run.primary_ != 0 || run.hedge_ != 0) {
+    return;
+  }
+  RetryShard(aStep, *query, shard, aSub, aEnd);
+}
+
+void
+OnShardHedge(Step& aStep, const Sub& aSub)
+{
+  RouteState& state = aStep.state_;
+  Query* query = FindSlot(state.queries_, aSub.owner_.key_);
+  const std::uint32_t shard = aSub.owner_.shard_;
+  if (query == nullptr || shard >= query->shards_.size() ||
+      query->shards_[shard].primary_ != aSub.key_ ||
+      query->shards_[shard].hedge_ != 0) {
+    return;
+  }
+  const ServiceIndex index = query->version_->shards_[shard].service_;
+  const ServiceState& service = state.services_[index];
+  // A duplicate must not take a place from work that waits, must have the time
+  // to help, and never carries content that is suspect.
+  const bool waiting = CountAhead(service.queue_, Priority::Batch) > 0;
+  const bool late =
+    aStep.now_.mono_ + service.latency_.p50_ >= query->deadline_;
+  if (waiting || late ||
+      JudgeContent(state, query->fingerprint_, aStep.now_) !=
+        SuspectVerdict::Clear) {
+    return;
+  }
+  AddTried(query->shards_[shard], aSub.server_);
+  ChoiceDemand demand = DemandOf(*query, shard);
+  demand.mustDiffer_ = true;
+  const Choice choice = ChooseServer(aStep, demand);
+  LimitsState& limits = state.limits_[query->route_->limitsIndex_];
+  if (choice.state_ != ChoiceState::Chosen || !SpendHedge(limits)) {
+    return;
+  }
+  SubPlan plan = PlanOf(*query, shard, choice.server_);
+  plan.hedge_ = true;
+  query->shards_[shard].hedge_ = SendSub(aStep, plan);
+  ++state.stats_.hedges_;
+  Trace(aStep,
+        *query,
+        TimelineKind::SubHedged,
+        choice.server_,
+        query->shards_[shard].hedge_,
+        "slower than its service's tail");
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/route/route.cpp
@@ -0,0 +1,290 @@
+#include "route/conn_pool.h"
+#include "route/order_run.h"
+#include "route/pump.h"
+#include "route/quarantine.h"
+#include "route/query_cmd.h"
+#include "route/relay.h"
+#include "route/route_func.h"
+#include "route/server_health.h"
+#include "route/sub_cmd.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+namespace {
+
+/** Random part of sub-request ids: servers see those of all daemons. */
+constexpr unsigned kSaltShift = 24;
+
+// What one event set free is handed out before the step ends.
+void
+EndStep(Step& aStep)
+{
+  aStep.state_.now_ = aStep.now_.mono_;
+  PumpServices(aStep);
+  FlushRelayAnswers(aStep);
+}
+
+void
+TakeTimer(Step& aStep, const Timer& aTimer)
+{
+  switch (aTimer.kind_) {
+    case TimerKind::QueryDeadline:
+    case TimerKind::QuerySoft:
+      TakeQueryTimer(aStep, aTimer);
+      break;
+    case TimerKind::Hedge:
+    case TimerKind::Progress:
+      TakeSubTimer(aStep, aTimer);
+      break;
+    case TimerKind::ShardRetry:
+      ResumeShard(aStep, aTimer.key_, aTimer.part_);
+      break;
+    case TimerKind::DispatchEnd:
+      ExpireOrder(aStep, aTimer.key_);
+      break;
+    case TimerKind::DispatchRetry:
+      ResumeOrder(aStep, aTimer.key_);
+      break;
+    case TimerKind::RelayedEnd:
+      ExpireRelayed(aStep, aTimer.key_);
+      break;
+    case TimerKind::RelayFlush:
+      FlushRelays(aStep);
+      break;
+    case TimerKind::SuspectTrial:
+      MarkWaitingServices(aStep.state_);
+      break;
+    case TimerKind::Server:
+      TendServer(aStep, static_cast<ServerIndex>(aTimer.key_));
+      break;
+    default:
+      break;
+  }
+}
+
+void
+HearLeaving(Step& aStep, const LeavingRumor& aRumor)
+{
+  const auto found = aStep.state_.serverByName_.find(aRumor.server_);
+  if (found != aStep.state_.serverByName_.end()) {
+    SetLeaving(aStep, found->second, aRumor.leaving_, aRumor.unixMicros_);
+  }
+}
+
+} // namespace
+
+RouteState
+MakeRouteState(const RouteSettings& aSettings)
+{
+  RouteState state;
+  state.settings_ = aSettings;
+  return state;
+}
+
+void
+RouteOnEvent(RouteState& aState,
+             const CallerRequest& aEvent,
+             const Now& aNow,
+             Rng& aRng,
+             Decisions& aOut)
+{
+  Step step{ aState, aNow, aRng, aOut };
+  StartQuery(step, aEvent);
+  EndStep(step);
+}
+
+void
+RouteOnEvent(RouteState& aState,
+             const CallerGone& aEvent,
+             const Now& aNow,
+             Rng& aRng,
+             Decisions& aOut)
+{
+  Step step{ aState, aNow, aRng, aOut };
+  DropQuery(step, aEvent.id_);
+  EndStep(step);
+}
+
+void
+RouteOnEvent(RouteState& aState,
+             const ConnectionOpened& aEvent,
+             const Now& aNow,
+             Rng& aRng,
+             Decisions& aOut)
+{
+  Step step{ aState, aNow, aRng, aOut };
+  NoteOpened(step, aEvent.id_);
+  EndStep(step);
+}
+
+void
+RouteOnEvent(RouteState& aState,
+             const ConnectionEnded& aEvent,
+             const Now& aNow,
+             Rng& aRng,
+             Decisions& aOut)
+{
+  Step step{ aState, aNow, aRng, aOut };
+  TakeConnectionEnd(step, aEvent);
+  EndStep(step);
+}
+
+void
+RouteOnEvent(RouteState& aState,
+             const SubAnswer& aEvent,
+             const Now& aNow,
+             Rng& aRng,
+             Decisions& aOut)
+{
+  Step step{ aState, aNow, aRng, aOut };
+  TakeAnswer(step, aEvent);
+  EndStep(step);
+}
+
+void
+RouteOnEvent(RouteState& aState,
+             const SubNotSent& aEvent,
+             const Now& aNow,
+             Rng& aRng,
+             Decisions& aOut)
+{
+  Step step{ aState, aNow, aRng, aOut };
+  TakeNotSent(step, aEvent);
+  EndStep(step);
+}
+
+void
+RouteOnEvent(RouteState& aState,
+             const DispatchOrder& aEvent,
+             const Now& aNow,
+             Rng& aRng,
+             Decisions& aOut)
+{
+  Step step{ aState, aNow, aRng, aOut };
+  StartOrder(step, aEvent);
+  EndStep(step);
+}
+
+void
+RouteOnEvent(RouteState& aState,
+             const ConfigAdopted& aEvent,
+             const Now& aNow,
+             Rng& aRng,
+             Decisions& aOut)
+{
+  Step step{ aState, aNow, aRng, aOut };
+  if (aState.config_ == nullptr) {
+    aState.subs_.sequence_ = aRng() >> kSaltShift;
+  }
+  AdoptConfig(step, *aEvent.config_);
+  EndStep(step);
+}
+
+void
+RouteOnEvent(RouteState& aState,
+             const MembersChanged& aEvent,
+             const Now& aNow,
+             Rng& aRng,
+             Decisions& aOut)
+{
+  Step step{ aState, aNow, aRng, aOut };
+  aState.members_.clear();
+  for (const MemberRecord& member : *aEvent.members_) {
+    aState.members_[member.id_] = member;
+  }
+  AssignLots(step);
+  EndStep(step);
+}
+
+void
+RouteOnEvent(RouteState& aState,
+             const RumorHeard& aEvent,
+             const Now& aNow,
+             Rng& aRng,
+             Decisions& aOut)
+{
+  Step step{ aState, aNow, aRng, aOut };
+  if (const auto* leaving = std::get_if<LeavingRumor>(&aEvent.rumor_)) {
+    HearLeaving(step, *leaving);
+  } else if (const auto* bad = std::get_if<QuarantineRumor>(&aEvent.rumor_)) {
+    HearQuarantine(step, *bad);
+  }
+  EndStep(step);
+}
+
+void
+RouteOnEvent(RouteState& aState,
+             const PeerMessage& aEvent,
+             const Now& aNow,
+             Rng& aRng,
+             Decisions& aOut)
+{
+  Step step{ aState, aNow, aRng, aOut };
+  if (const auto* batch = std::get_if<RelayBatch>(&aEvent.body_)) {
+    TakeRelayBatch(step, aEvent.from_, *batch);
+  } else if (const auto* back = std::get_if<RelayAnswers>(&aEvent.body_)) {
+    TakeRelayAnswers(step, aEvent.from_, *back);
+  }
+  EndStep(step);
+}
+
+void
+RouteOnEvent(RouteState& aState,
+             const PeerUnreachable& aEvent,
+             const Now& aNow,
+             Rng& aRng,
+             Decisions& aOut)
+{
+  Step step{ aState, aNow, aRng, aOut };
+  LoseHome(step, aEvent);
+  EndStep(step);
+}
+
+void
+RouteOnEvent(RouteState& aState,
+             const StopAsked& /*aEvent*/,
+             const Now& /*aNow*/,
+             Rng& /*aRng*/,
+             Decisions& /*aOut*/)
+{
+  // Callers still hold kept entries, so that new queries go on being served.
+  aState.stopping_ = true;
+}
+
+void
+RouteOnEvent(RouteState& aState,
+             const Tick& /*aEvent*/,
+             const Now& aNow,
+             Rng& aRng,
+             Decisions& aOut)
+{
+  Step step{ aState, aNow, aRng, aOut };
+  Timer timer;
+  while (TakeDueTimer(aState.timers_, aNow.mono_, timer)) {
+    TakeTimer(step, timer);
+  }
+  EndStep(step);
+}
+
+TimePoint
+RouteNextWake(const RouteState& aState)
+{
+  return NextTimer(aState.timers_);
+}
+
+bool
+RouteIsIdle(const RouteState& aState)
+{
+  return aState.queries_.Count() == 0 && aState.orders_.Count() == 0 &&
+         aState.relayed_.Count() == 0;
+}
+
+RouteStats
+RouteStatistics(const RouteState& aState)
+{
+  return aState.stats_;
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/route/server_care.cpp
@@ -0,0 +1,121 @@
+#include "route/conn_pool.h"
+#include "route/server_health.h"
+#include "route/sub_cmd.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+namespace {
+
+// A snapshot that has just been published is loaded by the servers one after
+// the other; until they have it, they are asked often.
+bool
+AwaitsVersion(const RouteState& aState,
+              const ServerState& aServer,
+              TimePoint aNow)
+{
+  const ServiceState& service = aState.services_[aServer.service_];
+  if (aServer.held_.empty() ||
+      aNow - service.wantedSince_ > kNewVersionPatience) {
+    return false;
+  }
+  for (const SnapshotVersion version : service.wanted_) {
+    if (std::find(aServer.held_.begin(), aServer.held_.end(), version) ==
+        aServer.held_.end()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+CheckHealth(Step& aStep, ServerIndex aServer)
+{
+  ServerState& server = aStep.state_.servers_[aServer];
+  const TimePoint now = aStep.now_.mono_;
+  const bool awaits = AwaitsVersion(aStep.state_, server, now);
+  const Duration sooner =
+    awaits ? kHealthInterval - kHealthIntervalNewVersion : Duration::zero();
+  if (now + sooner < server.nextHealth_) {
+    return;
+  }
+  Connection* connection = FindOldestIdle(aStep.state_, aServer);
+  if (connection == nullptr) {
+    return;
+  }
+  const Duration interval =
+    IsLeaving(server) ? kLeavingProbeInterval : kHealthInterval;
+  // Jitter keeps the checks of all daemons apart.
+  const auto jitter =
+    static_cast<std::int64_t>(aStep.rng_() % (interval.count() / 4));
+  server.nextHealth_ = now + interval + Duration(jitter);
+  SendHealth(aStep, *connection);
+}
+
+void
+CareForIdle(Step& aStep, ServerIndex aServer)
+{
+  const TimePoint now = aStep.now_.mono_;
+  const std::vector<std::uint32_t> slots =
+    aStep.state_.servers_[aServer].connections_;
+  for (const std::uint32_t slot : slots) {
+    Connection& connection = aStep.state_.connections_.slots_[slot];
+    if (connection.state_ != ConnState::Idle) {
+      continue;
+    }
+    if (now - connection.openedAt_ > kConnectionMaxAge) {
+      CloseConn(aStep, connection);
+    } else if (now - connection.usedAt_ > kIdleUnverifiedAfter) {
+      connection.unverified_ = true;
+      SendHealth(aStep, connection);
+    }
+  }
+}
+
+void
+CareForLeaving(Step& aStep, ServerIndex aServer)
+{
+  const ServerState& server = aStep.state_.servers_[aServer];
+  // An operator's drain ends with the configuration, so there is nothing to
+  // ask the server about.
+  if (server.spec_.draining_) {
+    CloseIdle(aStep, aServer);
+    return;
+  }
+  if (aStep.now_.mono_ < server.nextHealth_) {
+    return;
+  }
+  if (server.connections_.empty()) {
+    OpenUpTo(aStep, aServer, 1);
+    return;
+  }
+  CheckHealth(aStep, aServer);
+}
+
+} // namespace
+
+void
+TendServer(Step& aStep, ServerIndex aServer)
+{
+  RouteState& state = aStep.state_;
+  ServerState& server = state.servers_[aServer];
+  if (!server.configured_ || !server.home_) {
+    CloseIdle(aStep, aServer);
+    return;
+  }
+  AddTimer(state.timers_,
+           { aStep.now_.mono_ + kServerTick, aServer, 0, TimerKind::Server });
+  if (IsLeaving(server)) {
+    CareForLeaving(aStep, aServer);
+    return;
+  }
+  CareForIdle(aStep, aServer);
+  CheckHealth(aStep, aServer);
+  OpenUpTo(aStep, aServer, kWarmConnections);
+  if (!state.services_[server.service_].queue_.heap_.empty()) {
+    MarkService(state, server.service_);
+  }
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/route/server_choice.cpp
@@ -0,0 +1,273 @@
+#include "route/server_choice.h"
+
+#include "route/conn_pool.h"
+#include "route/server_health.h"
+
+#include <algorithm>
+#include <array>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr std::size_t kMaxCandidates = 16;
+
+/** Servers that could take the request, best tier first. */
+struct Candidates
+{
+  std::array<ServerIndex, kMaxCandidates> free_{};
+  std::size_t freeCount_ = 0;
+  std::uint32_t usable_ = 0; ///< Free or not.
+};
+
+/** What one pass over a service found. */
+struct Survey
+{
+  Candidates fresh_;   ///< Not tried and not ejected.
+  Candidates ejected_; ///< Not tried but ejected.
+  Candidates tried_;   ///< Tried before.
+  ServerIndex probe_ = kNoIndex;
+  bool lacking_ = false; ///< Some server lacks the snapshot.
+  bool anyFree_ = false;
+};
+
+bool
+IsTried(const ChoiceDemand& aDemand, ServerIndex aServer)
+{
+  return std::find(aDemand.tried_.begin(), aDemand.tried_.end(), aServer) !=
+         aDemand.tried_.end();
+}
+
+double
+FloorOfSlowStart(const ServerState& aServer, TimePoint aNow)
+{
+  const double left =
+    static_cast<double>((aServer.slowStartUntil_ - aNow).count()) /
+    static_cast<double>(kSlowStart.count());
+  const double lot = aServer.lot_;
+  return std::max(1.0, lot * (1.0 - left));
+}
+
+std::uint32_t
+LimitNow(const ServerState& aServer,
+         Priority aPriority,
+         bool aShared,
+         TimePoint aNow)
+{
+  double limit = aServer.limit_;
+  if (aServer.slowStartUntil_ > aNow) {
+    limit = std::min(limit, FloorOfSlowStart(aServer, aNow));
+  }
+  auto places = static_cast<std::uint32_t>(limit);
+  // Batch work leaves one place free while interactive work comes in: a
+  // running request can't be interrupted.
+  if (aPriority == Priority::Batch && aShared && places > 1) {
+    --places;
+  }
+  return places;
+}
+
+// Lower is better: work already there times the time that each takes.
+double
+Score(const ServerState& aServer, TimePoint aNow)
+{
+  const double latency = aServer.samples_ == 0
+                           ? static_cast<double>(kLatencyUnknown.count())
+                           : aServer.latency_;
+  double score = (aServer.inFlight_ + 1.0) * latency;
+  const Duration age = aNow - aServer.loadAt_;
+  if (age < kLoadReportLife) {
+    const double freshness =
+      1.0 - static_cast<double>(age.count()) /
+              static_cast<double>(kLoadReportLife.count());
+    score *= 1.0 + kLoadReportWeight * aServer.load_ * freshness;
+  }
+  if (aServer.slowStartUntil_ > aNow) {
+    const double left =
+      static_cast<double>((aServer.slowStartUntil_ - aNow).count()) /
+      static_cast<double>(kSlowStart.count());
+    score *= 1.0 + kSlowStartFactor * left;
+  }
+  return score;
+}
+
+void
+AddCandidate(Candidates& aCandidates, ServerIndex aServer, bool aFree)
+{
+  ++aCandidates.usable_;
+  if (aFree && aCandidates.freeCount_ < kMaxCandidates) {
+    aCandidates.free_[aCandidates.freeCount_++] = aServer;
+  }
+}
+
+bool
+IsServable(const RouteState& aState, ServerIndex aServer)
+{
+  const ServerState& server = aState.servers_[aServer];
+  return server.configured_ && !IsLeaving(server) && !IsDown(aState, aServer);
+}
+
+void
+SurveyServer(Step& aStep,
+             const ChoiceDemand& aDemand,
+             ServerIndex aServer,
+             Survey& aSurvey)
+{
+  const TimePoint now = aStep.now_.mono_;
+  const ServerState& server = aStep.state_.servers_[aServer];
+  if (aDemand.only_ != kNoIndex && aDemand.only_ != aServer) {
+    return;
+  }
+  if (!IsServable(aStep.state_, aServer)) {
+    return;
+  }
+  const bool place =
+    HasFreePlace(aStep.state_, aServer, aDemand.priority_, now);
+  aSurvey.anyFree_ |= place;
+  if (aDemand.version_.IsValid() &&
+      LacksVersion(server, aDemand.version_, now)) {
+    aSurvey.lacking_ = true;
+    return;
+  }
+  const bool free = place && (!aDemand.alone_ || server.inFlight_ == 0);
+  if (IsTried(aDemand, aServer)) {
+    AddCandidate(aSurvey.tried_, aServer, free);
+  } else if (IsEjected(server)) {
+    AddCandidate(aSurvey.ejected_, aServer, free);
+    if (free && now >= server.nextProbe_ && now >= server.ejectedUntil_) {
+      aSurvey.probe_ = aServer;
+    }
+  } else {
+    AddCandidate(aSurvey.fresh_, aServer, free);
+  }
+}
+
+ServerIndex
+BetterOf(const RouteState& aState,
+         ServerIndex aFirst,
+         ServerIndex aSecond,
+         TimePoint aNow)
+{
+  const ServerState& first = aState.servers_[aFirst];
+  const ServerState& second = aState.servers_[aSecond];
+  const double firstScore = Score(first, aNow);
+  const double secondScore = Score(second, aNow);
+  const bool tie = firstScore <= secondScore * kTieBand &&
+                   secondScore <= firstScore * kTieBand;
+  if (tie && first.sameDomain_ != second.sameDomain_) {
+    return first.sameDomain_ ? aFirst : aSecond;
+  }
+  return firstScore <= secondScore ? aFirst : aSecond;
+}
+
+ServerIndex
+PickOfTwo(Step& aStep, const Candidates& aCandidates)
+{
+  const std::size_t count = aCandidates.freeCount_;
+  if (count == 1) {
+    return aCandidates.free_[0];
+  }
+  const std::uint64_t random = aStep.rng_();
+  const std::size_t first = random % count;
+  const std::size_t step = 1 + (random >> 32U) % (count - 1);
+  const std::size_t second = (first + step) % count;
+  return BetterOf(aStep.state_,
+                  aCandidates.free_[first],
+                  aCandidates.free_[second],
+                  aStep.now_.mono_);
+}
+
+Choice
+ChooseFrom(Step& aStep, const Candidates& aCandidates)
+{
+  Choice choice;
+  choice.state_ = ChoiceState::Busy;
+  if (aCandidates.freeCount_ > 0) {
+    choice.state_ = ChoiceState::Chosen;
+    choice.server_ = PickOfTwo(aStep, aCandidates);
+  }
+  return choice;
+}
+
+Choice
+Decide(Step& aStep, const ChoiceDemand& aDemand, const Survey& aSurvey)
+{
+  Choice choice;
+  if (aSurvey.probe_ != kNoIndex && !aDemand.mustDiffer_ && !aDemand.alone_) {
+    choice.state_ = ChoiceState::Chosen;
+    choice.server_ = aSurvey.probe_;
+    choice.probe_ = true;
+    return choice;
+  }
+  if (aSurvey.fresh_.usable_ > 0) {
+    return ChooseFrom(aStep, aSurvey.fresh_);
+  }
+  if (aSurvey.ejected_.usable_ > 0) {
+    return ChooseFrom(aStep, aSurvey.ejected_);
+  }
+  if (aSurvey.tried_.usable_ > 0 && !aDemand.mustDiffer_) {
+    return ChooseFrom(aStep, aSurvey.tried_);
+  }
+  if (aSurvey.lacking_) {
+    choice.reason_ = UncoveredReason::WrongVersion;
+  }
+  return choice;
+}
+
+} // namespace
+
+bool
+HasFreePlace(RouteState& aState,
+             ServerIndex aServer,
+             Priority aPriority,
+             TimePoint aNow)
+{
+  const ServerState& server = aState.servers_[aServer];
+  const ServiceState& service = aState.services_[server.service_];
+  if (server.exclusive_ || server.pausedUntil_ > aNow) {
+    return false;
+  }
+  const bool shared = aNow - service.interactiveAt_ < kInteractiveMemory;
+  if (server.inFlight_ >= LimitNow(server, aPriority, shared, aNow)) {
+    return false;
+  }
+  if (!server.home_) {
+    return server.relayAfter_ <= aNow && !server.homes_.empty();
+  }
+  return FindIdle(aState, aServer) != nullptr;
+}
+
+Choice
+ChooseServer(Step& aStep, const ChoiceDemand& aDemand)
+{
+  Survey survey;
+  for (const ServerIndex index :
+       aStep.state_.services_[aDemand.service_].servers_) {
+    SurveyServer(aStep, aDemand, index, survey);
+  }
+  Choice choice = Decide(aStep, aDemand, survey);
+  choice.anyFree_ = survey.anyFree_;
+  return choice;
+}
+
+bool
+IsVersionUsable(const RouteState& aState,
+                ServiceIndex aService,
+                SnapshotVersion aVersion,
+                TimePoint aNow)
+{
+  for (const ServerIndex index : aState.services_[aService].servers_) {
+    const ServerState& server = aState.servers_[index];
+    const bool held =
+      server.held_.empty() ||
+      std::find(server.held_.begin(), server.held_.end(), aVersion) !=
+        server.held_.end();
+    if (held && IsServable(aState, index) &&
+        !LacksVersion(server, aVersion, aNow)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/route/server_health.h
@@ -0,0 +1,66 @@
+/** Standing of servers: own observations first, reports as a bias. */
+#pragma once
+
+#include "route/route_base.h"
+
+namespace camphorfield {
+
+/** Whether a server gets no new work because it is going away. */
+bool
+IsLeaving(const ServerState& aServer);
+
+/** Whether no connection can be had. */
+bool
+IsDown(const RouteState& aState, ServerIndex aServer);
+
+/** Whether a server is ejected or on probation. */
+bool
+IsEjected(const ServerState& aServer);
+
+/** Standing for operators and choice. */
+ServerStanding
+GetStanding(const RouteState& aState, ServerIndex aServer, TimePoint aNow);
+
+/** Whether a server is known to lack a snapshot. */
+bool
+LacksVersion(const ServerState& aServer,
+             SnapshotVersion aVersion,
+             TimePoint aNow);
+
+/** Remember that a server lacks a snapshot. */
+void
+NoteLacked(ServerState& aServer, SnapshotVersion aVersion, TimePoint aNow);
+
+/** Count a good answer. */
+void
+NoteGood(Step& aStep, const Sub& aSub, Duration aTime);
+
+/** Count a failure that is the server's own. */
+void
+NoteFailure(Step& aStep, ServerIndex aServer);
+
+/** A server took longer than this, how long is not known. */
+void
+NoteSlow(Step& aStep, ServerIndex aServer, Duration aAtLeast);
+
+/** A server shed a request: lower its limit. */
+void
+NoteShed(Step& aStep, ServerIndex aServer);
+
+/** Take up that a server is leaving or has come back. */
+void
+SetLeaving(Step& aStep, ServerIndex aServer, bool aLeaving, std::int64_t aAt);
+
+/** Take up what an answer's headers say. */
+void
+NoteReport(Step& aStep, ServerIndex aServer, const SubAnswer& aAnswer);
+
+/** Take up an answer to a health check. */
+void
+NoteHealth(Step& aStep, ServerIndex aServer, const SubAnswer& aAnswer);
+
+/** Periodic care of one server: connections, health checks, ages. */
+void
+TendServer(Step& aStep, ServerIndex aServer);
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/route/sub_timer.cpp
@@ -0,0 +1,160 @@
+#include "route/sub_timer.h"
+
+#include "route/conn_pool.h"
+#include "route/owner.h"
+#include "route/server_health.h"
+#include "route/sub_cmd.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr std::uint32_t kHedgeSamples = 32; ///< Before the quantile counts.
+
+ServiceState&
+ServiceOf(RouteState& aState, const Sub& aSub)
+{
+  return aState.services_[aState.servers_[aSub.server_].service_];
+}
+
+Duration
+HedgeDelay(const ServiceState& aService, const Sub& aSub)
+{
+  if (aService.latency_.total_ < kHedgeSamples) {
+    return kHedgeDelayUnknown;
+  }
+  // A probe goes to a server that was bad, so its duplicate goes out sooner.
+  const Duration delay =
+    aSub.probe_ ? aService.latency_.p50_ * 2 : aService.latency_.hedge_;
+  return std::max(delay, kHedgeDelayFloor);
+}
+
+TimePoint
+EndOfPatience(const Sub& aSub)
+{
+  return aSub.deadline_ == kNever ? kNever : aSub.deadline_ + kAnswerGrace;
+}
+
+void
+ArmProgress(Step& aStep, const Sub& aSub, Duration aDelay)
+{
+  const TimePoint at = std::min(aStep.now_.mono_ + aDelay, EndOfPatience(aSub));
+  AddTimer(aStep.state_.timers_, { at, aSub.key_, 0, TimerKind::Progress });
+}
+
+void
+CloseSilent(Step& aStep, std::uint64_t aSub, bool aSilent)
+{
+  const Sub sub = *FindSlot(aStep.state_.subs_, aSub);
+  Connection* connection = FindSlot(aStep.state_.connections_, sub.connection_);
+  if (connection != nullptr) {
+    connection->sub_ = 0;
+    CloseConn(aStep, *connection);
+  }
+  if (aSilent) {
+    ++aStep.state_.stats_.silent_;
+    aStep.out_.emplace_back(
+      TimelineRecord{ TimelineKind::ConnectionSilent,
+                      0,
+                      aStep.state_.servers_[sub.server_].spec_.name_,
+                      sub.connection_,
+                      "no answer while others answered" });
+  }
+  EndSub(aStep, aSub, SubEnd::Silent, nullptr);
+  DistrustIdle(aStep, sub.server_);
+}
+
+// Whatever the server answers on another connection tells this one's fate.
+void
+SeekEvidence(Step& aStep, const Sub& aSub)
+{
+  Connection* idle = FindOldestIdle(aStep.state_, aSub.server_);
+  if (idle != nullptr) {
+    SendHealth(aStep, *idle);
+    return;
+  }
+  const ServerState& server = aStep.state_.servers_[aSub.server_];
+  OpenUpTo(aStep,
+           aSub.server_,
+           static_cast<std::uint32_t>(server.connections_.size()) + 1);
+}
+
+void
+CheckProgress(Step& aStep, const Sub& aSub)
+{
+  const TimePoint now = aStep.now_.mono_;
+  const ServerState& server = aStep.state_.servers_[aSub.server_];
+  if (now >= EndOfPatience(aSub)) {
+    CloseSilent(aStep, aSub.key_, false);
+    return;
+  }
+  // After two cut off, the work itself is slow, not a connection. A relayed one
+  // is the home's to watch; an order must have its whole time, since cutting it
+  // off makes its outcome unknown.
+  if (aSub.connection_ == 0 || aSub.kind_ == SubKind::Order || aSub.patient_) {
+    ArmProgress(aStep, aSub, kProgressCeiling);
+    return;
+  }
+  const Duration timeout = ProgressTimeout(ServiceOf(aStep.state_, aSub));
+  const Duration elapsed = now - aSub.sentAt_;
+  if (server.newestAnswered_ > aSub.sentAt_ && elapsed >= timeout) {
+    CloseSilent(aStep, aSub.key_, true);
+    return;
+  }
+  if (elapsed >= timeout * kStalledFactor) {
+    CloseSilent(aStep, aSub.key_, false);
+    return;
+  }
+  if (elapsed >= timeout) {
+    SeekEvidence(aStep, aSub);
+  }
+  ArmProgress(aStep, aSub, timeout / 2);
+}
+
+} // namespace
+
+Duration
+ProgressTimeout(const ServiceState& aService)
+{
+  return std::clamp<Duration>(
+    aService.latency_.p99_ * kProgressFactor, kProgressFloor, kProgressCeiling);
+}
+
+void
+ArmSubTimer(Step& aStep, const Sub& aSub)
+{
+  const ServiceState& service = ServiceOf(aStep.state_, aSub);
+  if (aSub.kind_ == SubKind::Query && !aSub.hedge_ &&
+      aSub.owner_.kind_ == OwnerKind::Query) {
+    const TimePoint at = aStep.now_.mono_ + HedgeDelay(service, aSub);
+    AddTimer(aStep.state_.timers_, { at, aSub.key_, 0, TimerKind::Hedge });
+    return;
+  }
+  ArmProgress(aStep, aSub, ProgressTimeout(service));
+}
+
+void
+TakeSubTimer(Step& aStep, const Timer& aTimer)
+{
+  const Sub* found = FindSlot(aStep.state_.subs_, aTimer.key_);
+  if (found == nullptr) {
+    return;
+  }
+  const Sub sub = *found;
+  if (aTimer.kind_ == TimerKind::Progress) {
+    CheckProgress(aStep, sub);
+    return;
+  }
+  NoteSlow(aStep, sub.server_, aStep.now_.mono_ - sub.sentAt_);
+  const Duration left = sub.sentAt_ +
+                        ProgressTimeout(ServiceOf(aStep.state_, sub)) -
+                        aStep.now_.mono_;
+  ArmProgress(aStep, sub, std::max(left, kHedgeDelayFloor));
+  if (sub.owner_.kind_ == OwnerKind::Query) {
+    OnShardHedge(aStep, sub);
+  }
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/tests/route/route_fixture.cpp
@@ -0,0 +1,599 @@
+#include "route/route_fixture.h"
+
+#include "core/hash_func.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr Duration kHop = microseconds(200);
+constexpr Duration kConnect = milliseconds(1);
+constexpr std::array<const char*, 3> kDomains{ "a", "b", "c" };
+
+using NetKey = std::pair<std::size_t, std::uint64_t>;
+
+void
+After(RouteWorld& aWorld, Duration aDelay, std::function<void()> aWhat)
+{
+  aWorld.events_.emplace(aWorld.now_ + aDelay, std::move(aWhat));
+}
+
+void
+EndConnection(RouteWorld& aWorld,
+              const NetKey& aKey,
+              ConnectionEnd aReason,
+              bool aTell)
+{
+  const auto found = aWorld.network_.find(aKey);
+  if (found == aWorld.network_.end()) {
+    return;
+  }
+  const FakeConnection connection = found->second;
+  aWorld.network_.erase(found);
+  if (connection.open_) {
+    --aWorld.servers_[connection.address_].connections_;
+  }
+  if (!aTell) {
+    return;
+  }
+  Deliver(aWorld,
+          aKey.first,
+          ConnectionEnded{ { aKey.second },
+                           aReason,
+                           connection.open_,
+                           { connection.request_ },
+                           connection.request_ != 0 });
+}
+
+void
+BreakAll(RouteWorld& aWorld, const std::string& aAddress)
+{
+  std::vector<NetKey> keys;
+  for (const auto& [key, connection] : aWorld.network_) {
+    if (connection.address_ == aAddress && connection.open_) {
+      keys.push_back(key);
+    }
+  }
+  for (const NetKey& key : keys) {
+    After(aWorld, kHop, [&aWorld, key] {
+      EndConnection(aWorld, key, ConnectionEnd::Reset, true);
+    });
+  }
+}
+
+void
+Connect(RouteWorld& aWorld, std::size_t aDaemon, const OpenConnection& aOpen)
+{
+  const NetKey key{ aDaemon, aOpen.id_.value_ };
+  aWorld.network_[key] = { aDaemon, aOpen.address_, false, false, 0 };
+  After(aWorld, kConnect, [&aWorld, key] {
+    const auto found = aWorld.network_.find(key);
+    if (found == aWorld.network_.end()) {
+      return;
+    }
+    FakeServer& server = aWorld.servers_[found->second.address_];
+    if (!server.up_) {
+      EndConnection(aWorld, key, ConnectionEnd::Refused, true);
+      return;
+    }
+    if (server.connections_ >= server.cap_) {
+      ++server.overCap_;
+      EndConnection(aWorld, key, ConnectionEnd::OverCap, true);
+      return;
+    }
+    found->second.open_ = true;
+    ++server.connections_;
+    server.peakConnections_ =
+      std::max(server.peakConnections_, server.connections_);
+    Deliver(aWorld, key.first, ConnectionOpened{ { key.second } });
+  });
+}
+
+SubAnswer
+MakeReply(const FakeServer& aServer, const SubRequest& aRequest)
+{
+  SubAnswer answer;
+  answer.id_ = aRequest.id_;
+  answer.connection_ = aRequest.connection_;
+  answer.statedId_ = aRequest.id_;
+  answer.statedShard_ = aRequest.shard_;
+  answer.statedVersion_ = aRequest.version_;
+  answer.draining_ = aServer.draining_;
+  answer.load_ = aServer.load_;
+  answer.body_ = std::make_shared<const std::string>(
+    aServer.name_ + ":" + std::to_string(aRequest.version_.value_));
+  return answer;
+}
+
+void
+Reply(RouteWorld& aWorld, const NetKey& aKey, const SubAnswer& aAnswer)
+{
+  After(aWorld, kHop, [&aWorld, aKey, aAnswer] {
+    const auto found = aWorld.network_.find(aKey);
+    if (found == aWorld.network_.end() || found->second.silent_) {
+      return;
+    }
+    found->second.request_ = 0;
+    Deliver(aWorld, aKey.first, aAnswer);
+  });
+}
+
+SubStatus
+VerdictOf(const FakeServer& aServer, const SubRequest& aRequest)
+{
+  if (aServer.draining_ || aServer.refuses_) {
+    return SubStatus::Refused;
+  }
+  if (aRequest.kind_ == SubKind::Query &&
+      !aServer.versions_.contains(aRequest.version_.value_)) {
+    return SubStatus::WrongVersion;
+  }
+  return aServer.fails_ ? SubStatus::Failed : SubStatus::Ok;
+}
+
+void
+FreeSlotOf(RouteWorld& aWorld, const std::string& aAddress)
+{
+  FakeServer& server = aWorld.servers_[aAddress];
+  --server.running_;
+  if (!server.waiting_.empty()) {
+    const std::function<void()> next = std::move(server.waiting_.front());
+    server.waiting_.pop_front();
+    next();
+  }
+}
+
+void
+RunRequest(RouteWorld& aWorld, const NetKey& aKey, const SubRequest& aRequest)
+{
+  const std::string address = aWorld.network_[aKey].address_;
+  FakeServer& server = aWorld.servers_[address];
+  ++server.running_;
+  const std::uint64_t life = server.life_;
+  const double random = static_cast<double>(aWorld.rng_() >> 11U) * 0x1.0p-53;
+  const auto work = Duration(
+    static_cast<std::int64_t>(static_cast<double>(server.work_.count()) *
+                              (1.0 + server.jitter_ * random)));
+  const bool expired = aWorld.now_ >= aRequest.deadline_;
+  const bool poison = !server.poison_.empty() && aRequest.body_ != nullptr &&
+                      aRequest.body_->find(server.poison_) != std::string::npos;
+  After(aWorld,
+        expired ? Duration(1) : work,
+        [&aWorld, aKey, aRequest, address, life, poison, expired] {
+          FakeServer& self = aWorld.servers_[address];
+          if (self.life_ != life) {
+            return;
+          }
+          if (poison) {
+            CrashServer(aWorld, self);
+            return;
+          }
+          SubAnswer answer = MakeReply(self, aRequest);
+          answer.status_ =
+            expired ? SubStatus::Failed : VerdictOf(self, aRequest);
+          if (self.mislabels_) {
+            answer.statedVersion_ = { aRequest.version_.value_ + 1 };
+          }
+          if (!self.mislabelShard_.empty()) {
+            answer.statedShard_ = self.mislabelShard_;
+          }
+          Reply(aWorld, aKey, answer);
+          FreeSlotOf(aWorld, address);
+        });
+}
+
+void
+Arrive(RouteWorld& aWorld, const NetKey& aKey, const SubRequest& aRequest)
+{
+  const auto found = aWorld.network_.find(aKey);
+  if (found == aWorld.network_.end() || found->second.silent_) {
+    return;
+  }
+  FakeServer& server = aWorld.servers_[found->second.address_];
+  if (aRequest.kind_ == SubKind::Health || aRequest.kind_ == SubKind::Cancel) {
+    server.cancels_ += aRequest.kind_ == SubKind::Cancel ? 1 : 0;
+    SubAnswer answer = MakeReply(server, aRequest);
+    if (server.reportsVersions_ && aRequest.kind_ == SubKind::Health) {
+      for (const std::uint64_t version : server.versions_) {
+        answer.versions_.push_back({ version });
+      }
+    }
+    Reply(aWorld, aKey, answer);
+    return;
+  }
+  ++(aRequest.kind_ == SubKind::Query ? server.queries_ : server.orders_);
+  const SubStatus verdict = VerdictOf(server, aRequest);
+  if (verdict != SubStatus::Ok && verdict != SubStatus::Failed) {
+    SubAnswer answer = MakeReply(server, aRequest);
+    answer.status_ = verdict;
+    Reply(aWorld, aKey, answer);
+    return;
+  }
+  if (server.running_ < server.slots_) {
+    RunRequest(aWorld, aKey, aRequest);
+    return;
+  }
+  const std::uint64_t life = server.life_;
+  server.waiting_.push_back([&aWorld, aKey, aRequest, life] {
+    const auto still = aWorld.network_.find(aKey);
+    const bool gone = still == aWorld.network_.end() ||
+                      aWorld.servers_[still->second.address_].life_ != life;
+    if (!gone) {
+      RunRequest(aWorld, aKey, aRequest);
+    }
+  });
+}
+
+void
+Send(RouteWorld& aWorld, std::size_t aDaemon, const SubRequest& aRequest)
+{
+  const NetKey key{ aDaemon, aRequest.connection_.value_ };
+  const auto found = aWorld.network_.find(key);
+  if (found == aWorld.network_.end()) {
+    return;
+  }
+  found->second.request_ = aRequest.id_.value_;
+  const bool work =
+    aRequest.kind_ == SubKind::Query || aRequest.kind_ == SubKind::Order;
+  if (work && aWorld.keepSent_) {
+    aWorld.sent_.push_back(aRequest);
+  }
+  After(
+    aWorld, kHop, [&aWorld, key, aRequest] { Arrive(aWorld, key, aRequest); });
+}
+
+void
+SpreadToOthers(RouteWorld& aWorld, std::size_t aFrom, const Rumor& aRumor)
+{
+  aWorld.rumors_.push_back(aRumor);
+  for (std::size_t i = 0; i < aWorld.daemons_.size(); ++i) {
+    if (i != aFrom) {
+      After(aWorld, aWorld.gossipDelay_, [&aWorld, i, aRumor] {
+        Deliver(aWorld, i, RumorHeard{ aRumor });
+      });
+    }
+  }
+}
+
+std::size_t
+DaemonOf(const RouteWorld& aWorld, DaemonId aId)
+{
+  for (std::size_t i = 0; i < aWorld.daemons_.size(); ++i) {
+    if (aWorld.daemons_[i]->state_.settings_.self_ == aId) {
+      return i;
+    }
+  }
+  return aWorld.daemons_.size();
+}
+
+void
+SendToPeer(RouteWorld& aWorld, std::size_t aFrom, const SendPeer& aSend)
+{
+  const std::size_t to = DaemonOf(aWorld, aSend.to_);
+  PeerMessage message;
+  message.from_ = aWorld.daemons_[aFrom]->state_.settings_.self_;
+  message.body_ = aSend.body_;
+  const bool lost = to >= aWorld.daemons_.size() ||
+                    aWorld.cutPeers_.contains(to) || !aWorld.daemons_[to]->up_;
+  After(aWorld, kHop, [&aWorld, aFrom, to, lost, message, aSend] {
+    if (lost) {
+      Deliver(aWorld,
+              aFrom,
+              PeerUnreachable{ aSend.to_, aSend.address_, aSend.call_ });
+    } else {
+      Deliver(aWorld, to, message);
+    }
+  });
+}
+
+ServiceSpec
+MakeService(RouteWorld& aWorld, const WorldShape& aShape, std::size_t aIndex)
+{
+  ServiceSpec service;
+  service.name_ = "s" + std::to_string(aIndex);
+  for (std::size_t i = 0; i < aShape.serversPerService_; ++i) {
+    ServerSpec spec;
+    spec.name_ = service.name_ + "-" + std::to_string(i);
+    spec.address_ = spec.name_ + ":1";
+    spec.failureDomain_ = kDomains[i % kDomains.size()];
+    spec.slots_ = aShape.slots_;
+    spec.connections_ = aShape.connections_;
+    service.servers_.push_back(spec);
+    FakeServer& server = aWorld.servers_[spec.address_];
+    server.name_ = spec.name_;
+    server.address_ = spec.address_;
+    server.slots_ = aShape.slots_;
+    server.cap_ = aShape.connections_;
+    server.work_ = aShape.work_;
+    server.jitter_ = aShape.jitter_;
+    server.versions_.insert(aShape.versions_.begin(), aShape.versions_.end());
+  }
+  return service;
+}
+
+RouteSpec
+MakeRoute(const WorldShape& aShape,
+          const std::string& aName,
+          Priority aPriority)
+{
+  RouteSpec route;
+  route.name_ = aName;
+  route.index_ = "index";
+  route.limits_ = "limits";
+  route.priority_ = aPriority;
+  route.deadline_ = aShape.deadline_;
+  route.softAnswer_ = aShape.softAnswer_;
+  route.minCoverage_ = aShape.minCoverage_;
+  return route;
+}
+
+void
+FillRoutes(ConfigSet& aSet, const WorldShape& aShape)
+{
+  aSet.routes_["find"] = MakeRoute(aShape, "find", Priority::Interactive);
+  aSet.routes_["archive"] = MakeRoute(aShape, "archive", Priority::Batch);
+  RouteSpec buy = MakeRoute(aShape, "buy", Priority::Interactive);
+  buy.mode_ = RouteMode::Order;
+  buy.service_ = "s0";
+  aSet.routes_["buy"] = buy;
+  LimitsSpec limits;
+  limits.name_ = "limits";
+  limits.hedgeBudget_ = aShape.hedgeBudget_;
+  aSet.limits_["limits"] = limits;
+  FleetSpec fleet;
+  fleet.name_ = "fleet";
+  fleet.maxDaemons_ = aShape.maxDaemons_;
+  fleet.homesPerServer_ = aShape.homesPerServer_;
+  aSet.fleets_["fleet"] = fleet;
+}
+
+void
+AddDaemon(RouteWorld& aWorld, std::size_t aIndex)
+{
+  RouteSettings settings;
+  settings.name_ = "d" + std::to_string(aIndex);
+  settings.self_ = { HashText(settings.name_) };
+  settings.failureDomain_ = kDomains[aIndex % kDomains.size()];
+  auto daemon = std::make_unique<FakeDaemon>();
+  daemon->state_ = MakeRouteState(settings);
+  daemon->rng_.seed(aIndex + 1);
+  aWorld.daemons_.push_back(std::move(daemon));
+}
+
+} // namespace
+
+RouteWorld
+MakeWorld(const WorldShape& aShape)
+{
+  RouteWorld world;
+  world.config_ = std::make_shared<PublishedConfig>();
+  ConfigSet& set = world.config_->set_;
+  for (std::size_t i = 0; i < aShape.services_; ++i) {
+    const ServiceSpec service = MakeService(world, aShape, i);
+    set.services_[service.name_] = service;
+  }
+  IndexSpec index;
+  index.name_ = "index";
+  for (const std::uint64_t version : aShape.versions_) {
+    IndexVersionSpec spec;
+    spec.version_ = { version };
+    for (std::size_t i = 0; i < aShape.services_ * aShape.shardsPerService_;
+         ++i) {
+      spec.shards_.push_back({ "h" + std::to_string(i),
+                               "s" + std::to_string(i % aShape.services_) });
+    }
+    index.versions_.push_back(spec);
+  }
+  set.indexes_["index"] = index;
+  FillRoutes(set, aShape);
+  for (std::size_t i = 0; i < aShape.daemons_; ++i) {
+    AddDaemon(world, i);
+  }
+  return world;
+}
+
+void
+AdoptWorldConfig(RouteWorld& aWorld)
+{
+  auto next = std::make_shared<PublishedConfig>(*aWorld.config_);
+  ++next->generation_.value_;
+  aWorld.config_ = next;
+  for (std::size_t i = 0; i < aWorld.daemons_.size(); ++i) {
+    Deliver(aWorld, i, ConfigAdopted{ next });
+  }
+}
+
+void
+ShareMembers(RouteWorld& aWorld)
+{
+  auto members = std::make_shared<std::vector<MemberRecord>>();
+  for (const auto& daemon : aWorld.daemons_) {
+    MemberRecord member;
+    member.id_ = daemon->state_.settings_.self_;
+    member.name_ = daemon->state_.settings_.name_;
+    member.failureDomain_ = daemon->state_.settings_.failureDomain_;
+    member.peerAddress_ = member.name_ + ":2";
+    member.state_ = daemon->up_ ? MemberState::Alive : MemberState::Dead;
+    members->push_back(member);
+  }
+  std::sort(members->begin(),
+            members->end(),
+            [](const MemberRecord& aLeft, const MemberRecord& aRight) {
+              return aLeft.id_ < aRight.id_;
+            });
+  for (std::size_t i = 0; i < aWorld.daemons_.size(); ++i) {
+    Deliver(aWorld, i, MembersChanged{ members });
+  }
+}
+
+void
+RunFor(RouteWorld& aWorld, Duration aTime)
+{
+  const TimePoint until = aWorld.now_ + aTime;
+  while (true) {
+    TimePoint next = until;
+    std::size_t tick = aWorld.daemons_.size();
+    if (!aWorld.events_.empty()) {
+      next = std::min(next, aWorld.events_.begin()->first);
+    }
+    for (std::size_t i = 0; i < aWorld.daemons_.size(); ++i) {
+      const FakeDaemon& daemon = *aWorld.daemons_[i];
+      const TimePoint wake = RouteNextWake(daemon.state_);
+      if (daemon.up_ && wake < next) {
+        next = wake;
+        tick = i;
+      }
+    }
+    aWorld.now_ = std::max(aWorld.now_, next);
+    if (tick < aWorld.daemons_.size()) {
+      Deliver(aWorld, tick, Tick{});
+      continue;
+    }
+    if (aWorld.events_.empty() || aWorld.events_.begin()->first > until ||
+        next >= until) {
+      break;
+    }
+    const std::function<void()> event =
+      std::move(aWorld.events_.begin()->second);
+    aWorld.events_.erase(aWorld.events_.begin());
+    event();
+  }
+  aWorld.now_ = until;
+}
+
+std::uint64_t
+SendQuery(RouteWorld& aWorld,
+          const std::string& aRoute,
+          const std::string& aBody,
+          std::size_t aDaemon,
+          const std::string& aCaller,
+          Duration aTimeout)
+{
+  CallerRequest request;
+  request.id_ = { ++aWorld.nextRequest_ };
+  request.caller_ = aCaller;
+  request.route_ = aRoute;
+  request.body_ = std::make_shared<const std::string>(aBody);
+  request.timeout_ = aTimeout;
+  aWorld.startedAt_[request.id_.value_] = aWorld.now_;
+  Deliver(aWorld, aDaemon, request);
+  return request.id_.value_;
+}
+
+const QueryAnswer&
+AskQuery(RouteWorld& aWorld,
+         const std::string& aRoute,
+         const std::string& aBody,
+         std::size_t aDaemon)
+{
+  const std::uint64_t id = SendQuery(aWorld, aRoute, aBody, aDaemon);
+  for (int i = 0; i < 100'000 && !aWorld.answers_.contains(id); ++i) {
+    RunFor(aWorld, microseconds(100));
+  }
+  return aWorld.answers_.at(id).answer_;
+}
+
+std::uint64_t
+SendOrder(RouteWorld& aWorld,
+          const std::string& aBody,
+          Duration aTime,
+          std::size_t aDaemon)
+{
+  DispatchOrder order;
+  order.id_ = { ++aWorld.nextRequest_ };
+  order.request_ = { order.id_.value_ };
+  order.caller_ = "till";
+  order.route_ = "buy";
+  order.key_ = "k" + std::to_string(order.id_.value_);
+  order.body_ = std::make_shared<const std::string>(aBody);
+  order.deadline_ = aWorld.now_ + aTime;
+  Deliver(aWorld, aDaemon, order);
+  return order.id_.value_;
+}
+
+void
+StopServer(RouteWorld& aWorld, FakeServer& aServer)
+{
+  aServer.up_ = false;
+  ++aServer.life_;
+  aServer.running_ = 0;
+  aServer.waiting_.clear();
+  BreakAll(aWorld, aServer.address_);
+}
+
+void
+CrashServer(RouteWorld& aWorld, FakeServer& aServer)
+{
+  ++aServer.crashes_;
+  StopServer(aWorld, aServer);
+  const std::string address = aServer.address_;
+  After(aWorld, aServer.restart_, [&aWorld, address] {
+    aWorld.servers_[address].up_ = true;
+  });
+}
+
+FakeServer&
+GetServer(RouteWorld& aWorld, const std::string& aName)
+{
+  return aWorld.servers_.at(aName + ":1");
+}
+
+ServerStatus
+GetStatus(const RouteWorld& aWorld, const std::string& aName)
+{
+  for (const ServerStatus& status : RouteServers(aWorld.daemons_[0]->state_)) {
+    if (status.name_ == aName) {
+      return status;
+    }
+  }
+  return {};
+}
+
+void
+CarryOut(RouteWorld& aWorld, std::size_t aDaemon, Decisions& aDecisions)
+{
+  for (Decision& decision : aDecisions) {
+    if (auto* answer = std::get_if<QueryAnswer>(&decision)) {
+      const std::uint64_t id = answer->id_.value_;
+      ++aWorld.answerCounts_[id];
+      aWorld.answers_[id] = { std::move(*answer),
+                              aWorld.now_ - aWorld.startedAt_[id] };
+    } else if (const auto* open = std::get_if<OpenConnection>(&decision)) {
+      Connect(aWorld, aDaemon, *open);
+    } else if (const auto* close = std::get_if<CloseConnection>(&decision)) {
+      const NetKey key{ aDaemon, close->id_.value_ };
+      After(aWorld, kHop, [&aWorld, key] {
+        EndConnection(aWorld, key, ConnectionEnd::Ours, true);
+      });
+    } else if (const auto* sub = std::get_if<SubRequest>(&decision)) {
+      Send(aWorld, aDaemon, *sub);
+    } else if (const auto* done = std::get_if<OrderDispatched>(&decision)) {
+      aWorld.dispatched_[done->id_.value_] = *done;
+      ++aWorld.dispatchCounts_[done->id_.value_];
+    } else if (const auto* rumor = std::get_if<SpreadRumor>(&decision)) {
+      SpreadToOthers(aWorld, aDaemon, rumor->rumor_);
+    } else if (const auto* peer = std::get_if<SendPeer>(&decision)) {
+      SendToPeer(aWorld, aDaemon, *peer);
+    }
+  }
+}
+
+Duration
+AnswerQuantile(const RouteWorld& aWorld, double aQuantile)
+{
+  std::vector<Duration> times;
+  for (const auto& [id, answer] : aWorld.answers_) {
+    times.push_back(answer.took_);
+  }
+  if (times.empty()) {
+    return {};
+  }
+  std::sort(times.begin(), times.end());
+  const auto rank =
+    static_cast<std::size_t>(aQuantile * static_cast<double>(times.size() - 1));
+  return times[rank];
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/tests/route/route_fixture.h
@@ -0,0 +1,201 @@
+/** Daemons' routing and fake backend servers under a paused clock. */
+#pragma once
+
+#include "route/route_func.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace camphorfield {
+
+/** Behaviour of one fake server. */
+struct FakeServer
+{
+  std::string name_;
+  std::string address_;
+  std::uint32_t slots_ = 2;
+  std::uint32_t cap_ = 25;
+  Duration work_ = milliseconds(2); ///< Time on a slot.
+  double jitter_ = 0.0;             ///< Work is up to this much longer.
+  bool up_ = true;
+  bool draining_ = false;
+  bool refuses_ = false;   ///< Sheds every request.
+  bool fails_ = false;     ///< Answers 5xx.
+  bool mislabels_ = false; ///< Answers with another version.
+  std::string mislabelShard_;
+  double load_ = -1.0; ///< Reported load; negative: none.
+  std::set<std::uint64_t> versions_;
+  bool reportsVersions_ = true;
+  std::string poison_; ///< A body that contains it crashes the server.
+  Duration restart_ = milliseconds(500); ///< Down time after a crash.
+
+  // Counters.
+  std::uint32_t connections_ = 0;
+  std::uint32_t peakConnections_ = 0;
+  std::uint32_t overCap_ = 0;
+  std::uint64_t queries_ = 0;
+  std::uint64_t orders_ = 0;
+  std::uint64_t cancels_ = 0;
+  std::uint32_t crashes_ = 0;
+  std::uint32_t running_ = 0;
+  std::uint64_t life_ = 0; ///< Rises with each crash.
+  std::deque<std::function<void()>> waiting_;
+};
+
+/** One daemon's routing. */
+struct FakeDaemon
+{
+  RouteState state_;
+  Rng rng_;
+  bool up_ = true;
+  std::size_t domain_ = 0;
+};
+
+/** Connection as the network sees it. */
+struct FakeConnection
+{
+  std::size_t daemon_ = 0;
+  std::string address_;
+  bool open_ = false;
+  bool silent_ = false; ///< Nothing comes back on it any more.
+  std::uint64_t request_ = 0;
+};
+
+/** Answer with the time it took. */
+struct TimedAnswer
+{
+  QueryAnswer answer_;
+  Duration took_{};
+};
+
+/** Daemons, servers and the network between them. */
+struct RouteWorld
+{
+  std::vector<std::unique_ptr<FakeDaemon>> daemons_;
+  std::map<std::string, FakeServer> servers_; ///< By address.
+  std::shared_ptr<PublishedConfig> config_;
+  TimePoint now_ = TimePoint(seconds(100));
+  std::multimap<TimePoint, std::function<void()>> events_;
+  std::map<std::pair<std::size_t, std::uint64_t>, FakeConnection> network_;
+  std::map<std::uint64_t, TimedAnswer> answers_; ///< By caller request.
+  std::map<std::uint64_t, TimePoint> startedAt_;
+  std::map<std::uint64_t, std::uint32_t> answerCounts_;
+  std::map<std::uint64_t, OrderDispatched> dispatched_;
+  std::map<std::uint64_t, std::uint32_t> dispatchCounts_;
+  std::vector<Rumor> rumors_;
+  std::vector<SubRequest> sent_;   ///< Queries and orders, with sending daemon.
+  std::set<std::size_t> cutPeers_; ///< Daemons that peers can't reach.
+  Duration gossipDelay_ = milliseconds(100);
+  std::uint64_t nextRequest_ = 0;
+  Rng rng_{ 7 };
+  bool keepSent_ = true;
+};
+
+/** Shape of a simple configuration. */
+struct WorldShape
+{
+  std::size_t services_ = 2;
+  std::size_t serversPerService_ = 2;
+  std::size_t shardsPerService_ = 2;
+  std::uint32_t slots_ = 2;
+  std::uint32_t connections_ = 25;
+  std::size_t daemons_ = 1;
+  std::uint32_t maxDaemons_ = 6;
+  std::uint32_t homesPerServer_ = 0;
+  std::vector<std::uint64_t> versions_{ 1 };
+  Duration deadline_ = seconds(1);
+  Duration softAnswer_{};
+  double minCoverage_ = 0.0;
+  double hedgeBudget_ = 0.02;
+  Duration work_ = milliseconds(2);
+  double jitter_ = 0.0;
+};
+
+/** Build a world: routes "find" (interactive), "archive" (batch), "buy". */
+RouteWorld
+MakeWorld(const WorldShape& aShape);
+
+/** Put the world's configuration into force with the next generation. */
+void
+AdoptWorldConfig(RouteWorld& aWorld);
+
+/** Tell all daemons of each other. */
+void
+ShareMembers(RouteWorld& aWorld);
+
+/** Let time pass. */
+void
+RunFor(RouteWorld& aWorld, Duration aTime);
+
+/** Send a query; its answer appears in answers_. */
+std::uint64_t
+SendQuery(RouteWorld& aWorld,
+          const std::string& aRoute = "find",
+          const std::string& aBody = "x",
+          std::size_t aDaemon = 0,
+          const std::string& aCaller = "till",
+          Duration aTimeout = {});
+
+/** Send a query and run until it is answered. */
+const QueryAnswer&
+AskQuery(RouteWorld& aWorld,
+         const std::string& aRoute = "find",
+         const std::string& aBody = "x",
+         std::size_t aDaemon = 0);
+
+/** Dispatch an order; the outcome appears in dispatched_. */
+std::uint64_t
+SendOrder(RouteWorld& aWorld,
+          const std::string& aBody = "x",
+          Duration aTime = seconds(1),
+          std::size_t aDaemon = 0);
+
+/** Crash a server; it comes back after its restart_. */
+void
+CrashServer(RouteWorld& aWorld, FakeServer& aServer);
+
+/** Stop a server: connections break, new ones are refused. */
+void
+StopServer(RouteWorld& aWorld, FakeServer& aServer);
+
+/** Server by name. */
+FakeServer&
+GetServer(RouteWorld& aWorld, const std::string& aName);
+
+/** Status of a server in the first daemon. */
+ServerStatus
+GetStatus(const RouteWorld& aWorld, const std::string& aName);
+
+/** Hand an event to a daemon and carry out what it decides. */
+template<typename EventType>
+void
+Deliver(RouteWorld& aWorld, std::size_t aDaemon, const EventType& aEvent);
+
+/** Carry out decisions of a daemon. */
+void
+CarryOut(RouteWorld& aWorld, std::size_t aDaemon, Decisions& aDecisions);
+
+template<typename EventType>
+void
+Deliver(RouteWorld& aWorld, std::size_t aDaemon, const EventType& aEvent)
+{
+  FakeDaemon& daemon = *aWorld.daemons_[aDaemon];
+  if (!daemon.up_) {
+    return;
+  }
+  const Now now{ aWorld.now_, aWorld.now_.time_since_epoch().count() };
+  Decisions out;
+  RouteOnEvent(daemon.state_, aEvent, now, daemon.rng_, out);
+  CarryOut(aWorld, aDaemon, out);
+}
+
+/** Quantile of the answer times of all queries answered so far. */
+Duration
+AnswerQuantile(const RouteWorld& aWorld, double aQuantile);
+
+} // namespace camphorfield
