--- a/src/daemon/daemon_func.h
+++ b/src/daemon/daemon_func.h
@@ -38,6 +38,6 @@
 
 /** Members, generations and servers as a JSON document for operators. */
 std::string
-RenderStatus(const DaemonState& aState);
+RenderStatus(const DaemonState& aState, const Now& aNow);
 
 } // namespace camphorfield
--- a/src/daemon/daemon_internal.h
+++ b/src/daemon/daemon_internal.h
@@ -8,7 +8,7 @@
 namespace camphorfield {
 
 /** What one step of the machine works with. */
-struct Step
+struct DaemonStep
 {
   DaemonState& state_;
   const Now& now_;
@@ -25,20 +25,20 @@
 
 /** Answers a request with a refusal. */
 void
-RefuseRequest(const Step& aStep,
+RefuseRequest(const DaemonStep& aStep,
               const CallerRequest& aRequest,
               ResultCode aCode);
 
 /** Adds what other packages know to an answer for "entries". */
 void
-CompleteEntries(const Step& aStep, EntriesAnswer& aAnswer);
+CompleteEntries(const DaemonStep& aStep, EntriesAnswer& aAnswer);
 
 /** Begins a graceful shutdown. */
 void
-BeginStop(const Step& aStep, const StopAsked& aStop);
+BeginStop(const DaemonStep& aStep, const StopAsked& aStop);
 
 /** Tells readiness and load, and moves a shutdown on. */
 void
-Review(const Step& aStep);
+Review(const DaemonStep& aStep);
 
 } // namespace camphorfield
--- a/src/daemon/daemon_life.cpp
+++ b/src/daemon/daemon_life.cpp
@@ -44,7 +44,7 @@
 }
 
 void
-Record(const Step& aStep, TimelineKind aKind, std::string aText)
+Record(const DaemonStep& aStep, TimelineKind aKind, std::string aText)
 {
   TimelineRecord record;
   record.kind_ = aKind;
@@ -54,7 +54,7 @@
 }
 
 void
-ReviewReadiness(const Step& aStep)
+ReviewReadiness(const DaemonStep& aStep)
 {
   DaemonState& state = aStep.state_;
   const bool ready = state.ready_ || PublishIsConfirmed(state.publish_);
@@ -74,7 +74,7 @@
 }
 
 void
-EndDaemon(const Step& aStep, int aStatus, const char* aReason)
+EndDaemon(const DaemonStep& aStep, int aStatus, const char* aReason)
 {
   aStep.state_.phase_ = DaemonPhase::Ended;
   Record(aStep, TimelineKind::DaemonStopped, aReason);
@@ -82,7 +82,7 @@
 }
 
 void
-ReviewStop(const Step& aStep)
+ReviewStop(const DaemonStep& aStep)
 {
   DaemonState& state = aStep.state_;
   const DaemonSettings& settings = state.settings_;
@@ -181,7 +181,7 @@
 }
 
 void
-RefuseRequest(const Step& aStep,
+RefuseRequest(const DaemonStep& aStep,
               const CallerRequest& aRequest,
               ResultCode aCode)
 {
@@ -211,7 +211,7 @@
 }
 
 void
-CompleteEntries(const Step& aStep, EntriesAnswer& aAnswer)
+CompleteEntries(const DaemonStep& aStep, EntriesAnswer& aAnswer)
 {
   if (aAnswer.tokensWanted_ == 0) {
     return;
@@ -221,7 +221,7 @@
 }
 
 void
-BeginStop(const Step& aStep, const StopAsked& aStop)
+BeginStop(const DaemonStep& aStep, const StopAsked& aStop)
 {
   aStep.state_.phase_ = DaemonPhase::Leaving;
   aStep.state_.stopAsked_ = aStep.now_.mono_;
@@ -229,7 +229,7 @@
 }
 
 void
-Review(const Step& aStep)
+Review(const DaemonStep& aStep)
 {
   DaemonState& state = aStep.state_;
   if (aStep.now_.mono_ < state.nextReview_ ||
--- a/src/daemon/daemon_status.cpp
+++ b/src/daemon/daemon_status.cpp
@@ -61,7 +61,7 @@
 } // namespace
 
 std::string
-RenderStatus(const DaemonState& aState)
+RenderStatus(const DaemonState& aState, const Now& aNow)
 {
   const auto config = PublishCurrent(aState.publish_);
   const Generation generation =
@@ -71,7 +71,7 @@
   status["phase"] = kPhaseNames[static_cast<std::size_t>(aState.phase_)];
   status["ready"] = aState.ready_;
   if (!aState.ready_) {
-    status["why_not_ready"] = PublishNotReadyReason(aState.publish_);
+    status["why_not_ready"] = PublishNotReadyReason(aState.publish_, aNow);
   }
   status["generation"] = generation.value_;
   json::array members;
--- a/src/daemon/daemon_step.cpp
+++ b/src/daemon/daemon_step.cpp
@@ -23,7 +23,7 @@
 
 template<typename Item>
 void
-TellMembership(const Step& aStep, const Item& aItem)
+TellMembership(const DaemonStep& aStep, const Item& aItem)
 {
   MembershipOnEvent(
     aStep.state_.membership_, aItem, aStep.now_, aStep.rng_, aStep.out_);
@@ -31,7 +31,7 @@
 
 template<typename Item>
 void
-TellPublish(const Step& aStep, const Item& aItem)
+TellPublish(const DaemonStep& aStep, const Item& aItem)
 {
   PublishOnEvent(
     aStep.state_.publish_, aItem, aStep.now_, aStep.rng_, aStep.out_);
@@ -39,20 +39,20 @@
 
 template<typename Item>
 void
-TellRoute(const Step& aStep, const Item& aItem)
+TellRoute(const DaemonStep& aStep, const Item& aItem)
 {
   RouteOnEvent(aStep.state_.route_, aItem, aStep.now_, aStep.rng_, aStep.out_);
 }
 
 template<typename Item>
 void
-TellOrder(const Step& aStep, const Item& aItem)
+TellOrder(const DaemonStep& aStep, const Item& aItem)
 {
   OrderOnEvent(aStep.state_.order_, aItem, aStep.now_, aStep.rng_, aStep.out_);
 }
 
 void
-Take(const Step& aStep, const CallerRequest& aRequest)
+Take(const DaemonStep& aStep, const CallerRequest& aRequest)
 {
   const ResultCode refusal = AdmitRequest(aStep.state_, aRequest);
   if (refusal != ResultCode::Ok) {
@@ -69,45 +69,45 @@
 }
 
 void
-Take(const Step& aStep, const EntriesRequest& aRequest)
+Take(const DaemonStep& aStep, const EntriesRequest& aRequest)
 {
   TellMembership(aStep, aRequest);
 }
 
 void
-Take(const Step& aStep, const CallerGone& aGone)
+Take(const DaemonStep& aStep, const CallerGone& aGone)
 {
   TellRoute(aStep, aGone);
   TellOrder(aStep, aGone);
 }
 
 void
-Take(const Step& aStep, const ConnectionOpened& aOpened)
+Take(const DaemonStep& aStep, const ConnectionOpened& aOpened)
 {
   TellRoute(aStep, aOpened);
 }
 
 void
-Take(const Step& aStep, const ConnectionEnded& aEnded)
+Take(const DaemonStep& aStep, const ConnectionEnded& aEnded)
 {
   TellRoute(aStep, aEnded);
 }
 
 void
-Take(const Step& aStep, const SubAnswer& aAnswer)
+Take(const DaemonStep& aStep, const SubAnswer& aAnswer)
 {
   TellRoute(aStep, aAnswer);
 }
 
 void
-Take(const Step& aStep, const SubNotSent& aNotSent)
+Take(const DaemonStep& aStep, const SubNotSent& aNotSent)
 {
   TellRoute(aStep, aNotSent);
 }
 
 // Each package looks only at the bodies that are its own.
 void
-Take(const Step& aStep, const PeerMessage& aMessage)
+Take(const DaemonStep& aStep, const PeerMessage& aMessage)
 {
   TellMembership(aStep, aMessage);
   TellPublish(aStep, aMessage);
@@ -116,7 +116,7 @@
 }
 
 void
-Take(const Step& aStep, const PeerUnreachable& aUnreachable)
+Take(const DaemonStep& aStep, const PeerUnreachable& aUnreachable)
 {
   TellMembership(aStep, aUnreachable);
   TellPublish(aStep, aUnreachable);
@@ -125,7 +125,7 @@
 }
 
 void
-Take(const Step& aStep, const PlatformReply& aReply)
+Take(const DaemonStep& aStep, const PlatformReply& aReply)
 {
   switch (aReply.user_) {
     case PlatformUser::Publish:
@@ -141,7 +141,7 @@
 }
 
 void
-Take(const Step& aStep, const StopAsked& aStop)
+Take(const DaemonStep& aStep, const StopAsked& aStop)
 {
   if (aStep.state_.phase_ != DaemonPhase::Serving) {
     return;
@@ -154,13 +154,13 @@
 }
 
 void
-Take(const Step& aStep, const OperatorRequest& aRequest)
+Take(const DaemonStep& aStep, const OperatorRequest& aRequest)
 {
   OperatorAnswer answer;
   answer.id_ = aRequest.id_;
   switch (aRequest.op_) {
     case OperatorOp::Status:
-      answer.text_ = RenderStatus(aStep.state_);
+      answer.text_ = RenderStatus(aStep.state_, aStep.now_);
       aStep.out_.emplace_back(std::move(answer));
       break;
     case OperatorOp::Drain:
@@ -175,7 +175,7 @@
 }
 
 void
-Take(const Step& aStep, const Tick& aTick)
+Take(const DaemonStep& aStep, const Tick& aTick)
 {
   TellMembership(aStep, aTick);
   TellPublish(aStep, aTick);
@@ -184,7 +184,7 @@
 }
 
 void
-Take(const Step& aStep, const ConfigAdopted& aAdopted)
+Take(const DaemonStep& aStep, const ConfigAdopted& aAdopted)
 {
   TellMembership(aStep, aAdopted);
   TellRoute(aStep, aAdopted);
@@ -192,7 +192,7 @@
 }
 
 void
-Take(const Step& aStep, const MembersChanged& aChanged)
+Take(const DaemonStep& aStep, const MembersChanged& aChanged)
 {
   TellPublish(aStep, aChanged);
   TellRoute(aStep, aChanged);
@@ -200,32 +200,32 @@
 }
 
 void
-Take(const Step& aStep, const RumorHeard& aHeard)
+Take(const DaemonStep& aStep, const RumorHeard& aHeard)
 {
   TellRoute(aStep, aHeard);
 }
 
 void
-Take(const Step& aStep, const SpreadRumor& aSpread)
+Take(const DaemonStep& aStep, const SpreadRumor& aSpread)
 {
   TellMembership(aStep, aSpread);
 }
 
 void
-Take(const Step& aStep, const DispatchOrder& aDispatch)
+Take(const DaemonStep& aStep, const DispatchOrder& aDispatch)
 {
   TellRoute(aStep, aDispatch);
 }
 
 void
-Take(const Step& aStep, const OrderDispatched& aDispatched)
+Take(const DaemonStep& aStep, const OrderDispatched& aDispatched)
 {
   TellOrder(aStep, aDispatched);
 }
 
 /** Looks at a decision on its way to the host. */
 void
-Pass(const Step& aStep, Decision& aDecision, Decisions& aToHost)
+Pass(const DaemonStep& aStep, Decision& aDecision, Decisions& aToHost)
 {
   if (auto* entries = std::get_if<EntriesAnswer>(&aDecision)) {
     CompleteEntries(aStep, *entries);
@@ -243,7 +243,7 @@
 
 /** Hands one decision on; true when it stayed inside. */
 bool
-Loop(const Step& aStep, const Decision& aDecision)
+Loop(const DaemonStep& aStep, const Decision& aDecision)
 {
   return std::visit(
     [&aStep](const auto& aItem) {
@@ -261,7 +261,7 @@
 }
 
 void
-Settle(const Step& aStep, Decisions& aToHost)
+Settle(const DaemonStep& aStep, Decisions& aToHost)
 {
   for (std::size_t i = 0; i < aStep.out_.size(); ++i) {
     if (!Loop(aStep, aStep.out_[i])) {
@@ -282,7 +282,7 @@
               Decisions& aOut)
 {
   Decisions inner;
-  const Step step{ aState, aNow, aRng, inner };
+  const DaemonStep step{ aState, aNow, aRng, inner };
   std::visit([&step](const auto& aItem) { Take(step, aItem); }, aEvent);
   Settle(step, aOut);
   Review(step);
