--- /dev/null
+++ b/tests/standin/load_main.cpp
@@ -0,0 +1,113 @@
+#include "standin/load_type.h"
+
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <iostream>
+
+using namespace camphorfield::standin;
+
+namespace {
+
+/** Settings as the command line gives them. */
+struct Arguments
+{
+  std::vector<std::string> queries_;
+  std::vector<std::string> orders_;
+  std::uint64_t durationMs_ = 5000;
+  std::uint64_t timeoutMs_ = 1000;
+  std::uint64_t slackMs_ = 50;
+  std::uint64_t orderTotalMs_ = 10000;
+  std::uint64_t windowMs_ = 500;
+  std::string log_;
+  bool fixed_ = false;
+};
+
+void
+AddOptions(CLI::App& aApp, Arguments& aArguments, LoadOptions& aOptions)
+{
+  aApp
+    .add_option("--daemons", aOptions.daemons_, "Addresses to ask for entries")
+    ->required()
+    ->delimiter(',');
+  aApp.add_option("--query", aArguments.queries_, "ROUTE=PER_SECOND");
+  aApp.add_option("--order", aArguments.orders_, "ROUTE=PER_SECOND");
+  aApp.add_option("--caller", aOptions.callerName_, "Prefix of callers' names");
+  aApp.add_option("--callers", aOptions.callers_, "Number of callers");
+  aApp.add_option("--failure-domain", aOptions.failureDomain_, "Of callers");
+  aApp.add_option("--duration-ms", aArguments.durationMs_, "Time of arrivals");
+  aApp.add_option("--timeout-ms", aArguments.timeoutMs_, "Of one attempt");
+  aApp.add_option("--slack-ms", aArguments.slackMs_, "Beyond a timeout");
+  aApp.add_option("--order-total-ms", aArguments.orderTotalMs_, "Of resends");
+  aApp.add_option("--window-ms", aArguments.windowMs_, "Of figures over time");
+  aApp.add_option("--seed", aOptions.seed_, "Of arrivals and keys");
+  aApp.add_option("--body", aOptions.body_, "Of queries");
+  aApp.add_option("--log", aArguments.log_, "File for a line each request");
+  aApp.add_flag("--tokens", aOptions.usesTokens_, "Orders go under tokens");
+  aApp.add_flag("--fixed", aArguments.fixed_, "Ask for no entries");
+}
+
+RouteLoad
+ParseRoute(const std::string& aText, bool aIsOrder)
+{
+  const std::size_t equals = aText.find('=');
+  if (equals == std::string::npos) {
+    throw CLI::ValidationError("not ROUTE=PER_SECOND: " + aText);
+  }
+  return { aText.substr(0, equals),
+           aIsOrder,
+           std::stod(aText.substr(equals + 1)) };
+}
+
+void
+Complete(const Arguments& aArguments, LoadOptions& aOptions)
+{
+  for (const std::string& text : aArguments.queries_) {
+    aOptions.routes_.push_back(ParseRoute(text, false));
+  }
+  for (const std::string& text : aArguments.orders_) {
+    aOptions.routes_.push_back(ParseRoute(text, true));
+  }
+  aOptions.duration_ = Millis(aArguments.durationMs_);
+  aOptions.timeout_ = Millis(aArguments.timeoutMs_);
+  aOptions.slack_ = Millis(aArguments.slackMs_);
+  aOptions.orderTotal_ = Millis(aArguments.orderTotalMs_);
+  aOptions.window_ = Millis(aArguments.windowMs_);
+  aOptions.usesEntries_ = !aArguments.fixed_;
+}
+
+void
+WriteLog(const LoadRun& aRun, const std::string& aPath)
+{
+  if (aPath.empty()) {
+    return;
+  }
+  std::ofstream out(aPath);
+  for (const LoadRequestPtr& request : aRun.done_) {
+    out << RequestLine(aRun, *request) << "\n";
+  }
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  CLI::App app("Open-loop load on the callers' interface.");
+  Arguments arguments;
+  LoadOptions options;
+  AddOptions(app, arguments, options);
+  CLI11_PARSE(app, argc, argv);
+  try {
+    Complete(arguments, options);
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\n";
+    return 1;
+  }
+  boost::asio::io_context context(1);
+  LoadRun run(context, options);
+  StartLoad(run);
+  context.run();
+  WriteLog(run, arguments.log_);
+  std::cout << LoadSummary(run) << std::endl;
+  return 0;
+}
