--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,249 @@
+"""Soak of orders over real processes under seeded random faults.
+
+Kills, pauses, store outages, lost replies and server faults while callers
+send orders, under plain keys and under tokens; then compares every caller's
+outcome with the servers' ground truth. Exits with 1 for a double run or a
+false "not run".
+"""
+
+import argparse
+import random
+import signal
+import sys
+import threading
+import time
+
+import shapes
+import verdict
+from testbed import Testbed, TestbedError, wait_for
+
+DAEMONS = 6
+ORDERS_PER_S = 60
+CALM_MS = 5000
+CALM_PER_S = 100
+SETTLE_S = 4
+
+
+class Soak:
+    """State of one soak."""
+
+    def __init__(self, bed, seed):
+        self.bed = bed
+        self.rng = random.Random(seed)
+        self.seed = seed
+        self.farm = None
+        self.daemons = []
+        self.is_over = threading.Event()
+        self.faults_made = {}
+
+    def start(self):
+        """Start all processes and publish the configuration."""
+        self.bed.start_platform("--writes-per-s", 500, "--reads-per-s", 2000,
+                                "--seed", self.seed)
+        specs = shapes.services("dispatch-board", 1, servers=6, slots=6,
+                                connections=100, connect_cost_ms=1)
+        self.farm = self.bed.start_farm("servers", specs, self.seed)
+        self.daemons = self.bed.add_daemons(DAEMONS)
+        for daemon in self.daemons:
+            self.bed.start_daemon(daemon)
+        wait_for("operators' interfaces", lambda: all(
+            daemon.operator_answers() for daemon in self.daemons))
+        addresses = shapes.addresses_of(self.farm)
+        path = self.bed.write("change.json", shapes.change(
+            [shapes.service_object(spec, addresses) for spec in specs] + [
+                shapes.order_route("reorder", specs[0]["name"],
+                                   deadline_ms=2000),
+                shapes.limits_object(), shapes.fleet_object(12)]))
+        self.bed.cli("apply", path, "--operator", self.daemons[0].operator,
+                     "--change-id", "soak-1", "--wait")
+        wait_for("daemons ready", lambda: all(
+            daemon.is_ready() for daemon in self.daemons))
+
+    # Faults
+
+    def kill(self):
+        """A daemon is killed and comes back empty."""
+        daemon = self.rng.choice(self.daemons)
+        if not daemon.process.is_running():
+            return
+        daemon.process.signal(signal.SIGKILL)
+        daemon.process.wait()
+        self.pause(0.2, 1.5)
+        self.bed.start_daemon(daemon)
+
+    def freeze(self):
+        """A daemon is paused, longer than any lease, and goes on."""
+        daemon = self.rng.choice(self.daemons)
+        daemon.process.signal(signal.SIGSTOP)
+        self.pause(0.3, 6.0)
+        daemon.process.signal(signal.SIGCONT)
+
+    def stop(self):
+        """A daemon stops as planned and is replaced."""
+        daemon = self.rng.choice(self.daemons)
+        daemon.process.signal(signal.SIGTERM)
+        try:
+            daemon.process.wait(15)
+        finally:
+            daemon.process.end()
+        self.bed.start_daemon(daemon)
+
+    def outage(self):
+        """The store is out."""
+        self.platform_fault(
+            outage=self.rng.choice(["error", "drop", "hang"]))
+
+    def lost_replies(self):
+        """Writes take effect and their replies are lost."""
+        self.platform_fault(lost_reply_share=0.3)
+
+    def slow_store(self):
+        """The store is slow, before or after the effect."""
+        self.platform_fault(**{
+            self.rng.choice(["slow_ms", "late_ms"]): 700})
+
+    def stale_reads(self):
+        """Reads come from an old copy."""
+        self.platform_fault(stale_ms=2000)
+
+    def lost_answers(self):
+        """Servers run orders and their answers are lost or cut."""
+        field = self.rng.choice(
+            ["lose_answer_share", "truncate_share", "duplicate_share",
+             "corrupt_share", "fail_share"])
+        self.farm.behave(set={field: 0.2})
+        self.pause(1.0, 2.0)
+        self.farm.behave(set={field: 0})
+
+    def crash_server(self):
+        """A server crashes with orders in it."""
+        server = self.rng.choice(self.farm.servers)["name"]
+        self.farm.behave(server=server, crash=True)
+
+    def shed(self):
+        """A server refuses work or drains."""
+        server = self.rng.choice(self.farm.servers)["name"]
+        field = self.rng.choice(["shed", "draining"])
+        self.farm.behave(server=server, set={field: True})
+        self.pause(0.5, 2.0)
+        self.farm.behave(server=server, set={field: False})
+
+    def silence(self):
+        """Open connections to servers go silent."""
+        self.farm.behave(silence=0.3)
+
+    def platform_fault(self, **fields):
+        """A fault of the platform for a while."""
+        self.bed.platform.fault(**fields)
+        self.pause(0.5, 4.0)
+        self.bed.platform.fault(clear=True)
+
+    def pause(self, low, high):
+        """Wait a random time."""
+        time.sleep(self.rng.uniform(low, high))
+
+    def make_faults(self):
+        """Random faults, one after another, until the end."""
+        kinds = [self.kill, self.freeze, self.stop, self.outage,
+                 self.lost_replies, self.slow_store, self.stale_reads,
+                 self.lost_answers, self.crash_server, self.shed,
+                 self.silence]
+        while not self.is_over.is_set():
+            fault = self.rng.choice(kinds)
+            name = fault.__name__
+            self.faults_made[name] = self.faults_made.get(name, 0) + 1
+            fault()
+            self.pause(0.2, 1.0)
+
+    # Load
+
+    def start_orders(self, label, per_s, duration_ms, *flags):
+        """Start open-loop orders."""
+        return self.bed.start_load(
+            label, self.bed.callers_addresses(), "--order",
+            f"reorder={per_s}", "--caller", label, "--callers", 6,
+            "--duration-ms", duration_ms, "--timeout-ms", 2000,
+            "--order-total-ms", 20000, "--seed", self.seed, *flags)
+
+    def calm(self, label, *flags):
+        """Latency and platform writes for each order without faults."""
+        before = writes_of(self.bed.platform.counts())
+        summary = self.bed.finish_load(
+            self.start_orders(label, CALM_PER_S, CALM_MS, *flags))
+        writes = writes_of(self.bed.platform.counts()) - before
+        route = summary["routes"][0]
+        print(f"calm, {label}: {route['sent']} orders at {CALM_PER_S}/s, "
+              f"p50 {route['ms']['p50']:.1f} ms, p99 "
+              f"{route['ms']['p99']:.1f} ms, told {route['told']}, "
+              f"{writes / max(1, route['sent']):.3f} platform writes an order")
+
+    def storm(self, orders):
+        """Faults under load; returns all requests."""
+        duration_ms = int(orders / ORDERS_PER_S * 1000)
+        loads = [
+            self.start_orders("keys", ORDERS_PER_S / 2, duration_ms),
+            self.start_orders("tokens", ORDERS_PER_S / 2, duration_ms,
+                              "--tokens")]
+        thread = threading.Thread(target=self.make_faults)
+        thread.start()
+        summaries = [self.bed.finish_load(load, 300) for load in loads]
+        self.is_over.set()
+        thread.join()
+        time.sleep(SETTLE_S)
+        requests = [self.bed.read_requests(load) for load in loads]
+        return loads, summaries, requests
+
+    def judge(self, loads, summaries, requests):
+        """Compare with the ground truth; returns what did not hold."""
+        truth = self.farm.truth()
+        print(f"faults: {self.faults_made}")
+        faults = []
+        for load, summary, lines in zip(loads, summaries, requests):
+            route = summary["routes"][0]
+            told = route["told"]
+            unknown = told.get("may_have_run", 0) + told.get("none", 0)
+            print(f"storm, {load.name}: {route['sent']} orders, p50 "
+                  f"{route['ms']['p50']:.1f} ms, p99 "
+                  f"{route['ms']['p99']:.1f} ms, outcome unknown "
+                  f"{unknown / max(1, route['sent']):.2%}")
+            print(f"  {verdict.order_counts(lines, truth)}")
+            faults += verdict.order_faults(lines, truth)
+        faults += [text for text in verdict.server_faults(truth, 10 ** 6)]
+        return list(dict.fromkeys(faults))
+
+    def run(self, orders):
+        """The whole soak; returns what did not hold."""
+        self.start()
+        self.calm("calm-keys")
+        self.calm("calm-tokens", "--tokens")
+        return self.judge(*self.storm(orders))
+
+
+def writes_of(counts):
+    """Writes that the platform counted."""
+    return counts["create"] + counts["update"] + counts["delete"]
+
+
+def main():
+    """Command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--orders", type=int, default=5400)
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    begin = time.monotonic()
+    with Testbed(arguments.build) as bed:
+        try:
+            faults = Soak(bed, arguments.seed).run(arguments.orders)
+        except (TestbedError, OSError) as error:
+            print(f"failed: {error}; logs in {bed.directory}")
+            return 1
+        for fault in faults[:20]:
+            print(f"BROKEN: {fault}")
+        print(f"seed {arguments.seed}, {len(faults)} promises broken, "
+              f"{time.monotonic() - begin:.0f} s, logs in {bed.directory}")
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tools/testbed.py
+++ b/tools/testbed.py
@@ -177,6 +177,13 @@
             return False
         return status == 200
 
+    def operator_answers(self):
+        """Whether its operators' interface answers."""
+        try:
+            return call(self.operator, "GET", "/v1/status", timeout=1)
+        except (OSError, http.client.HTTPException):
+            return False
+
 
 class Testbed:
     """All processes of a test; ends them when left."""
