Add: membership by gossip, with entries

Daemons must know of each other's life, readiness and generation, and callers must be told whom to use, without a coordination service.

Each daemon pings one other in 200 ms: by turns its ring neighbours, which bound the time of detection, and random ones, which carry news. Urgent news go to four random members the moment they are heard, all others ride on pings within a budget of bytes. A daemon that stood still, or that nobody answers, judges nobody.

--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -14,6 +14,7 @@
   std::uint64_t value_ = 0; ///< Zero is never issued.
 
   constexpr bool IsValid() const { return value_ != 0; }
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 sees a literal here.
   constexpr auto operator<=>(const Id&) const = default;
 };
 
--- a/src/machine/peer_type.h
+++ b/src/machine/peer_type.h
@@ -77,6 +77,9 @@
   DaemonId syncAfter_;         ///< Where the records asked for begin.
 };
 
+/** Stands behind all members. */
+constexpr DaemonId kSyncEnd{ UINT64_MAX };
+
 /** Answer to GossipPing. */
 struct GossipAck
 {
@@ -84,7 +87,8 @@
   std::vector<MemberRecord> members_; ///< The sender first, then news.
   std::vector<Rumor> rumors_;
   std::uint64_t viewHash_ = 0;
-  DaemonId syncNext_; ///< Last record of the page; zero: there are no more.
+  DaemonId syncNext_; ///< Last record of the page; zero: no page is given;
+                      ///< kSyncEnd: it was the last page.
 };
 
 /** Ask a daemon to ping a third one, which doesn't answer us. */
--- /dev/null
+++ b/src/membership/merge.cpp
@@ -0,0 +1,218 @@
+#include "core/hash_func.h"
+#include "membership/membership_internal.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace camphorfield {
+
+namespace {
+
+/**
+ * A daemon of another name has taken this address: the older life is over.
+ * @return False when the record itself is the older one.
+ */
+bool
+DisplaceByAddress(MembershipStep& aStep, const MemberRecord& aRecord)
+{
+  const auto found = aStep.state_.byAddress_.find(aRecord.peerAddress_);
+  if (found == aStep.state_.byAddress_.end() || found->second == aRecord.id_) {
+    return true;
+  }
+  Member* other = FindMember(aStep.state_, found->second);
+  if (other == nullptr || other->record_.state_ == MemberState::Dead) {
+    return true;
+  }
+  if (other->record_.incarnation_ > aRecord.incarnation_) {
+    return aRecord.state_ == MemberState::Dead;
+  }
+  MarkDead(aStep, *other, "address taken over");
+  return true;
+}
+
+TimelineKind
+KindOf(MemberState aState)
+{
+  switch (aState) {
+    case MemberState::Suspect:
+      return TimelineKind::MemberSuspected;
+    case MemberState::Leaving:
+      return TimelineKind::MemberLeaving;
+    case MemberState::Dead:
+      return TimelineKind::MemberDead;
+    default:
+      return TimelineKind::MemberAlive;
+  }
+}
+
+/** Asks for a whole record with the next messages. */
+void
+Want(MembershipState& aState, DaemonId aId)
+{
+  const bool known =
+    std::find(aState.wanted_.begin(), aState.wanted_.end(), aId) !=
+    aState.wanted_.end();
+  if (!known && aState.wanted_.size() < kMaxWanted) {
+    aState.wanted_.push_back(aId);
+  }
+}
+
+bool
+IsUsable(const MemberRecord& aRecord)
+{
+  return !aRecord.name_.empty() && !aRecord.peerAddress_.empty() &&
+         aRecord.id_.value_ == HashText(aRecord.name_);
+}
+
+/** A generation that nobody had before must be known everywhere at once; who
+ * has followed since may take longer where there are many. */
+bool
+IsUrgent(MembershipState& aState,
+         const MemberRecord& aNew,
+         const MemberRecord& aOld)
+{
+  const bool newest = aNew.generation_ > aState.newest_;
+  aState.newest_ = std::max(aState.newest_, aNew.generation_);
+  return newest || aNew.state_ != aOld.state_ || aNew.ready_ != aOld.ready_ ||
+         aNew.incarnation_ != aOld.incarnation_ ||
+         (aNew.generation_ != aOld.generation_ &&
+          CountLive(aState) <= kSmallFleet);
+}
+
+void
+AddMember(MembershipStep& aStep, const MemberRecord& aRecord)
+{
+  MembershipState& state = aStep.state_;
+  if (aRecord.name_.empty()) {
+    if (aRecord.state_ != MemberState::Dead) {
+      Want(state, aRecord.id_);
+    }
+    return;
+  }
+  // A tombstone that we don't hold is of no use: it would only live on.
+  if (aRecord.state_ == MemberState::Dead || !IsUsable(aRecord) ||
+      state.members_.size() >= kMaxMembers ||
+      !DisplaceByAddress(aStep, aRecord)) {
+    return;
+  }
+  if (state.members_.empty()) {
+    StartSync(aStep);
+  }
+  Member& member = state.members_[aRecord.id_];
+  state.order_.push_back(aRecord.id_);
+  std::swap(state.order_.back(),
+            state.order_[aStep.rng_() % state.order_.size()]);
+  member.record_.state_ = MemberState::Dead;
+  ReplaceRecord(aStep, member, aRecord);
+  state.newest_ = std::max(state.newest_, aRecord.generation_);
+  state.changed_ = true;
+  // Only an even share of the callers is for it, not all that it lacks.
+  member.handedOut_ = state.selfHandedOut_;
+  if (!aStep.fromPage_) {
+    QueueNews(state, member, true, true);
+  }
+  RecordMember(aStep, TimelineKind::MemberJoined, aRecord, "");
+}
+
+void
+UpdateMember(MembershipStep& aStep, Member& aMember, MemberRecord aRecord)
+{
+  MembershipState& state = aStep.state_;
+  const MemberRecord old = aMember.record_;
+  const bool newLife = aRecord.incarnation_ != old.incarnation_;
+  if (aRecord.name_.empty() && newLife) {
+    Want(state, aRecord.id_); // its addresses may be others
+    return;
+  }
+  if (aRecord.name_.empty()) {
+    aRecord.name_ = old.name_;
+    aRecord.peerAddress_ = old.peerAddress_;
+    aRecord.callerAddress_ = old.callerAddress_;
+    aRecord.operatorAddress_ = old.operatorAddress_;
+    aRecord.failureDomain_ = old.failureDomain_;
+  }
+  if (!IsUsable(aRecord) || !DisplaceByAddress(aStep, aRecord)) {
+    return;
+  }
+  const bool urgent = IsUrgent(state, aRecord, old);
+  const bool moved = aRecord.peerAddress_ != old.peerAddress_ ||
+                     aRecord.callerAddress_ != old.callerAddress_;
+  state.changed_ =
+    state.changed_ || urgent || moved || aRecord.generation_ != old.generation_;
+  ReplaceRecord(aStep, aMember, std::move(aRecord));
+  aMember.knowsUs_ = aMember.knowsUs_ && !newLife;
+  if (!aStep.fromPage_) {
+    QueueNews(state, aMember, urgent, newLife);
+  }
+  if (newLife && aMember.record_.state_ == MemberState::Alive) {
+    RecordMember(
+      aStep, TimelineKind::MemberJoined, aMember.record_, "new incarnation");
+  } else if (aMember.record_.state_ != old.state_) {
+    RecordMember(
+      aStep, KindOf(aMember.record_.state_), aMember.record_, "told");
+  }
+}
+
+/**
+ * Gossip about ourselves. Suspicions are denied with a higher version. An
+ * earlier life with a larger incarnation, from a clock that ran ahead, is
+ * overtaken; a living daemon of our name elsewhere is left alone.
+ */
+void
+MergeSelf(MembershipStep& aStep, const MemberRecord& aRecord)
+{
+  MembershipState& state = aStep.state_;
+  MemberRecord& self = state.self_;
+  if (aRecord.incarnation_ > self.incarnation_) {
+    const bool elsewhere = !aRecord.peerAddress_.empty() &&
+                           aRecord.peerAddress_ != self.peerAddress_;
+    if (aRecord.state_ == MemberState::Alive &&
+        (elsewhere || aRecord.name_.empty())) {
+      ++state.stats_.nameConflicts_;
+      return;
+    }
+    SetSelfVersion(
+      state, Incarnation{ aRecord.incarnation_.value_ + 1 }, self.heartbeat_);
+    for (auto& [id, member] : state.members_) {
+      member.knowsUs_ = false;
+    }
+    TouchSelf(state, true);
+    return;
+  }
+  if (!Overrides(aRecord, self)) {
+    return;
+  }
+  ++state.stats_.refutations_;
+  SetSelfVersion(state, self.incarnation_, aRecord.heartbeat_);
+  TouchSelf(state, true);
+}
+
+} // namespace
+
+bool
+Overrides(const MemberRecord& aNew, const MemberRecord& aOld)
+{
+  return std::tie(aNew.incarnation_, aNew.heartbeat_, aNew.state_) >
+         std::tie(aOld.incarnation_, aOld.heartbeat_, aOld.state_);
+}
+
+void
+MergeRecord(MembershipStep& aStep, const MemberRecord& aRecord)
+{
+  if (!aRecord.incarnation_.IsValid() || !aRecord.id_.IsValid()) {
+    return; // asks for a record
+  }
+  if (aRecord.id_ == aStep.state_.self_.id_) {
+    MergeSelf(aStep, aRecord);
+    return;
+  }
+  Member* member = FindMember(aStep.state_, aRecord.id_);
+  if (member == nullptr) {
+    AddMember(aStep, aRecord);
+  } else if (Overrides(aRecord, member->record_)) {
+    UpdateMember(aStep, *member, aRecord);
+  }
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/membership/probe.cpp
@@ -0,0 +1,358 @@
+#include "membership/membership_internal.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace camphorfield {
+
+namespace {
+
+/** Deviations above the mean that an answer may take, as TCP counts it. */
+constexpr int kVariations = 4;
+
+/** Probes under way beyond which failed messages start no further ones. */
+constexpr std::size_t kMaxProbes = 16;
+
+/** Wait for an answer: short where answers have been quick, longer while our
+ * own lateness is the likelier cause. */
+Duration
+ProbeTimeout(const MembershipState& aState, const Member& aMember)
+{
+  Duration wait = kProbeTimeoutCap;
+  const auto found = aState.roundTrips_.find(aMember.record_.failureDomain_);
+  if (found != aState.roundTrips_.end()) {
+    const RoundTrip& trip = found->second;
+    wait = std::clamp(trip.smoothed_ + kVariations * trip.variation_,
+                      kProbeTimeoutFloor,
+                      kProbeTimeoutCap);
+  }
+  return wait * (1 + aState.health_);
+}
+
+void
+NoteRoundTrip(MembershipState& aState, const Member& aMember, Duration aTook)
+{
+  const auto [found, isNew] =
+    aState.roundTrips_.try_emplace(aMember.record_.failureDomain_);
+  RoundTrip& trip = found->second;
+  if (isNew) {
+    trip = RoundTrip{ aTook, aTook / 2 };
+    return;
+  }
+  const Duration error = aTook - trip.smoothed_;
+  trip.smoothed_ += error / 8;
+  trip.variation_ += (std::chrono::abs(error) - trip.variation_) / 4;
+}
+
+/** The daemon at a place behind us in the ring of all identifiers. */
+Member*
+RingSuccessor(MembershipState& aState, std::size_t aPlace)
+{
+  auto next = aState.members_.upper_bound(aState.self_.id_);
+  for (std::size_t left = aState.members_.size(); left > 0; --left, ++next) {
+    if (next == aState.members_.end()) {
+      next = aState.members_.begin();
+    }
+    if (next->second.record_.state_ == MemberState::Dead) {
+      continue;
+    }
+    if (aPlace == 0) {
+      return &next->second;
+    }
+    --aPlace;
+  }
+  return nullptr;
+}
+
+/** The next daemon in random order, each one once before any comes again. */
+Member*
+NextInOrder(MembershipStep& aStep)
+{
+  MembershipState& state = aStep.state_;
+  for (std::size_t left = state.order_.size(); left > 0; --left) {
+    if (state.cursor_ >= state.order_.size()) {
+      state.cursor_ = 0;
+      std::shuffle(state.order_.begin(), state.order_.end(), aStep.rng_);
+    }
+    Member* member = FindMember(state, state.order_[state.cursor_++]);
+    if (member->record_.state_ != MemberState::Dead) {
+      return member;
+    }
+  }
+  return nullptr;
+}
+
+bool
+IsProbed(const MembershipState& aState, DaemonId aId)
+{
+  return std::any_of(
+    aState.probes_.begin(), aState.probes_.end(), [aId](const auto& aEntry) {
+      return aEntry.second.target_ == aId;
+    });
+}
+
+void
+StartProbe(MembershipStep& aStep, Member& aTarget)
+{
+  MembershipState& state = aStep.state_;
+  const std::uint64_t sequence = state.nextSequence_++;
+  Probe probe;
+  probe.target_ = aTarget.record_.id_;
+  probe.sentAt_ = aStep.now_.mono_;
+  probe.deadline_ = probe.sentAt_ + ProbeTimeout(state, aTarget);
+  state.probes_.emplace(sequence, probe);
+  ++state.stats_.pings_;
+  SendPing(aStep, aTarget, sequence);
+}
+
+/** Helpers tell a dead target from a broken path to it. */
+void
+AskHelpers(MembershipStep& aStep, std::uint64_t aSequence, Probe& aProbe)
+{
+  Member* target = FindMember(aStep.state_, aProbe.target_);
+  aProbe.indirect_ = true;
+  aProbe.deadline_ = aStep.now_.mono_ + 2 * ProbeTimeout(aStep.state_, *target);
+  const GossipProbe body{ aSequence, target->record_ };
+  const std::size_t bytes = RecordBytes(target->record_);
+  std::vector<DaemonId> asked;
+  for (std::size_t i = 0; i < 2 * kIndirectProbes; ++i) {
+    Member* helper = RandomMember(aStep);
+    if (helper == nullptr || asked.size() == kIndirectProbes) {
+      break;
+    }
+    const DaemonId id = helper->record_.id_;
+    if (id == aProbe.target_ ||
+        std::find(asked.begin(), asked.end(), id) != asked.end()) {
+      continue;
+    }
+    asked.push_back(id);
+    ++aStep.state_.stats_.indirectProbes_;
+    SendCounted(aStep, id, helper->record_.peerAddress_, body, bytes);
+  }
+  // Once more ourselves: the connection may have been the fault.
+  SendPing(aStep, *target, aSequence);
+}
+
+void
+ProbeFailed(MembershipStep& aStep, const Probe& aProbe)
+{
+  MembershipState& state = aStep.state_;
+  ++state.failedSinceAck_;
+  Member* target = FindMember(state, aProbe.target_);
+  if (target == nullptr) {
+    return;
+  }
+  if (IsIsolated(state, aStep.now_.mono_)) {
+    // Not told to others: they would have to deny it, all at once, when the
+    // cut ends.
+    target->doubted_ = true;
+    state.anyDoubted_ = true;
+    state.changed_ = true;
+    return;
+  }
+  MarkSuspect(aStep, *target, "no answer, directly or through others");
+  // If it lives after all, this tells it what it has to deny.
+  SendPing(aStep, *target, state.nextSequence_++);
+}
+
+void
+JudgeSuspects(MembershipStep& aStep)
+{
+  MembershipState& state = aStep.state_;
+  if (IsIsolated(state, aStep.now_.mono_)) {
+    return;
+  }
+  std::vector<DaemonId> over;
+  for (const DaemonId id : state.suspects_) {
+    if (state.members_[id].deadline_ <= aStep.now_.mono_) {
+      over.push_back(id);
+    }
+  }
+  for (const DaemonId id : over) {
+    MarkDead(aStep, state.members_[id], "suspicion not denied");
+  }
+}
+
+/** Somebody answers us: what we doubted alone is doubted no more, and what
+ * has happened meanwhile is fetched. */
+void
+EndIsolation(MembershipStep& aStep)
+{
+  MembershipState& state = aStep.state_;
+  for (auto& [id, member] : state.members_) {
+    member.doubted_ = false;
+  }
+  state.anyDoubted_ = false;
+  state.changed_ = true;
+  StartSync(aStep);
+}
+
+} // namespace
+
+bool
+IsIsolated(const MembershipState& aState, TimePoint aNow)
+{
+  const Duration silent = aNow - aState.lastAckAt_;
+  if (aState.failedSinceAck_ < kIsolationProbes || silent < kIsolationAfter) {
+    return false;
+  }
+  // A few records are denied cheaply, and the last of a few must be able to
+  // tell that the others are gone.
+  return CountLive(aState) > kSmallFleet || silent < kIsolationGiveUp;
+}
+
+void
+NoteTime(MembershipStep& aStep)
+{
+  MembershipState& state = aStep.state_;
+  const TimePoint now = aStep.now_.mono_;
+  const Duration gap = now - state.lastEventAt_;
+  state.lastEventAt_ = now;
+  if (gap < kPauseLimit) {
+    return;
+  }
+  // Answers may lie unread before us: judge nobody by what is overdue now.
+  ++state.stats_.pauses_;
+  state.health_ = std::min(state.health_ + 1, kHealthMost);
+  state.probes_.clear();
+  state.relayed_.clear();
+  state.lastAckAt_ = now;
+  state.failedSinceAck_ = 0;
+  for (const DaemonId id : state.suspects_) {
+    state.members_[id].deadline_ += gap;
+  }
+}
+
+void
+ProbeNext(MembershipStep& aStep)
+{
+  MembershipState& state = aStep.state_;
+  const std::uint64_t round = state.round_++;
+  // Ring neighbours bound the time until a dead member is noticed; random
+  // ones carry news across the fleet.
+  Member* target =
+    round % 2 == 0 ? RingSuccessor(state, (round / 2) % 2) : NextInOrder(aStep);
+  if (target != nullptr && IsProbed(state, target->record_.id_)) {
+    target = NextInOrder(aStep);
+  }
+  if (target != nullptr && !IsProbed(state, target->record_.id_)) {
+    StartProbe(aStep, *target);
+  }
+}
+
+void
+JudgeProbes(MembershipStep& aStep)
+{
+  MembershipState& state = aStep.state_;
+  const TimePoint now = aStep.now_.mono_;
+  for (auto it = state.probes_.begin(); it != state.probes_.end();) {
+    Probe& probe = it->second;
+    const Member* target = FindMember(state, probe.target_);
+    const bool gone =
+      target == nullptr || target->record_.state_ == MemberState::Dead;
+    if (!gone && probe.deadline_ > now) {
+      ++it;
+      continue;
+    }
+    if (!gone && !probe.indirect_) {
+      AskHelpers(aStep, it->first, probe);
+      ++it;
+      continue;
+    }
+    const Probe over = probe;
+    it = state.probes_.erase(it);
+    if (!gone) {
+      ProbeFailed(aStep, over);
+    }
+  }
+  std::erase_if(state.relayed_, [now](const auto& aEntry) {
+    return aEntry.second.deadline_ <= now;
+  });
+  JudgeSuspects(aStep);
+}
+
+void
+ProbeAnswered(MembershipStep& aStep, DaemonId aFrom, const GossipAck& aAck)
+{
+  MembershipState& state = aStep.state_;
+  const auto relayed = state.relayed_.find(aAck.sequence_);
+  if (relayed != state.relayed_.end()) {
+    if (relayed->second.target_ == aFrom) {
+      SendRelayedAck(aStep, relayed->second);
+    }
+    state.relayed_.erase(relayed);
+    return;
+  }
+  const auto found = state.probes_.find(aAck.sequence_);
+  if (found == state.probes_.end()) {
+    return;
+  }
+  const Probe probe = found->second;
+  Member* target = FindMember(state, probe.target_);
+  const bool direct = aFrom == probe.target_;
+  if (target == nullptr || (!direct && !probe.indirect_)) {
+    return; // another daemon has the address now
+  }
+  state.probes_.erase(found);
+  if (state.anyDoubted_) {
+    EndIsolation(aStep);
+  }
+  state.lastAckAt_ = aStep.now_.mono_;
+  state.failedSinceAck_ = 0;
+  if (target->record_.state_ == MemberState::Leaving) {
+    target->deadline_ = kNever; // it is still finishing its work
+    state.suspects_.erase(probe.target_);
+  }
+  if (direct) {
+    target->knowsUs_ = true;
+    NoteRoundTrip(state, *target, aStep.now_.mono_ - probe.sentAt_);
+    state.health_ -= state.health_ > 0 ? 1 : 0;
+  }
+}
+
+void
+ProbeUndelivered(MembershipStep& aStep, DaemonId aTarget)
+{
+  MembershipState& state = aStep.state_;
+  for (auto& [sequence, probe] : state.probes_) {
+    if (probe.target_ == aTarget && !probe.indirect_) {
+      AskHelpers(aStep, sequence, probe);
+    }
+  }
+  Member* target = FindMember(state, aTarget);
+  if (target != nullptr && target->record_.state_ == MemberState::Alive &&
+      state.probes_.size() < kMaxProbes && !IsProbed(state, aTarget)) {
+    StartProbe(aStep, *target);
+  }
+}
+
+void
+HelpProbe(MembershipStep& aStep, DaemonId aFrom, const GossipProbe& aProbe)
+{
+  MembershipState& state = aStep.state_;
+  MergeRecord(aStep, aProbe.target_);
+  Member* target = FindMember(state, aProbe.target_.id_);
+  if (target == nullptr || FindMember(state, aFrom) == nullptr) {
+    return;
+  }
+  const std::uint64_t sequence = state.nextSequence_++;
+  RelayedProbe relayed;
+  relayed.origin_ = aFrom;
+  relayed.originSequence_ = aProbe.sequence_;
+  relayed.target_ = aProbe.target_.id_;
+  relayed.deadline_ = aStep.now_.mono_ + 2 * kProbeTimeoutCap;
+  state.relayed_.emplace(sequence, relayed);
+  SendPing(aStep, *target, sequence);
+}
+
+TimePoint
+NextProbeDeadline(const MembershipState& aState)
+{
+  TimePoint next = kNever;
+  for (const auto& [sequence, probe] : aState.probes_) {
+    next = std::min(next, probe.deadline_);
+  }
+  return next;
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/membership/rumor.cpp
@@ -0,0 +1,166 @@
+#include "core/hash_func.h"
+#include "membership/membership_internal.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr std::uint64_t kLeavingSeed = 1;
+constexpr std::uint64_t kQuarantineSeed = 2;
+constexpr std::size_t kRumorBytes = 26; ///< Besides a server's name.
+
+/** Two daemons that find the same server leaving within this time tell one
+ * piece of news. */
+constexpr Duration kSameNews = 5s;
+
+std::uint64_t
+KeyOf(const Rumor& aRumor)
+{
+  if (const auto* leaving = std::get_if<LeavingRumor>(&aRumor)) {
+    return HashText(leaving->server_, kLeavingSeed);
+  }
+  return HashPair(std::get<QuarantineRumor>(aRumor).fingerprint_.value_,
+                  kQuarantineSeed);
+}
+
+std::int64_t
+ExpiryOf(const Rumor& aRumor)
+{
+  if (const auto* leaving = std::get_if<LeavingRumor>(&aRumor)) {
+    return leaving->unixMicros_ + kRumorKeep.count();
+  }
+  return std::get<QuarantineRumor>(aRumor).untilUnixMicros_;
+}
+
+bool
+IsNewer(const LeavingRumor& aNew, const LeavingRumor& aOld)
+{
+  if (aNew.leaving_ == aOld.leaving_) {
+    return aNew.unixMicros_ > aOld.unixMicros_ + kSameNews.count();
+  }
+  return aNew.unixMicros_ > aOld.unixMicros_;
+}
+
+/** A server's rumor is replaced by a later one; counts of crashes and expiry
+ * only grow, so that the order in which they arrive doesn't matter. */
+bool
+MergeRumor(const Rumor& aNew, Rumor& aOld)
+{
+  if (const auto* leaving = std::get_if<LeavingRumor>(&aNew)) {
+    auto& old = std::get<LeavingRumor>(aOld);
+    if (!IsNewer(*leaving, old)) {
+      return false;
+    }
+    old = *leaving;
+    return true;
+  }
+  const auto& fresh = std::get<QuarantineRumor>(aNew);
+  auto& old = std::get<QuarantineRumor>(aOld);
+  if (fresh.crashes_ <= old.crashes_ &&
+      fresh.untilUnixMicros_ <= old.untilUnixMicros_) {
+    return false;
+  }
+  old.crashes_ = std::max(old.crashes_, fresh.crashes_);
+  old.untilUnixMicros_ = std::max(old.untilUnixMicros_, fresh.untilUnixMicros_);
+  return true;
+}
+
+std::size_t
+RumorBytes(const Rumor& aRumor)
+{
+  const auto* leaving = std::get_if<LeavingRumor>(&aRumor);
+  return kRumorBytes + (leaving != nullptr ? leaving->server_.size() : 0);
+}
+
+bool
+AddRumor(News& aNews, const Rumor& aRumor, std::size_t aBudget)
+{
+  const std::size_t bytes = RumorBytes(aRumor);
+  if (aNews.bytes_ + bytes > aBudget) {
+    return false;
+  }
+  aNews.bytes_ += bytes;
+  aNews.rumors_.push_back(aRumor);
+  return true;
+}
+
+/** One more in turn, for who missed it or has joined since. */
+void
+AddRotatedRumor(MembershipState& aState, News& aNews, std::size_t aBudget)
+{
+  auto next = aState.rumors_.upper_bound(aState.rumorRotation_);
+  if (next == aState.rumors_.end()) {
+    next = aState.rumors_.begin();
+  }
+  if (next != aState.rumors_.end() && next->second.sendsLeft_ == 0 &&
+      AddRumor(aNews, next->second.rumor_, aBudget)) {
+    aState.rumorRotation_ = next->first;
+  }
+}
+
+} // namespace
+
+bool
+LearnRumor(MembershipStep& aStep, const Rumor& aRumor)
+{
+  MembershipState& state = aStep.state_;
+  if (ExpiryOf(aRumor) <= aStep.now_.unixMicros_) {
+    return false;
+  }
+  const std::uint64_t key = KeyOf(aRumor);
+  const auto found = state.rumors_.find(key);
+  if (found != state.rumors_.end()) {
+    if (!MergeRumor(aRumor, found->second.rumor_)) {
+      return false;
+    }
+  } else if (state.rumors_.size() >= kMaxRumors) {
+    return false;
+  } else {
+    state.rumors_[key].rumor_ = aRumor;
+  }
+  KnownRumor& known = state.rumors_[key];
+  known.expiresUnixMicros_ = ExpiryOf(known.rumor_);
+  if (known.sendsLeft_ == 0) {
+    state.rumorQueue_.push_front(key);
+  }
+  known.sendsLeft_ = RetransmitLimit(state, kRetransmitFactor);
+  state.burstPending_ = true;
+  return true;
+}
+
+void
+AddRumors(MembershipState& aState, News& aNews, std::size_t aBudget)
+{
+  std::vector<std::uint64_t> again;
+  while (!aState.rumorQueue_.empty()) {
+    const std::uint64_t key = aState.rumorQueue_.front();
+    const auto found = aState.rumors_.find(key);
+    if (found == aState.rumors_.end() || found->second.sendsLeft_ == 0) {
+      aState.rumorQueue_.pop_front();
+      continue;
+    }
+    if (!AddRumor(aNews, found->second.rumor_, aBudget)) {
+      break;
+    }
+    aState.rumorQueue_.pop_front();
+    if (--found->second.sendsLeft_ > 0) {
+      again.push_back(key);
+    }
+  }
+  aState.rumorQueue_.insert(
+    aState.rumorQueue_.end(), again.begin(), again.end());
+  AddRotatedRumor(aState, aNews, aBudget);
+}
+
+void
+ForgetRumors(MembershipStep& aStep)
+{
+  const std::int64_t now = aStep.now_.unixMicros_;
+  std::erase_if(aStep.state_.rumors_, [now](const auto& aEntry) {
+    return aEntry.second.expiresUnixMicros_ <= now;
+  });
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/membership/view.cpp
@@ -0,0 +1,238 @@
+#include "core/hash_func.h"
+#include "membership/membership_internal.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace camphorfield {
+
+namespace {
+
+/** MembersChanged is told at most once in this time, for each member: a list
+ * is copied each time, and news come thick when much happens. */
+constexpr Duration kTellGapPerMember = 100us;
+
+/** Part of a record in the hash of a view; the dead have none, because
+ * daemons forget them at different times. */
+std::uint64_t
+RecordHash(const MemberRecord& aRecord)
+{
+  if (aRecord.state_ == MemberState::Dead) {
+    return 0;
+  }
+  const std::uint64_t version =
+    aRecord.heartbeat_ * static_cast<std::uint64_t>(MemberState::End) +
+    static_cast<std::uint64_t>(aRecord.state_);
+  return HashPair(aRecord.id_.value_,
+                  HashPair(aRecord.incarnation_.value_, version));
+}
+
+Duration
+SuspicionTimeout(const MembershipState& aState)
+{
+  const double size = static_cast<double>(CountLive(aState));
+  const double factor = std::max(1.0, std::log10(size));
+  return Duration(
+    static_cast<std::int64_t>(static_cast<double>(kSuspicionTimeout.count()) *
+                              factor * (1.0 + aState.health_)));
+}
+
+/** Brings the sets and deadlines in line with a member's new state. */
+void
+IndexState(MembershipStep& aStep, Member& aMember)
+{
+  MembershipState& state = aStep.state_;
+  const DaemonId id = aMember.record_.id_;
+  state.suspects_.erase(id);
+  state.dead_.erase(id);
+  aMember.deadline_ = kNever;
+  if (aMember.record_.state_ == MemberState::Suspect) {
+    state.suspects_.insert(id);
+    aMember.deadline_ = aStep.now_.mono_ + SuspicionTimeout(state);
+  }
+  if (aMember.record_.state_ == MemberState::Dead) {
+    state.dead_.insert(id);
+    aMember.deadline_ = aStep.now_.mono_ + kTombstone;
+  }
+}
+
+void
+SetState(MembershipStep& aStep, Member& aMember, MemberState aNew)
+{
+  aStep.state_.viewHash_ ^= RecordHash(aMember.record_);
+  aMember.record_.state_ = aNew;
+  aStep.state_.viewHash_ ^= RecordHash(aMember.record_);
+  IndexState(aStep, aMember);
+  aStep.state_.changed_ = true;
+}
+
+} // namespace
+
+void
+ReplaceRecord(MembershipStep& aStep, Member& aMember, MemberRecord aRecord)
+{
+  MembershipState& state = aStep.state_;
+  const auto address = state.byAddress_.find(aMember.record_.peerAddress_);
+  if (address != state.byAddress_.end() &&
+      address->second == aMember.record_.id_) {
+    state.byAddress_.erase(address);
+  }
+  state.viewHash_ ^= RecordHash(aMember.record_) ^ RecordHash(aRecord);
+  aMember.record_ = std::move(aRecord);
+  state.byAddress_[aMember.record_.peerAddress_] = aMember.record_.id_;
+  IndexState(aStep, aMember);
+}
+
+void
+MarkSuspect(MembershipStep& aStep, Member& aMember, const char* aReason)
+{
+  if (aMember.record_.state_ == MemberState::Leaving) {
+    // It has said that it goes; no refutation is to be expected.
+    if (aMember.deadline_ == kNever) {
+      aStep.state_.suspects_.insert(aMember.record_.id_);
+      aMember.deadline_ = aStep.now_.mono_ + SuspicionTimeout(aStep.state_);
+    }
+    return;
+  }
+  if (aMember.record_.state_ != MemberState::Alive) {
+    return;
+  }
+  ++aStep.state_.stats_.suspicions_;
+  SetState(aStep, aMember, MemberState::Suspect);
+  QueueNews(aStep.state_, aMember, true, false);
+  RecordMember(aStep, TimelineKind::MemberSuspected, aMember.record_, aReason);
+}
+
+void
+MarkDead(MembershipStep& aStep, Member& aMember, const char* aReason)
+{
+  ++aStep.state_.stats_.deaths_;
+  SetState(aStep, aMember, MemberState::Dead);
+  QueueNews(aStep.state_, aMember, true, false);
+  RecordMember(aStep, TimelineKind::MemberDead, aMember.record_, aReason);
+}
+
+void
+ForgetTombstones(MembershipStep& aStep)
+{
+  MembershipState& state = aStep.state_;
+  std::vector<DaemonId> old;
+  for (const DaemonId id : state.dead_) {
+    if (state.members_[id].deadline_ <= aStep.now_.mono_) {
+      old.push_back(id);
+    }
+  }
+  for (const DaemonId id : old) {
+    const auto address =
+      state.byAddress_.find(state.members_[id].record_.peerAddress_);
+    if (address != state.byAddress_.end() && address->second == id) {
+      state.byAddress_.erase(address);
+    }
+    state.dead_.erase(id);
+    state.members_.erase(id);
+    std::erase(state.order_, id);
+  }
+}
+
+Member*
+FindMember(MembershipState& aState, DaemonId aId)
+{
+  const auto found = aState.members_.find(aId);
+  return found == aState.members_.end() ? nullptr : &found->second;
+}
+
+std::size_t
+CountLive(const MembershipState& aState)
+{
+  return aState.members_.size() - aState.dead_.size() + 1;
+}
+
+void
+SetSelfState(MembershipState& aState, MemberState aNew)
+{
+  MemberRecord& self = aState.self_;
+  // The first version is one; before it the record is part of no hash.
+  aState.viewHash_ ^= self.heartbeat_ == 0 ? 0 : RecordHash(self);
+  self.state_ = aNew;
+  ++self.heartbeat_;
+  aState.viewHash_ ^= RecordHash(self);
+}
+
+void
+SetSelfVersion(MembershipState& aState,
+               Incarnation aIncarnation,
+               std::uint64_t aHeartbeat)
+{
+  MemberRecord& self = aState.self_;
+  aState.viewHash_ ^= RecordHash(self);
+  self.incarnation_ = aIncarnation;
+  self.heartbeat_ = aHeartbeat;
+  aState.viewHash_ ^= RecordHash(self);
+}
+
+void
+TouchSelf(MembershipState& aState, bool aUrgent)
+{
+  const MemberRecord& self = aState.self_;
+  SetSelfVersion(aState, self.incarnation_, self.heartbeat_ + 1);
+  aState.burstPending_ = aState.burstPending_ || aUrgent;
+}
+
+TimePoint
+TellMembersAt(const MembershipState& aState)
+{
+  if (!aState.changed_) {
+    return kNever;
+  }
+  const auto size = static_cast<std::int64_t>(CountLive(aState));
+  return aState.toldAt_ + kTellGapPerMember * size;
+}
+
+void
+TellMembers(MembershipStep& aStep)
+{
+  MembershipState& state = aStep.state_;
+  if (TellMembersAt(state) > aStep.now_.mono_) {
+    return;
+  }
+  state.changed_ = false;
+  state.toldAt_ = aStep.now_.mono_;
+  auto list = std::make_shared<std::vector<MemberRecord>>();
+  list->reserve(CountLive(state));
+  bool selfAdded = false;
+  for (const auto& [id, member] : state.members_) {
+    if (!selfAdded && state.self_.id_ < id) {
+      list->push_back(state.self_);
+      selfAdded = true;
+    }
+    if (member.record_.state_ == MemberState::Dead) {
+      continue;
+    }
+    list->push_back(member.record_);
+    if (member.doubted_ && member.record_.state_ == MemberState::Alive) {
+      list->back().state_ = MemberState::Suspect;
+    }
+  }
+  if (!selfAdded) {
+    list->push_back(state.self_);
+  }
+  state.list_ = list;
+  aStep.out_.emplace_back(MembersChanged{ state.list_ });
+}
+
+void
+RecordMember(MembershipStep& aStep,
+             TimelineKind aKind,
+             const MemberRecord& aRecord,
+             const char* aReason)
+{
+  TimelineRecord record;
+  record.kind_ = aKind;
+  record.object_ = aRecord.name_;
+  record.number_ = aRecord.incarnation_.value_;
+  record.text_ = aReason;
+  aStep.out_.emplace_back(std::move(record));
+}
+
+} // namespace camphorfield
