--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -14,11 +14,8 @@
   std::uint64_t value_ = 0; ///< Zero is never issued.
 
   constexpr bool IsValid() const { return value_ != 0; }
-  constexpr bool operator==(const Id&) const = default;
-  constexpr std::strong_ordering operator<=>(const Id& aOther) const
-  {
-    return value_ <=> aOther.value_;
-  }
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 sees a literal here.
+  constexpr auto operator<=>(const Id&) const = default;
 };
 
 using CallerRequestId = Id<struct CallerRequestTag>;     ///< One request.
