Add: at-most-once orders by claim log and by token

Cause: a double order duplicates tapes nobody asked for, a lost one leaves a shop dry; callers resend through any daemon. Change: package order. Plain keys are claimed in one log object per key range, appended by conditional update; tokens run only under the incarnation that issued them. Code NOT_ACCEPTED says that a request did not run without claiming anything of earlier ones under its key; CLAIMS_UNAVAILABLE no longer says that the key never ran, since a daemon without the store can't know that.

--- a/src/core/result_type.h
+++ b/src/core/result_type.h
@@ -47,6 +47,7 @@
   StoreUnavailable,
   NotFound,
   Internal,
+  OrderNotAccepted,
   End ///< Number of codes.
 };
 
--- /dev/null
+++ b/src/order/order_answer.cpp
@@ -0,0 +1,128 @@
+#include "core/result_func.h"
+#include "order/order_internal.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+namespace {
+
+void
+CountAnswer(OrderStats& aStats, ResultCode aCode, bool aReplayed)
+{
+  if (aCode == ResultCode::OutcomeUnknown) {
+    ++aStats.unknown_;
+  } else if (GetResultRow(aCode).run_ == RunState::NotRun) {
+    ++aStats.notRun_;
+  } else if (SaysNotRun(aCode)) {
+    ++aStats.refused_;
+  }
+  if (aReplayed) {
+    ++aStats.replayed_;
+  }
+}
+
+void
+AnswerForward(OrderStep& aStep,
+              const OrderWaiter& aWaiter,
+              const OrderForwarded& aAnswer)
+{
+  const auto memo = aStep.state_.memos_.find(aWaiter.from_);
+  if (memo == aStep.state_.memos_.end() ||
+      memo->second.incarnation_ != aWaiter.fromIncarnation_) {
+    return; // A later life of the sender must not get its answers.
+  }
+  const auto call = memo->second.calls_.find(aWaiter.call_);
+  if (call != memo->second.calls_.end()) {
+    call->second.answered_ = true;
+    call->second.accepted_ = aAnswer.accepted_;
+    call->second.code_ = aAnswer.code_;
+  }
+  SendToPeer(aStep, aWaiter.from_, aAnswer, {});
+}
+
+} // namespace
+
+bool
+SaysNotRun(ResultCode aCode)
+{
+  return GetResultRow(aCode).run_ == RunState::NotRun ||
+         aCode == ResultCode::ClaimsUnavailable ||
+         aCode == ResultCode::OrderNotAccepted;
+}
+
+ResultCode
+RefusalCode(const OrderStep& aStep, ResultCode aCode)
+{
+  // An earlier request under the key may have run elsewhere, so that only the
+  // fate of this request may be told.
+  return aStep.state_.settings_.guards_.proveNotRun_ ? aCode
+                                                     : ResultCode::OrderNotRun;
+}
+
+void
+AnswerWaiter(OrderStep& aStep,
+             const OrderWaiter& aWaiter,
+             std::string_view aKey,
+             ResultCode aCode,
+             const SharedText& aBody,
+             bool aReplayed)
+{
+  const OrderGuards& guards = aStep.state_.settings_.guards_;
+  ResultCode code = aCode;
+  if (aWaiter.unsure_ && guards.unsureForward_ && SaysNotRun(code)) {
+    code = ResultCode::OutcomeUnknown;
+  }
+  if (aWaiter.from_.IsValid()) {
+    AnswerForward(aStep,
+                  aWaiter,
+                  { .call_ = aWaiter.call_,
+                    .code_ = code,
+                    .replayed_ = aReplayed,
+                    .body_ = aBody });
+    return;
+  }
+  CountAnswer(aStep.state_.stats_, code, aReplayed);
+  const auto& config = aStep.state_.config_;
+  aStep.out_.push_back(OrderAnswer{
+    .id_ = aWaiter.request_,
+    .code_ = code,
+    .generation_ = config == nullptr ? Generation{} : config->generation_,
+    .key_ = std::string(aKey),
+    .body_ = aBody,
+    .replayed_ = aReplayed });
+  aStep.out_.push_back(TimelineRecord{ .kind_ = TimelineKind::OrderAnswered,
+                                       .request_ = aWaiter.request_.value_,
+                                       .text_ = GetResultRow(code).name_ });
+}
+
+void
+DeclineForward(OrderStep& aStep, const OrderWaiter& aWaiter)
+{
+  AnswerForward(aStep,
+                aWaiter,
+                { .call_ = aWaiter.call_,
+                  .code_ = ResultCode::OrderNotAccepted,
+                  .accepted_ = false });
+}
+
+void
+NoteDeadline(OrderState& aState, TimePoint aDeadline)
+{
+  aState.deadlineAt_ = std::min(aState.deadlineAt_, aDeadline);
+}
+
+void
+RecordOrder(OrderStep& aStep,
+            TimelineKind aKind,
+            const OrderAsk& aAsk,
+            std::string_view aText)
+{
+  aStep.out_.push_back(TimelineRecord{ .kind_ = aKind,
+                                       .request_ = aAsk.waiter_.request_.value_,
+                                       .object_ = aAsk.key_,
+                                       .number_ = aAsk.range_,
+                                       .text_ = std::string(aText) });
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/order/order_append.cpp
@@ -0,0 +1,513 @@
+#include "order/order_internal.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr std::int64_t kMicrosPerMilli = 1000;
+constexpr Duration::rep kPruneParts = 16; ///< Floor rises by window parts.
+constexpr double kMicrosPerSecond = 1e6;
+
+bool
+HasClaims(const std::vector<LogRecord>& aRecords)
+{
+  return std::any_of(
+    aRecords.begin(), aRecords.end(), [](const LogRecord& aRecord) {
+      return aRecord.kind_ == LogRecordKind::Claim;
+    });
+}
+
+bool
+WantsAppend(const OrderStep& aStep, const OrderRange& aRange)
+{
+  const TimePoint now = aStep.now_.mono_;
+  const bool prunes = aRange.pruneAt_ <= now && !aRange.table_.entries_.empty();
+  return HasClaims(aRange.pending_) || aRange.segment_.stored_ || prunes ||
+         (!aRange.pending_.empty() && aRange.flushAt_ <= now);
+}
+
+/** Take one write from the daemon's share of the platform's rate. */
+bool
+TakeWrite(OrderStep& aStep, OrderRange& aRange)
+{
+  OrderState& state = aStep.state_;
+  const double rate = state.settings_.writesPerSecond_;
+  const auto passed =
+    static_cast<double>((aStep.now_.mono_ - state.writeTokensAt_).count());
+  state.writeTokens_ =
+    std::min(static_cast<double>(state.settings_.writeBurst_),
+             state.writeTokens_ + passed * rate / kMicrosPerSecond);
+  state.writeTokensAt_ = aStep.now_.mono_;
+  if (state.writeTokens_ >= 1.0) {
+    state.writeTokens_ -= 1.0;
+    return true;
+  }
+  const double wait = (1.0 - state.writeTokens_) * kMicrosPerSecond / rate;
+  aRange.appendAt_ =
+    aStep.now_.mono_ + Duration(static_cast<Duration::rep>(wait) + 1);
+  return false;
+}
+
+std::string
+IssueBatch(OrderState& aState)
+{
+  return std::to_string(aState.settings_.self_.value_) + '-' +
+         std::to_string(aState.settings_.incarnation_.value_) + '-' +
+         std::to_string(++aState.nextDispatch_);
+}
+
+/** Keys below it are dropped from the log with this write. */
+std::int64_t
+RaiseFloor(const OrderStep& aStep, LogHead& aHead)
+{
+  const OrderSettings& settings = aStep.state_.settings_;
+  const std::int64_t window = settings.window_.count();
+  const std::int64_t floor =
+    (aStep.now_.unixMicros_ - window) / kMicrosPerMilli;
+  if (!settings.guards_.storedFloor_) {
+    return floor;
+  }
+  // Rises in large steps: each step rewrites what is in memory.
+  if (floor - aHead.floorUnixMs_ >= window / kPruneParts / kMicrosPerMilli) {
+    aHead.floorUnixMs_ = floor;
+  }
+  return aHead.floorUnixMs_;
+}
+
+void
+PruneHead(LogHead& aHead, std::int64_t aFloor)
+{
+  std::erase_if(aHead.records_, [aFloor](const LogRecord& aRecord) {
+    return aRecord.unixMs_ < aFloor;
+  });
+}
+
+void
+PruneEntries(OrderTable& aTable, std::int64_t aFloor)
+{
+  std::erase_if(aTable.entries_, [&](const auto& aEntry) {
+    return aEntry.second.unixMs_ < aFloor &&
+           aTable.active_.count(aEntry.first) == 0;
+  });
+}
+
+/** Refuse a claim that fell below the floor while it waited. */
+void
+ExpireClaim(OrderStep& aStep, std::uint32_t aRange, const LogRecord& aRecord)
+{
+  OrderTable& table = aStep.state_.ranges_[aRange].table_;
+  const auto active = table.active_.find(aRecord.key_);
+  table.entries_.erase(aRecord.key_);
+  if (active == table.active_.end()) {
+    return;
+  }
+  const OrderActive ended = std::move(active->second);
+  table.active_.erase(active);
+  for (const OrderWaiter& waiter : ended.waiters_) {
+    AnswerWaiter(
+      aStep, waiter, ended.ask_.key_, ResultCode::KeyExpired, nullptr, false);
+  }
+}
+
+/** Move pending records into the write; those below the floor fail. */
+void
+TakeBatch(OrderStep& aStep,
+          std::uint32_t aRange,
+          HeadWrite& aWrite,
+          std::int64_t aFloor)
+{
+  OrderRange& range = aStep.state_.ranges_[aRange];
+  const std::size_t count =
+    std::min(range.pending_.size(), aStep.state_.settings_.batchRecords_);
+  const auto end = range.pending_.begin() + static_cast<std::ptrdiff_t>(count);
+  std::vector<LogRecord> taken(range.pending_.begin(), end);
+  range.pending_.erase(range.pending_.begin(), end);
+  if (range.pending_.empty()) {
+    range.flushAt_ = kNever;
+  }
+  for (LogRecord& record : taken) {
+    const bool claim = record.kind_ == LogRecordKind::Claim;
+    if (record.unixMs_ >= aFloor) {
+      aWrite.head_.records_.push_back(record);
+      aWrite.batch_.push_back(std::move(record));
+    } else if (claim) {
+      ExpireClaim(aStep, aRange, record);
+    }
+  }
+}
+
+/** Move the records of a stored segment out of the head. */
+void
+TakeSegment(const OrderRange& aRange, HeadWrite& aWrite)
+{
+  if (!aRange.segment_.stored_) {
+    return;
+  }
+  aWrite.sealed_ = aRange.segment_.records_;
+  aWrite.head_.segments_.push_back(aRange.segment_.segment_);
+  aWrite.head_.records_.erase(aWrite.head_.records_.begin(),
+                              aWrite.head_.records_.begin() +
+                                static_cast<std::ptrdiff_t>(aWrite.sealed_));
+}
+
+void
+StartHeadWrite(OrderStep& aStep, std::uint32_t aRange, bool aReleases)
+{
+  OrderRange& range = aStep.state_.ranges_[aRange];
+  HeadWrite write{ .active_ = true,
+                   .releases_ = aReleases,
+                   .expectedVersion_ = range.version_,
+                   .head_ = range.head_ };
+  write.head_.batch_ = IssueBatch(aStep.state_);
+  write.head_.released_ = aReleases;
+  const std::int64_t floor = RaiseFloor(aStep, write.head_);
+  TakeSegment(range, write);
+  // The count of records in a segment that is being written must stay true.
+  if (!range.segment_.active_ || range.segment_.stored_) {
+    PruneHead(write.head_, floor);
+  }
+  TakeBatch(aStep, aRange, write, floor);
+  range.appendAt_ = kNever;
+  range.write_ = std::move(write);
+  SendHeadWrite(aStep, aRange);
+}
+
+void
+DeleteSegment(OrderStep& aStep,
+              std::uint32_t aRange,
+              const LogSegment& aSegment)
+{
+  const OrderSettings& settings = aStep.state_.settings_;
+  aStep.out_.push_back(
+    PlatformCall{ .id_ = IssuePlatformCall(aStep, PlatformOp::Delete),
+                  .user_ = PlatformUser::Order,
+                  .op_ = PlatformOp::Delete,
+                  .key_ = RangePrefix(settings, aRange) + aSegment.name_,
+                  .expectedVersion_ = aSegment.version_,
+                  .timeout_ = settings.platformTimeout_ });
+}
+
+/** Drop what is below the floor, now that the floor is stored. */
+void
+Prune(OrderStep& aStep, std::uint32_t aRange)
+{
+  OrderRange& range = aStep.state_.ranges_[aRange];
+  const OrderSettings& settings = aStep.state_.settings_;
+  const std::int64_t floor =
+    settings.guards_.storedFloor_
+      ? range.head_.floorUnixMs_
+      : (aStep.now_.unixMicros_ - settings.window_.count()) / kMicrosPerMilli;
+  PruneEntries(range.table_, floor);
+  range.pruneAt_ = aStep.now_.mono_ + settings.window_ / kPruneParts * 2;
+  std::vector<LogSegment> kept;
+  for (const LogSegment& segment : range.head_.segments_) {
+    if (segment.lastUnixMs_ >= floor) {
+      kept.push_back(segment);
+    } else if (segment.version_ != 0) {
+      // The stored head names it until the next write.
+      range.garbage_.push_back(segment);
+    }
+  }
+  range.head_.segments_ = std::move(kept);
+}
+
+/** Delete segments that the stored head no longer names. */
+void
+DeleteGarbage(OrderStep& aStep,
+              std::uint32_t aRange,
+              const std::vector<LogSegment>& aGarbage)
+{
+  for (const LogSegment& segment : aGarbage) {
+    DeleteSegment(aStep, aRange, segment);
+  }
+}
+
+void
+MaybeSeal(OrderStep& aStep, std::uint32_t aRange)
+{
+  OrderRange& range = aStep.state_.ranges_[aRange];
+  if (range.segment_.active_ || range.head_.records_.empty() ||
+      range.headBytes_ < aStep.state_.settings_.sealBytes_) {
+    return;
+  }
+  SegmentWrite segment{ .active_ = true,
+                        .records_ = range.head_.records_.size() };
+  segment.segment_.name_ = "seg-" + std::to_string(range.head_.epoch_) + '-' +
+                           std::to_string(++range.segments_);
+  for (const LogRecord& record : range.head_.records_) {
+    segment.segment_.lastUnixMs_ =
+      std::max(segment.segment_.lastUnixMs_, record.unixMs_);
+  }
+  segment.value_ = EncodeSegment(range.head_.records_);
+  range.segment_ = std::move(segment);
+  SendSegment(aStep, aRange);
+}
+
+/** The claims of a batch are stored: dispatch their orders. */
+void
+SettleClaims(OrderStep& aStep,
+             std::uint32_t aRange,
+             const std::vector<LogRecord>& aBatch)
+{
+  OrderState& state = aStep.state_;
+  OrderTable& table = state.ranges_[aRange].table_;
+  for (const LogRecord& record : aBatch) {
+    const auto entry = table.entries_.find(record.key_);
+    if (record.kind_ != LogRecordKind::Claim) {
+      continue;
+    }
+    ++state.stats_.claims_;
+    if (entry == table.entries_.end() ||
+        entry->second.attempt_ != record.attempt_) {
+      continue;
+    }
+    const EntryRef ref{ aRange, record.key_ };
+    if (entry->second.state_ == EntryState::Abandoned) {
+      FinishAttempt(
+        aStep, ref, EntryState::NotRun, ResultCode::OrderNotRun, nullptr);
+    } else if (entry->second.state_ == EntryState::Claiming) {
+      RecordOrder(aStep,
+                  TimelineKind::OrderClaimed,
+                  table.active_[record.key_].ask_,
+                  state.ranges_[aRange].head_.batch_);
+      StartDispatch(aStep, ref);
+    }
+  }
+}
+
+/** The write under way is known to be in the store. */
+void
+ConfirmWrite(OrderStep& aStep, std::uint32_t aRange, std::uint64_t aVersion)
+{
+  OrderRange& range = aStep.state_.ranges_[aRange];
+  const HeadWrite write = std::exchange(range.write_, {});
+  const std::vector<LogSegment> garbage = std::exchange(range.garbage_, {});
+  const bool prunes = range.state_ == RangeState::Loading ||
+                      range.head_.floorUnixMs_ != write.head_.floorUnixMs_ ||
+                      !aStep.state_.settings_.guards_.storedFloor_;
+  range.head_ = write.head_;
+  range.version_ = aVersion;
+  range.failures_ = 0;
+  range.retryAt_ = kNever;
+  range.call_ = {};
+  if (write.sealed_ > 0) {
+    range.segment_ = {};
+  }
+  DeleteGarbage(aStep, aRange, garbage);
+  if (prunes) {
+    Prune(aStep, aRange);
+  }
+  if (range.state_ == RangeState::Loading) {
+    BecomeOwner(aStep, aRange);
+    return;
+  }
+  if (write.releases_) {
+    EndRelease(aStep, aRange);
+    return;
+  }
+  ++aStep.state_.stats_.batches_;
+  SettleClaims(aStep, aRange, write.batch_);
+  AdmitWaiting(aStep, aRange);
+  MaybeSeal(aStep, aRange);
+  MaybeAppend(aStep, aRange);
+}
+
+/** The write under way did not and will not take effect, or is overwritten. */
+void
+LoseWrite(OrderStep& aStep, std::uint32_t aRange, std::uint64_t aVersion)
+{
+  OrderRange& range = aStep.state_.ranges_[aRange];
+  if (!aStep.state_.settings_.guards_.fenceByOwner_ && aVersion != 0) {
+    range.write_.reading_ = false;
+    range.write_.expectedVersion_ = aVersion;
+    SendHeadWrite(aStep, aRange);
+    return;
+  }
+  if (range.state_ == RangeState::Held) {
+    LoseRange(aStep, aRange, "taken over");
+    return;
+  }
+  range.write_ = {};
+  range.table_ = {};
+  range.state_ = RangeState::Waiting;
+  BackOff(aStep, aRange);
+}
+
+void
+OnReadBack(OrderStep& aStep, std::uint32_t aRange, const PlatformReply& aReply)
+{
+  OrderRange& range = aStep.state_.ranges_[aRange];
+  const bool found =
+    aReply.status_ == PlatformStatus::Ok && !aReply.objects_.empty();
+  if (!found) {
+    range.write_.reading_ = aReply.status_ != PlatformStatus::NotFound;
+    BackOff(aStep, aRange);
+    return;
+  }
+  const PlatformObject& object = aReply.objects_.front();
+  const absl::StatusOr<LogHead> head = DecodeHead(object.value_);
+  if (head.ok() && head->batch_ == range.write_.head_.batch_) {
+    ConfirmWrite(aStep, aRange, object.version_);
+    return;
+  }
+  if (object.version_ <= range.write_.expectedVersion_) {
+    range.write_.reading_ = false; // A stale read says nothing.
+    BackOff(aStep, aRange);
+    return;
+  }
+  LoseWrite(aStep, aRange, object.version_);
+}
+
+} // namespace
+
+PlatformCallId
+IssuePlatformCall(OrderStep& aStep, PlatformOp aOp)
+{
+  const bool reads = aOp == PlatformOp::Get || aOp == PlatformOp::List;
+  OrderStats& stats = aStep.state_.stats_;
+  ++(reads ? stats.platformReads_ : stats.platformWrites_);
+  return { ++aStep.state_.nextCall_ };
+}
+
+void
+MaybeAppend(OrderStep& aStep, std::uint32_t aRange)
+{
+  OrderRange& range = aStep.state_.ranges_[aRange];
+  if (range.state_ != RangeState::Held || range.write_.active_ ||
+      !WantsAppend(aStep, range) || !TakeWrite(aStep, range)) {
+    return;
+  }
+  StartHeadWrite(aStep, aRange, false);
+}
+
+void
+WriteRelease(OrderStep& aStep, std::uint32_t aRange)
+{
+  StartHeadWrite(aStep, aRange, true);
+}
+
+void
+WriteTakeover(OrderStep& aStep, std::uint32_t aRange)
+{
+  OrderRange& range = aStep.state_.ranges_[aRange];
+  ++range.head_.epoch_;
+  range.head_.owner_ = aStep.state_.settings_.self_;
+  range.head_.incarnation_ = aStep.state_.settings_.incarnation_;
+  StartHeadWrite(aStep, aRange, false);
+}
+
+void
+SendHeadWrite(OrderStep& aStep, std::uint32_t aRange)
+{
+  OrderState& state = aStep.state_;
+  OrderRange& range = state.ranges_[aRange];
+  const HeadWrite& write = range.write_;
+  PlatformOp op = PlatformOp::Get;
+  std::string value;
+  if (!write.reading_) {
+    op = write.expectedVersion_ == 0 ? PlatformOp::Create : PlatformOp::Update;
+    value = EncodeHead(write.head_);
+    range.headBytes_ = value.size();
+  }
+  range.retryAt_ = kNever;
+  range.call_ = IssuePlatformCall(aStep, op);
+  aStep.out_.push_back(
+    PlatformCall{ .id_ = range.call_,
+                  .user_ = PlatformUser::Order,
+                  .op_ = op,
+                  .key_ = HeadKey(state.settings_, aRange),
+                  .value_ = std::move(value),
+                  .expectedVersion_ = write.expectedVersion_,
+                  .timeout_ = state.settings_.platformTimeout_ });
+}
+
+void
+OnHeadReply(OrderStep& aStep, std::uint32_t aRange, const PlatformReply& aReply)
+{
+  OrderRange& range = aStep.state_.ranges_[aRange];
+  if (range.write_.reading_) {
+    OnReadBack(aStep, aRange, aReply);
+    return;
+  }
+  const OrderGuards& guards = aStep.state_.settings_.guards_;
+  switch (aReply.status_) {
+    case PlatformStatus::Ok:
+      ConfirmWrite(aStep, aRange, aReply.objects_.front().version_);
+      return;
+    case PlatformStatus::Conflict:
+      // Another write won, or this one did and its reply was lost.
+      range.write_.reading_ = true;
+      SendHeadWrite(aStep, aRange);
+      return;
+    case PlatformStatus::NotFound:
+      LoseWrite(aStep, aRange, 0);
+      return;
+    default:
+      break;
+  }
+  if (aReply.status_ == PlatformStatus::Unreachable &&
+      !guards.lostReplyIsUnsure_) {
+    ConfirmWrite(aStep, aRange, range.write_.expectedVersion_ + 1);
+    return;
+  }
+  // The same write goes out again: at most one of them can take effect.
+  BackOff(aStep, aRange);
+}
+
+void
+SendSegment(OrderStep& aStep, std::uint32_t aRange)
+{
+  OrderState& state = aStep.state_;
+  SegmentWrite& segment = state.ranges_[aRange].segment_;
+  segment.retryAt_ = kNever;
+  segment.call_ = IssuePlatformCall(aStep, PlatformOp::Create);
+  aStep.out_.push_back(PlatformCall{
+    .id_ = segment.call_,
+    .user_ = PlatformUser::Order,
+    .op_ = PlatformOp::Create,
+    .key_ = RangePrefix(state.settings_, aRange) + segment.segment_.name_,
+    .value_ = segment.value_,
+    .timeout_ = state.settings_.platformTimeout_ });
+}
+
+void
+OnSegmentReply(OrderStep& aStep,
+               std::uint32_t aRange,
+               const PlatformReply& aReply)
+{
+  SegmentWrite& segment = aStep.state_.ranges_[aRange].segment_;
+  segment.call_ = {};
+  // The name holds the epoch, so only this daemon writes it: a conflict says
+  // that an earlier try took effect.
+  if (aReply.status_ == PlatformStatus::Ok ||
+      aReply.status_ == PlatformStatus::Conflict) {
+    segment.stored_ = true;
+    if (!aReply.objects_.empty()) {
+      segment.segment_.version_ = aReply.objects_.front().version_;
+    }
+    MaybeAppend(aStep, aRange);
+    return;
+  }
+  segment.retryAt_ = aStep.now_.mono_ + aStep.state_.settings_.backoffMost_;
+}
+
+void
+QueueOutcome(OrderStep& aStep,
+             std::uint32_t aRange,
+             const KeyDigest& aKey,
+             const OrderEntry& aEntry)
+{
+  OrderRange& range = aStep.state_.ranges_[aRange];
+  range.pending_.push_back({ .kind_ = LogRecordKind::Outcome,
+                             .key_ = aKey,
+                             .unixMs_ = aEntry.unixMs_,
+                             .code_ = aEntry.code_,
+                             .answer_ = aEntry.answer_ });
+  range.flushAt_ = std::min(
+    range.flushAt_, aStep.now_.mono_ + aStep.state_.settings_.outcomeDelay_);
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/order/order_copy.cpp
@@ -0,0 +1,93 @@
+/** Copies of outcomes: an aid for resends; no promise rests on them. */
+#include "order/order_internal.h"
+
+namespace camphorfield {
+
+namespace {
+
+constexpr std::int64_t kMicrosPerMilli = 1000;
+
+void
+KeepCopy(OrderStep& aStep, const KeyDigest& aKey, const OrderOutcomeCopy& aCopy)
+{
+  OrderState& state = aStep.state_;
+  const std::int64_t oldest =
+    aStep.now_.unixMicros_ - state.settings_.window_.count();
+  while (!state.copyOrder_.empty()) {
+    const auto front = state.copies_.find(state.copyOrder_.front());
+    const bool full = state.copies_.size() >= state.settings_.copyEntries_;
+    if (!full && front->second.unixMicros_ >= oldest) {
+      break;
+    }
+    state.copies_.erase(front);
+    state.copyOrder_.pop_front();
+  }
+  const OutcomeCopy copy{ .body_ = aCopy.body_,
+                          .code_ = aCopy.code_,
+                          .answer_ = aCopy.answer_,
+                          .unixMicros_ = aCopy.unixMicros_ };
+  if (state.copies_.insert_or_assign(aKey, copy).second) {
+    state.copyOrder_.push_back(aKey);
+  }
+}
+
+/** Whether a claim without outcome was settled by the copy. */
+bool
+SettleClaim(OrderStep& aStep,
+            const KeyDigest& aKey,
+            const OrderOutcomeCopy& aCopy)
+{
+  OrderState& state = aStep.state_;
+  const std::uint32_t n = RangeOfKey(aKey, state.settings_.ranges_);
+  OrderRange& range = state.ranges_[n];
+  const auto entry = range.table_.entries_.find(aKey);
+  if (range.state_ != RangeState::Held ||
+      entry == range.table_.entries_.end() ||
+      entry->second.state_ != EntryState::Unknown ||
+      entry->second.body_ != aCopy.body_) {
+    return false;
+  }
+  FinishAttempt(
+    aStep, { n, aKey }, EntryState::Done, aCopy.code_, aCopy.answer_);
+  return true;
+}
+
+} // namespace
+
+void
+TakeOutcomeCopy(OrderStep& aStep, const OrderOutcomeCopy& aCopy)
+{
+  if (aCopy.code_ != ResultCode::Ok &&
+      aCopy.code_ != ResultCode::OrderRefused) {
+    return; // Only a run has an outcome that can be told by others.
+  }
+  const KeyDigest key = DigestKey(aCopy.caller_, aCopy.key_);
+  if (ParseKey(aCopy.key_).kind_ == KeyKind::Plain &&
+      SettleClaim(aStep, key, aCopy)) {
+    return;
+  }
+  KeepCopy(aStep, key, aCopy);
+}
+
+void
+SendOutcomeCopies(OrderStep& aStep,
+                  const OrderAsk& aAsk,
+                  ResultCode aCode,
+                  const SharedText& aBody)
+{
+  OrderState& state = aStep.state_;
+  const OrderOutcomeCopy copy{ .caller_ = aAsk.caller_,
+                               .key_ = aAsk.key_,
+                               .body_ = aAsk.content_,
+                               .code_ = aCode,
+                               .answer_ = aBody,
+                               .unixMicros_ = aStep.now_.unixMicros_ };
+  for (const DaemonId holder : CopyHolders(state, aAsk.range_)) {
+    SendToPeer(aStep, holder, copy, {});
+  }
+  if (aAsk.parsed_.kind_ == KeyKind::Plain) {
+    SettleClaim(aStep, aAsk.digest_, copy);
+  }
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/order/order_entry.cpp
@@ -0,0 +1,405 @@
+#include "core/result_func.h"
+#include "order/order_internal.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr std::size_t kPendingBatches = 2; ///< Batches that may wait.
+
+bool
+IsRange(const EntryRef& aRef)
+{
+  return aRef.table_ < kTokenTable;
+}
+
+/** Orders without a key have an entry only while they run. */
+bool
+IsKeyless(const EntryRef& aRef)
+{
+  return aRef.table_ == kTokenTable && aRef.key_.high_ == 0;
+}
+
+/** Whether one more key may be taken up. */
+bool
+HasRoom(const OrderStep& aStep, const EntryRef& aRef)
+{
+  const OrderSettings& settings = aStep.state_.settings_;
+  if (!IsRange(aRef)) {
+    return aStep.state_.tokens_.entries_.size() < settings.tokenEntries_;
+  }
+  const OrderRange& range = aStep.state_.ranges_[aRef.table_];
+  return range.table_.entries_.size() < settings.rangeEntries_ &&
+         range.pending_.size() < settings.batchRecords_ * kPendingBatches;
+}
+
+void
+QueueClaim(OrderStep& aStep, const EntryRef& aRef, const OrderEntry& aEntry)
+{
+  OrderRange& range = aStep.state_.ranges_[aRef.table_];
+  range.pending_.push_back({ .kind_ = LogRecordKind::Claim,
+                             .key_ = aRef.key_,
+                             .unixMs_ = aEntry.unixMs_,
+                             .body_ = aEntry.body_,
+                             .attempt_ = aEntry.attempt_ });
+  MaybeAppend(aStep, aRef.table_);
+}
+
+void
+RefuseForRoom(OrderStep& aStep, const EntryRef& aRef, const OrderAsk& aAsk)
+{
+  // The issuer of a token knows all that was done under it; the owner of a
+  // range may have lost it without knowing.
+  const ResultCode code = IsRange(aRef)
+                            ? RefusalCode(aStep, ResultCode::OrderNotAccepted)
+                            : ResultCode::Overloaded;
+  AnswerWaiter(aStep, aAsk.waiter_, aAsk.key_, code, nullptr, false);
+}
+
+void
+BeginAttempt(OrderStep& aStep, const EntryRef& aRef, const OrderAsk& aAsk)
+{
+  OrderTable& table = TableOf(aStep.state_, aRef.table_);
+  const bool isNew = table.entries_.count(aRef.key_) == 0;
+  if (isNew && !HasRoom(aStep, aRef)) {
+    RefuseForRoom(aStep, aRef, aAsk);
+    return;
+  }
+  OrderEntry& entry = table.entries_[aRef.key_];
+  const OrderGuards& guards = aStep.state_.settings_.guards_;
+  const bool claims = IsRange(aRef) && guards.claimBeforeDispatch_ &&
+                      (isNew || guards.claimEachAttempt_);
+  entry.state_ = EntryState::Claiming;
+  entry.unixMs_ = aAsk.parsed_.unixMs_;
+  entry.body_ = aAsk.content_;
+  ++entry.attempt_;
+  table.active_[aRef.key_] = { .ask_ = aAsk, .waiters_ = { aAsk.waiter_ } };
+  NoteDeadline(aStep.state_, aAsk.waiter_.deadline_);
+  if (claims) {
+    QueueClaim(aStep, aRef, entry);
+    return;
+  }
+  StartDispatch(aStep, aRef);
+}
+
+/** Wait for the outcome of an attempt that this daemon doesn't run. */
+void
+AwaitCopy(OrderStep& aStep, const EntryRef& aRef, const OrderAsk& aAsk)
+{
+  const TimePoint until =
+    IsRange(aRef) ? aStep.state_.ranges_[aRef.table_].waitUntil_ : TimePoint{};
+  if (until <= aStep.now_.mono_) {
+    AnswerWaiter(aStep,
+                 aAsk.waiter_,
+                 aAsk.key_,
+                 ResultCode::OutcomeUnknown,
+                 nullptr,
+                 false);
+    return;
+  }
+  OrderActive& active = TableOf(aStep.state_, aRef.table_).active_[aRef.key_];
+  active.ask_ = aAsk;
+  active.waiters_.push_back(aAsk.waiter_);
+  active.waiters_.back().deadline_ = std::min(aAsk.waiter_.deadline_, until);
+  NoteDeadline(aStep.state_, active.waiters_.back().deadline_);
+}
+
+void
+JoinAttempt(OrderStep& aStep, const EntryRef& aRef, const OrderAsk& aAsk)
+{
+  if (!aStep.state_.settings_.guards_.joinSameKey_) {
+    BeginAttempt(aStep, aRef, aAsk);
+    return;
+  }
+  OrderActive& active = TableOf(aStep.state_, aRef.table_).active_[aRef.key_];
+  active.waiters_.push_back(aAsk.waiter_);
+  NoteDeadline(aStep.state_, aAsk.waiter_.deadline_);
+}
+
+/** Take back a claim that nobody waits for any more. */
+void
+AbandonClaim(OrderStep& aStep, const EntryRef& aRef)
+{
+  OrderRange& range = aStep.state_.ranges_[aRef.table_];
+  OrderEntry& entry = range.table_.entries_[aRef.key_];
+  range.table_.active_.erase(aRef.key_);
+  const auto record = std::find_if(
+    range.pending_.begin(),
+    range.pending_.end(),
+    [&aRef](const LogRecord& aRecord) {
+      return aRecord.kind_ == LogRecordKind::Claim && aRecord.key_ == aRef.key_;
+    });
+  if (record == range.pending_.end()) {
+    // The write may take effect yet. The entry remembers that this life of
+    // the daemon never dispatches it.
+    entry.state_ = EntryState::Abandoned;
+    return;
+  }
+  range.pending_.erase(record);
+  entry.state_ = EntryState::NotRun;
+  entry.code_ = ResultCode::OrderNotRun;
+  if (entry.attempt_ == 1) {
+    range.table_.entries_.erase(aRef.key_);
+  }
+}
+
+/** Code for a waiter whose deadline passed before the outcome came. */
+ResultCode
+LateCode(const OrderStep& aStep,
+         EntryState aState,
+         bool aBeganIt,
+         bool aOthersWait)
+{
+  if (aState == EntryState::Claiming && !aOthersWait) {
+    return RefusalCode(aStep, ResultCode::ClaimsUnavailable);
+  }
+  const bool running =
+    aState == EntryState::Claiming || aState == EntryState::Running;
+  return running && !aBeganIt ? ResultCode::OrderInProgress
+                              : ResultCode::OutcomeUnknown;
+}
+
+/** Whether an outcome can be told again later. */
+bool
+CanBeKept(const OrderStep& aStep, const SharedText& aBody)
+{
+  return aBody == nullptr ||
+         aBody->size() <= aStep.state_.settings_.answerBytes_;
+}
+
+void
+SettleEntry(OrderStep& aStep,
+            OrderEntry& aEntry,
+            EntryState aEnd,
+            ResultCode aCode,
+            const SharedText& aBody)
+{
+  aEntry.state_ = aEnd;
+  aEntry.code_ = aCode;
+  if (aEnd != EntryState::Done) {
+    return;
+  }
+  if (!CanBeKept(aStep, aBody)) {
+    aEntry.state_ = EntryState::Unknown;
+    return;
+  }
+  aEntry.answer_ =
+    aBody == nullptr ? std::make_shared<const std::string>() : aBody;
+}
+
+/** Where the result of a finished attempt has to be kept. */
+void
+KeepOutcome(OrderStep& aStep,
+            const EntryRef& aRef,
+            const OrderActive& aActive,
+            EntryState aEnd)
+{
+  OrderTable& table = TableOf(aStep.state_, aRef.table_);
+  const OrderEntry entry = table.entries_[aRef.key_];
+  if (IsKeyless(aRef)) {
+    table.entries_.erase(aRef.key_);
+    return;
+  }
+  if (aRef.table_ == kOrphanTable) {
+    table.entries_.erase(aRef.key_);
+  }
+  const bool done = entry.state_ == EntryState::Done;
+  if (IsRange(aRef) && (done || aEnd == EntryState::NotRun)) {
+    QueueOutcome(aStep, aRef.table_, aRef.key_, entry);
+  }
+  if (done && aActive.dispatch_.IsValid()) {
+    SendOutcomeCopies(aStep, aActive.ask_, entry.code_, entry.answer_);
+  }
+}
+
+} // namespace
+
+OrderTable&
+TableOf(OrderState& aState, std::uint32_t aTable)
+{
+  if (aTable == kTokenTable) {
+    return aState.tokens_;
+  }
+  if (aTable == kOrphanTable) {
+    return aState.orphans_;
+  }
+  return aState.ranges_[aTable].table_;
+}
+
+void
+AdmitAsk(OrderStep& aStep, const EntryRef& aRef, const OrderAsk& aAsk)
+{
+  OrderTable& table = TableOf(aStep.state_, aRef.table_);
+  const auto found = table.entries_.find(aRef.key_);
+  if (found == table.entries_.end()) {
+    BeginAttempt(aStep, aRef, aAsk);
+    return;
+  }
+  const OrderEntry entry = found->second;
+  if (entry.body_ != aAsk.content_) {
+    AnswerWaiter(
+      aStep, aAsk.waiter_, aAsk.key_, ResultCode::KeyReused, nullptr, false);
+    return;
+  }
+  switch (entry.state_) {
+    case EntryState::Claiming:
+    case EntryState::Running:
+      JoinAttempt(aStep, aRef, aAsk);
+      return;
+    case EntryState::Done:
+      AnswerWaiter(
+        aStep, aAsk.waiter_, aAsk.key_, entry.code_, entry.answer_, true);
+      return;
+    case EntryState::NotRun:
+      BeginAttempt(aStep, aRef, aAsk);
+      return;
+    case EntryState::Abandoned:
+      // Looked at again once the fate of the abandoned claim is known.
+      aStep.state_.ranges_[aRef.table_].asks_.push_back(aAsk);
+      NoteDeadline(aStep.state_, aAsk.waiter_.deadline_);
+      return;
+    case EntryState::Unknown:
+    case EntryState::End:
+      AwaitCopy(aStep, aRef, aAsk);
+      return;
+  }
+}
+
+void
+StartDispatch(OrderStep& aStep, const EntryRef& aRef)
+{
+  OrderState& state = aStep.state_;
+  OrderTable& table = TableOf(state, aRef.table_);
+  OrderActive& active = table.active_[aRef.key_];
+  TimePoint deadline = TimePoint::min();
+  for (const OrderWaiter& waiter : active.waiters_) {
+    deadline = std::max(deadline, waiter.deadline_);
+  }
+  if (!state.settings_.guards_.abandonedStays_) {
+    deadline = kNever;
+  }
+  // The process may have been paused while the claim was on its way.
+  if (deadline <= aStep.now_.mono_) {
+    FinishAttempt(
+      aStep, aRef, EntryState::NotRun, ResultCode::DeadlineTooShort, nullptr);
+    return;
+  }
+  table.entries_[aRef.key_].state_ = EntryState::Running;
+  active.dispatch_ = { ++state.nextDispatch_ };
+  state.dispatches_[active.dispatch_] = aRef;
+  ++state.stats_.dispatched_;
+  const OrderAsk& ask = active.ask_;
+  const std::uint64_t request = ask.waiter_.request_.IsValid()
+                                  ? ask.waiter_.request_.value_
+                                  : ask.waiter_.call_.value_;
+  aStep.out_.push_back(DispatchOrder{ .id_ = active.dispatch_,
+                                      .request_ = { request },
+                                      .caller_ = ask.caller_,
+                                      .route_ = ask.route_,
+                                      .key_ = ask.key_,
+                                      .body_ = ask.body_,
+                                      .deadline_ = deadline });
+  RecordOrder(aStep, TimelineKind::OrderDispatched, ask, "");
+}
+
+void
+FinishAttempt(OrderStep& aStep,
+              const EntryRef& aRef,
+              EntryState aEnd,
+              ResultCode aCode,
+              const SharedText& aBody)
+{
+  OrderTable& table = TableOf(aStep.state_, aRef.table_);
+  const auto found = table.active_.find(aRef.key_);
+  OrderActive active;
+  if (found != table.active_.end()) {
+    active = std::move(found->second);
+    table.active_.erase(found);
+  }
+  aStep.state_.dispatches_.erase(active.dispatch_);
+  SettleEntry(aStep, table.entries_[aRef.key_], aEnd, aCode, aBody);
+  const bool replayed = !active.dispatch_.IsValid();
+  for (const OrderWaiter& waiter : active.waiters_) {
+    AnswerWaiter(aStep, waiter, active.ask_.key_, aCode, aBody, replayed);
+  }
+  KeepOutcome(aStep, aRef, active, aEnd);
+}
+
+void
+FinishDispatch(OrderStep& aStep,
+               const EntryRef& aRef,
+               const OrderDispatched& aEvent)
+{
+  const bool retries = !aStep.state_.settings_.guards_.unknownIsFinal_;
+  const bool notRun = GetResultRow(aEvent.reason_).run_ == RunState::NotRun;
+  const ResultCode reason = notRun ? aEvent.reason_ : ResultCode::OrderNotRun;
+  switch (aEvent.state_) {
+    case DispatchState::Answered:
+      FinishAttempt(
+        aStep, aRef, EntryState::Done, ResultCode::Ok, aEvent.body_);
+      return;
+    case DispatchState::Rejected:
+      FinishAttempt(
+        aStep, aRef, EntryState::Done, ResultCode::OrderRefused, aEvent.body_);
+      return;
+    case DispatchState::NotRun:
+      FinishAttempt(aStep, aRef, EntryState::NotRun, reason, nullptr);
+      return;
+    case DispatchState::Unknown:
+    case DispatchState::End:
+      FinishAttempt(aStep,
+                    aRef,
+                    retries ? EntryState::NotRun : EntryState::Unknown,
+                    ResultCode::OutcomeUnknown,
+                    nullptr);
+      return;
+  }
+}
+
+void
+RunKeyless(OrderStep& aStep, const OrderAsk& aAsk)
+{
+  const EntryRef ref{ kTokenTable, { 0, ++aStep.state_.nextDispatch_ } };
+  BeginAttempt(aStep, ref, aAsk);
+}
+
+void
+ExpireWaiters(OrderStep& aStep, const EntryRef& aRef)
+{
+  OrderTable& table = TableOf(aStep.state_, aRef.table_);
+  OrderActive& active = table.active_[aRef.key_];
+  const TimePoint now = aStep.now_.mono_;
+  const auto late = std::stable_partition(
+    active.waiters_.begin(),
+    active.waiters_.end(),
+    [now](const OrderWaiter& aWaiter) { return aWaiter.deadline_ > now; });
+  const std::vector<OrderWaiter> expired(late, active.waiters_.end());
+  active.waiters_.erase(late, active.waiters_.end());
+  const bool others = !active.waiters_.empty();
+  const EntryState entryState = table.entries_[aRef.key_].state_;
+  const OrderWaiter first = active.ask_.waiter_;
+  const std::string key = active.ask_.key_;
+  if (!expired.empty() && !others) {
+    if (entryState == EntryState::Claiming) {
+      if (aStep.state_.settings_.guards_.abandonedStays_) {
+        AbandonClaim(aStep, aRef);
+      }
+    } else if (entryState != EntryState::Running) {
+      table.active_.erase(aRef.key_);
+    }
+  }
+  for (const OrderWaiter& waiter : expired) {
+    const bool beganIt =
+      waiter.request_ == first.request_ && waiter.call_ == first.call_;
+    AnswerWaiter(aStep,
+                 waiter,
+                 key,
+                 LateCode(aStep, entryState, beganIt, others),
+                 nullptr,
+                 false);
+  }
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/order/order_internal.h
@@ -0,0 +1,318 @@
+/** Functions shared by the sources of the order package. */
+#pragma once
+
+#include "core/rng_type.h"
+#include "machine/decision_type.h"
+#include "order/order_base.h"
+
+#include <absl/status/statusor.h>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace camphorfield {
+
+/** What one step of the state machine works on. */
+struct OrderStep
+{
+  OrderState& state_;
+  const Now& now_;
+  Rng& rng_;
+  Decisions& out_;
+};
+
+// Keys (order_key.cpp).
+
+/** Take an idempotency key apart. */
+ParsedKey
+ParseKey(std::string_view aKey);
+
+/** Digest under which a caller's key is kept; callers don't share keys. */
+KeyDigest
+DigestKey(std::string_view aCaller, std::string_view aKey);
+
+/** Fingerprint of what an order asks for. */
+Fingerprint
+DigestContent(std::string_view aRoute, std::string_view aBody);
+
+/** Range of a key. */
+std::uint32_t
+RangeOfKey(const KeyDigest& aKey, std::uint32_t aRanges);
+
+// Tokens (order_token.cpp).
+
+/** Issue one token. */
+std::string
+IssueToken(const OrderState& aState, const Now& aNow, Rng& aRng);
+
+/** Whether this incarnation issued the token. */
+bool
+VerifyToken(const OrderState& aState, std::string_view aKey);
+
+// Stored form (order_store.cpp).
+
+/** Encode a head object. */
+std::string
+EncodeHead(const LogHead& aHead);
+
+/** Decode a head object strictly. */
+absl::StatusOr<LogHead>
+DecodeHead(std::string_view aText);
+
+/** Encode a segment. */
+std::string
+EncodeSegment(const std::vector<LogRecord>& aRecords);
+
+/** Decode a segment strictly. */
+absl::StatusOr<std::vector<LogRecord>>
+DecodeSegment(std::string_view aText);
+
+/** Key of a range's head object in the store. */
+std::string
+HeadKey(const OrderSettings& aSettings, std::uint32_t aRange);
+
+/** Start of the keys of all objects of a range. */
+std::string
+RangePrefix(const OrderSettings& aSettings, std::uint32_t aRange);
+
+// Members (order_member.cpp).
+
+/** Record of a member; null when it isn't known. */
+const MemberRecord*
+FindMember(const OrderState& aState, DaemonId aId);
+
+/** Whether that life of a daemon is thought to go on. */
+bool
+IncarnationLives(const OrderState& aState,
+                 DaemonId aId,
+                 Incarnation aIncarnation);
+
+/** Whether that life of a daemon is known to be over. */
+bool
+IncarnationIsOver(const OrderState& aState,
+                  DaemonId aId,
+                  Incarnation aIncarnation);
+
+/** Daemon that should own a range by this daemon's view; maybe itself. */
+DaemonId
+RangeWinner(const OrderState& aState, std::uint32_t aRange);
+
+/** Daemons that keep copies of a range's outcomes: the next to own it, and
+ * the best one of another failure domain. */
+std::vector<DaemonId>
+CopyHolders(const OrderState& aState, std::uint32_t aRange);
+
+/** Send a message to a daemon. */
+void
+SendToPeer(OrderStep& aStep, DaemonId aTo, PeerBody aBody, PeerCallId aCall);
+
+// Answers (order_answer.cpp).
+
+/** Whether the code says that this request did not run and never will. */
+bool
+SaysNotRun(ResultCode aCode);
+
+/** Code for a request that was dropped with no proof about its key. */
+ResultCode
+RefusalCode(const OrderStep& aStep, ResultCode aCode);
+
+/** Tell a waiter what became of its order. */
+void
+AnswerWaiter(OrderStep& aStep,
+             const OrderWaiter& aWaiter,
+             std::string_view aKey,
+             ResultCode aCode,
+             const SharedText& aBody,
+             bool aReplayed);
+
+/** Tell the sender of a forward that this daemon doesn't take it. */
+void
+DeclineForward(OrderStep& aStep, const OrderWaiter& aWaiter);
+
+/** Note a deadline for NextWake. */
+void
+NoteDeadline(OrderState& aState, TimePoint aDeadline);
+
+/** Record an event of the time line. */
+void
+RecordOrder(OrderStep& aStep,
+            TimelineKind aKind,
+            const OrderAsk& aAsk,
+            std::string_view aText);
+
+// One key (order_entry.cpp).
+
+/** Table named by a reference. */
+OrderTable&
+TableOf(OrderState& aState, std::uint32_t aTable);
+
+/** Take up an order for a key whose history is known here. */
+void
+AdmitAsk(OrderStep& aStep, const EntryRef& aRef, const OrderAsk& aAsk);
+
+/** Dispatch a claimed order, unless its deadline has passed. */
+void
+StartDispatch(OrderStep& aStep, const EntryRef& aRef);
+
+/** End an attempt and tell everyone who waits. */
+void
+FinishAttempt(OrderStep& aStep,
+              const EntryRef& aRef,
+              EntryState aEnd,
+              ResultCode aCode,
+              const SharedText& aBody);
+
+/** Take up the end of a dispatch. */
+void
+FinishDispatch(OrderStep& aStep,
+               const EntryRef& aRef,
+               const OrderDispatched& aEvent);
+
+/** Run an order without a key: one attempt. */
+void
+RunKeyless(OrderStep& aStep, const OrderAsk& aAsk);
+
+/** Tell waiters of one key whose deadline has passed. */
+void
+ExpireWaiters(OrderStep& aStep, const EntryRef& aRef);
+
+/** Keep a copy of an outcome, or settle the claim it belongs to. */
+void
+TakeOutcomeCopy(OrderStep& aStep, const OrderOutcomeCopy& aCopy);
+
+/** Send copies of an outcome to the daemons that would be asked next. */
+void
+SendOutcomeCopies(OrderStep& aStep,
+                  const OrderAsk& aAsk,
+                  ResultCode aCode,
+                  const SharedText& aBody);
+
+// Key ranges (order_range.cpp).
+
+/** Hand an order to the owner's side of this daemon. */
+void
+RangeAsk(OrderStep& aStep, const OrderAsk& aAsk);
+
+/** Take up an order in a range that is owned. */
+void
+AdmitHeld(OrderStep& aStep, const OrderAsk& aAsk);
+
+/** Take up the orders that waited for a range. */
+void
+AdmitWaiting(OrderStep& aStep, std::uint32_t aRange);
+
+/** Forget a range that was handed over. */
+void
+EndRelease(OrderStep& aStep, std::uint32_t aRange);
+
+/** Begin to become the owner of a range. */
+void
+AcquireRange(OrderStep& aStep, std::uint32_t aRange);
+
+/** Take up the log read for a takeover. */
+void
+LoadRange(OrderStep& aStep, std::uint32_t aRange, const PlatformReply& aReply);
+
+/** The range is owned from now on. */
+void
+BecomeOwner(OrderStep& aStep, std::uint32_t aRange);
+
+/** Another daemon owns the range. */
+void
+LoseRange(OrderStep& aStep, std::uint32_t aRange, const char* aReason);
+
+/** Stop claiming in a range so that it can be handed over. */
+void
+BeginRelease(OrderStep& aStep, std::uint32_t aRange);
+
+/** Compare the ranges held with the members, and plan what to change. */
+void
+PlanRanges(OrderStep& aStep);
+
+/** Do what is due for a range. */
+void
+TickRange(OrderStep& aStep, std::uint32_t aRange);
+
+/** Go on after a failure, later each time. */
+void
+BackOff(OrderStep& aStep, std::uint32_t aRange);
+
+// Appends to the claim log (order_append.cpp).
+
+/** Begin an append when there is something to store and the rate allows. */
+void
+MaybeAppend(OrderStep& aStep, std::uint32_t aRange);
+
+/** Write the head with a new epoch and this daemon as the owner. */
+void
+WriteTakeover(OrderStep& aStep, std::uint32_t aRange);
+
+/** Write the head as handed over. */
+void
+WriteRelease(OrderStep& aStep, std::uint32_t aRange);
+
+/** Send the head write that is under way, again too. */
+void
+SendHeadWrite(OrderStep& aStep, std::uint32_t aRange);
+
+/** Reply to a head write, or to reading it back. */
+void
+OnHeadReply(OrderStep& aStep,
+            std::uint32_t aRange,
+            const PlatformReply& aReply);
+
+/** Reply to the write of a segment. */
+void
+OnSegmentReply(OrderStep& aStep,
+               std::uint32_t aRange,
+               const PlatformReply& aReply);
+
+/** Send the segment being written, again too. */
+void
+SendSegment(OrderStep& aStep, std::uint32_t aRange);
+
+/** Put the record of an outcome into the next append. */
+void
+QueueOutcome(OrderStep& aStep,
+             std::uint32_t aRange,
+             const KeyDigest& aKey,
+             const OrderEntry& aEntry);
+
+/** New id of a platform call; counts it. */
+PlatformCallId
+IssuePlatformCall(OrderStep& aStep, PlatformOp aOp);
+
+// Forwards (order_forward.cpp).
+
+/** Hand an order to the daemon that should run it, or take it up here. */
+void
+RouteAsk(OrderStep& aStep, const OrderAsk& aAsk);
+
+/** Order received from another daemon. */
+void
+TakeForward(OrderStep& aStep,
+            const PeerMessage& aFrom,
+            const OrderForward& aForward);
+
+/** Answer to an order forwarded by this daemon. */
+void
+TakeForwarded(OrderStep& aStep, const OrderForwarded& aAnswer);
+
+/** A forward may not have arrived. */
+void
+ForwardUnreachable(OrderStep& aStep, const PeerUnreachable& aEvent);
+
+/** Repeat forwards that are due, end those past their deadline. */
+void
+TickRelays(OrderStep& aStep);
+
+/** Build an order from a request. */
+OrderAsk
+MakeAsk(const OrderState& aState,
+        std::string_view aCaller,
+        std::string_view aRoute,
+        std::string_view aKey,
+        const SharedText& aBody,
+        const OrderWaiter& aWaiter);
+
+} // namespace camphorfield
--- a/src/table/result_table.h
+++ b/src/table/result_table.h
@@ -43,7 +43,7 @@
   { ResultCode::KeyExpired,        2003, "KEY_EXPIRED",        410, RunState::MayHaveRun, "The key is older than the window; its outcome is not kept." },
   { ResultCode::KeyMissing,        2004, "KEY_MALFORMED",      400, RunState::NotRun,     "The idempotency key carries no readable time." },
   { ResultCode::OrderInProgress,   2005, "IN_PROGRESS",        409, RunState::MayHaveRun, "The order under this key is still running." },
-  { ResultCode::ClaimsUnavailable, 2006, "CLAIMS_UNAVAILABLE", 503, RunState::NotRun,     "The claim could not be stored; use a token during an outage." },
+  { ResultCode::ClaimsUnavailable, 2006, "CLAIMS_UNAVAILABLE", 503, RunState::MayHaveRun, "This request did not run: its claim could not be stored; an earlier one under its key may have. Use a token during an outage." },
   { ResultCode::OrderRefused,      2007, "ORDER_REFUSED",      422, RunState::Ran,        "The backend server ran the order and refused it." },
   { ResultCode::ConfigRejected,    3000, "CONFIG_REJECTED",    422, RunState::NotRun,     "The whole-set check found faults; nothing was published." },
   { ResultCode::ConfigConflict,    3001, "CONFIG_CONFLICT",    409, RunState::NotRun,     "The same objects were changed meanwhile." },
@@ -51,6 +51,7 @@
   { ResultCode::StoreUnavailable,  4000, "STORE_UNAVAILABLE",  503, RunState::NotRun,     "The platform's store did not answer." },
   { ResultCode::NotFound,          4001, "NOT_FOUND",          404, RunState::NotRun,     "No such object." },
   { ResultCode::Internal,          9000, "INTERNAL",           500, RunState::MayHaveRun, "Unexpected fault in the daemon." },
+  { ResultCode::OrderNotAccepted,  2008, "NOT_ACCEPTED",       503, RunState::MayHaveRun, "This request did not run and never will; an earlier one under its key may have. Send it again under the same key." },
 } };
 // clang-format on
 
