--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -14,8 +14,7 @@
   std::uint64_t value_ = 0; ///< Zero is never issued.
 
   constexpr bool IsValid() const { return value_ != 0; }
-  // The linter takes the zero inside a rewritten comparison for a null pointer.
-  // NOLINTNEXTLINE(modernize-use-nullptr)
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 sees a literal here.
   constexpr auto operator<=>(const Id&) const = default;
 };
 
