--- a/src/cli/daemon_cmd.cpp
+++ b/src/cli/daemon_cmd.cpp
@@ -1,6 +1,7 @@
 #include "cli/daemon_cmd.h"
 
 #include "caller/caller_api.h"
+#include "daemon/daemon_func.h"
 #include "observe/log.h"
 #include "ops/ops_api.h"
 #include "runtime/clock.h"
--- a/src/machine/caller_type.h
+++ b/src/machine/caller_type.h
@@ -17,7 +17,8 @@
 /** Query or order as received from a caller. */
 struct CallerRequest
 {
-  CallerRequestId id_;         ///< Issued by the host.
+  CallerRequestId id_;                ///< Issued by the host.
+  RouteMode mode_ = RouteMode::Query; ///< What the caller asks for.
   std::string caller_;         ///< Name of the caller, from the Caller header.
   std::string route_;          ///< Route named in the URL.
   std::string idempotencyKey_; ///< Empty when the caller sent none.
--- a/src/membership/membership_type.h
+++ b/src/membership/membership_type.h
@@ -68,6 +68,7 @@
 {
   MemberRecord self_; ///< Name, incarnation, addresses, failure domain.
   std::vector<std::string> seeds_; ///< Peer addresses to join through.
+  Duration entriesKeepFor_ = kEntriesKeepFor; ///< A caller may keep them.
 };
 
 /** Counters for metrics; all but the gauges only rise. */
