--- a/src/membership/join.cpp
+++ b/src/membership/join.cpp
@@ -1,5 +1,6 @@
 #include "membership/membership_internal.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
@@ -85,6 +86,22 @@
   state.syncRetryAt_ = aStep.now_.mono_;
 }
 
+void
+RepeatSync(MembershipStep& aStep)
+{
+  MembershipState& state = aStep.state_;
+  if (state.syncing_ || aStep.now_.mono_ < state.syncAgainAt_) {
+    return;
+  }
+  if (!state.viewsDiffer_) {
+    // Small differences are left to rotation from now on.
+    state.syncAgainAt_ = kNever;
+    state.syncAgain_ = kSyncAgain;
+    return;
+  }
+  StartSync(aStep);
+}
+
 void
 ContinueSync(MembershipStep& aStep)
 {
@@ -120,6 +137,8 @@
   if (aAck.syncNext_ == kSyncEnd) {
     state.syncing_ = false;
     state.syncRetryAt_ = kNever;
+    state.syncAgainAt_ = aStep.now_.mono_ + state.syncAgain_;
+    state.syncAgain_ = std::min(2 * state.syncAgain_, kSyncAgainMost);
     return;
   }
   state.syncAfter_ = aAck.syncNext_;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -241,6 +241,7 @@
     TellLoad(aState, aNow.mono_);
     ProbeNext(step);
     ReachOut(step);
+    RepeatSync(step);
     ReadVmList(step);
     ForgetTombstones(step);
     ForgetRumors(step);
--- a/src/membership/membership_base.h
+++ b/src/membership/membership_base.h
@@ -107,6 +107,8 @@
   DaemonId syncAfter_;
   std::uint64_t syncSequence_ = 0; ///< Ping that asked for the page.
   TimePoint syncRetryAt_ = kNever;
+  TimePoint syncAgainAt_ = kNever; ///< Repeat it then, if views differ.
+  Duration syncAgain_ = kSyncAgain;
   std::set<std::string> hints_; ///< Addresses from the VM list.
   std::size_t outreachCursor_ = 0;
   TimePoint nextOutreachAt_;
--- a/src/membership/membership_internal.h
+++ b/src/membership/membership_internal.h
@@ -228,6 +228,10 @@
 void
 StartSync(MembershipStep& aStep);
 
+/** Fetches all records once more when views went on differing. */
+void
+RepeatSync(MembershipStep& aStep);
+
 /** Asks for the next page when it is time. */
 void
 ContinueSync(MembershipStep& aStep);
--- a/src/membership/membership_type.h
+++ b/src/membership/membership_type.h
@@ -32,7 +32,7 @@
 constexpr Duration kBurstGap = 50ms;           ///< Between two bursts.
 constexpr std::uint32_t kRetransmitFactor = 3; ///< Sends for each log2(n).
 constexpr std::size_t kSmallFleet = 128;       ///< Members; see docs.
-constexpr std::size_t kMessageBytes = 900;     ///< Gossip message, estimated.
+constexpr std::size_t kMessageBytes = 2'400;   ///< Gossip message, estimated.
 constexpr std::int64_t kNewsBytesPerSecond = 7'000; ///< News sent, at most.
 constexpr std::int64_t kNewsBurstBytes = 32'000;    ///< Saved up while quiet.
 constexpr std::size_t kSyncBytes = 8'000;           ///< Page of whole records.
@@ -41,10 +41,12 @@
 constexpr std::size_t kMaxWanted = 64; ///< Records to be asked for.
 
 // Joining, and coming together again after a cut.
-constexpr Duration kOutreachInterval = 2s;  ///< Try a dead or new address.
-constexpr Duration kAloneInterval = 400ms;  ///< The same while alone.
-constexpr Duration kSyncRetry = 500ms;      ///< Ask another for the page.
-constexpr Duration kTombstone = 1h;         ///< Dead members are kept.
+constexpr Duration kOutreachInterval = 2s; ///< Try a dead or new address.
+constexpr Duration kAloneInterval = 400ms; ///< The same while alone.
+constexpr Duration kSyncAgain = 500ms;   ///< First repetition; then twice that.
+constexpr Duration kSyncAgainMost = 60s; ///< Longest wait for a repetition.
+constexpr Duration kSyncRetry = 500ms;   ///< Ask another for the page.
+constexpr Duration kTombstone = 1h;      ///< Dead members are kept.
 constexpr std::size_t kMaxMembers = 10'000; ///< Further ones are ignored.
 
 // The platform's VM list.
--- a/tests/membership/fleet_fixture.cpp
+++ b/tests/membership/fleet_fixture.cpp
@@ -148,6 +148,17 @@
   Wake(aNode);
 }
 
+void
+Fleet::Spread(std::size_t aNode, const Rumor& aRumor)
+{
+  FleetNode& node = nodes_[aNode];
+  Decisions decisions;
+  MembershipOnEvent(
+    node.state_, SpreadRumor{ aRumor }, GetNow(), node.rng_, decisions);
+  Carry(aNode, decisions);
+  Wake(aNode);
+}
+
 void
 Fleet::Adopt(std::size_t aNode, std::uint64_t aGeneration)
 {
--- a/tests/membership/fleet_fixture.h
+++ b/tests/membership/fleet_fixture.h
@@ -72,6 +72,7 @@
 
   /** Hands an event to a daemon now. */
   void Give(std::size_t aNode, const Event& aEvent);
+  void Spread(std::size_t aNode, const Rumor& aRumor);
   void Adopt(std::size_t aNode, std::uint64_t aGeneration);
   EntriesAnswer Ask(std::size_t aNode, const std::string& aDomain);
   void SetReadyAll();
--- /dev/null
+++ b/tests/membership/spread_test.cpp
@@ -0,0 +1,294 @@
+#include "membership/fleet_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace camphorfield;
+
+namespace {
+
+constexpr Duration kLong = 300s;
+
+struct SpreadCase
+{
+  std::size_t size_;
+  double loss_;
+  Duration most_; ///< Paused clock.
+};
+
+void
+Settle(Fleet& aFleet)
+{
+  aFleet.StartAll();
+  aFleet.SetReadyAll();
+  aFleet.RunUntil([&aFleet] { return aFleet.Converged(); }, kLong);
+  CHECK_TRUE(aFleet.Converged());
+  aFleet.Run(5s);
+}
+
+/** Whether every daemon but the teller heard of the server. */
+bool
+AllHeard(const Fleet& aFleet, std::size_t aTeller, const std::string& aServer)
+{
+  for (std::size_t i = 0; i < aFleet.nodes_.size(); ++i) {
+    if (i != aTeller && !aFleet.nodes_[i].heard_.contains(aServer)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool
+AllKnowGeneration(const Fleet& aFleet, std::uint64_t aGeneration)
+{
+  return std::all_of(
+    aFleet.nodes_.begin(), aFleet.nodes_.end(), [&](const FleetNode& aNode) {
+      const auto members = MembershipMembers(aNode.state_);
+      return std::all_of(
+        members->begin(), members->end(), [&](const MemberRecord& aRecord) {
+          return aRecord.generation_.value_ == aGeneration;
+        });
+    });
+}
+
+VmRecord
+ServerVm(const std::string& aName, bool aLeaving)
+{
+  VmRecord vm;
+  vm.name_ = aName;
+  vm.address_ = "10.9.0.1:80";
+  vm.entry_ = false;
+  vm.leaving_ = aLeaving;
+  return vm;
+}
+
+} // namespace
+
+TEST_GROUP(Spread){};
+
+TEST(Spread, RumorReachesAllWithinTwoSecondsOnce)
+{
+  for (const SpreadCase& row : std::vector<SpreadCase>{ { 6, 0.0, 2s },
+                                                        { 6, 0.1, 2s },
+                                                        { 20, 0.1, 2s },
+                                                        { 60, 0.0, 2s },
+                                                        { 60, 0.1, 2s },
+                                                        { 150, 0.05, 2s } }) {
+    Fleet fleet(row.size_, 6, 21);
+    Settle(fleet);
+    fleet.loss_ = row.loss_;
+    fleet.Spread(3,
+                 LeavingRumor{ "server-1", true, fleet.GetNow().unixMicros_ });
+    const Duration taken = fleet.RunUntil(
+      [&fleet] { return AllHeard(fleet, 3, "server-1"); }, kLong);
+    CHECK_TRUE(taken <= row.most_);
+    fleet.Run(30s);
+    CHECK_TRUE(fleet.nodes_[3].heard_.empty());
+    for (std::size_t i = 0; i < row.size_; ++i) {
+      CHECK_TRUE(i == 3 || fleet.nodes_[i].heard_["server-1"] == 1);
+    }
+  }
+}
+
+namespace {
+
+/** A rumor that follows another about the same server. */
+struct LaterCase
+{
+  const char* name_;
+  bool leaving_;
+  Duration after_; ///< Time between their stamps.
+  bool isNews_;
+};
+
+} // namespace
+
+TEST(Spread, LaterRumorOverridesEarlierOne)
+{
+  // clang-format off
+  const std::vector<LaterCase> cases{
+    { "found by another daemon too", true,  1s,  false },
+    { "found again later",           true,  10s, true },
+    { "withdrawn",                   false, 1s,  true },
+    { "withdrawn before",            false, -1s, false },
+    { "the same",                    true,  0s,  false },
+  };
+  // clang-format on
+  for (const LaterCase& row : cases) {
+    Fleet fleet(6, 3, 22);
+    Settle(fleet);
+    const std::int64_t stamp = fleet.GetNow().unixMicros_;
+    fleet.Spread(0, LeavingRumor{ "s", true, stamp });
+    fleet.Run(2s);
+    fleet.Spread(1,
+                 LeavingRumor{ "s", row.leaving_, stamp + row.after_.count() });
+    fleet.Run(2s);
+    CHECK_EQUAL_TEXT(
+      row.isNews_ ? 2 : 1, fleet.nodes_[5].heard_["s"], row.name_);
+  }
+}
+
+TEST(Spread, QuarantineGrowsOnlyAndExpires)
+{
+  Fleet fleet(6, 3, 23);
+  Settle(fleet);
+  const std::int64_t now = fleet.GetNow().unixMicros_;
+  const std::int64_t until = now + Duration(60s).count();
+  fleet.Spread(0, QuarantineRumor{ Fingerprint{ 7 }, 2, until });
+  fleet.Run(2s);
+  fleet.Spread(1, QuarantineRumor{ Fingerprint{ 7 }, 1, until - 5 });
+  fleet.Run(2s);
+  for (const FleetNode& node : fleet.nodes_) {
+    CHECK_EQUAL(1U, node.state_.rumors_.size());
+    const auto& known =
+      std::get<QuarantineRumor>(node.state_.rumors_.begin()->second.rumor_);
+    CHECK_EQUAL(2U, known.crashes_);
+    CHECK_TRUE(known.untilUnixMicros_ == until);
+  }
+  fleet.Run(70s);
+  for (const FleetNode& node : fleet.nodes_) {
+    CHECK_TRUE(node.state_.rumors_.empty());
+  }
+}
+
+TEST(Spread, DaemonThatJoinsLaterLearnsRumors)
+{
+  Fleet fleet(20, 4, 24);
+  Settle(fleet);
+  for (int i = 0; i < 50; ++i) {
+    fleet.Spread(0,
+                 LeavingRumor{
+                   "s" + std::to_string(i), true, fleet.GetNow().unixMicros_ });
+    fleet.Run(100ms);
+  }
+  fleet.Crash(9, true);
+  fleet.Run(30s);
+  fleet.Start(9);
+  fleet.Run(30s);
+  CHECK_EQUAL(50U, fleet.nodes_[9].heard_.size());
+}
+
+TEST(Spread, RumorsAreBounded)
+{
+  Fleet fleet(2, 1, 25);
+  Settle(fleet);
+  for (std::size_t i = 0; i < kMaxRumors + 500; ++i) {
+    fleet.Spread(0,
+                 LeavingRumor{
+                   "s" + std::to_string(i), true, fleet.GetNow().unixMicros_ });
+  }
+  CHECK_EQUAL(kMaxRumors, fleet.nodes_[0].state_.rumors_.size());
+  fleet.Run(60s);
+  CHECK_TRUE(fleet.nodes_[1].state_.rumors_.size() <= kMaxRumors);
+  fleet.Run(kRumorKeep + 1s);
+  CHECK_TRUE(fleet.nodes_[0].state_.rumors_.empty());
+  CHECK_TRUE(fleet.nodes_[0].state_.rumorQueue_.empty());
+}
+
+TEST(Spread, GenerationIsKnownEverywhereWithinASecond)
+{
+  for (const SpreadCase& row : std::vector<SpreadCase>{
+         { 6, 0.0, 1s }, { 20, 0.0, 1s }, { 60, 0.0, 1s } }) {
+    Fleet fleet(row.size_, 6, 26);
+    Settle(fleet);
+    for (std::size_t i = 0; i < row.size_; ++i) {
+      fleet.Adopt(i, 7);
+    }
+    const Duration taken =
+      fleet.RunUntil([&fleet] { return AllKnowGeneration(fleet, 7); }, kLong);
+    CHECK_TRUE(taken <= row.most_);
+    // An older one is not advertised.
+    fleet.Adopt(0, 6);
+    fleet.Run(1s);
+    CHECK_TRUE(AllKnowGeneration(fleet, 7));
+  }
+}
+
+TEST(Spread, VmListCallsDontGrowWithTheFleet)
+{
+  constexpr double kSeconds = 300.0;
+  for (const std::size_t size :
+       { std::size_t{ 2 }, std::size_t{ 6 }, std::size_t{ 60 } }) {
+    Fleet fleet(size, 2, 27);
+    Settle(fleet);
+    for (FleetNode& node : fleet.nodes_) {
+      node.counters_ = FleetCounters{};
+    }
+    fleet.Run(Duration(300s));
+    double calls = 0.0;
+    for (const FleetNode& node : fleet.nodes_) {
+      calls += static_cast<double>(node.counters_.vmLists_);
+    }
+    CHECK_TRUE(calls / kSeconds < 0.5);
+    CHECK_TRUE(calls / kSeconds > 0.3);
+  }
+}
+
+TEST(Spread, PlatformOutageEndsWithoutAHerd)
+{
+  Fleet fleet(60, 6, 28);
+  Settle(fleet);
+  fleet.platformDown_ = true;
+  fleet.Run(600s);
+  for (FleetNode& node : fleet.nodes_) {
+    node.counters_ = FleetCounters{};
+  }
+  fleet.platformDown_ = false;
+  std::uint64_t most = 0;
+  std::uint64_t before = 0;
+  for (int second = 0; second < 120; ++second) {
+    fleet.Run(1s);
+    std::uint64_t calls = 0;
+    for (const FleetNode& node : fleet.nodes_) {
+      calls += node.counters_.vmLists_;
+    }
+    most = std::max(most, calls - before);
+    before = calls;
+  }
+  CHECK_TRUE(before > 0);
+  CHECK_TRUE(most <= 4);
+}
+
+TEST(Spread, VmListTellsOfLeavingServersAndWithdraws)
+{
+  Fleet fleet(6, 3, 29);
+  Settle(fleet);
+  fleet.vms_ = { ServerVm("listed", true), ServerVm("staying", false) };
+  fleet.Run(10s);
+  CHECK_TRUE(AllHeard(fleet, 99, "listed"));
+  for (const FleetNode& node : fleet.nodes_) {
+    CHECK_FALSE(node.heard_.contains("staying"));
+    CHECK_EQUAL(1, node.heard_.at("listed"));
+  }
+  // A server's own word isn't withdrawn by a list that lags.
+  fleet.Spread(0, LeavingRumor{ "staying", true, fleet.GetNow().unixMicros_ });
+  fleet.vms_ = { ServerVm("listed", false), ServerVm("staying", false) };
+  fleet.Run(60s);
+  for (std::size_t i = 1; i < 6; ++i) {
+    CHECK_EQUAL(2, fleet.nodes_[i].heard_.at("listed"));
+    CHECK_EQUAL(1, fleet.nodes_[i].heard_.at("staying"));
+  }
+}
+
+TEST(Spread, VmListLeadsTogetherWithoutSeeds)
+{
+  Fleet fleet(6, 3, 30);
+  for (FleetNode& node : fleet.nodes_) {
+    node.settings_.seeds_.clear();
+    VmRecord vm;
+    vm.name_ = node.settings_.self_.name_;
+    vm.address_ = node.settings_.self_.peerAddress_;
+    fleet.vms_.push_back(vm);
+  }
+  // The list still shows a VM that is gone.
+  VmRecord gone;
+  gone.name_ = "gone";
+  gone.address_ = "10.0.99.99:7000";
+  fleet.vms_.push_back(gone);
+  fleet.StartAll();
+  const Duration taken =
+    fleet.RunUntil([&fleet] { return fleet.Converged(); }, kLong);
+  CHECK_TRUE(taken <= 10s);
+}
