Fix: stand-ins touched work that ended between timer and handler

Cause: a timer that has fired can't be cancelled any more; its handler used an iterator of work that a crash had erased, and the process died. Change: work and watches are looked for by id. Conclusion: no handler holds an iterator any longer.

--- a/tests/standin/platform_base.h
+++ b/tests/standin/platform_base.h
@@ -86,6 +86,7 @@
 /** Watch that waits for a change of its key. */
 struct WaitingWatch
 {
+  std::uint64_t id_ = 0;
   std::string key_;
   std::uint64_t version_ = 0;
   HttpRespond respond_;
@@ -121,6 +122,7 @@
   std::map<std::string, StoreCopy> named_; ///< Copies made by an admin.
   PlatformFaults faults_;
   std::list<WaitingWatch> watches_;
+  std::uint64_t nextWatch_ = 1;
   std::deque<VmListing> vms_;
   std::array<std::uint64_t, static_cast<std::size_t>(CallKind::End)> counts_{};
   CallRate reads_;
--- a/tests/standin/platform_watch.cpp
+++ b/tests/standin/platform_watch.cpp
@@ -1,5 +1,7 @@
 #include "standin/platform_base.h"
 
+#include <algorithm>
+
 namespace camphorfield::standin {
 
 namespace {
@@ -35,6 +37,23 @@
   return found->second.version_ != aVersion;
 }
 
+// The watch may have woken after its timer fired and before this call, so it is
+// looked for by its id.
+void
+EndWatch(PlatformStandin& aPlatform, std::uint64_t aId)
+{
+  const auto watch = std::find_if(
+    aPlatform.watches_.begin(),
+    aPlatform.watches_.end(),
+    [aId](const WaitingWatch& aWatch) { return aWatch.id_ == aId; });
+  if (watch == aPlatform.watches_.end()) {
+    return;
+  }
+  const HttpRespond respond = std::move(watch->respond_);
+  aPlatform.watches_.erase(watch);
+  respond({ 304 });
+}
+
 } // namespace
 
 void
@@ -65,20 +84,17 @@
     return;
   }
   const Millis wait(NumberOf(aRequest, "wait_ms", kDefaultWatchMs));
+  const std::uint64_t id = aPlatform.nextWatch_++;
   aPlatform.watches_.push_back(
-    { aKey,
+    { id,
+      aKey,
       version,
       aRespond,
       boost::asio::steady_timer(aPlatform.context_, wait) });
-  const auto watch = std::prev(aPlatform.watches_.end());
-  watch->timer_.async_wait([&aPlatform, watch](auto aError) {
-    // An erased watch cancels its timer: the iterator is not touched then.
-    if (aError) {
-      return;
+  aPlatform.watches_.back().timer_.async_wait([&aPlatform, id](auto aError) {
+    if (!aError) {
+      EndWatch(aPlatform, id);
     }
-    const HttpRespond respond = std::move(watch->respond_);
-    aPlatform.watches_.erase(watch);
-    respond({ 304 });
   });
 }
 
--- a/tests/standin/server.cpp
+++ b/tests/standin/server.cpp
@@ -67,6 +67,7 @@
   CountLateWork(aServer);
   const bool isOrder = aRequest.path_ == "/v1/order";
   FarmRequest work{ aRequest, aRespond, isOrder, DeadlineOf(aRequest), {} };
+  work.id_ = aServer.farm_->nextWork_++;
   const unsigned refusal = RefusalOf(aServer, work);
   if (refusal != 0) {
     aRespond(NotRunReply(aServer, refusal));
--- a/tests/standin/server_base.h
+++ b/tests/standin/server_base.h
@@ -79,6 +79,7 @@
   bool isOrder_ = false;
   Clock::time_point deadline_ = Clock::time_point::max();
   std::unique_ptr<boost::asio::steady_timer> timer_; ///< While it runs.
+  std::uint64_t id_ = 0;                             ///< Unique in its farm.
 };
 
 /** Figures of one server since the last reset. */
@@ -140,6 +141,7 @@
   std::vector<std::unique_ptr<FarmServer>> servers_;
   std::map<std::string, std::vector<OrderRun>> orders_; ///< By key.
   std::unique_ptr<HttpListener> admin_;
+  std::uint64_t nextWork_ = 1; ///< Id of the next request.
 };
 
 /** Serve one request of a daemon. */
--- a/tests/standin/server_run.cpp
+++ b/tests/standin/server_run.cpp
@@ -57,6 +57,20 @@
   work.respond_(reply);
 }
 
+// The work may have been erased after its timer fired and before this call, so
+// it is looked for by its id.
+void
+OnServiceTimeOver(FarmServer& aServer, std::uint64_t aId, bool aIsExpired)
+{
+  const auto work =
+    std::find_if(aServer.running_.begin(),
+                 aServer.running_.end(),
+                 [aId](const FarmRequest& aWork) { return aWork.id_ == aId; });
+  if (work != aServer.running_.end()) {
+    EndRun(aServer, work, aIsExpired);
+  }
+}
+
 void
 StartRun(FarmServer& aServer, Work aWork)
 {
@@ -73,10 +87,10 @@
     std::chrono::duration<double, std::milli>(span).count();
   aWork->timer_ =
     std::make_unique<boost::asio::steady_timer>(aServer.farm_->context_, span);
-  aWork->timer_->async_wait([&aServer, aWork, isExpired](auto aError) {
-    // Work that was erased cancels its timer: it is not touched then.
+  const std::uint64_t id = aWork->id_;
+  aWork->timer_->async_wait([&aServer, id, isExpired](auto aError) {
     if (!aError) {
-      EndRun(aServer, aWork, isExpired);
+      OnServiceTimeOver(aServer, id, isExpired);
     }
   });
 }
