--- a/tests/system/server_standin_test.cpp
+++ b/tests/system/server_standin_test.cpp
@@ -302,3 +302,24 @@
     STRCMP_EQUAL(row.body_, fixture.Send(request).reply_.body_.c_str());
   }
 }
+
+TEST(ServerStandin, CrashEndsWorkWhoseTimeIsOverToo)
+{
+  Fixture fixture(R"("slots":2,)");
+  fixture.Behave(R"({"set":{"crash_ms":3600000}})");
+  HttpRequest crash = Query("3");
+  crash.body_ = "CRASH-ME";
+  int answers = 0;
+  const HttpRespond count = [&answers](const HttpReply&) { ++answers; };
+  FarmServe(fixture.Server(), Query("1"), count);
+  FarmServe(fixture.Server(), Query("2"), count);
+  FarmServe(fixture.Server(), crash, count);
+  CHECK_EQUAL(2U, fixture.Server().running_.size());
+  CHECK_EQUAL(1U, fixture.Server().waiting_.size());
+  // The first to end makes room for the request that crashes; the second's
+  // timer may have fired by then and must find its work gone.
+  fixture.RunUntil([&] { return fixture.Server().truth_.crashes_ == 1; });
+  fixture.context_.poll();
+  CHECK_EQUAL(1, answers);
+  CHECK_TRUE(fixture.Server().running_.empty());
+}
