--- a/tests/system/server_standin_test.cpp
+++ b/tests/system/server_standin_test.cpp
@@ -307,12 +307,17 @@
 {
   Fixture fixture(R"("slots":2,)");
   fixture.Behave(R"({"set":{"crash_ms":3600000}})");
-  HttpRequest crash = Query("3");
+  const HttpRequest query{ "POST",
+                           "/v1/query",
+                           {},
+                           { { "x-service", "s" }, { "x-index-version", "7" } },
+                           "find" };
+  HttpRequest crash = query;
   crash.body_ = "CRASH-ME";
   int answers = 0;
   const HttpRespond count = [&answers](const HttpReply&) { ++answers; };
-  FarmServe(fixture.Server(), Query("1"), count);
-  FarmServe(fixture.Server(), Query("2"), count);
+  FarmServe(fixture.Server(), query, count);
+  FarmServe(fixture.Server(), query, count);
   FarmServe(fixture.Server(), crash, count);
   CHECK_EQUAL(2U, fixture.Server().running_.size());
   CHECK_EQUAL(1U, fixture.Server().waiting_.size());
