--- a/src/order/order.cpp
+++ b/src/order/order.cpp
@@ -101,8 +101,12 @@
 {
   ExpireAll(aStep);
   TickRelays(aStep);
-  for (std::uint32_t n = 0; n < aStep.state_.settings_.ranges_; ++n) {
-    TickRange(aStep, n);
+  // In turn, so that each range gets its share of the writes.
+  OrderState& state = aStep.state_;
+  const std::uint32_t count = state.settings_.ranges_;
+  state.firstRange_ = (state.firstRange_ + 1) % count;
+  for (std::uint32_t i = 0; i < count; ++i) {
+    TickRange(aStep, (state.firstRange_ + i) % count);
   }
 }
 
@@ -143,7 +147,8 @@
                               aRange.segment_.retryAt_,
                               aRange.rebalanceAt_,
                               aRange.appendAt_ });
-  if (aRange.state_ != RangeState::Held || aRange.write_.active_) {
+  const bool waits = aRange.write_.active_ || aRange.appendAt_ != kNever;
+  if (aRange.state_ != RangeState::Held || waits) {
     return wake;
   }
   if (!aRange.pending_.empty()) {
@@ -152,7 +157,8 @@
   if (!aRange.table_.entries_.empty()) {
     wake = std::min(wake, aRange.pruneAt_);
   }
-  return aRange.releasing_ ? std::min(wake, aRange.releaseBy_) : wake;
+  const bool timed = aRange.releasing_ && aRange.releaseBy_ != TimePoint::min();
+  return timed ? std::min(wake, aRange.releaseBy_) : wake;
 }
 
 } // namespace
--- a/src/order/order_append.cpp
+++ b/src/order/order_append.cpp
@@ -29,11 +29,16 @@
          (!aRange.pending_.empty() && aRange.flushAt_ <= now);
 }
 
-/** Take one write from the daemon's share of the platform's rate. */
+/**
+ * Take one write from the daemon's share of the platform's rate. Part of the
+ * burst is kept for claims, since callers wait for them.
+ */
 bool
 TakeWrite(OrderStep& aStep, OrderRange& aRange)
 {
   OrderState& state = aStep.state_;
+  const double needed =
+    HasClaims(aRange.pending_) ? 1.0 : state.settings_.writeBurst_ / 2.0;
   const double rate = state.settings_.writesPerSecond_;
   const auto passed =
     static_cast<double>((aStep.now_.mono_ - state.writeTokensAt_).count());
@@ -41,11 +46,11 @@
     std::min(static_cast<double>(state.settings_.writeBurst_),
              state.writeTokens_ + passed * rate / kMicrosPerSecond);
   state.writeTokensAt_ = aStep.now_.mono_;
-  if (state.writeTokens_ >= 1.0) {
+  if (state.writeTokens_ >= needed) {
     state.writeTokens_ -= 1.0;
     return true;
   }
-  const double wait = (1.0 - state.writeTokens_) * kMicrosPerSecond / rate;
+  const double wait = (needed - state.writeTokens_) * kMicrosPerSecond / rate;
   aRange.appendAt_ =
     aStep.now_.mono_ + Duration(static_cast<Duration::rep>(wait) + 1);
   return false;
--- a/src/order/order_base.h
+++ b/src/order/order_base.h
@@ -208,6 +208,7 @@
   std::deque<KeyDigest> copyOrder_; ///< Keys of copies_, oldest first.
   std::uint64_t nextCall_ = 0;      ///< For peer and platform calls.
   std::uint64_t nextDispatch_ = 0;  ///< Dispatches, keyless orders, batches.
+  std::uint32_t firstRange_ = 0;    ///< Served first by the next Tick.
   double writeTokens_ = 0.0;        ///< Writes allowed now.
   TimePoint writeTokensAt_{};       ///< When that was computed.
   TimePoint deadlineAt_ = kNever;   ///< No waiter's deadline is before it.
--- a/src/order/order_forward.cpp
+++ b/src/order/order_forward.cpp
@@ -72,7 +72,8 @@
                            .route_ = ask.route_,
                            .key_ = ask.key_,
                            .body_ = ask.body_,
-                           .remaining_ = ask.waiter_.deadline_ - now,
+                           .remaining_ = ask.waiter_.deadline_ - now -
+                                         state.settings_.forwardMargin_,
                            .generation_ = config == nullptr
                                             ? Generation{}
                                             : config->generation_ },
--- a/src/order/order_range.cpp
+++ b/src/order/order_range.cpp
@@ -521,6 +521,12 @@
   OrderRange& range = state.ranges_[aRange];
   const TimePoint now = aStep.now_.mono_;
   ExpireAsks(aStep, aRange);
+  if (range.appendAt_ <= now) {
+    range.appendAt_ = kNever;
+  }
+  if (range.releaseBy_ <= now) {
+    range.releaseBy_ = TimePoint::min(); // No wake any more.
+  }
   if (state.stopBy_ <= now && range.state_ == RangeState::Held &&
       !AnyRuns(range.table_)) {
     LoseRange(aStep, aRange, "not handed over: the store is out");
--- a/src/order/order_type.h
+++ b/src/order/order_type.h
@@ -86,8 +86,9 @@
   Duration outcomeWait_ = std::chrono::seconds(2); ///< Copies after takeover.
   Duration forwardRetry_ = std::chrono::milliseconds(50);
   Duration forwardRepeat_ = std::chrono::seconds(1); ///< No answer: ask again.
-  Duration issuerWait_ = std::chrono::seconds(2);    ///< Issuer not known yet.
-  Duration stopWait_ = std::chrono::seconds(5); ///< Store out while stopping.
+  Duration forwardMargin_ = std::chrono::milliseconds(20); ///< Way back.
+  Duration issuerWait_ = std::chrono::seconds(2); ///< Issuer not known yet.
+  Duration stopWait_ = std::chrono::seconds(5);   ///< Store out while stopping.
   std::uint32_t writesPerSecond_ = 40; ///< Platform writes of this daemon.
   std::uint32_t writeBurst_ = 20;
   std::size_t batchRecords_ = 512;    ///< Records in one append.
