--- a/src/route/admission.cpp
+++ b/src/route/admission.cpp
@@ -13,7 +13,8 @@
 /** Part of the limit that each priority may fill. */
 constexpr std::array<double, static_cast<std::size_t>(Priority::End)>
   kPriorityShare{ 1.0, 0.9, 0.7 };
-constexpr double kEstimateMargin = 0.9; ///< Of the time left.
+constexpr double kEstimateMargin = 0.9;   ///< Of the time left.
+constexpr std::size_t kFairCallers = 256; ///< Beyond, first come first served.
 constexpr Duration kRetryAfterFloor = milliseconds(100);
 
 /** What the servers of a service can do. */
@@ -46,14 +47,17 @@
 Duration
 SlowestEstimate(const RouteState& aState,
                 const CompiledVersion& aVersion,
-                Priority aPriority)
+                Priority aPriority,
+                double aAhead)
 {
   Duration slowest{};
   for (std::size_t i = 0; i < aVersion.services_.size(); ++i) {
-    slowest = std::max(
-      slowest,
-      EstimateTime(
-        aState, aVersion.services_[i], aPriority, aVersion.perService_[i]));
+    slowest = std::max(slowest,
+                       EstimateTime(aState,
+                                    aVersion.services_[i],
+                                    aPriority,
+                                    aVersion.perService_[i],
+                                    aAhead));
   }
   return slowest;
 }
@@ -65,13 +69,34 @@
     1, static_cast<std::uint32_t>(std::floor(aWhole * aShare)));
 }
 
+// Callers take turns in the queues: of another one's backlog only as much is
+// ahead as the caller would have itself.
+double
+PartAhead(const LimitsState& aLimits,
+          const std::string& aCaller,
+          std::uint64_t aShards)
+{
+  if (aLimits.shards_ == 0 || aLimits.callers_.size() > kFairCallers) {
+    return 1.0;
+  }
+  const auto found = aLimits.callers_.find(aCaller);
+  const std::uint64_t own =
+    aShards + (found == aLimits.callers_.end() ? 0 : found->second.shards_);
+  std::uint64_t ahead = 0;
+  for (const auto& [name, caller] : aLimits.callers_) {
+    ahead += std::min(caller.shards_, own);
+  }
+  return static_cast<double>(ahead) / static_cast<double>(aLimits.shards_);
+}
+
 } // namespace
 
 Duration
 EstimateTime(const RouteState& aState,
              ServiceIndex aService,
              Priority aPriority,
-             std::uint32_t aMore)
+             std::uint32_t aMore,
+             double aAhead)
 {
   const Capacity capacity = GetCapacity(aState, aService);
   // Nothing is known of a service that can't be reached: its shards will be
@@ -84,7 +109,8 @@
   for (const ServerIndex index : service.servers_) {
     busy += aState.servers_[index].inFlight_;
   }
-  const double ahead = busy + CountAhead(service.queue_, aPriority) + aMore;
+  const double ahead =
+    busy + CountAhead(service.queue_, aPriority) * aAhead + aMore;
   const double rounds = std::max(1.0, ahead / capacity.places_);
   return Duration(static_cast<std::int64_t>(rounds * capacity.latency_));
 }
@@ -110,7 +136,8 @@
         ShareOf(spec.maxInFlight_, spec.callerShare_)) {
     return { ResultCode::CallerOverLimit, kRetryAfterFloor };
   }
-  const Duration estimate = SlowestEstimate(state, aVersion, priority);
+  const double ahead = PartAhead(limits, aCaller, aVersion.shards_.size());
+  const Duration estimate = SlowestEstimate(state, aVersion, priority, ahead);
   const auto usable = Duration(static_cast<std::int64_t>(
     static_cast<double>(aTime.count()) * kEstimateMargin));
   if (estimate <= usable) {
@@ -123,16 +150,19 @@
 }
 
 std::uint64_t
-EnterQuery(Step& aStep, const Query& aQuery)
+EnterQuery(Step& aStep, Query& aQuery)
 {
+  aQuery.entered_ = static_cast<std::uint32_t>(aQuery.version_->shards_.size());
   LimitsState& limits = aStep.state_.limits_[aQuery.route_->limitsIndex_];
   ++limits.inFlight_;
+  limits.shards_ += aQuery.entered_;
   CallerShare& caller = limits.callers_[aQuery.caller_];
   ++caller.inFlight_;
+  caller.shards_ += aQuery.entered_;
   // Start-time fair queueing: a caller's next query starts where its last one
   // ended in virtual time, so that one caller's backlog doesn't delay others.
   const std::uint64_t tag = std::max(aStep.state_.virtualTime_, caller.tag_);
-  caller.tag_ = tag + aQuery.version_->shards_.size();
+  caller.tag_ = tag + aQuery.entered_;
   return tag;
 }
 
@@ -141,11 +171,13 @@
 {
   LimitsState& limits = aStep.state_.limits_[aQuery.route_->limitsIndex_];
   --limits.inFlight_;
+  limits.shards_ -= aQuery.entered_;
   const auto caller = limits.callers_.find(aQuery.caller_);
   if (caller == limits.callers_.end()) {
     return;
   }
   --caller->second.inFlight_;
+  caller->second.shards_ -= aQuery.entered_;
   if (caller->second.inFlight_ == 0) {
     limits.callers_.erase(caller);
   }
--- a/src/route/order_run.cpp
+++ b/src/route/order_run.cpp
@@ -39,7 +39,7 @@
 {
   RouteState& state = aStep.state_;
   Task task;
-  task.owner_ = { OwnerKind::Dispatch, 0, aRun.key_ };
+  task.owner_ = { OwnerKind::Dispatch, 0, 0, aRun.key_ };
   task.tag_ = state.virtualTime_;
   task.sequence_ = ++state.taskSequence_;
   task.priority_ = aRun.route_->spec_.priority_;
@@ -63,7 +63,7 @@
 {
   SubPlan plan;
   plan.kind_ = SubKind::Order;
-  plan.owner_ = { OwnerKind::Dispatch, 0, aRun.key_ };
+  plan.owner_ = { OwnerKind::Dispatch, 0, 0, aRun.key_ };
   plan.server_ = aServer;
   plan.key_ = aRun.order_.key_;
   plan.deadline_ = aRun.order_.deadline_;
--- a/src/route/query_cmd.cpp
+++ b/src/route/query_cmd.cpp
@@ -88,7 +88,7 @@
   const Duration soft = query.route_->spec_.softAnswer_;
   query.softAt_ = soft > Duration::zero() ? now + soft : kNever;
   query.covered_ = 0;
-  query.restarted_ = false;
+  query.round_ = 0;
   query.sent_ = false;
   query.traced_ = aRequest.id_.value_ % kTraceOneOf == 0;
   query.tag_ = EnterQuery(aStep, query);
@@ -304,7 +304,7 @@
 RestartQuery(Step& aStep, Query& aQuery)
 {
   const TimePoint now = aStep.now_.mono_;
-  if (aQuery.restarted_ || now + kRetryMargin >= aQuery.deadline_) {
+  if (aQuery.round_ > 0 || now + kRetryMargin >= aQuery.deadline_) {
     return false;
   }
   const SharedVersion version =
@@ -315,7 +315,7 @@
   }
   ReleaseShards(aStep, aQuery);
   ++aStep.state_.stats_.restarts_;
-  aQuery.restarted_ = true;
+  ++aQuery.round_;
   aQuery.version_ = version;
   aQuery.covered_ = 0;
   EnqueueShards(aStep, aQuery);
--- a/src/route/query_shard.cpp
+++ b/src/route/query_shard.cpp
@@ -47,7 +47,7 @@
 PlanOf(const Query& aQuery, std::uint32_t aShard, ServerIndex aServer)
 {
   SubPlan plan;
-  plan.owner_ = { OwnerKind::Query, aShard, aQuery.key_ };
+  plan.owner_ = { OwnerKind::Query, aQuery.round_, aShard, aQuery.key_ };
   plan.server_ = aServer;
   plan.shard_ = aQuery.version_->shards_[aShard].name_;
   plan.version_ = aQuery.version_->version_;
@@ -251,7 +251,7 @@
   RouteState& state = aStep.state_;
   const ServiceIndex service = aQuery.version_->shards_[aShard].service_;
   Task task;
-  task.owner_ = { OwnerKind::Query, aShard, aQuery.key_ };
+  task.owner_ = { OwnerKind::Query, aQuery.round_, aShard, aQuery.key_ };
   task.tag_ = aQuery.tag_;
   task.sequence_ = ++state.taskSequence_;
   task.priority_ = aQuery.route_->spec_.priority_;
@@ -330,7 +330,8 @@
 IsShardWaiting(RouteState& aState, const Task& aTask)
 {
   const Query* query = FindSlot(aState.queries_, aTask.owner_.key_);
-  return query != nullptr && aTask.owner_.shard_ < query->shards_.size() &&
+  return query != nullptr && aTask.owner_.round_ == query->round_ &&
+         aTask.owner_.shard_ < query->shards_.size() &&
          query->shards_[aTask.owner_.shard_].queued_;
 }
 
--- a/src/route/relay.cpp
+++ b/src/route/relay.cpp
@@ -167,7 +167,7 @@
   AddTimer(state.timers_,
            { run.deadline_, run.key_, 0, TimerKind::RelayedEnd });
   Task task;
-  task.owner_ = { OwnerKind::Relayed, 0, run.key_ };
+  task.owner_ = { OwnerKind::Relayed, 0, 0, run.key_ };
   task.tag_ = state.virtualTime_;
   task.sequence_ = ++state.taskSequence_;
   PushTask(state.services_[run.service_].queue_, task);
@@ -348,7 +348,7 @@
   }
   SubPlan plan;
   plan.kind_ = run.request_.kind_;
-  plan.owner_ = { OwnerKind::Relayed, 0, run.key_ };
+  plan.owner_ = { OwnerKind::Relayed, 0, 0, run.key_ };
   plan.server_ = run.server_;
   plan.shard_ = run.request_.shard_;
   plan.version_ = run.request_.version_;
--- a/src/route/route_base.h
+++ b/src/route/route_base.h
@@ -102,11 +102,12 @@
   TimePoint deadline_;
   TimePoint softAt_ = kNever;
   std::uint64_t tag_ = 0;
-  std::uint32_t open_ = 0; ///< Shards neither covered nor given up.
+  std::uint32_t entered_ = 0; ///< Shards it was counted in with.
+  std::uint32_t open_ = 0;    ///< Shards neither covered nor given up.
   std::uint32_t covered_ = 0;
-  bool restarted_ = false;
-  bool sent_ = false;   ///< A sub-request went out for it.
-  bool traced_ = false; ///< Every attempt goes to the time line.
+  std::uint8_t round_ = 0; ///< One after it started over.
+  bool sent_ = false;      ///< A sub-request went out for it.
+  bool traced_ = false;    ///< Every attempt goes to the time line.
   std::vector<ShardRun> shards_;
 };
 
@@ -149,7 +150,8 @@
 struct CallerShare
 {
   std::uint32_t inFlight_ = 0;
-  std::uint64_t tag_ = 0; ///< Virtual time of its next query.
+  std::uint64_t shards_ = 0; ///< Of its queries in flight.
+  std::uint64_t tag_ = 0;    ///< Virtual time of its next query.
 };
 
 /** State under one Limits object. */
@@ -159,6 +161,7 @@
   double hedges_ = kHedgeBurst;  ///< Tokens for hedges.
   double retries_ = kRetryBurst; ///< Tokens for retries.
   std::uint32_t inFlight_ = 0;   ///< Queries.
+  std::uint64_t shards_ = 0;     ///< Of these queries.
   std::unordered_map<std::string, CallerShare> callers_;
 };
 
--- a/src/route/route_const.h
+++ b/src/route/route_const.h
@@ -43,9 +43,11 @@
 constexpr Duration kSlowStart = seconds(3);
 constexpr double kSlowStartFactor = 3.0;
 constexpr double kLatencyWeight = 0.2; ///< Of a new sample.
+constexpr Duration kLatencyLife = seconds(1); ///< Halves after that.
 constexpr Duration kLatencyUnknown = milliseconds(2);
 constexpr Duration kLoadReportLife = seconds(2);
 constexpr double kLoadReportWeight = 0.5; ///< Bias of a fresh full load.
+constexpr double kReportBand = 1.15; ///< Scores so near are told by reports.
 constexpr double kTieBand = 1.1;
 
 // Attempts.
--- a/src/route/route_status.cpp
+++ b/src/route/route_status.cpp
@@ -52,7 +52,7 @@
   for (std::size_t i = 0; i < aVersion.services_.size(); ++i) {
     const ServiceIndex index = aVersion.services_[i];
     const Duration estimate = EstimateTime(
-      aState, index, aRoute.spec_.priority_, aVersion.perService_[i]);
+      aState, index, aRoute.spec_.priority_, aVersion.perService_[i], 1.0);
     text += "  " + aState.services_[index].name_ + ": " +
             std::to_string(aState.services_[index].servers_.size()) +
             " servers, estimate " + std::to_string(estimate.count()) + " us\n";
--- a/src/route/server_choice.cpp
+++ b/src/route/server_choice.cpp
@@ -67,21 +67,26 @@
   return places;
 }
 
+// A server that is avoided gives no new samples: what is known of it loses its
+// weight with time, so that it is tried again some day.
+double
+LatencyNow(const ServerState& aServer, TimePoint aNow)
+{
+  if (aServer.samples_ == 0) {
+    return static_cast<double>(kLatencyUnknown.count());
+  }
+  const Duration idle = aNow - aServer.sampledAt_;
+  const double lives = static_cast<double>(idle.count()) /
+                       static_cast<double>(kLatencyLife.count());
+  return aServer.latency_ / (1.0 + lives);
+}
+
 // Lower is better: work already there times the time that each takes.
 double
 Score(const ServerState& aServer, TimePoint aNow)
 {
-  const double latency = aServer.samples_ == 0
-                           ? static_cast<double>(kLatencyUnknown.count())
-                           : aServer.latency_;
+  const double latency = LatencyNow(aServer, aNow);
   double score = (aServer.inFlight_ + 1.0) * latency;
-  const Duration age = aNow - aServer.loadAt_;
-  if (age < kLoadReportLife) {
-    const double freshness =
-      1.0 - static_cast<double>(age.count()) /
-              static_cast<double>(kLoadReportLife.count());
-    score *= 1.0 + kLoadReportWeight * aServer.load_ * freshness;
-  }
   if (aServer.slowStartUntil_ > aNow) {
     const double left =
       static_cast<double>((aServer.slowStartUntil_ - aNow).count()) /
@@ -91,6 +96,25 @@
   return score;
 }
 
+// Weight of what the server reports, which loses its worth with age.
+double
+ReportBias(const ServerState& aServer, TimePoint aNow)
+{
+  const Duration age = aNow - aServer.loadAt_;
+  if (age >= kLoadReportLife) {
+    return 1.0;
+  }
+  const double freshness = 1.0 - static_cast<double>(age.count()) /
+                                   static_cast<double>(kLoadReportLife.count());
+  return 1.0 + kLoadReportWeight * aServer.load_ * freshness;
+}
+
+bool
+AreNear(double aFirst, double aSecond, double aBand)
+{
+  return aFirst <= aSecond * aBand && aSecond <= aFirst * aBand;
+}
+
 void
 AddCandidate(Candidates& aCandidates, ServerIndex aServer, bool aFree)
 {
@@ -150,10 +174,15 @@
 {
   const ServerState& first = aState.servers_[aFirst];
   const ServerState& second = aState.servers_[aSecond];
-  const double firstScore = Score(first, aNow);
-  const double secondScore = Score(second, aNow);
-  const bool tie = firstScore <= secondScore * kTieBand &&
-                   secondScore <= firstScore * kTieBand;
+  double firstScore = Score(first, aNow);
+  double secondScore = Score(second, aNow);
+  // Reports lag and mislead: they decide only where the own observations see
+  // no clear difference.
+  if (AreNear(firstScore, secondScore, kReportBand)) {
+    firstScore *= ReportBias(first, aNow);
+    secondScore *= ReportBias(second, aNow);
+  }
+  const bool tie = AreNear(firstScore, secondScore, kTieBand);
   if (tie && first.sameDomain_ != second.sameDomain_) {
     return first.sameDomain_ ? aFirst : aSecond;
   }
--- a/src/route/server_health.cpp
+++ b/src/route/server_health.cpp
@@ -87,8 +87,9 @@
 }
 
 void
-AddLatency(ServerState& aServer, Duration aTime)
+AddLatency(ServerState& aServer, Duration aTime, TimePoint aNow)
 {
+  aServer.sampledAt_ = aNow;
   const double micros = static_cast<double>(aTime.count());
   aServer.latency_ =
     aServer.samples_ == 0
@@ -215,7 +216,7 @@
   ServiceState& service = aStep.state_.services_[server.service_];
   server.failures_ = 0;
   GrowLimit(server);
-  AddLatency(server, aTime);
+  AddLatency(server, aTime, aStep.now_.mono_);
   AddSample(service.latency_, aTime);
   RefreshQuantiles(service.latency_, service.hedgeQuantile_);
   if (aSub.probe_ && server.probation_) {
@@ -248,7 +249,7 @@
 {
   ServerState& server = aStep.state_.servers_[aServer];
   if (static_cast<double>(aAtLeast.count()) > server.latency_) {
-    AddLatency(server, aAtLeast);
+    AddLatency(server, aAtLeast, aStep.now_.mono_);
   }
 }
 
--- a/src/route/server_table.h
+++ b/src/route/server_table.h
@@ -59,6 +59,7 @@
   TimePoint limitCutAt_{};
   double latency_ = 0.0; ///< Moving average in microseconds.
   std::uint32_t samples_ = 0;
+  TimePoint sampledAt_{};
   double load_ = 0.0; ///< As reported.
   TimePoint loadAt_{};
   TimePoint pausedUntil_{}; ///< After it shed.
--- a/src/route/task_queue.h
+++ b/src/route/task_queue.h
@@ -24,6 +24,7 @@
 struct OwnerRef
 {
   OwnerKind kind_ = OwnerKind::None;
+  std::uint8_t round_ = 0;  ///< Rises when a query starts over.
   std::uint32_t shard_ = 0; ///< Index in the version's shards; queries only.
   std::uint64_t key_ = 0;   ///< Pool key of the owner.
 };
--- /dev/null
+++ b/tests/route/quarantine_test.cpp
@@ -0,0 +1,148 @@
+#include "route/route_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorfield;
+
+namespace {
+
+RouteWorld
+PoisonWorld(std::size_t aDaemons, std::size_t aServices)
+{
+  RouteWorld world = MakeWorld({ .services_ = aServices,
+                                 .serversPerService_ = 4,
+                                 .shardsPerService_ = 1,
+                                 .daemons_ = aDaemons });
+  for (auto& [address, server] : world.servers_) {
+    server.poison_ = "poison";
+  }
+  return world;
+}
+
+void
+Warm(RouteWorld& aWorld)
+{
+  AdoptWorldConfig(aWorld);
+  ShareMembers(aWorld);
+  RunFor(aWorld, milliseconds(300));
+}
+
+std::uint32_t
+CountCrashes(const RouteWorld& aWorld)
+{
+  std::uint32_t crashes = 0;
+  for (const auto& [address, server] : aWorld.servers_) {
+    crashes += server.crashes_;
+  }
+  return crashes;
+}
+
+/** Ordinary load, so that others are in flight when a server crashes. */
+void
+Background(RouteWorld& aWorld, Duration aTime)
+{
+  const TimePoint until = aWorld.now_ + aTime;
+  std::uint64_t i = 0;
+  while (aWorld.now_ < until) {
+    ++i;
+    SendQuery(aWorld,
+              "find",
+              "plain" + std::to_string(i % 50),
+              i % aWorld.daemons_.size(),
+              "others");
+    RunFor(aWorld, milliseconds(1));
+  }
+}
+
+} // namespace
+
+TEST_GROUP(Quarantine){};
+
+TEST(Quarantine, FiftyResendsCrashAtMostThreeServers)
+{
+  struct Case
+  {
+    std::size_t daemons_;
+    Duration gap_;
+    bool background_;
+  };
+  const Case cases[] = {
+    { 1, milliseconds(100), false },
+    { 1, milliseconds(100), true },
+    { 7, milliseconds(200), false },
+    { 7, milliseconds(200), true },
+    { 7, {}, false },
+    { 7, seconds(2), true },
+  };
+  for (const Case& row : cases) {
+    RouteWorld world = PoisonWorld(row.daemons_, 1);
+    Warm(world);
+    for (int i = 0; i < 50; ++i) {
+      if (row.gap_ == Duration::zero()) {
+        // The caller sends it again as soon as it has its answer.
+        AskQuery(world, "find", "poison", i % row.daemons_);
+        continue;
+      }
+      SendQuery(world, "find", "poison", i % row.daemons_);
+      if (row.background_) {
+        Background(world, row.gap_);
+      } else {
+        RunFor(world, row.gap_);
+      }
+    }
+    RunFor(world, seconds(2));
+    const std::uint32_t crashes = CountCrashes(world);
+    CHECK_TRUE(crashes >= 1);
+    CHECK_TRUE_TEXT(crashes <= 3,
+                    (std::to_string(crashes) + " crashes, " +
+                     std::to_string(row.daemons_) + " daemons, gap " +
+                     std::to_string(row.gap_.count()))
+                      .c_str());
+  }
+}
+
+TEST(Quarantine, InnocentContentIsServedAfterACrash)
+{
+  RouteWorld world = PoisonWorld(1, 1);
+  Warm(world);
+  SendQuery(world, "find", "poison");
+  Background(world, seconds(3));
+  const std::uint64_t before = world.nextRequest_;
+  Background(world, seconds(1));
+  RunFor(world, seconds(2));
+  for (const auto& [id, answer] : world.answers_) {
+    CHECK_TRUE(id <= before || answer.answer_.complete_);
+  }
+}
+
+TEST(Quarantine, RefusalSaysSoAndExpires)
+{
+  RouteWorld world = PoisonWorld(1, 1);
+  Warm(world);
+  SendQuery(world, "find", "poison");
+  RunFor(world, seconds(2));
+  const QueryAnswer& answer = AskQuery(world, "find", "poison");
+  CHECK_TRUE(answer.code_ == ResultCode::Quarantined);
+  LONGS_EQUAL(1, RouteStatistics(world.daemons_[0]->state_).quarantined_);
+  for (auto& [address, server] : world.servers_) {
+    server.poison_.clear();
+  }
+  RunFor(world, kQuarantineLife);
+  CHECK_TRUE(AskQuery(world, "find", "poison").complete_);
+}
+
+TEST(Quarantine, OrdersAreNotRunAfterTwoCrashes)
+{
+  RouteWorld world = PoisonWorld(1, 1);
+  Warm(world);
+  std::vector<std::uint64_t> orders;
+  for (int i = 0; i < 50; ++i) {
+    orders.push_back(SendOrder(world, "poison"));
+    RunFor(world, milliseconds(500));
+  }
+  RunFor(world, seconds(2));
+  CHECK_TRUE(CountCrashes(world) <= 3);
+  CHECK_TRUE(world.dispatched_[orders[0]].state_ == DispatchState::Unknown);
+  CHECK_TRUE(world.dispatched_[orders[49]].state_ == DispatchState::NotRun);
+  CHECK_TRUE(world.dispatched_[orders[49]].reason_ == ResultCode::Quarantined);
+}
