--- a/tests/route/route_fixture.h
+++ b/tests/route/route_fixture.h
@@ -87,6 +87,7 @@
   std::map<std::uint64_t, std::uint32_t> answerCounts_;
   std::map<std::uint64_t, OrderDispatched> dispatched_;
   std::map<std::uint64_t, std::uint32_t> dispatchCounts_;
+  std::map<std::string, std::uint32_t> orderRuns_; ///< By body.
   std::vector<Rumor> rumors_;
   std::vector<SubRequest> sent_;   ///< Queries and orders, with sending daemon.
   std::set<std::size_t> cutPeers_; ///< Daemons that peers can't reach.
