Fix: the demo asks one daemon for the merged time line

Cause: the command takes one operator address and finds the others by itself. Change: the first live daemon's address. Conclusion: the end of the time line is printed.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -156,7 +156,7 @@
         """Print the end of the merged time line."""
         alive = [daemon.operator for daemon in self.daemons
                  if daemon.process.is_running()]
-        text = self.bed.cli("timeline", "--operator", ",".join(alive))
+        text = self.bed.cli("timeline", "--operator", alive[0])
         for line in text.splitlines()[-TIMELINE_LINES:]:
             print("  " + line[:160])
 
