--- /dev/null
+++ b/tests/runtime/worker_test.cpp
@@ -0,0 +1,77 @@
+#include "runtime/worker.h"
+
+#include <CppUTest/TestHarness.h>
+#include <boost/fiber/buffered_channel.hpp>
+#include <boost/fiber/operations.hpp>
+#include <future>
+
+using namespace camphorfield;
+
+namespace {
+
+constexpr int kItems = 20000;
+constexpr std::size_t kCapacity = 16;
+
+using Channel = boost::fibers::buffered_channel<int>;
+
+/** Asks for one item at a time, and goes to sleep until it is there. */
+void
+Consume(Worker& aWorker,
+        Channel& aChannel,
+        std::promise<int>& aDone,
+        bool& aEnded)
+{
+  int sum = 0;
+  for (int i = 0; i < kItems; ++i) {
+    aWorker.Post([&aChannel]() { aChannel.try_push(1); });
+    // The moment of going to sleep has to move against the moments at which
+    // the worker looks at its sockets.
+    for (int j = 0; j < i % 20; ++j) {
+      boost::this_fiber::yield();
+    }
+    sum += aChannel.value_pop();
+  }
+  aEnded = true;
+  aDone.set_value(sum);
+}
+
+/** Keeps the ready queue filled. */
+void
+GiveWay(const bool& aEnded)
+{
+  while (!aEnded) {
+    boost::this_fiber::yield();
+  }
+}
+
+} // namespace
+
+TEST_GROUP(Worker){};
+
+// A fiber that goes to sleep holds the channel's spinlock until the next fiber
+// runs. A handler that is called in between and uses the channel would wait for
+// the lock for ever.
+TEST(Worker, HandlersNeverRunWhileAFiberGoesToSleep)
+{
+  Channel channel(kCapacity);
+  std::promise<int> done;
+  bool ended = false;
+  Worker worker;
+  worker.Spawn([&]() { Consume(worker, channel, done, ended); });
+  worker.Spawn([&]() { GiveWay(ended); });
+  LONGS_EQUAL(kItems, done.get_future().get());
+}
+
+TEST(Worker, PostedFunctionsRunInOrder)
+{
+  std::promise<int> last;
+  int next = 0;
+  bool inOrder = true;
+  Worker worker;
+  for (int i = 0; i < 1000; ++i) {
+    worker.Post([&, i]() { inOrder = inOrder && next++ == i; });
+  }
+  worker.Post([&]() { last.set_value(next); });
+  LONGS_EQUAL(1000, last.get_future().get());
+  CHECK_TRUE(inOrder);
+}
