Fix: a worker no longer spins on a lock that its own fiber holds

Cause: pick_next polled the event loop while the suspending fiber still held its condition's lock; the handler polled was the one it waited for. After a kill -9 under load, daemons span in sched_yield and answered nobody. Change: the event loop is polled from the dispatcher alone, which holds no lock. The testbed reports a hanging client as a failure.

--- a/src/runtime/fiber_scheduler.cpp
+++ b/src/runtime/fiber_scheduler.cpp
@@ -9,6 +9,16 @@
 // Without this, fibers that wake each other would starve the sockets.
 constexpr std::uint32_t kPicksBetweenPolls = 32;
 
+// A fiber that suspends holds the lock of what it waits for until the next one
+// runs. A handler polled meanwhile may want that lock: it would spin for ever.
+// The dispatcher holds none, and its turn comes once a round.
+bool
+IsDispatcherActive()
+{
+  return boost::fibers::context::active()->is_context(
+    boost::fibers::type::dispatcher_context);
+}
+
 } // namespace
 
 // The scheduler of a thread is destroyed after the locals of the thread's
@@ -31,7 +41,7 @@
   if (ready_.empty()) {
     return nullptr;
   }
-  if (++picks_ >= kPicksBetweenPolls) {
+  if (++picks_ >= kPicksBetweenPolls && IsDispatcherActive()) {
     picks_ = 0;
     context_->poll();
   }
--- a/tools/testbed.py
+++ b/tools/testbed.py
@@ -268,9 +268,12 @@
 
     def cli(self, *arguments, check=True, timeout=30):
         """Run a command of the operators' client; returns its output."""
-        done = subprocess.run(
-            [self.program("camphorfield"), *map(str, arguments)],
-            capture_output=True, text=True, timeout=timeout, check=False)
+        command = [self.program("camphorfield"), *map(str, arguments)]
+        try:
+            done = subprocess.run(command, capture_output=True, text=True,
+                                  timeout=timeout, check=False)
+        except subprocess.TimeoutExpired as error:
+            raise TestbedError(str(error)) from error
         if check and done.returncode != 0:
             raise TestbedError(
                 f"{' '.join(map(str, arguments))}: exit {done.returncode}: "
