--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -14,6 +14,8 @@
   std::uint64_t value_ = 0; ///< Zero is never issued.
 
   constexpr bool IsValid() const { return value_ != 0; }
+  // The linter takes the generated comparison with zero for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   constexpr auto operator<=>(const Id&) const = default;
 };
 
--- a/src/object/change_type.h
+++ b/src/object/change_type.h
@@ -17,6 +17,8 @@
   ObjectKind kind_ = ObjectKind::Index;
   std::string name_;
 
+  // The linter takes the generated comparison with zero for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const ObjectKey&) const = default;
 };
 
--- a/src/object/json_scan.cpp
+++ b/src/object/json_scan.cpp
@@ -75,8 +75,10 @@
   bool on_string_part(JsonText, std::size_t, JsonError&) { return true; }
   bool on_string(JsonText, std::size_t, JsonError&) { return true; }
   bool on_number_part(JsonText, JsonError&) { return true; }
+  // NOLINTBEGIN(readability-identifier-naming)
   bool on_int64(std::int64_t, JsonText, JsonError&) { return true; }
   bool on_uint64(std::uint64_t, JsonText, JsonError&) { return true; }
+  // NOLINTEND(readability-identifier-naming)
   bool on_double(double, JsonText, JsonError&) { return true; }
   bool on_bool(bool, JsonError&) { return true; }
   bool on_null(JsonError&) { return true; }
--- a/src/object/json_scan.h
+++ b/src/object/json_scan.h
@@ -9,9 +9,9 @@
 namespace camphorfield {
 
 /** Bytes of a change document. */
-constexpr std::size_t kMaxChangeBytes = 4 * 1024 * 1024;
+constexpr std::size_t kMaxChangeBytes = 4UL * 1024 * 1024;
 /** Bytes of an encoded set. */
-constexpr std::size_t kMaxSetBytes = 32 * 1024 * 1024;
+constexpr std::size_t kMaxSetBytes = 32UL * 1024 * 1024;
 /** Nesting of arrays and objects in a document. */
 constexpr std::size_t kMaxJsonDepth = 12;
 
--- a/src/object/object_json.h
+++ b/src/object/object_json.h
@@ -13,7 +13,7 @@
 
 /** Bytes of one encoded object; chunks and values of the store hold it whole.
  */
-constexpr std::size_t kMaxObjectBytes = 384 * 1024;
+constexpr std::size_t kMaxObjectBytes = 384UL * 1024;
 
 /** Kind and name of an object. */
 ObjectKey
