--- a/src/object/json_reader.cpp
+++ b/src/object/json_reader.cpp
@@ -269,7 +269,10 @@
   }
   const auto found = std::find(aNames.begin(), aNames.end(), text);
   if (found == aNames.end()) {
-    ReportField(aReader, ConfigFaultCode::UnknownValue, aField, Quote(text));
+    const ConfigFaultCode code = aField == "kind"
+                                   ? ConfigFaultCode::UnknownKind
+                                   : ConfigFaultCode::UnknownValue;
+    ReportField(aReader, code, aField, Quote(text));
     return;
   }
   aOut = static_cast<std::size_t>(found - aNames.begin());
--- a/src/object/json_scan.cpp
+++ b/src/object/json_scan.cpp
@@ -86,16 +86,45 @@
   bool on_comment(JsonText, JsonError&) { return true; }
 };
 
-ConfigFaultCode
-CodeOf(const JsonError& aError)
+/** Bytes that follow the first one of a character; npos: not a first byte. */
+std::size_t
+Continuations(unsigned char aFirst)
 {
-  if (aError == json::error::too_deep) {
-    return ConfigFaultCode::TooDeep;
+  if (aFirst < 0x80) {
+    return 0;
   }
-  const bool encoding = aError == json::error::illegal_leading_surrogate ||
-                        aError == json::error::illegal_trailing_surrogate ||
-                        aError == json::error::expected_utf16_escape;
-  return encoding ? ConfigFaultCode::NotUtf8 : ConfigFaultCode::NotJson;
+  if (aFirst >= 0xC2 && aFirst < 0xE0) {
+    return 1;
+  }
+  if (aFirst >= 0xE0 && aFirst < 0xF0) {
+    return 2;
+  }
+  return aFirst >= 0xF0 && aFirst < 0xF5 ? 3 : std::string_view::npos;
+}
+
+/**
+ * Place of the first byte that is no UTF-8; npos when there is none. The parser
+ * refuses such bytes as well, but calls them a mere syntax error. It also finds
+ * the overlong and surrogate forms, which pass here.
+ */
+std::size_t
+FindBadUtf8(std::string_view aText)
+{
+  std::size_t at = 0;
+  while (at < aText.size()) {
+    const std::size_t more =
+      Continuations(static_cast<unsigned char>(aText[at]));
+    if (more == std::string_view::npos || at + more >= aText.size()) {
+      return at;
+    }
+    for (std::size_t i = 1; i <= more; i++) {
+      if ((static_cast<unsigned char>(aText[at + i]) & 0xC0U) != 0x80U) {
+        return at;
+      }
+    }
+    at += more + 1;
+  }
+  return std::string_view::npos;
 }
 
 } // namespace
@@ -109,6 +138,12 @@
     AddFault(aFaults, ConfigFaultCode::DocumentTooLarge, "change", "", reason);
     return false;
   }
+  const std::size_t bad = FindBadUtf8(aText);
+  if (bad != std::string_view::npos) {
+    const std::string reason = "at byte " + std::to_string(bad);
+    AddFault(aFaults, ConfigFaultCode::NotUtf8, "change", "", reason);
+    return false;
+  }
   json::parse_options options;
   options.max_depth = kMaxJsonDepth;
   json::basic_parser<ScanHandler> parser(options);
@@ -123,7 +158,12 @@
   if (error) {
     const std::string reason =
       error.message() + " at byte " + std::to_string(used);
-    AddFault(aFaults, CodeOf(error), "change", "", reason);
+    const bool deep = error == json::error::too_deep;
+    AddFault(aFaults,
+             deep ? ConfigFaultCode::TooDeep : ConfigFaultCode::NotJson,
+             "change",
+             "",
+             reason);
   }
   return aFaults.size() == before;
 }
--- a/src/publish/content_func.h
+++ b/src/publish/content_func.h
@@ -10,9 +10,9 @@
 
 namespace camphorfield {
 
-constexpr std::size_t kMaxHistory = 512;           ///< Entries of a pointer.
-constexpr std::size_t kMaxPointerBytes = 196608;   ///< Of an encoded pointer.
-constexpr std::size_t kMaxTouched = 256;           ///< Objects listed by entry.
+constexpr std::size_t kMaxHistory = 512;         ///< Entries of a pointer.
+constexpr std::size_t kMaxPointerBytes = 196608; ///< Of an encoded pointer.
+constexpr std::size_t kMaxTouched = 256;         ///< Objects listed by entry.
 constexpr std::size_t kMaxChunkBytes = 256UL * 1024; ///< A larger object alone.
 /** One object in so many ends a chunk, by the hash of its name. */
 constexpr std::uint64_t kChunkObjects = 128;
