--- a/src/publish/publish_base.h
+++ b/src/publish/publish_base.h
@@ -58,6 +58,13 @@
   std::uint32_t failures_ = 0;
 };
 
+/** A newer pointer that peers may bring before the store is asked. */
+struct PointerFollow
+{
+  Pointer pointer_;
+  TimePoint at_ = kNever; ///< When the store is asked for its content.
+};
+
 /** Long poll of the pointer. */
 struct PointerWatch
 {
@@ -191,6 +198,7 @@
   std::map<PlatformCallId, OperatorRequest> asks_; ///< Questions in flight.
   PointerReader reader_;
   PointerWatch watch_;
+  PointerFollow follow_;
   std::array<ContentLoad, static_cast<std::size_t>(LoadUse::End)> loads_;
   PeerFetch fetch_;
   std::deque<PublishJob> jobs_; ///< The first is in work.
--- a/src/publish/publish_event.cpp
+++ b/src/publish/publish_event.cpp
@@ -18,12 +18,14 @@
     state.started_ = true;
     state.startedAt_ = aStep.now_.mono_;
     state.reader_.nextAt_ = aStep.now_.mono_ + state.startDelay_;
+    state.watch_.nextAt_ = aStep.now_.mono_ + kStartPeerWait;
   }
   if (state.settleAt_ <= aStep.now_.mono_) {
     state.settleAt_ = kNever; // From now on news alone can confirm.
   }
   ConfirmByPeers(aStep);
   RunFetch(aStep);
+  RunFollow(aStep);
   RunLoads(aStep);
   RunReaders(aStep);
   RunJobs(aStep);
@@ -187,17 +189,22 @@
     return TimePoint{}; // The first event, whichever it is, starts the reads.
   }
   const PeerFetch& fetch = aState.fetch_;
-  TimePoint wake = std::min({ aState.reader_.nextAt_,
-                              fetch.giveUpAt_,
+  TimePoint wake = std::min({ fetch.giveUpAt_,
                               fetch.retryAt_,
+                              aState.follow_.at_,
+                              aState.settleAt_,
                               aState.repairAt_ });
-  if (aState.watcher_ && !aState.stopping_) {
+  // What waits for a reply needs no time; waking for it would spin.
+  if (!aState.reader_.inFlight_) {
+    wake = std::min(wake, aState.reader_.nextAt_);
+  }
+  if (PublishIsWatcher(aState) && aState.reader_.answered_ &&
+      !aState.watch_.inFlight_) {
     wake = std::min(wake, aState.watch_.nextAt_);
   }
   for (const ContentLoad& load : aState.loads_) {
     wake = std::min(wake, load.retryAt_);
   }
-  wake = std::min(wake, aState.settleAt_);
   for (std::size_t i = 0; i < aState.jobs_.size(); i++) {
     const PublishJob& job = aState.jobs_[i];
     wake = std::min(wake, i == 0 ? job.retryAt_ : job.giveUpAt_);
--- a/src/publish/publish_internal.h
+++ b/src/publish/publish_internal.h
@@ -11,9 +11,11 @@
 namespace camphorfield {
 
 constexpr std::size_t kParallelCalls = 8; ///< Chunk calls in flight.
-constexpr std::size_t kNoticeFanout = 3;  ///< Peers told of a new generation.
-constexpr std::size_t kMaxJobs = 64;      ///< Changes waiting in one daemon.
-constexpr std::size_t kMaxAsks = 64;      ///< Questions in flight.
+constexpr std::size_t kNoticeFanout = 6;  ///< Peers told of a new generation.
+/** How long a daemon that starts waits to hear of its peers. */
+constexpr Duration kStartPeerWait = std::chrono::milliseconds(600);
+constexpr std::size_t kMaxJobs = 64;         ///< Changes waiting in one daemon.
+constexpr std::size_t kMaxAsks = 64;         ///< Questions in flight.
 constexpr std::size_t kRecentManifests = 16; ///< For content left out.
 constexpr std::uint32_t kPeerTries = 3;      ///< Peers asked before the store.
 
@@ -103,6 +105,10 @@
 void
 ElectWatchers(PublishStep& aStep);
 
+/** Load a newer pointer's content, if no peer brought it in time. */
+void
+RunFollow(PublishStep& aStep);
+
 /** Reads and watches that are due. */
 void
 RunReaders(PublishStep& aStep);
--- a/src/publish/publish_read.cpp
+++ b/src/publish/publish_read.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr Duration kPeerHeadStart = std::chrono::milliseconds(60);
 constexpr Duration kRepairSpread = std::chrono::seconds(2);
 
 /** Whether a peer already tells of a generation, so that the store need not. */
@@ -16,19 +17,23 @@
   return HighestHeard(aState) >= aGeneration && !FetchIsExhausted(aState);
 }
 
+/** Note a newer pointer; its content comes from peers, or from the store. */
 void
 FollowPointer(PublishStep& aStep, const Pointer& aPointer)
 {
   PublishState& state = aStep.state_;
-  const HistoryEntry& entry = NewestEntry(aPointer);
-  if (PeersHave(state, entry.generation_)) {
-    RunFetch(aStep);
+  PointerFollow& follow = state.follow_;
+  follow.pointer_ = aPointer;
+  if (follow.at_ != kNever) {
     return;
   }
-  ContentLoad& load = state.loads_[static_cast<std::size_t>(LoadUse::Follow)];
-  const Generation loading = NewestEntry(load.content_.pointer_).generation_;
-  if (!load.active_ || loading < entry.generation_) {
-    StartLoad(aStep, LoadUse::Follow, aPointer, entry);
+  // Every watcher sees the pointer at once, and every daemon of a fleet that
+  // starts does; peers are given a head start, so that few load from the store.
+  const Duration wait =
+    state.current_ == nullptr ? kStartPeerWait : kPeerHeadStart;
+  follow.at_ = aStep.now_.mono_;
+  if (!FetchIsExhausted(state)) {
+    follow.at_ += wait / 2 + DrawUpTo(aStep, wait / 2);
   }
 }
 
@@ -135,6 +140,31 @@
   }
 }
 
+void
+RunFollow(PublishStep& aStep)
+{
+  PublishState& state = aStep.state_;
+  PointerFollow& follow = state.follow_;
+  if (follow.at_ > aStep.now_.mono_) {
+    return;
+  }
+  follow.at_ = kNever;
+  const HistoryEntry& entry = NewestEntry(follow.pointer_);
+  if (entry.generation_ <= CurrentGeneration(state)) {
+    return;
+  }
+  // The peers that have it may yet fail to send it.
+  if (PeersHave(state, entry.generation_)) {
+    follow.at_ = aStep.now_.mono_ + kPeerHeadStart;
+    return;
+  }
+  ContentLoad& load = state.loads_[static_cast<std::size_t>(LoadUse::Follow)];
+  const Generation loading = NewestEntry(load.content_.pointer_).generation_;
+  if (!load.active_ || loading < entry.generation_) {
+    StartLoad(aStep, LoadUse::Follow, follow.pointer_, entry);
+  }
+}
+
 void
 ElectWatchers(PublishStep& aStep)
 {
--- a/src/publish/publish_sweep.cpp
+++ b/src/publish/publish_sweep.cpp
@@ -42,6 +42,8 @@
   if (sweep.garbage_.empty()) {
     sweep.sweptTo_ = sweep.old_.generation_;
     sweep.active_ = false;
+    // Changes in quick succession leave more than one to be done.
+    StartSweep(aStep);
     return;
   }
   const auto& [key, version] = *sweep.garbage_.begin();
--- a/tests/publish/fleet_fixture.cpp
+++ b/tests/publish/fleet_fixture.cpp
@@ -13,8 +13,11 @@
 
 namespace camphorfield::test {
 
+using namespace std::chrono_literals;
+
 namespace {
 
+constexpr std::size_t kMaxValueBytes = 1024UL * 1024;
 constexpr Duration kPeerLatency = std::chrono::milliseconds(1);
 constexpr Duration kGossipPeriod = std::chrono::milliseconds(250);
 constexpr Duration kPollPeriod = std::chrono::milliseconds(5);
@@ -86,6 +89,7 @@
   Tell(aDaemon, [this, aDaemon, aEvent](FakeDaemon& aTo) {
     Decisions out;
     PublishOnEvent(aTo.state_, aEvent, NowOf(), aTo.rng_, out);
+    aTo.wake_ = PublishNextWake(aTo.state_);
     Carry(aDaemon, std::move(out));
   });
 }
@@ -140,6 +144,14 @@
     Post(kPeerLatency, [this, aDaemon, lost] { Deliver(aDaemon, lost); });
     return;
   }
+  const auto* ask = std::get_if<GenerationAsk>(&aSend.body_);
+  if (ask != nullptr && answerAsksWith_) {
+    GenerationContent answer = *answerAsksWith_;
+    answer.call_ = ask->call_;
+    const PeerMessage reply{ aSend.to_, {}, {}, std::move(answer) };
+    Post(kPeerLatency, [this, aDaemon, reply] { Deliver(aDaemon, reply); });
+    return;
+  }
   PeerMessage message{ from.settings_.self_, {}, {}, aSend.body_ };
   Post(kPeerLatency, [this, to, message] { Deliver(to, message); });
 }
@@ -192,7 +204,7 @@
     objects.erase(found);
     return reply;
   }
-  CHECK_TRUE(aCall.value_.size() <= 1024 * 1024);
+  CHECK_TRUE(aCall.value_.size() <= kMaxValueBytes);
   store_.bytesWritten_ += aCall.value_.size();
   PlatformObject object{ aCall.key_, ++store_.lastVersion_, aCall.value_ };
   objects[aCall.key_] = object;
@@ -202,7 +214,9 @@
 }
 
 void
-Fleet::Reply(std::size_t aDaemon, std::uint64_t aLife, PlatformReply aReply)
+Fleet::Reply(std::size_t aDaemon,
+             std::uint64_t aLife,
+             const PlatformReply& aReply)
 {
   if (daemons_[aDaemon].life_ == aLife) {
     Deliver(aDaemon, aReply);
@@ -212,7 +226,7 @@
 void
 Fleet::PollWatch(std::size_t aDaemon,
                  std::uint64_t aLife,
-                 PlatformCall aCall,
+                 const PlatformCall& aCall,
                  TimePoint aUntil)
 {
   if (store_.down_ || daemons_[aDaemon].cutFromStore_) {
@@ -319,9 +333,8 @@
   std::size_t due = daemons_.size();
   for (std::size_t i = 0; i < daemons_.size(); i++) {
     const FakeDaemon& daemon = daemons_[i];
-    const TimePoint wake = daemon.alive_ && !daemon.paused_
-                             ? std::max(now_, PublishNextWake(daemon.state_))
-                             : kNever;
+    const TimePoint wake =
+      daemon.alive_ && !daemon.paused_ ? std::max(now_, daemon.wake_) : kNever;
     if (wake < next) {
       next = wake;
       due = i;
@@ -403,6 +416,38 @@
   return found == answers_.end() ? nullptr : &found->second;
 }
 
+void
+Fleet::Start()
+{
+  Run(2s);
+  const OperatorAnswer answer = ApplyNow(0, BaseDocument(), "base");
+  CHECK_TRUE(answer.code_ == ResultCode::Ok);
+  CHECK_TRUE(RunUntil([&] { return AllAt(Generation{ 1 }); }, 5s));
+  Run(2s);
+}
+
+void
+Fleet::CheckSound() const
+{
+  LONGS_EQUAL(0, reversals_);
+  LONGS_EQUAL(0, forks_);
+}
+
+void
+Fleet::Stop(std::size_t aDaemon)
+{
+  Deliver(aDaemon, StopAsked{ "test" });
+}
+
+void
+Fleet::TellNotice(std::size_t aTo, std::size_t aFrom, Generation aGeneration)
+{
+  GenerationContent notice;
+  notice.generation_ = aGeneration;
+  const DaemonId from = daemons_[aFrom].settings_.self_;
+  Deliver(aTo, PeerMessage{ from, {}, {}, std::move(notice) });
+}
+
 void
 Fleet::Restart(std::size_t aDaemon)
 {
@@ -415,6 +460,7 @@
   daemon.adoptedAt_.clear();
   daemon.rng_ = Rng{ rng_() };
   daemon.state_ = MakePublishState(daemon.settings_, daemon.rng_);
+  daemon.wake_ = PublishNextWake(daemon.state_);
 }
 
 void
@@ -442,9 +488,8 @@
 Fleet::AllAt(Generation aGeneration) const
 {
   return std::all_of(daemons_.begin(), daemons_.end(), [&](const auto& aOne) {
-    const auto config = PublishCurrent(aOne.state_);
     return !aOne.alive_ || aOne.paused_ ||
-           (config != nullptr && config->generation_ == aGeneration);
+           (!aOne.adopted_.empty() && aOne.adopted_.back() == aGeneration);
   });
 }
 
--- a/tests/publish/fleet_fixture.h
+++ b/tests/publish/fleet_fixture.h
@@ -40,6 +40,7 @@
   PublishSettings settings_;
   PublishState state_;
   Rng rng_;
+  TimePoint wake_; ///< When it wants a Tick.
   bool alive_ = true;
   bool paused_ = false;
   bool cutFromStore_ = false;
@@ -77,6 +78,13 @@
                           Duration aLimit = std::chrono::seconds(30));
   const OperatorAnswer* Answered(OperatorRequestId aId) const;
 
+  /** Let all start and publish the base document. */
+  void Start();
+  /** No daemon went back, and no generation has two contents. */
+  void CheckSound() const;
+  void Stop(std::size_t aDaemon); ///< Ask for a graceful shutdown.
+  /** A daemon hears directly that another one has a generation. */
+  void TellNotice(std::size_t aTo, std::size_t aFrom, Generation aGeneration);
   void Restart(std::size_t aDaemon); ///< A new life, with nothing kept.
   void Kill(std::size_t aDaemon);
   void Pause(std::size_t aDaemon, bool aPaused);
@@ -88,6 +96,8 @@
   FakeStore store_;
   std::vector<FakeDaemon> daemons_;
   TimePoint now_;
+  /// What each daemon answers to those that ask it for content.
+  std::optional<GenerationContent> answerAsksWith_;
   bool gossip_ = true;        ///< Members tell their generations.
   std::size_t reversals_ = 0; ///< Generations adopted that did not rise.
   std::map<Generation, std::string> contents_; ///< Content in force anywhere.
@@ -103,10 +113,12 @@
   void CarryPeer(std::size_t aDaemon, const SendPeer& aSend);
   void NoteAdopted(FakeDaemon& aDaemon, const ConfigAdopted& aAdopted);
   PlatformReply Execute(const PlatformCall& aCall);
-  void Reply(std::size_t aDaemon, std::uint64_t aLife, PlatformReply aReply);
+  void Reply(std::size_t aDaemon,
+             std::uint64_t aLife,
+             const PlatformReply& aReply);
   void PollWatch(std::size_t aDaemon,
                  std::uint64_t aLife,
-                 PlatformCall aCall,
+                 const PlatformCall& aCall,
                  TimePoint aUntil);
   void Gossip();
   bool Step(TimePoint aLimit);
--- /dev/null
+++ b/tests/publish/store_fault_test.cpp
@@ -0,0 +1,239 @@
+#include "publish/fleet_fixture.h"
+
+#include "core/result_func.h"
+
+#include <string>
+#include <vector>
+
+// Last: it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorfield;
+using namespace camphorfield::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** What goes wrong while a change is published, and what is to be told. */
+struct SwapCase
+{
+  const char* name_;
+  int loseReplies_;
+  int loseRequests_;
+  Duration lateEffect_;
+  int throttle_;
+  bool downAfterSwap_;
+  Duration outage_; ///< Zero: the store stays up.
+  ResultCode code_;
+};
+
+const std::vector<SwapCase> kSwapCases{
+  { "reply lost", 1, 0, 0s, 0, false, 0s, ResultCode::Ok },
+  { "three replies lost", 3, 0, 0s, 0, false, 0s, ResultCode::Ok },
+  { "request lost", 0, 1, 0s, 0, false, 0s, ResultCode::Ok },
+  { "three requests lost", 0, 3, 0s, 0, false, 0s, ResultCode::Ok },
+  { "request late by 1 s", 0, 1, 1s, 0, false, 0s, ResultCode::Ok },
+  { "request late by 2.1 s", 0, 1, 2100ms, 0, false, 0s, ResultCode::Ok },
+  { "request late by 9 s", 0, 2, 9s, 0, false, 0s, ResultCode::Ok },
+  { "throttled", 0, 0, 0s, 6, false, 0s, ResultCode::Ok },
+  { "reply lost, then down 60 s", 1, 0, 0s, 0, true, 60s, ResultCode::Ok },
+  { "request lost, then down 60 s", 0, 1, 0s, 0, false, 60s, ResultCode::Ok },
+  { "reply lost, then down 10 min",
+    1,
+    0,
+    0s,
+    0,
+    true,
+    600s,
+    ResultCode::ConfigUnknown },
+};
+
+} // namespace
+
+TEST_GROUP(StoreFault){};
+
+TEST(StoreFault, TheOperatorHearsTheTruthOfASwap)
+{
+  for (const SwapCase& test : kSwapCases) {
+    Fleet fleet(6, 3, 11);
+    fleet.Start();
+    fleet.store_.loseReplies_ = test.loseReplies_;
+    fleet.store_.loseRequests_ = test.loseRequests_;
+    fleet.store_.lateEffect_ = test.lateEffect_;
+    fleet.store_.throttle_ = test.throttle_;
+    fleet.store_.downAfterSwap_ = test.downAfterSwap_;
+    const std::string document = LimitsDocument("normal", 5, 1);
+    const auto id = fleet.Apply(2, document, "change");
+    if (test.outage_.count() > 0) {
+      fleet.Run(1s);
+      fleet.store_.down_ = true;
+      fleet.Run(test.outage_);
+      fleet.store_.down_ = false;
+    }
+    CHECK_TRUE_TEXT(
+      fleet.RunUntil([&] { return fleet.Answered(id) != nullptr; }, 60s),
+      test.name_);
+    CHECK_TRUE_TEXT(fleet.Answered(id)->code_ == test.code_, test.name_);
+    fleet.Run(20s);
+    CHECK_TRUE_TEXT(fleet.AllAt(Generation{ 2 }), test.name_);
+    // Asked by its id, and sent again to another daemon: the same answer.
+    const OperatorAnswer asked =
+      fleet.Answer(4, { {}, OperatorOp::Change, "", "change", {} });
+    CHECK_TRUE_TEXT(asked.code_ == ResultCode::Ok, test.name_);
+    LONGS_EQUAL(2, NumberOf(asked, "generation"));
+    const OperatorAnswer again = fleet.ApplyNow(5, document, "change");
+    STRCMP_EQUAL(asked.text_.c_str(), again.text_.c_str());
+    fleet.CheckSound();
+  }
+}
+
+TEST(StoreFault, WithoutTheStoreNothingIsPublished)
+{
+  Fleet fleet(3, 3, 12);
+  fleet.Start();
+  fleet.store_.down_ = true;
+  const OperatorAnswer answer =
+    fleet.ApplyNow(0, LimitsDocument("normal", 5, 1), "change", 60s);
+  CHECK_TRUE(answer.code_ == ResultCode::StoreUnavailable);
+  CHECK_TRUE(fleet.Records(TimelineKind::StoreLost) > 0);
+  fleet.store_.down_ = false;
+  fleet.Run(60s);
+  CHECK_TRUE(fleet.AllAt(Generation{ 1 }));
+  const OperatorAnswer asked =
+    fleet.Answer(1, { {}, OperatorOp::Change, "", "change", {} });
+  CHECK_TRUE(asked.code_ == ResultCode::NotFound);
+  LONGS_EQUAL(fleet.Records(TimelineKind::StoreLost),
+              fleet.Records(TimelineKind::StoreFound));
+}
+
+TEST(StoreFault, ARestoredStoreIsRepaired)
+{
+  Fleet fleet(6, 3, 13);
+  fleet.Start();
+  const auto copy = fleet.store_.objects_;
+  fleet.ApplyNow(0, LimitsDocument("normal", 11, 1), "two");
+  fleet.ApplyNow(1, LimitsDocument("normal", 12, 2), "three");
+  fleet.Run(2s);
+  fleet.store_.objects_ = copy;
+  fleet.Run(30s);
+  CHECK_TRUE(fleet.Records(TimelineKind::GenerationRefused) > 0);
+  CHECK_TRUE(fleet.AllAt(Generation{ 4 }));
+  CHECK_TRUE(fleet.contents_.at(Generation{ 3 }) ==
+             fleet.contents_.at(Generation{ 4 }));
+  // The next change stands above all, and the history is whole again.
+  const OperatorAnswer next =
+    fleet.ApplyNow(2, LimitsDocument("batch", 13, 4), "next");
+  LONGS_EQUAL(5, NumberOf(next, "generation"));
+  const OperatorAnswer old =
+    fleet.ApplyNow(5, LimitsDocument("normal", 12, 2), "three");
+  LONGS_EQUAL(3, NumberOf(old, "generation"));
+  // A fleet that starts anew from the store alone gets the same.
+  for (std::size_t i = 0; i < 6; i++) {
+    fleet.Restart(i);
+  }
+  fleet.Run(5s);
+  CHECK_TRUE(fleet.AllAt(Generation{ 5 }));
+  fleet.CheckSound();
+}
+
+TEST(StoreFault, AnApplyRightAfterARestoreKeepsWhatWasAccepted)
+{
+  for (std::uint64_t seed = 1; seed <= 10; seed++) {
+    Fleet fleet(6, 3, seed);
+    fleet.Start();
+    const auto copy = fleet.store_.objects_;
+    fleet.ApplyNow(0, LimitsDocument("normal", 11, 1), "two");
+    fleet.Run(2s);
+    fleet.store_.objects_ = copy;
+    fleet.Run(std::chrono::milliseconds(seed * 3));
+    const OperatorAnswer next =
+      fleet.ApplyNow(3, LimitsDocument("batch", 13, 2), "next");
+    CHECK_TRUE(next.code_ == ResultCode::Ok);
+    CHECK_TRUE(NumberOf(next, "generation") > 2);
+    fleet.Run(30s);
+    const ConfigSet& set = PublishCurrent(fleet.daemons_[5].state_)->set_;
+    LONGS_EQUAL(11, set.limits_.at("normal").maxInFlight_);
+    LONGS_EQUAL(13, set.limits_.at("batch").maxInFlight_);
+    fleet.CheckSound();
+  }
+}
+
+TEST(StoreFault, AnEmptiedStoreIsRepaired)
+{
+  Fleet fleet(3, 3, 14);
+  fleet.Start();
+  fleet.store_.objects_.clear();
+  fleet.Run(30s);
+  CHECK_TRUE(fleet.AllAt(Generation{ 2 }));
+  CHECK_TRUE(fleet.contents_.at(Generation{ 1 }) ==
+             fleet.contents_.at(Generation{ 2 }));
+  fleet.CheckSound();
+}
+
+TEST(StoreFault, StaleReadsRevertNothing)
+{
+  Fleet fleet(6, 3, 15);
+  fleet.Start();
+  const auto copy = fleet.store_.objects_;
+  fleet.ApplyNow(0, LimitsDocument("normal", 11, 1), "two");
+  fleet.Run(2s);
+  fleet.store_.stale_ = copy;
+  fleet.ResetCounts();
+  fleet.Run(60s);
+  CHECK_TRUE(fleet.AllAt(Generation{ 2 }));
+  // No daemon hammers a store whose watches end at once.
+  CHECK_TRUE(fleet.StoreCalls() < 60 * 6 * 10);
+  // A daemon that starts now must not fall behind its peers for good.
+  fleet.Restart(5);
+  fleet.Run(10s);
+  CHECK_TRUE(fleet.AllAt(Generation{ 2 }));
+  fleet.store_.stale_.reset();
+  fleet.Run(10s);
+  CHECK_TRUE(
+    fleet.ApplyNow(1, LimitsDocument("normal", 12, 2), "three").code_ ==
+    ResultCode::Ok);
+  fleet.Run(10s);
+  LONGS_EQUAL(12,
+              PublishCurrent(fleet.daemons_[5].state_)
+                ->set_.limits_.at("normal")
+                .maxInFlight_);
+  fleet.CheckSound();
+}
+
+TEST(StoreFault, AnUnreadablePointerChangesNothing)
+{
+  Fleet fleet(3, 3, 16);
+  fleet.Start();
+  PlatformObject& pointer =
+    fleet.store_.objects_.at("camphorfield/config/pointer");
+  const std::string good = pointer.value_;
+  pointer.value_ = "{\"format\":1";
+  pointer.version_ = ++fleet.store_.lastVersion_;
+  fleet.Run(5s);
+  CHECK_TRUE(fleet.AllAt(Generation{ 1 }));
+  CHECK_TRUE(fleet.Records(TimelineKind::GenerationRefused) > 0);
+  CHECK_TRUE(
+    fleet.ApplyNow(0, LimitsDocument("normal", 2, 1), "x", 60s).code_ ==
+    ResultCode::StoreUnavailable);
+}
+
+TEST(StoreFault, AChunkThatIsNotWhatItsDigestSaysIsRefused)
+{
+  Fleet fleet(3, 3, 17);
+  fleet.Start();
+  fleet.store_.objects_.at("camphorfield/config/pointer");
+  for (auto& [key, object] : fleet.store_.objects_) {
+    if (key.find("/chunk/") != std::string::npos) {
+      object.value_ += " ";
+    }
+  }
+  for (std::size_t i = 0; i < 3; i++) {
+    fleet.Restart(i);
+  }
+  fleet.Run(20s);
+  for (const FakeDaemon& daemon : fleet.daemons_) {
+    CHECK_TRUE(PublishCurrent(daemon.state_) == nullptr);
+    CHECK_FALSE(PublishIsConfirmed(daemon.state_));
+  }
+  CHECK_TRUE(fleet.Records(TimelineKind::GenerationRefused) > 0);
+}
