--- a/tests/publish/member_fault_test.cpp
+++ b/tests/publish/member_fault_test.cpp
@@ -93,7 +93,10 @@
       fleet.Pause(1, false);
       fleet.Run(10s);
       const OperatorAnswer* answer = fleet.Answered(paused);
-      CHECK_TRUE(answer != nullptr);
+      if (answer == nullptr) {
+        FAIL("no answer to the paused change");
+        return;
+      }
       const bool first = answer->code_ == ResultCode::Ok;
       const bool second = other.code_ == ResultCode::Ok;
       // Of two changes to one object exactly one is accepted.
--- a/tests/publish/store_fault_test.cpp
+++ b/tests/publish/store_fault_test.cpp
@@ -182,7 +182,7 @@
   fleet.Run(60s);
   CHECK_TRUE(fleet.AllAt(Generation{ 2 }));
   // No daemon hammers a store whose watches end at once.
-  CHECK_TRUE(fleet.StoreCalls() < 60 * 6 * 10);
+  CHECK_TRUE(fleet.StoreCalls() < 3600);
   // A daemon that starts now must not fall behind its peers for good.
   fleet.Restart(5);
   fleet.Run(10s);
