--- a/tests/publish/store_fault_test.cpp
+++ b/tests/publish/store_fault_test.cpp
@@ -87,6 +87,33 @@
   }
 }
 
+TEST(StoreFault, ALateSwapIsNeverToldToBeLost)
+{
+  // The swap is late by 20 s; the store goes down at some point of the read
+  // that looks for it, before or after that has shown the old version.
+  std::size_t published = 0;
+  for (int downMs = 2000; downMs < 2200; downMs += 4) {
+    Fleet fleet(2, 1, 18);
+    fleet.Start();
+    fleet.store_.loseRequests_ = 1;
+    fleet.store_.lateEffect_ = 20s;
+    const auto id = fleet.Apply(0, LimitsDocument("normal", 5, 1), "late");
+    fleet.Run(std::chrono::milliseconds(downMs));
+    fleet.store_.down_ = true;
+    fleet.Run(300s);
+    fleet.store_.down_ = false;
+    fleet.Run(10s);
+    const OperatorAnswer asked =
+      fleet.Answer(1, { {}, OperatorOp::Change, "", "late", {} });
+    CHECK_TRUE(asked.code_ == ResultCode::Ok);
+    published += NumberOf(asked, "generation") == 2 ? 1 : 0;
+    const ResultCode told = fleet.Answered(id)->code_;
+    CHECK_TRUE(told == ResultCode::Ok || told == ResultCode::ConfigUnknown);
+    fleet.CheckSound();
+  }
+  LONGS_EQUAL(50, published);
+}
+
 TEST(StoreFault, WithoutTheStoreNothingIsPublished)
 {
   Fleet fleet(3, 3, 12);
