Add: exhaustive search over small worlds of order machines

Cause: promises about interleavings of crashes, pauses, lost replies and takeovers can't be shown by examples. The search found that a forward delivered again was told NOT_RUN after another request had run the key; the repeated answer now looks at the key again.

--- a/src/order/order_forward.cpp
+++ b/src/order/order_forward.cpp
@@ -1,3 +1,4 @@
+#include "core/result_func.h"
 #include "order/order_internal.h"
 
 #include <algorithm>
@@ -268,6 +269,33 @@
   }
 }
 
+/** The answer to a call that was answered before, as it is true now. */
+OrderForwarded
+AnswerAgain(OrderState& aState, PeerCallId aId, const CallMemo& aCall)
+{
+  OrderForwarded answer{ .call_ = aId,
+                         .code_ = aCall.code_,
+                         .accepted_ = aCall.accepted_ };
+  const OrderTable& table = TableOf(aState, aCall.range_);
+  const auto found = table.entries_.find(aCall.key_);
+  const bool known = found != table.entries_.end();
+  if (aCall.code_ == ResultCode::Ok ||
+      aCall.code_ == ResultCode::OrderRefused) {
+    const bool kept = known && found->second.state_ == EntryState::Done;
+    answer.code_ = kept ? found->second.code_ : ResultCode::OutcomeUnknown;
+    answer.body_ = kept ? found->second.answer_ : nullptr;
+    answer.replayed_ = true;
+    return answer;
+  }
+  // Another request may have run the key since this one was told "not run".
+  const bool notRun = GetResultRow(aCall.code_).run_ == RunState::NotRun &&
+                      aCall.code_ != ResultCode::KeyReused;
+  if (notRun && !(known && found->second.state_ == EntryState::NotRun)) {
+    answer.code_ = ResultCode::OrderNotAccepted;
+  }
+  return answer;
+}
+
 /** Whether the forward repeats a call that is known already. */
 bool
 IsRepeated(OrderStep& aStep,
@@ -293,18 +321,7 @@
   if (!call.answered_) {
     return true;
   }
-  OrderForwarded answer{ .call_ = aForward.call_,
-                         .code_ = call.code_,
-                         .accepted_ = call.accepted_ };
-  if (call.code_ == ResultCode::Ok || call.code_ == ResultCode::OrderRefused) {
-    const OrderTable& table = TableOf(state, call.range_);
-    const auto entry = table.entries_.find(call.key_);
-    const bool kept =
-      entry != table.entries_.end() && entry->second.state_ == EntryState::Done;
-    answer.code_ = kept ? entry->second.code_ : ResultCode::OutcomeUnknown;
-    answer.body_ = kept ? entry->second.answer_ : nullptr;
-    answer.replayed_ = true;
-  }
+  const OrderForwarded answer = AnswerAgain(state, aForward.call_, call);
   SendToPeer(aStep, aFrom.from_, answer, {});
   return true;
 }
@@ -481,9 +498,8 @@
       RetryRelay(aStep, request);
       continue;
     }
-    const ResultCode code =
-      HasOpenCalls(relay) ? ResultCode::OutcomeUnknown
-                          : RefusalCode(aStep, ResultCode::OrderNotAccepted);
+    // With a call open this becomes OUTCOME_UNKNOWN.
+    const ResultCode code = RefusalCode(aStep, ResultCode::OrderNotAccepted);
     EndRelay(aStep, request, code, nullptr, false);
   }
 }
--- /dev/null
+++ b/tests/order/explore_fixture.cpp
@@ -0,0 +1,675 @@
+#include "order/explore_fixture.h"
+
+#include "core/hash_func.h"
+#include "core/result_func.h"
+#include "order/order_internal.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr std::int64_t kEpochMicros = 1'700'000'000'000'000;
+constexpr std::uint64_t kSeed = 1;
+constexpr const char* kCaller = "desk";
+constexpr int kMostSettled = 1000;
+
+using Successors = std::vector<ExploredWorld>;
+
+Now
+ClockOf(const ExploredWorld& aWorld, std::size_t aDaemon)
+{
+  Now now = aWorld.now_;
+  now.unixMicros_ += aWorld.skewMicros_[aDaemon];
+  return now;
+}
+
+void
+Fail(ExploredWorld& aWorld, const char* aWhy)
+{
+  if (aWorld.violation_ == nullptr) {
+    aWorld.violation_ = aWhy;
+  }
+}
+
+void
+PutItem(ExploredWorld& aWorld, Delivery aDelivery, bool aGhost = false)
+{
+  auto item = std::make_shared<ExploredItem>();
+  item->hash_ = HashPair(HashDelivery(aDelivery), aGhost ? 1 : 0);
+  item->delivery_ = std::move(aDelivery);
+  item->ghost_ = aGhost;
+  aWorld.items_.push_back(std::move(item));
+}
+
+std::size_t
+IndexOf(const ExploredWorld& aWorld, DaemonId aId)
+{
+  std::size_t index = 0;
+  while (aWorld.daemons_[index]->state_.settings_.self_ != aId) {
+    ++index;
+  }
+  return index;
+}
+
+/** "Not run" may be said only of keys that have not run. */
+void
+CheckNotRun(ExploredWorld& aWorld, ResultCode aCode, const std::string& aKey)
+{
+  if (GetResultRow(aCode).run_ == RunState::NotRun && aWorld.runs_[aKey] > 0) {
+    Fail(aWorld, "told NOT_RUN though it ran");
+  }
+}
+
+void
+CarryAnswer(ExploredWorld& aWorld, const OrderAnswer& aAnswer, bool aRelayed)
+{
+  ExploredRequest& request = aWorld.requests_[aAnswer.id_.value_ - 1];
+  if (request.told_ != ResultCode::End) {
+    Fail(aWorld, "answered twice");
+  }
+  request.told_ = aAnswer.code_;
+  if (!aRelayed) {
+    CheckNotRun(aWorld, aAnswer.code_, request.key_);
+  }
+  const bool wrong = aAnswer.body_ == nullptr ||
+                     *aAnswer.body_ != request.key_ ||
+                     aWorld.runs_[request.key_] == 0;
+  if (aAnswer.code_ == ResultCode::Ok && wrong) {
+    Fail(aWorld, "told an outcome that did not happen");
+  }
+}
+
+void
+CarrySend(ExploredWorld& aWorld, std::size_t aFrom, const SendPeer& aSend)
+{
+  const OrderSettings& from = aWorld.daemons_[aFrom]->state_.settings_;
+  if (const auto* forward = std::get_if<OrderForward>(&aSend.body_)) {
+    aWorld.callKeys_[forward->call_] = forward->key_;
+  } else if (const auto* answer = std::get_if<OrderForwarded>(&aSend.body_)) {
+    if (answer->accepted_) {
+      CheckNotRun(aWorld, answer->code_, aWorld.callKeys_[answer->call_]);
+    }
+  }
+  PutItem(aWorld,
+          { .to_ = IndexOf(aWorld, aSend.to_),
+            .event_ = PeerMessage{ .from_ = from.self_,
+                                   .fromIncarnation_ = from.incarnation_,
+                                   .body_ = aSend.body_ } });
+}
+
+void
+CarryAll(ExploredWorld& aWorld,
+         std::size_t aFrom,
+         const Decisions& aDecisions,
+         bool aRelayed)
+{
+  const Incarnation life =
+    aWorld.daemons_[aFrom]->state_.settings_.incarnation_;
+  for (const Decision& decision : aDecisions) {
+    if (const auto* answer = std::get_if<OrderAnswer>(&decision)) {
+      CarryAnswer(aWorld, *answer, aRelayed);
+    } else if (const auto* send = std::get_if<SendPeer>(&decision)) {
+      CarrySend(aWorld, aFrom, *send);
+    } else if (const auto* call = std::get_if<PlatformCall>(&decision)) {
+      PutItem(aWorld, { .to_ = aFrom, .incarnation_ = life, .call_ = *call });
+    } else if (const auto* order = std::get_if<DispatchOrder>(&decision)) {
+      PutItem(aWorld,
+              { .to_ = aFrom, .incarnation_ = life, .dispatch_ = *order });
+    }
+  }
+}
+
+void
+SetDaemon(ExploredWorld& aWorld, std::size_t aDaemon, OrderState aState)
+{
+  auto daemon = std::make_shared<ExploredDaemon>();
+  daemon->hash_ = HashOrderState(aState);
+  daemon->state_ = std::move(aState);
+  aWorld.daemons_[aDaemon] = std::move(daemon);
+}
+
+void
+Give(ExploredWorld& aWorld, std::size_t aDaemon, const Event& aEvent)
+{
+  Rng rng(kSeed);
+  Decisions out;
+  OrderState state = aWorld.daemons_[aDaemon]->state_;
+  const Now now = ClockOf(aWorld, aDaemon);
+  std::visit(
+    [&](const auto& aTyped) {
+      if constexpr (requires { OrderOnEvent(state, aTyped, now, rng, out); }) {
+        OrderOnEvent(state, aTyped, now, rng, out);
+      }
+    },
+    aEvent);
+  SetDaemon(aWorld, aDaemon, std::move(state));
+  bool relayed = false;
+  if (const auto* peer = std::get_if<PeerMessage>(&aEvent)) {
+    relayed = std::holds_alternative<OrderForwarded>(peer->body_);
+  }
+  CarryAll(aWorld, aDaemon, out, relayed);
+}
+
+std::shared_ptr<const std::vector<MemberRecord>>
+MembersSeenBy(const ExploredWorld& aWorld, std::size_t aDaemon)
+{
+  auto members = std::make_shared<std::vector<MemberRecord>>();
+  for (std::size_t i = 0; i < kExploredDaemons; ++i) {
+    const OrderSettings& settings = aWorld.daemons_[i]->state_.settings_;
+    const bool dead = i == 0 && aWorld.views_[aDaemon];
+    members->push_back(
+      { .id_ = settings.self_,
+        .incarnation_ = settings.incarnation_,
+        .state_ = dead ? MemberState::Dead : MemberState::Alive,
+        .ready_ = true });
+  }
+  return members;
+}
+
+OrderSettings
+ExploredSettings(std::size_t aDaemon,
+                 std::uint64_t aLife,
+                 const OrderGuards& aGuards)
+{
+  // The first daemon is the one that wins the range.
+  std::array<std::uint64_t, kExploredDaemons> ids{ 1, 2, 3 };
+  std::sort(
+    ids.begin(), ids.end(), [](std::uint64_t aLeft, std::uint64_t aRight) {
+      return HashPair(aLeft, 1) > HashPair(aRight, 1);
+    });
+  OrderSettings settings;
+  settings.self_ = { ids[aDaemon] };
+  settings.incarnation_ = { aLife };
+  settings.ranges_ = 1;
+  settings.writesPerSecond_ = 1'000'000;
+  settings.writeBurst_ = 1000;
+  for (Duration OrderSettings::*delay : { &OrderSettings::backoffFirst_,
+                                          &OrderSettings::outcomeDelay_,
+                                          &OrderSettings::takeoverGrace_,
+                                          &OrderSettings::rebalanceDelay_,
+                                          &OrderSettings::releaseWait_,
+                                          &OrderSettings::outcomeWait_,
+                                          &OrderSettings::forwardRetry_,
+                                          &OrderSettings::forwardMargin_,
+                                          &OrderSettings::issuerWait_ }) {
+    settings.*delay = Duration(0); // Due at once; the search decides when.
+  }
+  settings.guards_ = aGuards;
+  return settings;
+}
+
+bool
+IsDue(const ExploredWorld& aWorld, std::size_t aDaemon)
+{
+  return OrderNextWake(aWorld.daemons_[aDaemon]->state_) <= aWorld.now_.mono_;
+}
+
+bool
+IsStaleEvent(const ExploredWorld& aWorld, const Delivery& aDelivery)
+{
+  return aDelivery.incarnation_.IsValid() &&
+         aDelivery.incarnation_ !=
+           aWorld.daemons_[aDelivery.to_]->state_.settings_.incarnation_;
+}
+
+/** Run a store call; the reply is on its way unless its caller gave up. */
+void
+RunStore(ExploredWorld& aWorld, const ExploredItem& aItem)
+{
+  auto store = std::make_shared<FakeStore>(*aWorld.store_);
+  const PlatformReply reply = StoreCall(*store, *aItem.delivery_.call_);
+  aWorld.store_ = std::move(store);
+  if (!aItem.ghost_) {
+    PutItem(aWorld,
+            { .to_ = aItem.delivery_.to_,
+              .incarnation_ = aItem.delivery_.incarnation_,
+              .event_ = reply });
+  }
+}
+
+/** What a server may make of a dispatch. */
+struct ServerCase
+{
+  bool runs_;
+  DispatchState told_;
+};
+
+constexpr ServerCase kServerCases[] = {
+  { true, DispatchState::Answered },
+  { true, DispatchState::Unknown },
+  { false, DispatchState::NotRun },
+  { false, DispatchState::Unknown },
+};
+
+/** A run has to be caused by a request that may still have run. */
+void
+CheckRun(ExploredWorld& aWorld, const std::string& aKey)
+{
+  if (aWorld.runs_[aKey] > 1) {
+    Fail(aWorld, "ran twice");
+  }
+  for (const ExploredRequest& request : aWorld.requests_) {
+    const bool open =
+      request.sent_ && request.key_ == aKey &&
+      (request.told_ == ResultCode::End || !SaysNotRun(request.told_));
+    if (open) {
+      return;
+    }
+  }
+  Fail(aWorld, "ran after every request was told that it did not");
+}
+
+void
+RunServer(ExploredWorld& aWorld,
+          const Delivery& aDelivery,
+          const ServerCase& aCase)
+{
+  const DispatchOrder& order = *aDelivery.dispatch_;
+  if (aCase.runs_) {
+    ++aWorld.runs_[order.key_];
+    CheckRun(aWorld, order.key_);
+  }
+  PutItem(aWorld,
+          { .to_ = aDelivery.to_,
+            .incarnation_ = aDelivery.incarnation_,
+            .event_ = OrderDispatched{
+              .id_ = order.id_,
+              .state_ = aCase.told_,
+              .reason_ = ResultCode::Overloaded,
+              .body_ = std::make_shared<const std::string>(order.key_) } });
+}
+
+/** Take an item out of those on their way. */
+std::shared_ptr<const ExploredItem>
+TakeItem(ExploredWorld& aWorld, std::size_t aItem)
+{
+  const auto item = aWorld.items_[aItem];
+  aWorld.items_.erase(aWorld.items_.begin() +
+                      static_cast<std::ptrdiff_t>(aItem));
+  return item;
+}
+
+void
+CarryOut(ExploredWorld& aWorld, std::size_t aItem)
+{
+  const auto item = TakeItem(aWorld, aItem);
+  const Delivery& delivery = item->delivery_;
+  if (delivery.call_) {
+    RunStore(aWorld, *item);
+  } else if (delivery.dispatch_) {
+    RunServer(aWorld, delivery, kServerCases[0]);
+  } else if (!IsStaleEvent(aWorld, delivery)) {
+    Give(aWorld, delivery.to_, delivery.event_);
+  }
+}
+
+void
+ServerFaults(const ExploredWorld& aWorld, std::size_t aItem, Successors& aOut)
+{
+  if (aWorld.budget_.serverFaults_ == 0) {
+    return;
+  }
+  for (std::size_t i = 1; i < std::size(kServerCases); ++i) {
+    ExploredWorld next = aWorld;
+    --next.budget_.serverFaults_;
+    const auto item = TakeItem(next, aItem);
+    RunServer(next, item->delivery_, kServerCases[i]);
+    aOut.push_back(std::move(next));
+  }
+}
+
+/** The caller of a store call gives up; the call may take effect later. */
+void
+StoreFaults(const ExploredWorld& aWorld, std::size_t aItem, Successors& aOut)
+{
+  const ExploredItem& item = *aWorld.items_[aItem];
+  if (aWorld.budget_.storeLost_ == 0 || item.ghost_) {
+    return;
+  }
+  ExploredWorld next = aWorld;
+  --next.budget_.storeLost_;
+  TakeItem(next, aItem);
+  const PlatformCall& call = *item.delivery_.call_;
+  PutItem(next, item.delivery_, true);
+  if (!IsStaleEvent(next, item.delivery_)) {
+    Give(next,
+         item.delivery_.to_,
+         PlatformReply{ .id_ = call.id_,
+                        .user_ = call.user_,
+                        .op_ = call.op_,
+                        .status_ = PlatformStatus::Unreachable,
+                        .key_ = call.key_ });
+  }
+  aOut.push_back(std::move(next));
+}
+
+void
+PeerFaults(const ExploredWorld& aWorld, std::size_t aItem, Successors& aOut)
+{
+  const ExploredItem& item = *aWorld.items_[aItem];
+  if (!std::holds_alternative<PeerMessage>(item.delivery_.event_)) {
+    return;
+  }
+  if (aWorld.budget_.peerLost_ > 0) {
+    ExploredWorld next = aWorld;
+    --next.budget_.peerLost_;
+    TakeItem(next, aItem);
+    aOut.push_back(std::move(next));
+  }
+  if (aWorld.budget_.peerTwice_ > 0) {
+    ExploredWorld next = aWorld;
+    --next.budget_.peerTwice_;
+    Give(next, item.delivery_.to_, item.delivery_.event_);
+    aOut.push_back(std::move(next));
+  }
+}
+
+void
+ItemSteps(const ExploredWorld& aWorld, Successors& aOut)
+{
+  for (std::size_t i = 0; i < aWorld.items_.size(); ++i) {
+    ExploredWorld next = aWorld;
+    CarryOut(next, i);
+    aOut.push_back(std::move(next));
+    const Delivery& delivery = aWorld.items_[i]->delivery_;
+    if (delivery.call_) {
+      StoreFaults(aWorld, i, aOut);
+    } else if (delivery.dispatch_) {
+      ServerFaults(aWorld, i, aOut);
+    } else {
+      PeerFaults(aWorld, i, aOut);
+    }
+  }
+}
+
+void
+Send(ExploredWorld& aWorld, std::size_t aRequest)
+{
+  ExploredRequest& request = aWorld.requests_[aRequest];
+  request.sent_ = true;
+  Give(aWorld,
+       request.daemon_,
+       CallerRequest{ .id_ = { aRequest + 1 },
+                      .caller_ = kCaller,
+                      .route_ = "reorder",
+                      .idempotencyKey_ = request.key_,
+                      .body_ = std::make_shared<const std::string>("body") });
+}
+
+void
+TakeView(ExploredWorld& aWorld, std::size_t aDaemon)
+{
+  aWorld.views_[aDaemon] = true;
+  Give(aWorld, aDaemon, MembersChanged{ MembersSeenBy(aWorld, aDaemon) });
+}
+
+void
+Crash(ExploredWorld& aWorld, std::size_t aDaemon)
+{
+  const OrderSettings& old = aWorld.daemons_[aDaemon]->state_.settings_;
+  const OrderSettings settings =
+    ExploredSettings(aDaemon, old.incarnation_.value_ + 1, old.guards_);
+  Rng rng(kSeed);
+  SetDaemon(
+    aWorld, aDaemon, MakeOrderState(settings, ClockOf(aWorld, aDaemon), rng));
+  Give(aWorld, aDaemon, MembersChanged{ MembersSeenBy(aWorld, aDaemon) });
+}
+
+/** Let time pass until the next thing is due; false: nothing is. */
+bool
+Jump(ExploredWorld& aWorld)
+{
+  TimePoint next = kNever;
+  for (const auto& daemon : aWorld.daemons_) {
+    const TimePoint wake = OrderNextWake(daemon->state_);
+    if (wake > aWorld.now_.mono_) {
+      next = std::min(next, wake);
+    }
+  }
+  if (next == kNever) {
+    return false;
+  }
+  aWorld.now_.unixMicros_ += (next - aWorld.now_.mono_).count();
+  aWorld.now_.mono_ = next;
+  return true;
+}
+
+void
+DaemonSteps(const ExploredWorld& aWorld, Successors& aOut)
+{
+  for (std::size_t i = 0; i < kExploredDaemons; ++i) {
+    if (IsDue(aWorld, i)) {
+      aOut.push_back(aWorld);
+      Give(aOut.back(), i, Tick{});
+    }
+    if (aWorld.budget_.views_ > 0 && i != 0 && !aWorld.views_[i]) {
+      aOut.push_back(aWorld);
+      --aOut.back().budget_.views_;
+      TakeView(aOut.back(), i);
+    }
+    if (aWorld.budget_.crashes_ > 0) {
+      aOut.push_back(aWorld);
+      --aOut.back().budget_.crashes_;
+      Crash(aOut.back(), i);
+    }
+  }
+}
+
+Successors
+AllSteps(const ExploredWorld& aWorld)
+{
+  Successors out;
+  for (std::size_t i = 0; i < aWorld.requests_.size(); ++i) {
+    if (!aWorld.requests_[i].sent_) {
+      out.push_back(aWorld);
+      Send(out.back(), i);
+    }
+  }
+  ItemSteps(aWorld, out);
+  DaemonSteps(aWorld, out);
+  if (aWorld.budget_.jumps_ > 0) {
+    ExploredWorld next = aWorld;
+    --next.budget_.jumps_;
+    if (Jump(next)) {
+      out.push_back(std::move(next));
+    }
+  }
+  return out;
+}
+
+std::uint64_t
+HashWorld(const ExploredWorld& aWorld)
+{
+  std::uint64_t hash = 1;
+  for (const auto& daemon : aWorld.daemons_) {
+    hash = HashPair(hash, daemon->hash_);
+  }
+  for (const auto& [key, object] : aWorld.store_->objects_) {
+    hash = HashPair(hash, HashText(object.value_, object.version_));
+  }
+  std::uint64_t items = 0; // Their order doesn't matter.
+  for (const auto& item : aWorld.items_) {
+    items += HashPair(item->hash_, 1);
+  }
+  hash = HashPair(hash, items);
+  for (const ExploredRequest& request : aWorld.requests_) {
+    hash = HashPair(hash,
+                    static_cast<std::uint64_t>(request.told_) * 2 +
+                      (request.sent_ ? 1 : 0));
+  }
+  for (const auto& [key, runs] : aWorld.runs_) {
+    hash = HashPair(hash, HashText(key, static_cast<std::uint64_t>(runs)));
+  }
+  const ExploreBudget& budget = aWorld.budget_;
+  for (const int left : { budget.storeLost_,
+                          budget.peerLost_,
+                          budget.peerTwice_,
+                          budget.serverFaults_,
+                          budget.crashes_,
+                          budget.views_,
+                          budget.jumps_ }) {
+    hash = HashPair(hash, static_cast<std::uint64_t>(left));
+  }
+  return HashPair(
+    hash,
+    static_cast<std::uint64_t>(aWorld.now_.mono_.time_since_epoch().count()));
+}
+
+/** One search under way. */
+struct Search
+{
+  std::unordered_map<std::uint64_t, int> seen_; ///< Depth left when seen.
+  std::size_t mostStates_ = 0;
+  ExploreResult result_;
+};
+
+void
+Visit(Search& aSearch, const ExploredWorld& aWorld, int aDepth)
+{
+  if (aWorld.violation_ != nullptr) {
+    aSearch.result_.violation_ = aWorld.violation_;
+    return;
+  }
+  const auto [seen, isNew] = aSearch.seen_.emplace(HashWorld(aWorld), -1);
+  if (seen->second >= aDepth) {
+    return;
+  }
+  seen->second = aDepth;
+  aSearch.result_.truncated_ = aSearch.seen_.size() >= aSearch.mostStates_;
+  if (aDepth == 0 || aSearch.result_.truncated_) {
+    return;
+  }
+  for (const ExploredWorld& next : AllSteps(aWorld)) {
+    ++aSearch.result_.steps_;
+    Visit(aSearch, next, aDepth - 1);
+    if (aSearch.result_.violation_ != nullptr || aSearch.result_.truncated_) {
+      return;
+    }
+  }
+}
+
+/** First item on its way for a daemon, of one sort; the end when none is. */
+std::size_t
+FindItem(const ExploredWorld& aWorld, std::size_t aDaemon, bool aStoreCall)
+{
+  std::size_t i = 0;
+  while (i < aWorld.items_.size()) {
+    const Delivery& delivery = aWorld.items_[i]->delivery_;
+    const bool event = !delivery.call_ && !delivery.dispatch_;
+    if (delivery.to_ == aDaemon &&
+        (aStoreCall ? delivery.call_.has_value() : event)) {
+      break;
+    }
+    ++i;
+  }
+  return i;
+}
+
+void
+Settle(ExploredWorld& aWorld, std::size_t aFirst, std::size_t aLast)
+{
+  for (int i = 0; i < kMostSettled; ++i) {
+    const auto item = std::find_if(
+      aWorld.items_.begin(), aWorld.items_.end(), [&](const auto& aItem) {
+        return aItem->delivery_.to_ >= aFirst && aItem->delivery_.to_ <= aLast;
+      });
+    if (item != aWorld.items_.end()) {
+      CarryOut(aWorld, static_cast<std::size_t>(item - aWorld.items_.begin()));
+      continue;
+    }
+    std::size_t daemon = aFirst;
+    while (daemon <= aLast && !IsDue(aWorld, daemon)) {
+      ++daemon;
+    }
+    if (daemon > aLast) {
+      return;
+    }
+    Give(aWorld, daemon, Tick{});
+  }
+}
+
+void
+ShedOldest(ExploredWorld& aWorld)
+{
+  std::size_t i = 0;
+  while (!aWorld.items_[i]->delivery_.dispatch_) {
+    ++i;
+  }
+  const auto item = TakeItem(aWorld, i);
+  RunServer(aWorld, item->delivery_, kServerCases[2]);
+}
+
+} // namespace
+
+ExploredWorld
+MakeWorld(const OrderGuards& aGuards)
+{
+  ExploredWorld world;
+  world.now_ = { TimePoint(std::chrono::hours(1)), kEpochMicros };
+  world.store_ = std::make_shared<FakeStore>();
+  Rng rng(kSeed);
+  for (std::size_t i = 0; i < kExploredDaemons; ++i) {
+    OrderState state =
+      MakeOrderState(ExploredSettings(i, 1, aGuards), world.now_, rng);
+    if (i == 0) {
+      world.token_ = OrderIssueTokens(state, 1, world.now_, rng)[0];
+    }
+    SetDaemon(world, i, std::move(state));
+  }
+  for (std::size_t i = 0; i < kExploredDaemons; ++i) {
+    Give(world, i, MembersChanged{ MembersSeenBy(world, i) });
+  }
+  Settle(world, 0, kExploredDaemons - 1);
+  return world;
+}
+
+void
+RunPrefix(ExploredWorld& aWorld, const std::vector<PrefixStep>& aSteps)
+{
+  for (const PrefixStep& step : aSteps) {
+    switch (step.op_) {
+      case PrefixOp::Send:
+        Send(aWorld, step.arg_);
+        break;
+      case PrefixOp::Settle:
+        Settle(aWorld, 0, kExploredDaemons - 1);
+        break;
+      case PrefixOp::SettleOf:
+        Settle(aWorld, step.arg_, step.arg_);
+        break;
+      case PrefixOp::View:
+        TakeView(aWorld, step.arg_);
+        break;
+      case PrefixOp::Store:
+        CarryOut(aWorld, FindItem(aWorld, step.arg_, true));
+        break;
+      case PrefixOp::Deliver:
+        CarryOut(aWorld, FindItem(aWorld, step.arg_, false));
+        break;
+      case PrefixOp::Shed:
+        ShedOldest(aWorld);
+        break;
+      case PrefixOp::Skew:
+        aWorld.skewMicros_[step.arg_] =
+          aWorld.daemons_[step.arg_]->state_.settings_.window_.count() +
+          std::chrono::microseconds(std::chrono::seconds(1)).count();
+        break;
+      case PrefixOp::End:
+        break;
+    }
+  }
+}
+
+ExploreResult
+Explore(const ExploredWorld& aStart, int aDepth, std::size_t aMostStates)
+{
+  Search search;
+  search.mostStates_ = aMostStates;
+  Visit(search, aStart, aDepth);
+  search.result_.states_ = search.seen_.size();
+  return search.result_;
+}
+
+} // namespace camphorfield
