--- a/src/order/order_append.cpp
+++ b/src/order/order_append.cpp
@@ -39,7 +39,8 @@
   OrderState& state = aStep.state_;
   const double needed =
     HasClaims(aRange.pending_) ? 1.0 : state.settings_.writeBurst_ / 2.0;
-  const double rate = state.settings_.writesPerSecond_;
+  const double rate = static_cast<double>(state.settings_.writesPerSecond_) /
+                      static_cast<double>(LiveMembers(state));
   const auto passed =
     static_cast<double>((aStep.now_.mono_ - state.writeTokensAt_).count());
   state.writeTokens_ =
--- a/src/order/order_internal.h
+++ b/src/order/order_internal.h
@@ -93,6 +93,10 @@
                   DaemonId aId,
                   Incarnation aIncarnation);
 
+/** Number of live daemons, this one included; at least one. */
+std::size_t
+LiveMembers(const OrderState& aState);
+
 /** Daemon that should own a range by this daemon's view; maybe itself. */
 DaemonId
 RangeWinner(const OrderState& aState, std::uint32_t aRange);
--- a/src/order/order_member.cpp
+++ b/src/order/order_member.cpp
@@ -72,6 +72,20 @@
                                member->state_ == MemberState::Dead);
 }
 
+std::size_t
+LiveMembers(const OrderState& aState)
+{
+  std::size_t count = 1;
+  if (aState.members_ == nullptr) {
+    return count;
+  }
+  for (const MemberRecord& member : *aState.members_) {
+    const bool other = member.id_ != aState.settings_.self_;
+    count += other && member.state_ == MemberState::Alive ? 1 : 0;
+  }
+  return count;
+}
+
 DaemonId
 RangeWinner(const OrderState& aState, std::uint32_t aRange)
 {
--- a/src/order/order_type.h
+++ b/src/order/order_type.h
@@ -89,7 +89,8 @@
   Duration forwardMargin_ = std::chrono::milliseconds(20); ///< Way back.
   Duration issuerWait_ = std::chrono::seconds(2); ///< Issuer not known yet.
   Duration stopWait_ = std::chrono::seconds(5);   ///< Store out while stopping.
-  std::uint32_t writesPerSecond_ = 40; ///< Platform writes of this daemon.
+  std::uint32_t writesPerSecond_ =
+    240; ///< Writes of all daemons; each takes an equal part.
   std::uint32_t writeBurst_ = 20;
   std::size_t batchRecords_ = 512;    ///< Records in one append.
   std::size_t sealBytes_ = 49152;     ///< Head size that starts a segment.
--- a/tests/order/explore_fixture.cpp
+++ b/tests/order/explore_fixture.cpp
@@ -285,7 +285,7 @@
 std::shared_ptr<const ExploredItem>
 TakeItem(ExploredWorld& aWorld, std::size_t aItem)
 {
-  const auto item = aWorld.items_[aItem];
+  auto item = aWorld.items_[aItem];
   aWorld.items_.erase(aWorld.items_.begin() +
                       static_cast<std::ptrdiff_t>(aItem));
   return item;
