--- a/tests/order/fault_test.cpp
+++ b/tests/order/fault_test.cpp
@@ -92,7 +92,7 @@
 KeyOfFirst(const Cluster& aCluster)
 {
   for (int i = 0;; ++i) {
-    const std::string key = PlainKey(aCluster, "k" + std::to_string(i));
+    std::string key = PlainKey(aCluster, "k" + std::to_string(i));
     if (OwnerOf(aCluster, key) == 0) {
       return key;
     }
@@ -241,6 +241,7 @@
   settings.rangeEntries_ = kBound;
   settings.rangeAsks_ = kBound;
   std::vector<CallerRequestId> sent;
+  sent.reserve(kFlood);
   for (int i = 0; i < kFlood; ++i) {
     sent.push_back(SendOrder(cluster, 0, PlainKey(cluster, std::to_string(i))));
   }
