Add: stale reads and graceful shutdown in the search; design note of orders

Change: two more worlds and greater depths; sources split by job (load, segment, route, receive); docs/ORDERS.md. Retries of forwards have jitter, and a forward may have a deadline beyond ten seconds.

--- a/src/order/order_forward.cpp
+++ b/src/order/order_forward.cpp
@@ -1,4 +1,3 @@
-#include "core/result_func.h"
 #include "order/order_internal.h"
 
 #include <algorithm>
@@ -82,155 +81,6 @@
   RecordOrder(aStep, TimelineKind::OrderForwarded, ask, "");
 }
 
-/** Answer a token's order from a copy, when its issuer can't be asked. */
-bool
-AnswerFromCopy(OrderStep& aStep, const OrderAsk& aAsk)
-{
-  const auto copy = aStep.state_.copies_.find(aAsk.digest_);
-  if (copy == aStep.state_.copies_.end()) {
-    return false;
-  }
-  const bool same = copy->second.body_ == aAsk.content_;
-  AnswerWaiter(aStep,
-               aAsk.waiter_,
-               aAsk.key_,
-               same ? copy->second.code_ : ResultCode::KeyReused,
-               same ? copy->second.answer_ : nullptr,
-               same);
-  return true;
-}
-
-/** The token's order as its issuer sees it. */
-void
-TokenAsk(OrderStep& aStep, const OrderAsk& aAsk)
-{
-  OrderState& state = aStep.state_;
-  ResultCode code = ResultCode::Ok;
-  if (state.settings_.guards_.issuerIncarnation_ &&
-      !VerifyToken(state, aAsk.key_)) {
-    code = ResultCode::KeyMissing;
-  } else if (aAsk.parsed_.unixMs_ < state.tokenFloorMs_) {
-    code = ResultCode::KeyExpired;
-  }
-  if (code != ResultCode::Ok) {
-    AnswerWaiter(aStep, aAsk.waiter_, aAsk.key_, code, nullptr, false);
-    return;
-  }
-  AdmitAsk(aStep, { kTokenTable, aAsk.digest_ }, aAsk);
-}
-
-bool
-IsIssuer(const OrderState& aState, const ParsedKey& aKey)
-{
-  const OrderSettings& settings = aState.settings_;
-  return aKey.issuer_ == settings.self_ &&
-         (aKey.incarnation_ == settings.incarnation_ ||
-          !settings.guards_.issuerIncarnation_);
-}
-
-/** The issuer's life is over: only a copy can tell the outcome. */
-void
-IssuerGone(OrderStep& aStep, const OrderAsk& aAsk)
-{
-  if (!aStep.state_.settings_.guards_.issuerOnly_) {
-    AdmitAsk(aStep, { kTokenTable, aAsk.digest_ }, aAsk);
-    return;
-  }
-  if (!AnswerFromCopy(aStep, aAsk)) {
-    AnswerWaiter(aStep,
-                 aAsk.waiter_,
-                 aAsk.key_,
-                 ResultCode::OutcomeUnknown,
-                 nullptr,
-                 false);
-  }
-}
-
-/** Daemon that keeps the copy of a dead issuer's outcome; maybe itself. */
-DaemonId
-CopyKeeper(const OrderState& aState, const OrderAsk& aAsk)
-{
-  return RangeWinner(aState, aAsk.range_);
-}
-
-void
-BeginRelay(OrderStep& aStep, const OrderAsk& aAsk, DaemonId aTarget)
-{
-  OrderState& state = aStep.state_;
-  if (state.relays_.size() >= state.settings_.forwardEntries_) {
-    AnswerWaiter(aStep,
-                 aAsk.waiter_,
-                 aAsk.key_,
-                 RefusalCode(aStep, ResultCode::OrderNotAccepted),
-                 nullptr,
-                 false);
-    return;
-  }
-  NoteDeadline(state, aAsk.waiter_.deadline_);
-  OrderRelay& relay = state.relays_[aAsk.waiter_.request_];
-  relay.ask_ = aAsk;
-  if (aTarget.IsValid()) {
-    SendForward(aStep, relay, aTarget);
-    return;
-  }
-  relay.giveUpAt_ = aStep.now_.mono_ + state.settings_.issuerWait_;
-  relay.retryAt_ = aStep.now_.mono_ + state.settings_.forwardRetry_;
-}
-
-void
-RouteToken(OrderStep& aStep, const OrderAsk& aAsk)
-{
-  const OrderState& state = aStep.state_;
-  const ParsedKey& key = aAsk.parsed_;
-  if (IsIssuer(state, key)) {
-    TokenAsk(aStep, aAsk);
-    return;
-  }
-  if (IncarnationIsOver(state, key.issuer_, key.incarnation_)) {
-    const DaemonId keeper = CopyKeeper(state, aAsk);
-    if (keeper == state.settings_.self_ ||
-        state.copies_.count(aAsk.digest_) != 0) {
-      IssuerGone(aStep, aAsk);
-    } else {
-      BeginRelay(aStep, aAsk, keeper);
-    }
-    return;
-  }
-  const bool known = FindMember(state, key.issuer_) != nullptr;
-  BeginRelay(aStep, aAsk, known ? key.issuer_ : DaemonId{});
-}
-
-/** Whether a key is within its window by this daemon's clock. */
-bool
-RefuseByTime(OrderStep& aStep, const OrderAsk& aAsk)
-{
-  const OrderSettings& settings = aStep.state_.settings_;
-  const auto age = Duration(aStep.now_.unixMicros_) -
-                   std::chrono::milliseconds(aAsk.parsed_.unixMs_);
-  ResultCode code = ResultCode::Ok;
-  if (age > settings.window_) {
-    code = ResultCode::KeyExpired;
-  } else if (-age > settings.clockSkew_) {
-    code = RefusalCode(aStep, ResultCode::OrderNotAccepted);
-  }
-  if (code == ResultCode::Ok) {
-    return false;
-  }
-  AnswerWaiter(aStep, aAsk.waiter_, aAsk.key_, code, nullptr, false);
-  return true;
-}
-
-void
-RoutePlain(OrderStep& aStep, const OrderAsk& aAsk)
-{
-  const DaemonId winner = RangeWinner(aStep.state_, aAsk.range_);
-  if (winner == aStep.state_.settings_.self_) {
-    RangeAsk(aStep, aAsk);
-    return;
-  }
-  BeginRelay(aStep, aAsk, winner);
-}
-
 /** Go on with an order that was forwarded in vain. */
 void
 RetryRelay(OrderStep& aStep, CallerRequestId aRequest)
@@ -269,172 +119,31 @@
   }
 }
 
-/** The answer to a call that was answered before, as it is true now. */
-OrderForwarded
-AnswerAgain(OrderState& aState, PeerCallId aId, const CallMemo& aCall)
-{
-  OrderForwarded answer{ .call_ = aId,
-                         .code_ = aCall.code_,
-                         .accepted_ = aCall.accepted_ };
-  const OrderTable& table = TableOf(aState, aCall.range_);
-  const auto found = table.entries_.find(aCall.key_);
-  const bool known = found != table.entries_.end();
-  if (aCall.code_ == ResultCode::Ok ||
-      aCall.code_ == ResultCode::OrderRefused) {
-    const bool kept = known && found->second.state_ == EntryState::Done;
-    answer.code_ = kept ? found->second.code_ : ResultCode::OutcomeUnknown;
-    answer.body_ = kept ? found->second.answer_ : nullptr;
-    answer.replayed_ = true;
-    return answer;
-  }
-  // Another request may have run the key since this one was told "not run".
-  const bool notRun = GetResultRow(aCall.code_).run_ == RunState::NotRun &&
-                      aCall.code_ != ResultCode::KeyReused;
-  if (notRun && !(known && found->second.state_ == EntryState::NotRun)) {
-    answer.code_ = ResultCode::OrderNotAccepted;
-  }
-  return answer;
-}
-
-/** Whether the forward repeats a call that is known already. */
-bool
-IsRepeated(OrderStep& aStep,
-           const PeerMessage& aFrom,
-           const OrderForward& aForward)
-{
-  OrderState& state = aStep.state_;
-  SenderMemo& memo = state.memos_[aFrom.from_];
-  if (aFrom.fromIncarnation_ < memo.incarnation_) {
-    return true; // From a life that is over.
-  }
-  if (memo.incarnation_ < aFrom.fromIncarnation_) {
-    memo = { .incarnation_ = aFrom.fromIncarnation_ };
-  }
-  if (aForward.call_ <= memo.forgotten_) {
-    return true;
-  }
-  const auto known = memo.calls_.find(aForward.call_);
-  if (known == memo.calls_.end()) {
-    return false;
-  }
-  const CallMemo call = known->second;
-  if (!call.answered_) {
-    return true;
-  }
-  const OrderForwarded answer = AnswerAgain(state, aForward.call_, call);
-  SendToPeer(aStep, aFrom.from_, answer, {});
-  return true;
-}
-
-void
-RememberCall(OrderStep& aStep, const OrderAsk& aAsk)
-{
-  SenderMemo& memo = aStep.state_.memos_[aAsk.waiter_.from_];
-  const bool token = aAsk.parsed_.kind_ == KeyKind::Token;
-  memo.calls_[aAsk.waiter_.call_] = { .range_ =
-                                        token ? kTokenTable : aAsk.range_,
-                                      .key_ = aAsk.digest_ };
-  while (memo.calls_.size() > aStep.state_.settings_.memoEntries_) {
-    memo.forgotten_ = memo.calls_.begin()->first;
-    memo.calls_.erase(memo.calls_.begin());
-  }
-}
+} // namespace
 
-/** Take up a forwarded order that is not a repetition. */
 void
-AdmitForward(OrderStep& aStep, const OrderAsk& aAsk)
+BeginRelay(OrderStep& aStep, const OrderAsk& aAsk, DaemonId aTarget)
 {
   OrderState& state = aStep.state_;
-  if (aAsk.parsed_.kind_ == KeyKind::Token) {
-    if (IsIssuer(state, aAsk.parsed_)) {
-      TokenAsk(aStep, aAsk);
-    } else {
-      IssuerGone(aStep, aAsk);
-    }
-    return;
-  }
-  const OrderRange& range = state.ranges_[aAsk.range_];
-  const bool ours = RangeWinner(state, aAsk.range_) == state.settings_.self_;
-  if (aAsk.parsed_.kind_ != KeyKind::Plain ||
-      (range.state_ != RangeState::Held && !ours)) {
-    DeclineForward(aStep, aAsk.waiter_);
+  if (state.relays_.size() >= state.settings_.forwardEntries_) {
+    AnswerWaiter(aStep,
+                 aAsk.waiter_,
+                 aAsk.key_,
+                 RefusalCode(aStep, ResultCode::OrderNotAccepted),
+                 nullptr,
+                 false);
     return;
   }
-  if (!RefuseByTime(aStep, aAsk)) {
-    RangeAsk(aStep, aAsk);
-  }
-}
-
-} // namespace
-
-OrderAsk
-MakeAsk(const OrderState& aState,
-        std::string_view aCaller,
-        std::string_view aRoute,
-        std::string_view aKey,
-        const SharedText& aBody,
-        const OrderWaiter& aWaiter)
-{
-  OrderAsk ask{ .waiter_ = aWaiter,
-                .caller_ = std::string(aCaller),
-                .route_ = std::string(aRoute),
-                .key_ = std::string(aKey),
-                .body_ = aBody,
-                .parsed_ = ParseKey(aKey),
-                .digest_ = DigestKey(aCaller, aKey) };
-  ask.content_ =
-    DigestContent(aRoute, aBody == nullptr ? std::string_view() : *aBody);
-  ask.range_ = RangeOfKey(ask.digest_, aState.settings_.ranges_);
-  return ask;
-}
-
-void
-RouteAsk(OrderStep& aStep, const OrderAsk& aAsk)
-{
-  switch (aAsk.parsed_.kind_) {
-    case KeyKind::None:
-      RunKeyless(aStep, aAsk);
-      return;
-    case KeyKind::Token:
-      RouteToken(aStep, aAsk);
-      return;
-    case KeyKind::Plain:
-      if (!RefuseByTime(aStep, aAsk)) {
-        RoutePlain(aStep, aAsk);
-      }
-      return;
-    case KeyKind::Malformed:
-    case KeyKind::End:
-      AnswerWaiter(
-        aStep, aAsk.waiter_, aAsk.key_, ResultCode::KeyMissing, nullptr, false);
-      return;
-  }
-}
-
-void
-TakeForward(OrderStep& aStep,
-            const PeerMessage& aFrom,
-            const OrderForward& aForward)
-{
-  OrderState& state = aStep.state_;
-  const bool repeated = IsRepeated(aStep, aFrom, aForward);
-  if (repeated && state.settings_.guards_.callMemo_) {
+  NoteDeadline(state, aAsk.waiter_.deadline_);
+  OrderRelay& relay = state.relays_[aAsk.waiter_.request_];
+  relay.ask_ = aAsk;
+  if (aTarget.IsValid()) {
+    SendForward(aStep, relay, aTarget);
     return;
   }
-  const Duration remaining =
-    std::min(aForward.remaining_, state.settings_.defaultDeadline_);
-  const OrderWaiter waiter{ .from_ = aFrom.from_,
-                            .fromIncarnation_ = aFrom.fromIncarnation_,
-                            .call_ = aForward.call_,
-                            .deadline_ = aStep.now_.mono_ + remaining };
-  const OrderAsk ask = MakeAsk(state,
-                               aForward.caller_,
-                               aForward.route_,
-                               aForward.key_,
-                               aForward.body_,
-                               waiter);
-  RememberCall(aStep, ask);
-  AdmitForward(aStep, ask);
+  relay.giveUpAt_ = aStep.now_.mono_ + state.settings_.issuerWait_;
+  relay.retryAt_ =
+    aStep.now_.mono_ + Jittered(aStep, state.settings_.forwardRetry_);
 }
 
 void
@@ -463,7 +172,8 @@
     return;
   }
   ++relay.refusals_;
-  relay.retryAt_ = aStep.now_.mono_ + state.settings_.forwardRetry_;
+  relay.retryAt_ =
+    aStep.now_.mono_ + Jittered(aStep, state.settings_.forwardRetry_);
 }
 
 void
@@ -476,7 +186,8 @@
                                                  : relay.target_ == aEvent.to_;
     if (concerns && relay.call_.IsValid()) {
       const TimePoint soon =
-        aStep.now_.mono_ + aStep.state_.settings_.forwardRetry_;
+        aStep.now_.mono_ +
+        Jittered(aStep, aStep.state_.settings_.forwardRetry_);
       relay.retryAt_ = std::min(relay.retryAt_, soon);
     }
   }
--- a/src/order/order_internal.h
+++ b/src/order/order_internal.h
@@ -241,6 +241,10 @@
 void
 BackOff(OrderStep& aStep, std::uint32_t aRange);
 
+/** A delay shortened by up to half, so that daemons don't act in step. */
+Duration
+Jittered(OrderStep& aStep, Duration aDelay);
+
 // Appends to the claim log (order_append.cpp).
 
 /** Begin an append when there is something to store and the rate allows. */
@@ -265,6 +269,25 @@
             std::uint32_t aRange,
             const PlatformReply& aReply);
 
+// Segments of the claim log (order_segment.cpp).
+
+constexpr Duration::rep kPruneParts = 16; ///< The floor rises by these parts
+                                          ///< of the window.
+
+/** Drop what is below the floor, now that the floor is stored. */
+void
+PruneRange(OrderStep& aStep, std::uint32_t aRange);
+
+/** Delete segments that the stored head no longer names. */
+void
+DeleteGarbage(OrderStep& aStep,
+              std::uint32_t aRange,
+              const std::vector<LogSegment>& aGarbage);
+
+/** Move the records of a large head into a segment. */
+void
+MaybeSeal(OrderStep& aStep, std::uint32_t aRange);
+
 /** Reply to the write of a segment. */
 void
 OnSegmentReply(OrderStep& aStep,
@@ -286,12 +309,40 @@
 PlatformCallId
 IssuePlatformCall(OrderStep& aStep, PlatformOp aOp);
 
-// Forwards (order_forward.cpp).
+// Routes to the daemon that may run an order (order_route.cpp).
 
 /** Hand an order to the daemon that should run it, or take it up here. */
 void
 RouteAsk(OrderStep& aStep, const OrderAsk& aAsk);
 
+/** Whether this incarnation issued a token with these parts. */
+bool
+IsIssuer(const OrderState& aState, const ParsedKey& aKey);
+
+/** The token's order as its issuer sees it. */
+void
+TokenAsk(OrderStep& aStep, const OrderAsk& aAsk);
+
+/** The token's issuer is gone: only a copy can tell the outcome. */
+void
+IssuerGone(OrderStep& aStep, const OrderAsk& aAsk);
+
+/** Daemon that keeps the copy of a dead issuer's outcome; maybe itself. */
+DaemonId
+CopyKeeper(const OrderState& aState, const OrderAsk& aAsk);
+
+/** Refuse a key outside its window by this daemon's clock; true: refused. */
+bool
+RefuseByTime(OrderStep& aStep, const OrderAsk& aAsk);
+
+// Forwards to other daemons (order_forward.cpp).
+
+/** Forward an order; an invalid target is not known yet. */
+void
+BeginRelay(OrderStep& aStep, const OrderAsk& aAsk, DaemonId aTarget);
+
+// Forwards from other daemons (order_receive.cpp).
+
 /** Order received from another daemon. */
 void
 TakeForward(OrderStep& aStep,
--- a/src/order/order_type.h
+++ b/src/order/order_type.h
@@ -76,6 +76,7 @@
   Duration window_ = std::chrono::minutes(15);   ///< Life of a key.
   Duration clockSkew_ = std::chrono::minutes(2); ///< Tolerated future of keys.
   Duration defaultDeadline_ = std::chrono::seconds(10);
+  Duration longestDeadline_ = std::chrono::minutes(5); ///< Of a forward.
   Duration platformTimeout_ = std::chrono::seconds(2);
   Duration backoffFirst_ = std::chrono::milliseconds(20);
   Duration backoffMost_ = std::chrono::seconds(2);
--- a/tests/order/explore_fixture.h
+++ b/tests/order/explore_fixture.h
@@ -24,7 +24,9 @@
 /** How many faults of each kind a path may hold. */
 struct ExploreBudget
 {
-  int storeLost_ = 0; ///< Call reported unreachable; it may happen later.
+  int storeLost_ = 0;  ///< Call reported unreachable; it may happen later.
+  int staleReads_ = 0; ///< Read answered from before the last write.
+  int stops_ = 0;      ///< Graceful shutdown of daemon zero.
   int peerLost_ = 0;
   int peerTwice_ = 0;
   int serverFaults_ = 0; ///< Shed, answer lost, died before it ran.
@@ -53,6 +55,7 @@
 {
   std::array<std::shared_ptr<const ExploredDaemon>, kExploredDaemons> daemons_;
   std::shared_ptr<const FakeStore> store_;
+  std::shared_ptr<const FakeStore> before_; ///< Before the last write.
   std::vector<std::shared_ptr<const ExploredItem>> items_;
   std::vector<ExploredRequest> requests_;
   std::map<std::string, int> runs_;
