Change: peers are told which generation the asker has

GenerationAsk.base_ did not travel, so each daemon got the whole set for each change. Thrift code generated anew, field 3.

--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -62,6 +62,7 @@
 struct GenerationAsk {
   1: optional i64 call
   2: optional i64 generation
+  3: optional i64 base
 }
 
 struct GenerationContent {
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -1159,6 +1159,11 @@
   this->generation = val;
 __isset.generation = true;
 }
+
+void GenerationAsk::__set_base(const int64_t val) {
+  this->base = val;
+__isset.base = true;
+}
 std::ostream& operator<<(std::ostream& out, const GenerationAsk& obj)
 {
   obj.printTo(out);
@@ -1203,6 +1208,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1230,6 +1243,11 @@
     xfer += oprot->writeI64(this->generation);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.base) {
+    xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->base);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1239,17 +1257,20 @@
   using ::std::swap;
   swap(a.call, b.call);
   swap(a.generation, b.generation);
+  swap(a.base, b.base);
   swap(a.__isset, b.__isset);
 }
 
 GenerationAsk::GenerationAsk(const GenerationAsk& other24) noexcept {
   call = other24.call;
   generation = other24.generation;
+  base = other24.base;
   __isset = other24.__isset;
 }
 GenerationAsk& GenerationAsk::operator=(const GenerationAsk& other25) noexcept {
   call = other25.call;
   generation = other25.generation;
+  base = other25.base;
   __isset = other25.__isset;
   return *this;
 }
@@ -1258,6 +1279,7 @@
   out << "GenerationAsk(";
   out << "call="; (__isset.call ? (out << to_string(call)) : (out << "<null>"));
   out << ", " << "generation="; (__isset.generation ? (out << to_string(generation)) : (out << "<null>"));
+  out << ", " << "base="; (__isset.base ? (out << to_string(base)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -544,9 +544,10 @@
 std::ostream& operator<<(std::ostream& out, const GossipProbe& obj);
 
 typedef struct _GenerationAsk__isset {
-  _GenerationAsk__isset() : call(false), generation(false) {}
+  _GenerationAsk__isset() : call(false), generation(false), base(false) {}
   bool call :1;
   bool generation :1;
+  bool base :1;
 } _GenerationAsk__isset;
 
 class GenerationAsk : public virtual ::apache::thrift::TBase {
@@ -556,12 +557,14 @@
   GenerationAsk& operator=(const GenerationAsk&) noexcept;
   GenerationAsk() noexcept
                 : call(0),
-                  generation(0) {
+                  generation(0),
+                  base(0) {
   }
 
   virtual ~GenerationAsk() noexcept;
   int64_t call;
   int64_t generation;
+  int64_t base;
 
   _GenerationAsk__isset __isset;
 
@@ -569,6 +572,8 @@
 
   void __set_generation(const int64_t val);
 
+  void __set_base(const int64_t val);
+
   bool operator == (const GenerationAsk & rhs) const
   {
     if (__isset.call != rhs.__isset.call)
@@ -579,6 +584,10 @@
       return false;
     else if (__isset.generation && !(generation == rhs.generation))
       return false;
+    if (__isset.base != rhs.__isset.base)
+      return false;
+    else if (__isset.base && !(base == rhs.base))
+      return false;
     return true;
   }
   bool operator != (const GenerationAsk &rhs) const {
--- a/src/peer/peer_codec.cpp
+++ b/src/peer/peer_codec.cpp
@@ -58,6 +58,7 @@
   wire::GenerationAsk ask;
   ask.__set_call(IdToWire(aBody.call_));
   ask.__set_generation(IdToWire(aBody.generation_));
+  ask.__set_base(IdToWire(aBody.base_));
   aFrame.__set_generationAsk(ask);
 }
 
@@ -172,6 +173,7 @@
     GenerationAsk ask;
     IdFromWire(aFrame.generationAsk.call, ask.call_);
     IdFromWire(aFrame.generationAsk.generation, ask.generation_);
+    IdFromWire(aFrame.generationAsk.base, ask.base_);
     return ask;
   }
   if (isset.generationContent) {
--- a/tests/peer/peer_codec_test.cpp
+++ b/tests/peer/peer_codec_test.cpp
@@ -226,10 +226,11 @@
 
 TEST(PeerCodec, GenerationsSurvive)
 {
-  const auto ask =
-    RoundTripBody(GenerationAsk{ PeerCallId{ 1 }, Generation{ 2 } });
+  const auto ask = RoundTripBody(
+    GenerationAsk{ PeerCallId{ 1 }, Generation{ 2 }, Generation{ 3 } });
   LONGS_EQUAL(1, ask.call_.value_);
   LONGS_EQUAL(2, ask.generation_.value_);
+  LONGS_EQUAL(3, ask.base_.value_);
   const auto content = RoundTripBody(
     GenerationContent{ PeerCallId{ 1 }, Generation{ 2 }, "c", "d", "{}" });
   LONGS_EQUAL(1, content.call_.value_);
