Fix: soak's loads use seeds of their own; demo's time line

Cause: two callers with equal seeds made equal keys, which the soak took for a double run; the time line is asked from one daemon, which merges all. Change: a seed for each load; one operator address.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -154,9 +154,8 @@
 
     def timeline(self):
         """Print the end of the merged time line."""
-        alive = [daemon.operator for daemon in self.daemons
-                 if daemon.process.is_running()]
-        text = self.bed.cli("timeline", "--operator", ",".join(alive))
+        text = self.bed.cli(
+            "timeline", "--operator", self.daemons[0].operator)
         for line in text.splitlines()[-TIMELINE_LINES:]:
             print("  " + line[:160])
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -35,6 +35,7 @@
         self.daemons = []
         self.is_over = threading.Event()
         self.faults_made = {}
+        self.loads = 0
 
     def start(self):
         """Start all processes and publish the configuration."""
@@ -159,11 +160,14 @@
 
     def start_orders(self, label, per_s, duration_ms, *flags):
         """Start open-loop orders."""
+        # Equal seeds would give two callers equal keys, which is two orders.
+        self.loads += 1
         return self.bed.start_load(
             label, self.bed.callers_addresses(), "--order",
             f"reorder={per_s}", "--caller", label, "--callers", 6,
             "--duration-ms", duration_ms, "--timeout-ms", 2000,
-            "--order-total-ms", 20000, "--seed", self.seed, *flags)
+            "--order-total-ms", 20000,
+            "--seed", 1000 * self.seed + self.loads, *flags)
 
     def calm(self, label, *flags):
         """Latency and platform writes for each order without faults."""
