--- a/src/machine/platform_type.h
+++ b/src/machine/platform_type.h
@@ -40,8 +40,8 @@
   std::string key_;                   ///< "/"-separated key.
   std::string value_;                 ///< New value, at most one megabyte.
   std::uint64_t expectedVersion_ = 0; ///< See PlatformOp.
-  Duration timeout_{}; ///< The host reports Unreachable after this. Watch: how
-                       ///< long the platform waits; the host adds slack.
+  Duration timeout_{}; ///< The host reports Unreachable after this; it lets a
+                       ///< Watch wait for a little less.
 };
 
 /** Result of a platform call. */
