Fix: relayed sub-requests had no timers

A home daemon that is paused held them until the deadline: they were neither hedged nor watched. Now a home that says nothing for twice the silence rule's time is left for another one.

--- a/src/route/route_const.h
+++ b/src/route/route_const.h
@@ -65,6 +65,7 @@
 constexpr Duration kProgressCeiling = seconds(2);
 constexpr std::int64_t kProgressFactor = 4; ///< Times the 99th percentile.
 constexpr std::int64_t kStalledFactor = 3;  ///< Times the progress timeout.
+constexpr std::int64_t kHomeFactor = 2;     ///< Times the progress timeout.
 constexpr Duration kAnswerGrace = milliseconds(20);
 
 // Limits.
@@ -78,7 +79,7 @@
 constexpr Duration kResetRetryDelay = milliseconds(20);
 constexpr Duration kSuspectRetryDelay = milliseconds(300);
 constexpr Duration kSuspectLife = seconds(60);
-constexpr Duration kSuspectElsewhereLife = seconds(10);
+constexpr Duration kSuspectElsewhereLife = seconds(3);
 constexpr Duration kSuspectRetryHint = seconds(1);
 constexpr Duration kQuarantineLife = seconds(300);
 constexpr std::size_t kMaxSuspects = 4096;
--- a/src/route/sub_cmd.cpp
+++ b/src/route/sub_cmd.cpp
@@ -225,6 +225,7 @@
     Sub& sub = MakeSub(aStep, aPlan);
     const std::uint64_t key = sub.key_;
     RelaySub(aStep, sub, MakeRequest(aStep, aPlan, sub));
+    ArmSubTimer(aStep, sub);
     return key;
   }
   Connection* connection = FindIdle(aStep.state_, aPlan.server_);
--- a/src/route/sub_timer.cpp
+++ b/src/route/sub_timer.cpp
@@ -2,6 +2,7 @@
 
 #include "route/conn_pool.h"
 #include "route/owner.h"
+#include "route/relay.h"
 #include "route/server_health.h"
 #include "route/sub_cmd.h"
 
@@ -81,6 +82,19 @@
            static_cast<std::uint32_t>(server.connections_.size()) + 1);
 }
 
+// The home watches its connections itself; a home that says nothing for longer
+// than that takes is paused or cut off.
+void
+CheckHome(Step& aStep, const Sub& aSub, Duration aElapsed, Duration aTimeout)
+{
+  if (aElapsed < aTimeout * kHomeFactor) {
+    ArmProgress(aStep, aSub, aTimeout / 2);
+    return;
+  }
+  NoteBadHome(aStep, aSub.home_);
+  EndSub(aStep, aSub.key_, SubEnd::Silent, nullptr);
+}
+
 void
 CheckProgress(Step& aStep, const Sub& aSub)
 {
@@ -90,15 +104,18 @@
     CloseSilent(aStep, aSub.key_, false);
     return;
   }
-  // After two cut off, the work itself is slow, not a connection. A relayed one
-  // is the home's to watch; an order must have its whole time, since cutting it
-  // off makes its outcome unknown.
-  if (aSub.connection_ == 0 || aSub.kind_ == SubKind::Order || aSub.patient_) {
+  // An order must have its whole time, since cutting it off makes its outcome
+  // unknown. After two attempts cut off, the work itself is slow.
+  if (aSub.kind_ == SubKind::Order || aSub.patient_) {
     ArmProgress(aStep, aSub, kProgressCeiling);
     return;
   }
   const Duration timeout = ProgressTimeout(ServiceOf(aStep.state_, aSub));
   const Duration elapsed = now - aSub.sentAt_;
+  if (aSub.connection_ == 0) {
+    CheckHome(aStep, aSub, elapsed, timeout);
+    return;
+  }
   if (server.newestAnswered_ > aSub.sentAt_ && elapsed >= timeout) {
     CloseSilent(aStep, aSub.key_, true);
     return;
--- a/tests/route/relay_test.cpp
+++ b/tests/route/relay_test.cpp
@@ -94,6 +94,26 @@
   }
 }
 
+TEST(Relay, APausedHomeIsLeftAlone)
+{
+  RouteWorld world = RelayWorld();
+  Warm(world);
+  for (std::size_t i = 0; i < world.daemons_.size(); ++i) {
+    AskQuery(world, "find", "x", i);
+  }
+  std::set<std::size_t> homes;
+  for (const auto& [key, connection] : world.network_) {
+    homes.insert(key.first);
+  }
+  const std::size_t paused = *homes.begin();
+  const std::size_t asked = paused == 0 ? 1 : 0;
+  world.pausedPeers_.insert(paused);
+  for (int i = 0; i < 20; ++i) {
+    CHECK_TRUE(AskQuery(world, "find", "x", asked).complete_);
+    CHECK_TRUE(world.answers_.rbegin()->second.took_ <= milliseconds(500));
+  }
+}
+
 TEST(Relay, LotsHoldWhenHomesChange)
 {
   RouteWorld world = RelayWorld();
--- a/tests/route/route_fixture.cpp
+++ b/tests/route/route_fixture.cpp
@@ -276,6 +276,9 @@
 SendToPeer(RouteWorld& aWorld, std::size_t aFrom, const SendPeer& aSend)
 {
   const std::size_t to = DaemonOf(aWorld, aSend.to_);
+  if (aWorld.pausedPeers_.contains(to)) {
+    return;
+  }
   PeerMessage message;
   message.from_ = aWorld.daemons_[aFrom]->state_.settings_.self_;
   message.body_ = aSend.body_;
--- a/tests/route/route_fixture.h
+++ b/tests/route/route_fixture.h
@@ -89,8 +89,9 @@
   std::map<std::uint64_t, std::uint32_t> dispatchCounts_;
   std::map<std::string, std::uint32_t> orderRuns_; ///< By body.
   std::vector<Rumor> rumors_;
-  std::vector<SubRequest> sent_;   ///< Queries and orders, with sending daemon.
-  std::set<std::size_t> cutPeers_; ///< Daemons that peers can't reach.
+  std::vector<SubRequest> sent_; ///< Queries and orders, with sending daemon.
+  std::set<std::size_t> pausedPeers_; ///< Daemons that take no messages.
+  std::set<std::size_t> cutPeers_;    ///< Daemons that peers can't reach.
   Duration gossipDelay_ = milliseconds(100);
   std::uint64_t nextRequest_ = 0;
   Rng rng_{ 7 };
