--- a/src/route/query_shard.cpp
+++ b/src/route/query_shard.cpp
@@ -2,6 +2,7 @@
 #include "route/owner.h"
 #include "route/quarantine.h"
 #include "route/query_cmd.h"
+#include "route/query_internal.h"
 #include "route/server_choice.h"
 #include "route/server_health.h"
 
@@ -11,69 +12,6 @@
 
 namespace {
 
-std::span<const ServerIndex>
-TriedOf(const ShardRun& aRun)
-{
-  return { aRun.triedServers_.data(), aRun.tried_ };
-}
-
-void
-AddTried(ShardRun& aRun, ServerIndex aServer)
-{
-  const auto end = aRun.triedServers_.begin() + aRun.tried_;
-  if (std::find(aRun.triedServers_.begin(), end, aServer) != end) {
-    return;
-  }
-  // The oldest is forgotten: it has had the longest time to recover.
-  if (aRun.tried_ == kMaxTried) {
-    std::shift_left(aRun.triedServers_.begin(), aRun.triedServers_.end(), 1);
-    --aRun.tried_;
-  }
-  aRun.triedServers_[aRun.tried_++] = aServer;
-}
-
-ChoiceDemand
-DemandOf(const Query& aQuery, std::uint32_t aShard)
-{
-  ChoiceDemand demand;
-  demand.service_ = aQuery.version_->shards_[aShard].service_;
-  demand.version_ = aQuery.version_->version_;
-  demand.priority_ = aQuery.route_->spec_.priority_;
-  demand.tried_ = TriedOf(aQuery.shards_[aShard]);
-  return demand;
-}
-
-SubPlan
-PlanOf(const Query& aQuery, std::uint32_t aShard, ServerIndex aServer)
-{
-  SubPlan plan;
-  plan.owner_ = { OwnerKind::Query, aQuery.round_, aShard, aQuery.key_ };
-  plan.server_ = aServer;
-  plan.shard_ = aQuery.version_->shards_[aShard].name_;
-  plan.version_ = aQuery.version_->version_;
-  plan.deadline_ = aQuery.deadline_;
-  plan.body_ = aQuery.body_;
-  plan.fingerprint_ = aQuery.fingerprint_;
-  plan.patient_ = aQuery.shards_[aShard].silent_ >= kSilentAttempts;
-  return plan;
-}
-
-void
-Trace(Step& aStep,
-      const Query& aQuery,
-      TimelineKind aKind,
-      ServerIndex aServer,
-      std::uint64_t aSub,
-      const char* aWhy)
-{
-  aStep.out_.emplace_back(
-    TimelineRecord{ aKind,
-                    aQuery.id_.value_,
-                    aStep.state_.servers_[aServer].spec_.name_,
-                    aSub,
-                    aWhy });
-}
-
 void
 CountAttempt(Step& aStep, const Query& aQuery, const ShardRun& aRun)
 {
@@ -106,12 +44,12 @@
     NoteTrial(aStep.state_, aQuery.fingerprint_, run.primary_);
   }
   if (aQuery.traced_) {
-    Trace(aStep,
-          aQuery,
-          TimelineKind::SubSent,
-          aChoice.server_,
-          run.primary_,
-          aChoice.probe_ ? "probe" : "");
+    TraceSub(aStep,
+             aQuery,
+             TimelineKind::SubSent,
+             aChoice.server_,
+             run.primary_,
+             aChoice.probe_ ? "probe" : "");
   }
 }
 
@@ -186,12 +124,12 @@
   }
   stats.retries_ += extra ? 1 : 0;
   stats.movedNotRun_ += extra ? 0 : 1;
-  Trace(aStep,
-        aQuery,
-        TimelineKind::SubRetried,
-        aSub.server_,
-        aSub.key_,
-        MayHaveRun(aEnd) ? "failed" : "not run");
+  TraceSub(aStep,
+           aQuery,
+           TimelineKind::SubRetried,
+           aSub.server_,
+           aSub.key_,
+           MayHaveRun(aEnd) ? "failed" : "not run");
   const Duration pause = PauseAfter(aEnd);
   if (pause > Duration::zero()) {
     AddTimer(aStep.state_.timers_,
@@ -215,7 +153,7 @@
   ++aQuery.covered_;
   aStep.state_.stats_.hedgesWon_ += aSub.hedge_ ? 1 : 0;
   if (aQuery.traced_) {
-    Trace(
+    TraceSub(
       aStep, aQuery, TimelineKind::SubAnswered, aSub.server_, aSub.key_, "");
   }
   const std::uint64_t loser = run.primary_ != 0 ? run.primary_ : run.hedge_;
@@ -395,47 +333,4 @@
   RetryShard(aStep, *query, shard, aSub, aEnd);
 }
 
-void
-OnShardHedge(Step& aStep, const Sub& aSub)
-{
-  RouteState& state = aStep.state_;
-  Query* query = FindSlot(state.queries_, aSub.owner_.key_);
-  const std::uint32_t shard = aSub.owner_.shard_;
-  if (query == nullptr || shard >= query->shards_.size() ||
-      query->shards_[shard].primary_ != aSub.key_ ||
-      query->shards_[shard].hedge_ != 0) {
-    return;
-  }
-  const ServiceIndex index = query->version_->shards_[shard].service_;
-  const ServiceState& service = state.services_[index];
-  // A duplicate must not take a place from work that waits, must have the time
-  // to help, and never carries content that is suspect.
-  const bool waiting = CountAhead(service.queue_, Priority::Batch) > 0;
-  const bool late =
-    aStep.now_.mono_ + service.latency_.p50_ >= query->deadline_;
-  if (waiting || late ||
-      JudgeContent(state, query->fingerprint_, aStep.now_) !=
-        SuspectVerdict::Clear) {
-    return;
-  }
-  AddTried(query->shards_[shard], aSub.server_);
-  ChoiceDemand demand = DemandOf(*query, shard);
-  demand.mustDiffer_ = true;
-  const Choice choice = ChooseServer(aStep, demand);
-  LimitsState& limits = state.limits_[query->route_->limitsIndex_];
-  if (choice.state_ != ChoiceState::Chosen || !SpendHedge(limits)) {
-    return;
-  }
-  SubPlan plan = PlanOf(*query, shard, choice.server_);
-  plan.hedge_ = true;
-  query->shards_[shard].hedge_ = SendSub(aStep, plan);
-  ++state.stats_.hedges_;
-  Trace(aStep,
-        *query,
-        TimelineKind::SubHedged,
-        choice.server_,
-        query->shards_[shard].hedge_,
-        "slower than its service's tail");
-}
-
 } // namespace camphorfield
