--- a/src/machine/caller_type.h
+++ b/src/machine/caller_type.h
@@ -17,7 +17,8 @@
 /** Query or order as received from a caller. */
 struct CallerRequest
 {
-  CallerRequestId id_;         ///< Issued by the host.
+  CallerRequestId id_;                ///< Issued by the host.
+  RouteMode mode_ = RouteMode::Query; ///< What the caller asks for.
   std::string caller_;         ///< Name of the caller, from the Caller header.
   std::string route_;          ///< Route named in the URL.
   std::string idempotencyKey_; ///< Empty when the caller sent none.
@@ -90,6 +91,7 @@
   ResultCode code_ = ResultCode::Ok;  ///< Result.
   std::vector<EntryAddress> entries_; ///< In the order of preference.
   Duration keepFor_{};                ///< How long the answer may be kept.
+  std::uint32_t tokensWanted_ = 0;    ///< Copied from the request.
   std::vector<std::string> tokens_;   ///< Order tokens bound to this daemon.
 };
 
