Fix: content was quarantined for the loss of many servers

When a failure domain was lost, a query in flight on several servers, alone on each, was taken for their killer for 300 s. Now only a crash in a trial, alone on a server, proves anything, and peers are told of one crash until then. A refused connect that was told before the break counts as evidence of a crash too; it was missed before.

Test Quarantine.LossOfManyServersBlamesNoContent fails without the change.

--- a/src/route/quarantine.cpp
+++ b/src/route/quarantine.cpp
@@ -47,7 +47,23 @@
 }
 
 void
-AddCrash(Step& aStep, ServerIndex aServer, Fingerprint aContent, bool aAlone)
+CountCrash(Step& aStep, ServerIndex aServer, Suspicion& aSuspicion)
+{
+  const TimePoint now = aStep.now_.mono_;
+  aSuspicion.crashed_ = aServer;
+  aSuspicion.crashedAt_ = now;
+  aSuspicion.trialAfter_ = now + kSuspectRetryDelay;
+  AddTimer(aStep.state_.timers_,
+           { aSuspicion.trialAfter_, 0, 0, TimerKind::SuspectTrial });
+  ++aSuspicion.crashes_;
+  aSuspicion.untilUnix_ = std::max(
+    aSuspicion.untilUnix_, aStep.now_.unixMicros_ + kSuspectLife.count());
+}
+
+// Only a trial proves anything: when a failure domain is lost, everything in
+// flight loses many servers at once, each perhaps with nothing else on it.
+void
+AddCrash(Step& aStep, ServerIndex aServer, Fingerprint aContent, bool aProven)
 {
   RouteState& state = aStep.state_;
   const TimePoint now = aStep.now_.mono_;
@@ -61,24 +77,19 @@
   // Two connections that broke in one crash are one crash.
   const bool same =
     suspicion.crashed_ == aServer && now - suspicion.crashedAt_ < kCrashWindow;
-  suspicion.proven_ |= aAlone;
-  if (same) {
-    return;
+  suspicion.proven_ |= aProven;
+  if (!same) {
+    CountCrash(aStep, aServer, suspicion);
   }
-  suspicion.crashed_ = aServer;
-  suspicion.crashedAt_ = now;
-  suspicion.trialAfter_ = now + kSuspectRetryDelay;
-  AddTimer(state.timers_,
-           { suspicion.trialAfter_, 0, 0, TimerKind::SuspectTrial });
-  ++suspicion.crashes_;
-  suspicion.untilUnix_ = std::max(
-    suspicion.untilUnix_, aStep.now_.unixMicros_ + kSuspectLife.count());
-  if (!suspicion.quarantined_ && suspicion.proven_ &&
-      suspicion.crashes_ >= kCrashesToQuarantine) {
+  const bool guilty = !suspicion.quarantined_ && suspicion.proven_ &&
+                      suspicion.crashes_ >= kCrashesToQuarantine;
+  if (guilty) {
     Quarantine(aStep, aContent, suspicion);
     MarkWaitingServices(state);
   }
-  Spread(aStep, aContent, suspicion);
+  if (!same || guilty) {
+    Spread(aStep, aContent, suspicion);
+  }
 }
 
 void
@@ -91,8 +102,7 @@
   for (const BrokenRequest& request : broken) {
     const bool stale = aStep.now_.mono_ - request.at_ > kCrashWindow;
     if (!stale && blamed++ < kMaxSuspectsPerCrash) {
-      const bool alone = request.alone_ && broken.size() == 1;
-      AddCrash(aStep, aServer, request.fingerprint_, alone);
+      AddCrash(aStep, aServer, request.fingerprint_, false);
     }
   }
 }
@@ -221,7 +231,8 @@
   if (aEvent.requestSent_) {
     RememberBroken(aStep, aConnection);
   }
-  if (server.breaks_ > 1) {
+  // A connect may have been refused before this break was told.
+  if (server.breaks_ > 1 || server.connectFailures_ > 0) {
     NoteCrash(aStep, index);
   }
 }
@@ -240,7 +251,7 @@
   } else if (aEnd == SubEnd::Lost) {
     // A second connection lost in a run alone is taken for a crash at once:
     // waiting for proof could cost a third server.
-    AddCrash(aStep, aSub.server_, aSub.fingerprint_, aSub.alone_);
+    AddCrash(aStep, aSub.server_, aSub.fingerprint_, true);
   }
   MarkWaitingServices(aStep.state_);
 }
--- a/tests/route/quarantine_test.cpp
+++ b/tests/route/quarantine_test.cpp
@@ -131,6 +131,24 @@
   CHECK_TRUE(AskQuery(world, "find", "poison").complete_);
 }
 
+TEST(Quarantine, LossOfManyServersBlamesNoContent)
+{
+  RouteWorld world = PoisonWorld(2, 10);
+  Warm(world);
+  for (int i = 0; i < 100; ++i) {
+    SendQuery(world, "find", "plain" + std::to_string(i));
+  }
+  RunFor(world, milliseconds(1));
+  for (auto& [address, server] : world.servers_) {
+    CrashServer(world, server);
+  }
+  RunFor(world, milliseconds(250));
+  CHECK_FALSE(world.rumors_.empty());
+  // None of it is to blame.
+  RunFor(world, seconds(1));
+  LONGS_EQUAL(0, RouteStatistics(world.daemons_[0]->state_).quarantined_);
+}
+
 TEST(Quarantine, OrdersAreNotRunAfterTwoCrashes)
 {
   RouteWorld world = PoisonWorld(1, 1);
