Fix: the demo waits until each daemon lists itself

Cause: a daemon that has no confirmed configuration answers entries with the others, refuses requests as NOT_READY, and was asked directly by the demo. Change: ready means listed.

--- a/tools/testbed.py
+++ b/tools/testbed.py
@@ -168,14 +168,15 @@
         self.process = None
 
     def is_ready(self):
-        """Whether it lists itself or others to callers."""
+        """Whether it lists itself to callers, as a confirmed one does."""
         try:
-            status, _ = call_json(
+            status, answer = call_json(
                 self.caller, "GET", "/v1/entries",
                 headers={"Caller": "testbed"}, timeout=1)
         except (OSError, ValueError, http.client.HTTPException):
             return False
-        return status == 200
+        return status == 200 and self.caller in [
+            entry["address"] for entry in answer["entries"]]
 
     def operator_answers(self):
         """Whether its operators' interface answers."""
