Fix: a daemon that can't look up a key doesn't call its order not run

Cause: a daemon that was not ready refused an order whose key had already run through another one with 'not run' (seen in the demo: the second sending of a key got 503 NOT_READY). Conclusion: 'not run' is told of a key only by the package that knows keys.

--- a/src/daemon/daemon_life.cpp
+++ b/src/daemon/daemon_life.cpp
@@ -161,6 +161,19 @@
   return state;
 }
 
+namespace {
+
+// An earlier request under the key may have run elsewhere, and nothing was
+// looked up: "not run" is true of this request only.
+ResultCode
+RefusalOfOrder(const CallerRequest& aRequest, ResultCode aCode)
+{
+  return aRequest.idempotencyKey_.empty() ? aCode
+                                          : ResultCode::OrderNotAccepted;
+}
+
+} // namespace
+
 ResultCode
 AdmitRequest(const DaemonState& aState, const CallerRequest& aRequest)
 {
@@ -196,7 +209,7 @@
     ++aStep.state_.openOrders_;
     OrderAnswer answer;
     answer.id_ = aRequest.id_;
-    answer.code_ = aCode;
+    answer.code_ = RefusalOfOrder(aRequest, aCode);
     answer.key_ = aRequest.idempotencyKey_;
     answer.generation_ = generation;
     aStep.out_.emplace_back(std::move(answer));
