--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -22,6 +22,9 @@
 constexpr std::uint64_t kSeed = 20261204;
 constexpr Duration kMost = 600s;
 
+/** Larger fleets get their views without gossip, to save time. */
+constexpr std::size_t kMostToJoin = 600;
+
 /** TCP and IP headers of a message and of its acknowledgement. */
 constexpr double kHeaderBytes = 80.0;
 
@@ -133,11 +136,34 @@
     kMost);
 }
 
+/** Tells every daemon of all at once: a fleet that has been up for long. */
+void
+GiveViews(Fleet& aFleet)
+{
+  GossipAck all;
+  for (const FleetNode& node : aFleet.nodes_) {
+    all.members_.push_back(MembershipSelf(node.state_));
+  }
+  PeerMessage message;
+  message.from_ = DaemonId{ 1 };
+  message.body_ = std::move(all);
+  for (std::size_t i = 0; i < aFleet.nodes_.size(); ++i) {
+    aFleet.Give(i, message);
+  }
+}
+
 void
 PrintJoin(Fleet& aFleet)
 {
   const std::size_t size = aFleet.nodes_.size();
   aFleet.StartAll();
+  if (size > kMostToJoin) {
+    GiveViews(aFleet);
+    aFleet.SetReadyAll();
+    std::printf("  views given, not gossiped\n");
+    aFleet.Run(20s);
+    return;
+  }
   const Duration taken = UntilAll(aFleet, [&](std::size_t aNode) {
     return MembershipMembers(aFleet.nodes_[aNode].state_)->size() == size;
   });
--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -43,6 +43,13 @@
   2: optional QuarantineRumor quarantine
 }
 
+/** Who has a generation in force. */
+struct AdoptedSet {
+  1: optional i64 generation
+  2: optional i64 rosterHash
+  3: optional binary members
+}
+
 /** Content of GossipPing and of GossipAck. */
 struct Gossip {
   1: optional i64 sequence
@@ -52,6 +59,7 @@
   5: optional bool sync
   6: optional i64 syncAfter   // ping
   7: optional i64 syncNext    // ack
+  8: optional AdoptedSet adopted
 }
 
 struct GossipProbe {
--- a/src/machine/peer_type.h
+++ b/src/machine/peer_type.h
@@ -61,6 +61,17 @@
 
 using Rumor = std::variant<LeavingRumor, QuarantineRumor>;
 
+/**
+ * Who has a generation in force, as a bit for each member that is not dead,
+ * in order of id. Fits only a receiver with the same members.
+ */
+struct AdoptedSet
+{
+  Generation generation_;        ///< Zero: nothing is told.
+  std::uint64_t rosterHash_ = 0; ///< Hash of the members and incarnations.
+  std::string members_;          ///< Bits, the lowest of each byte first.
+};
+
 /**
  * Heartbeat with news; answered by GossipAck. A record without a name updates
  * a member that the receiver knows; one without an incarnation asks for the
@@ -75,6 +86,7 @@
   std::uint64_t viewHash_ = 0; ///< Hash of the sender's view.
   bool sync_ = false;          ///< Answer with whole records, in order of id.
   DaemonId syncAfter_;         ///< Where the records asked for begin.
+  AdoptedSet adopted_;
 };
 
 /** Stands behind all members. */
@@ -89,6 +101,7 @@
   std::uint64_t viewHash_ = 0;
   DaemonId syncNext_; ///< Last record of the page; zero: no page is given;
                       ///< kSyncEnd: it was the last page.
+  AdoptedSet adopted_;
 };
 
 /** Ask a daemon to ping a third one, which doesn't answer us. */
--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -40,13 +40,14 @@
 }
 
 GossipPing
-PingOf(const MembershipState& aState, News aNews, std::uint64_t aSequence)
+PingOf(MembershipStep& aStep, News aNews, std::uint64_t aSequence)
 {
   GossipPing ping;
+  ping.adopted_ = MakeAdoptedSet(aStep, false);
   ping.sequence_ = aSequence;
   ping.members_ = std::move(aNews.members_);
   ping.rumors_ = std::move(aNews.rumors_);
-  ping.viewHash_ = aState.viewHash_;
+  ping.viewHash_ = aStep.state_.viewHash_;
   return ping;
 }
 
@@ -61,7 +62,7 @@
   SendCounted(aStep,
               aTo.record_.id_,
               aTo.record_.peerAddress_,
-              PingOf(aStep.state_, std::move(news), 0),
+              PingOf(aStep, std::move(news), 0),
               bytes);
 }
 
@@ -107,7 +108,7 @@
   SendCounted(aStep,
               aTo.record_.id_,
               aTo.record_.peerAddress_,
-              PingOf(aStep.state_, std::move(news), aSequence),
+              PingOf(aStep, std::move(news), aSequence),
               bytes);
 }
 
@@ -120,7 +121,7 @@
   SendCounted(aStep,
               DaemonId{},
               aAddress,
-              PingOf(aStep.state_, std::move(news), sequence),
+              PingOf(aStep, std::move(news), sequence),
               bytes);
 }
 
@@ -144,6 +145,7 @@
   if (!ack.syncNext_.IsValid()) {
     FillNews(aStep, news, false);
   }
+  ack.adopted_ = MakeAdoptedSet(aStep, aPing.adopted_.generation_.IsValid());
   ack.sequence_ = aPing.sequence_;
   ack.viewHash_ = state.viewHash_;
   ack.members_ = std::move(news.members_);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -63,6 +63,7 @@
 OnPing(MembershipStep& aStep, DaemonId aFrom, const GossipPing& aPing)
 {
   TakeNews(aStep, aPing.members_, aPing.rumors_, aPing.viewHash_);
+  LearnAdoptedSet(aStep, aPing.adopted_);
   if (aPing.sequence_ != 0) {
     SendAck(aStep, aFrom, aPing);
   }
@@ -73,6 +74,7 @@
 {
   aStep.fromPage_ = aAck.sequence_ == aStep.state_.syncSequence_;
   TakeNews(aStep, aAck.members_, aAck.rumors_, aAck.viewHash_);
+  LearnAdoptedSet(aStep, aAck.adopted_);
   if (aStep.fromPage_) {
     SyncAnswered(aStep, aAck);
     return;
@@ -181,11 +183,11 @@
   }
   aState.self_.generation_ = generation;
   // Where there are many, the first ones carry the news and the rest follow
-  // with their pings.
+  // in sets.
   const bool urgent =
     generation > aState.newest_ || CountLive(aState) <= kSmallFleet;
-  aState.newest_ = std::max(aState.newest_, generation);
-  TouchSelf(aState, urgent);
+  NoteGeneration(aState, generation, aNow.mono_);
+  aState.burstPending_ = aState.burstPending_ || urgent;
   aState.changed_ = true;
   MembershipStep step{ aState, aNow, aRng, aDecisions };
   Finish(step);
--- a/src/membership/membership_base.h
+++ b/src/membership/membership_base.h
@@ -71,7 +71,8 @@
   std::map<std::string, DaemonId> byAddress_; ///< Peer address to member.
   std::set<DaemonId> suspects_;               ///< With a running deadline.
   std::set<DaemonId> dead_;                   ///< Tombstones.
-  std::uint64_t viewHash_ = 0;                ///< Of all members but the dead.
+  std::uint64_t viewHash_ = 0;   ///< Of the versions of all but the dead.
+  std::uint64_t rosterHash_ = 0; ///< Of who they are.
 
   // Probing.
   std::uint64_t nextSequence_ = 1;
@@ -98,6 +99,7 @@
   std::deque<std::uint64_t> rumorQueue_;
   std::uint64_t rumorRotation_ = 0;
   Generation newest_;                       ///< Largest generation heard of.
+  TimePoint newestAt_;                      ///< When it was heard of first.
   std::int64_t newsLeft_ = kNewsBurstBytes; ///< Bytes that may be sent now.
   std::int64_t pagesLeft_ = kSyncBurstBytes;
   TimePoint refilledAt_;
--- a/src/membership/membership_internal.h
+++ b/src/membership/membership_internal.h
@@ -204,6 +204,27 @@
 Member*
 RandomMember(MembershipStep& aStep);
 
+// adopted.cpp: who has the newest generation, in large fleets.
+
+/** Whether messages tell it as a set, in place of single records. */
+bool
+TellsAdoptedSets(const MembershipState& aState, TimePoint aNow);
+
+/** Notes the newest generation. */
+void
+NoteGeneration(MembershipState& aState, Generation aGeneration, TimePoint aNow);
+
+/**
+ * The set for a message.
+ * @param aAsked The peer tells a set of its own.
+ */
+AdoptedSet
+MakeAdoptedSet(MembershipStep& aStep, bool aAsked);
+
+/** Takes up a peer's set. */
+void
+LearnAdoptedSet(MembershipStep& aStep, const AdoptedSet& aSet);
+
 // rumor.cpp
 
 /** Takes up a rumor; true when it was news. */
--- a/src/membership/merge.cpp
+++ b/src/membership/merge.cpp
@@ -68,16 +68,17 @@
 /** A generation that nobody had before must be known everywhere at once; who
  * has followed since may take longer where there are many. */
 bool
-IsUrgent(MembershipState& aState,
+IsUrgent(MembershipStep& aStep,
          const MemberRecord& aNew,
          const MemberRecord& aOld)
 {
-  const bool newest = aNew.generation_ > aState.newest_;
-  aState.newest_ = std::max(aState.newest_, aNew.generation_);
+  MembershipState& state = aStep.state_;
+  const bool newest = aNew.generation_ > state.newest_;
+  NoteGeneration(state, aNew.generation_, aStep.now_.mono_);
   return newest || aNew.state_ != aOld.state_ || aNew.ready_ != aOld.ready_ ||
          aNew.incarnation_ != aOld.incarnation_ ||
          (aNew.generation_ != aOld.generation_ &&
-          CountLive(aState) <= kSmallFleet);
+          CountLive(state) <= kSmallFleet);
 }
 
 void
@@ -105,7 +106,7 @@
             state.order_[aStep.rng_() % state.order_.size()]);
   member.record_.state_ = MemberState::Dead;
   ReplaceRecord(aStep, member, aRecord);
-  state.newest_ = std::max(state.newest_, aRecord.generation_);
+  NoteGeneration(state, aRecord.generation_, aStep.now_.mono_);
   state.changed_ = true;
   // Only an even share of the callers is for it, not all that it lacks.
   member.handedOut_ = state.selfHandedOut_;
@@ -135,7 +136,11 @@
   if (!IsUsable(aRecord) || !DisplaceByAddress(aStep, aRecord)) {
     return;
   }
-  const bool urgent = IsUrgent(state, aRecord, old);
+  if (!newLife) {
+    // Sets may have told a later one; within a life it only rises.
+    aRecord.generation_ = std::max(aRecord.generation_, old.generation_);
+  }
+  const bool urgent = IsUrgent(aStep, aRecord, old);
   const bool moved = aRecord.peerAddress_ != old.peerAddress_ ||
                      aRecord.callerAddress_ != old.callerAddress_;
   state.changed_ =
@@ -154,6 +159,28 @@
   }
 }
 
+/** A generation is adopted without a new version of the record. */
+void
+RaiseGeneration(MembershipStep& aStep,
+                Member& aMember,
+                const MemberRecord& aRecord)
+{
+  MembershipState& state = aStep.state_;
+  MemberRecord& record = aMember.record_;
+  if (aRecord.incarnation_ != record.incarnation_ ||
+      aRecord.generation_ <= record.generation_) {
+    return;
+  }
+  const bool urgent =
+    aRecord.generation_ > state.newest_ || CountLive(state) <= kSmallFleet;
+  NoteGeneration(state, aRecord.generation_, aStep.now_.mono_);
+  record.generation_ = aRecord.generation_;
+  state.changed_ = true;
+  if (urgent || !TellsAdoptedSets(state, aStep.now_.mono_)) {
+    QueueNews(state, aMember, urgent, false);
+  }
+}
+
 /**
  * Gossip about ourselves. Suspicions are denied with a higher version. An
  * earlier life with a larger incarnation, from a clock that ran ahead, is
@@ -212,6 +239,8 @@
     AddMember(aStep, aRecord);
   } else if (Overrides(aRecord, member->record_)) {
     UpdateMember(aStep, *member, aRecord);
+  } else {
+    RaiseGeneration(aStep, *member, aRecord);
   }
 }
 
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -28,6 +28,17 @@
                   HashPair(aRecord.incarnation_.value_, version));
 }
 
+/** Adds a record to the hashes of the view, or takes it out. */
+void
+ToggleHashes(MembershipState& aState, const MemberRecord& aRecord)
+{
+  aState.viewHash_ ^= RecordHash(aRecord);
+  if (aRecord.state_ != MemberState::Dead) {
+    aState.rosterHash_ ^=
+      HashPair(aRecord.incarnation_.value_, aRecord.id_.value_);
+  }
+}
+
 Duration
 SuspicionTimeout(const MembershipState& aState)
 {
@@ -60,9 +71,9 @@
 void
 SetState(MembershipStep& aStep, Member& aMember, MemberState aNew)
 {
-  aStep.state_.viewHash_ ^= RecordHash(aMember.record_);
+  ToggleHashes(aStep.state_, aMember.record_);
   aMember.record_.state_ = aNew;
-  aStep.state_.viewHash_ ^= RecordHash(aMember.record_);
+  ToggleHashes(aStep.state_, aMember.record_);
   IndexState(aStep, aMember);
   aStep.state_.changed_ = true;
 }
@@ -78,7 +89,8 @@
       address->second == aMember.record_.id_) {
     state.byAddress_.erase(address);
   }
-  state.viewHash_ ^= RecordHash(aMember.record_) ^ RecordHash(aRecord);
+  ToggleHashes(state, aMember.record_);
+  ToggleHashes(state, aRecord);
   aMember.record_ = std::move(aRecord);
   state.byAddress_[aMember.record_.peerAddress_] = aMember.record_.id_;
   IndexState(aStep, aMember);
@@ -153,10 +165,12 @@
 {
   MemberRecord& self = aState.self_;
   // The first version is one; before it the record is part of no hash.
-  aState.viewHash_ ^= self.heartbeat_ == 0 ? 0 : RecordHash(self);
+  if (self.heartbeat_ != 0) {
+    ToggleHashes(aState, self);
+  }
   self.state_ = aNew;
   ++self.heartbeat_;
-  aState.viewHash_ ^= RecordHash(self);
+  ToggleHashes(aState, self);
 }
 
 void
@@ -165,10 +179,10 @@
                std::uint64_t aHeartbeat)
 {
   MemberRecord& self = aState.self_;
-  aState.viewHash_ ^= RecordHash(self);
+  ToggleHashes(aState, self);
   self.incarnation_ = aIncarnation;
   self.heartbeat_ = aHeartbeat;
-  aState.viewHash_ ^= RecordHash(self);
+  ToggleHashes(aState, self);
 }
 
 void
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -764,6 +764,144 @@
 }
 
 
+AdoptedSet::~AdoptedSet() noexcept {
+}
+
+
+void AdoptedSet::__set_generation(const int64_t val) {
+  this->generation = val;
+__isset.generation = true;
+}
+
+void AdoptedSet::__set_rosterHash(const int64_t val) {
+  this->rosterHash = val;
+__isset.rosterHash = true;
+}
+
+void AdoptedSet::__set_members(const std::string& val) {
+  this->members = val;
+__isset.members = true;
+}
+std::ostream& operator<<(std::ostream& out, const AdoptedSet& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AdoptedSet::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->generation);
+          this->__isset.generation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rosterHash);
+          this->__isset.rosterHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->members);
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AdoptedSet::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AdoptedSet");
+
+  if (this->__isset.generation) {
+    xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 1);
+    xfer += oprot->writeI64(this->generation);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rosterHash) {
+    xfer += oprot->writeFieldBegin("rosterHash", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->rosterHash);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.members) {
+    xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_STRING, 3);
+    xfer += oprot->writeBinary(this->members);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AdoptedSet &a, AdoptedSet &b) {
+  using ::std::swap;
+  swap(a.generation, b.generation);
+  swap(a.rosterHash, b.rosterHash);
+  swap(a.members, b.members);
+  swap(a.__isset, b.__isset);
+}
+
+AdoptedSet::AdoptedSet(const AdoptedSet& other8) {
+  generation = other8.generation;
+  rosterHash = other8.rosterHash;
+  members = other8.members;
+  __isset = other8.__isset;
+}
+AdoptedSet& AdoptedSet::operator=(const AdoptedSet& other9) {
+  generation = other9.generation;
+  rosterHash = other9.rosterHash;
+  members = other9.members;
+  __isset = other9.__isset;
+  return *this;
+}
+void AdoptedSet::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AdoptedSet(";
+  out << "generation="; (__isset.generation ? (out << to_string(generation)) : (out << "<null>"));
+  out << ", " << "rosterHash="; (__isset.rosterHash ? (out << to_string(rosterHash)) : (out << "<null>"));
+  out << ", " << "members="; (__isset.members ? (out << to_string(members)) : (out << "<null>"));
+  out << ")";
+}
+
+
 Gossip::~Gossip() noexcept {
 }
 
@@ -802,6 +940,11 @@
   this->syncNext = val;
 __isset.syncNext = true;
 }
+
+void Gossip::__set_adopted(const AdoptedSet& val) {
+  this->adopted = val;
+__isset.adopted = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -842,14 +985,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size8;
-            ::apache::thrift::protocol::TType _etype11;
-            xfer += iprot->readListBegin(_etype11, _size8);
-            this->members.resize(_size8);
-            uint32_t _i12;
-            for (_i12 = 0; _i12 < _size8; ++_i12)
+            uint32_t _size10;
+            ::apache::thrift::protocol::TType _etype13;
+            xfer += iprot->readListBegin(_etype13, _size10);
+            this->members.resize(_size10);
+            uint32_t _i14;
+            for (_i14 = 0; _i14 < _size10; ++_i14)
             {
-              xfer += this->members[_i12].read(iprot);
+              xfer += this->members[_i14].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -862,14 +1005,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rumors.clear();
-            uint32_t _size13;
-            ::apache::thrift::protocol::TType _etype16;
-            xfer += iprot->readListBegin(_etype16, _size13);
-            this->rumors.resize(_size13);
-            uint32_t _i17;
-            for (_i17 = 0; _i17 < _size13; ++_i17)
+            uint32_t _size15;
+            ::apache::thrift::protocol::TType _etype18;
+            xfer += iprot->readListBegin(_etype18, _size15);
+            this->rumors.resize(_size15);
+            uint32_t _i19;
+            for (_i19 = 0; _i19 < _size15; ++_i19)
             {
-              xfer += this->rumors[_i17].read(iprot);
+              xfer += this->rumors[_i19].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -910,6 +1053,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->adopted.read(iprot);
+          this->__isset.adopted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -936,10 +1087,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<Member> ::const_iterator _iter18;
-      for (_iter18 = this->members.begin(); _iter18 != this->members.end(); ++_iter18)
+      std::vector<Member> ::const_iterator _iter20;
+      for (_iter20 = this->members.begin(); _iter20 != this->members.end(); ++_iter20)
       {
-        xfer += (*_iter18).write(oprot);
+        xfer += (*_iter20).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -949,10 +1100,10 @@
     xfer += oprot->writeFieldBegin("rumors", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rumors.size()));
-      std::vector<Rumor> ::const_iterator _iter19;
-      for (_iter19 = this->rumors.begin(); _iter19 != this->rumors.end(); ++_iter19)
+      std::vector<Rumor> ::const_iterator _iter21;
+      for (_iter21 = this->rumors.begin(); _iter21 != this->rumors.end(); ++_iter21)
       {
-        xfer += (*_iter19).write(oprot);
+        xfer += (*_iter21).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -978,6 +1129,11 @@
     xfer += oprot->writeI64(this->syncNext);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.adopted) {
+    xfer += oprot->writeFieldBegin("adopted", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->adopted.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -992,28 +1148,31 @@
   swap(a.sync, b.sync);
   swap(a.syncAfter, b.syncAfter);
   swap(a.syncNext, b.syncNext);
+  swap(a.adopted, b.adopted);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other20) {
-  sequence = other20.sequence;
-  members = other20.members;
-  rumors = other20.rumors;
-  viewHash = other20.viewHash;
-  sync = other20.sync;
-  syncAfter = other20.syncAfter;
-  syncNext = other20.syncNext;
-  __isset = other20.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other21) {
-  sequence = other21.sequence;
-  members = other21.members;
-  rumors = other21.rumors;
-  viewHash = other21.viewHash;
-  sync = other21.sync;
-  syncAfter = other21.syncAfter;
-  syncNext = other21.syncNext;
-  __isset = other21.__isset;
+Gossip::Gossip(const Gossip& other22) {
+  sequence = other22.sequence;
+  members = other22.members;
+  rumors = other22.rumors;
+  viewHash = other22.viewHash;
+  sync = other22.sync;
+  syncAfter = other22.syncAfter;
+  syncNext = other22.syncNext;
+  adopted = other22.adopted;
+  __isset = other22.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other23) {
+  sequence = other23.sequence;
+  members = other23.members;
+  rumors = other23.rumors;
+  viewHash = other23.viewHash;
+  sync = other23.sync;
+  syncAfter = other23.syncAfter;
+  syncNext = other23.syncNext;
+  adopted = other23.adopted;
+  __isset = other23.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -1026,6 +1185,7 @@
   out << ", " << "sync="; (__isset.sync ? (out << to_string(sync)) : (out << "<null>"));
   out << ", " << "syncAfter="; (__isset.syncAfter ? (out << to_string(syncAfter)) : (out << "<null>"));
   out << ", " << "syncNext="; (__isset.syncNext ? (out << to_string(syncNext)) : (out << "<null>"));
+  out << ", " << "adopted="; (__isset.adopted ? (out << to_string(adopted)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1126,15 +1286,15 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipProbe::GossipProbe(const GossipProbe& other22) {
-  sequence = other22.sequence;
-  target = other22.target;
-  __isset = other22.__isset;
+GossipProbe::GossipProbe(const GossipProbe& other24) {
+  sequence = other24.sequence;
+  target = other24.target;
+  __isset = other24.__isset;
 }
-GossipProbe& GossipProbe::operator=(const GossipProbe& other23) {
-  sequence = other23.sequence;
-  target = other23.target;
-  __isset = other23.__isset;
+GossipProbe& GossipProbe::operator=(const GossipProbe& other25) {
+  sequence = other25.sequence;
+  target = other25.target;
+  __isset = other25.__isset;
   return *this;
 }
 void GossipProbe::printTo(std::ostream& out) const {
@@ -1242,15 +1402,15 @@
   swap(a.__isset, b.__isset);
 }
 
-GenerationAsk::GenerationAsk(const GenerationAsk& other24) noexcept {
-  call = other24.call;
-  generation = other24.generation;
-  __isset = other24.__isset;
+GenerationAsk::GenerationAsk(const GenerationAsk& other26) noexcept {
+  call = other26.call;
+  generation = other26.generation;
+  __isset = other26.__isset;
 }
-GenerationAsk& GenerationAsk::operator=(const GenerationAsk& other25) noexcept {
-  call = other25.call;
-  generation = other25.generation;
-  __isset = other25.__isset;
+GenerationAsk& GenerationAsk::operator=(const GenerationAsk& other27) noexcept {
+  call = other27.call;
+  generation = other27.generation;
+  __isset = other27.__isset;
   return *this;
 }
 void GenerationAsk::printTo(std::ostream& out) const {
@@ -1415,21 +1575,21 @@
   swap(a.__isset, b.__isset);
 }
 
-GenerationContent::GenerationContent(const GenerationContent& other26) {
-  call = other26.call;
-  generation = other26.generation;
-  changeId = other26.changeId;
-  digest = other26.digest;
-  content = other26.content;
-  __isset = other26.__isset;
+GenerationContent::GenerationContent(const GenerationContent& other28) {
+  call = other28.call;
+  generation = other28.generation;
+  changeId = other28.changeId;
+  digest = other28.digest;
+  content = other28.content;
+  __isset = other28.__isset;
 }
-GenerationContent& GenerationContent::operator=(const GenerationContent& other27) {
-  call = other27.call;
-  generation = other27.generation;
-  changeId = other27.changeId;
-  digest = other27.digest;
-  content = other27.content;
-  __isset = other27.__isset;
+GenerationContent& GenerationContent::operator=(const GenerationContent& other29) {
+  call = other29.call;
+  generation = other29.generation;
+  changeId = other29.changeId;
+  digest = other29.digest;
+  content = other29.content;
+  __isset = other29.__isset;
   return *this;
 }
 void GenerationContent::printTo(std::ostream& out) const {
@@ -1635,25 +1795,25 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderForward::OrderForward(const OrderForward& other28) {
-  call = other28.call;
-  caller = other28.caller;
-  route = other28.route;
-  key = other28.key;
-  body = other28.body;
-  remainingMicros = other28.remainingMicros;
-  generation = other28.generation;
-  __isset = other28.__isset;
+OrderForward::OrderForward(const OrderForward& other30) {
+  call = other30.call;
+  caller = other30.caller;
+  route = other30.route;
+  key = other30.key;
+  body = other30.body;
+  remainingMicros = other30.remainingMicros;
+  generation = other30.generation;
+  __isset = other30.__isset;
 }
-OrderForward& OrderForward::operator=(const OrderForward& other29) {
-  call = other29.call;
-  caller = other29.caller;
-  route = other29.route;
-  key = other29.key;
-  body = other29.body;
-  remainingMicros = other29.remainingMicros;
-  generation = other29.generation;
-  __isset = other29.__isset;
+OrderForward& OrderForward::operator=(const OrderForward& other31) {
+  call = other31.call;
+  caller = other31.caller;
+  route = other31.route;
+  key = other31.key;
+  body = other31.body;
+  remainingMicros = other31.remainingMicros;
+  generation = other31.generation;
+  __isset = other31.__isset;
   return *this;
 }
 void OrderForward::printTo(std::ostream& out) const {
@@ -1823,21 +1983,21 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderForwarded::OrderForwarded(const OrderForwarded& other30) {
-  call = other30.call;
-  code = other30.code;
-  accepted = other30.accepted;
-  replayed = other30.replayed;
-  body = other30.body;
-  __isset = other30.__isset;
+OrderForwarded::OrderForwarded(const OrderForwarded& other32) {
+  call = other32.call;
+  code = other32.code;
+  accepted = other32.accepted;
+  replayed = other32.replayed;
+  body = other32.body;
+  __isset = other32.__isset;
 }
-OrderForwarded& OrderForwarded::operator=(const OrderForwarded& other31) {
-  call = other31.call;
-  code = other31.code;
-  accepted = other31.accepted;
-  replayed = other31.replayed;
-  body = other31.body;
-  __isset = other31.__isset;
+OrderForwarded& OrderForwarded::operator=(const OrderForwarded& other33) {
+  call = other33.call;
+  code = other33.code;
+  accepted = other33.accepted;
+  replayed = other33.replayed;
+  body = other33.body;
+  __isset = other33.__isset;
   return *this;
 }
 void OrderForwarded::printTo(std::ostream& out) const {
@@ -2024,23 +2184,23 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderOutcomeCopy::OrderOutcomeCopy(const OrderOutcomeCopy& other32) {
-  caller = other32.caller;
-  key = other32.key;
-  fingerprint = other32.fingerprint;
-  code = other32.code;
-  answer = other32.answer;
-  unixMicros = other32.unixMicros;
-  __isset = other32.__isset;
+OrderOutcomeCopy::OrderOutcomeCopy(const OrderOutcomeCopy& other34) {
+  caller = other34.caller;
+  key = other34.key;
+  fingerprint = other34.fingerprint;
+  code = other34.code;
+  answer = other34.answer;
+  unixMicros = other34.unixMicros;
+  __isset = other34.__isset;
 }
-OrderOutcomeCopy& OrderOutcomeCopy::operator=(const OrderOutcomeCopy& other33) {
-  caller = other33.caller;
-  key = other33.key;
-  fingerprint = other33.fingerprint;
-  code = other33.code;
-  answer = other33.answer;
-  unixMicros = other33.unixMicros;
-  __isset = other33.__isset;
+OrderOutcomeCopy& OrderOutcomeCopy::operator=(const OrderOutcomeCopy& other35) {
+  caller = other35.caller;
+  key = other35.key;
+  fingerprint = other35.fingerprint;
+  code = other35.code;
+  answer = other35.answer;
+  unixMicros = other35.unixMicros;
+  __isset = other35.__isset;
   return *this;
 }
 void OrderOutcomeCopy::printTo(std::ostream& out) const {
@@ -2342,35 +2502,35 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedSub::RelayedSub(const RelayedSub& other34) {
-  id = other34.id;
-  connection = other34.connection;
-  kind = other34.kind;
-  serviceName = other34.serviceName;
-  shard = other34.shard;
-  version = other34.version;
-  key = other34.key;
-  cancels = other34.cancels;
-  body = other34.body;
-  server = other34.server;
-  remainingMicros = other34.remainingMicros;
-  fingerprint = other34.fingerprint;
-  __isset = other34.__isset;
-}
-RelayedSub& RelayedSub::operator=(const RelayedSub& other35) {
-  id = other35.id;
-  connection = other35.connection;
-  kind = other35.kind;
-  serviceName = other35.serviceName;
-  shard = other35.shard;
-  version = other35.version;
-  key = other35.key;
-  cancels = other35.cancels;
-  body = other35.body;
-  server = other35.server;
-  remainingMicros = other35.remainingMicros;
-  fingerprint = other35.fingerprint;
-  __isset = other35.__isset;
+RelayedSub::RelayedSub(const RelayedSub& other36) {
+  id = other36.id;
+  connection = other36.connection;
+  kind = other36.kind;
+  serviceName = other36.serviceName;
+  shard = other36.shard;
+  version = other36.version;
+  key = other36.key;
+  cancels = other36.cancels;
+  body = other36.body;
+  server = other36.server;
+  remainingMicros = other36.remainingMicros;
+  fingerprint = other36.fingerprint;
+  __isset = other36.__isset;
+}
+RelayedSub& RelayedSub::operator=(const RelayedSub& other37) {
+  id = other37.id;
+  connection = other37.connection;
+  kind = other37.kind;
+  serviceName = other37.serviceName;
+  shard = other37.shard;
+  version = other37.version;
+  key = other37.key;
+  cancels = other37.cancels;
+  body = other37.body;
+  server = other37.server;
+  remainingMicros = other37.remainingMicros;
+  fingerprint = other37.fingerprint;
+  __isset = other37.__isset;
   return *this;
 }
 void RelayedSub::printTo(std::ostream& out) const {
@@ -2445,14 +2605,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->subs.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->subs.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->subs.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->subs[_i40].read(iprot);
+              xfer += this->subs[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2487,10 +2647,10 @@
     xfer += oprot->writeFieldBegin("subs", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->subs.size()));
-      std::vector<RelayedSub> ::const_iterator _iter41;
-      for (_iter41 = this->subs.begin(); _iter41 != this->subs.end(); ++_iter41)
+      std::vector<RelayedSub> ::const_iterator _iter43;
+      for (_iter43 = this->subs.begin(); _iter43 != this->subs.end(); ++_iter43)
       {
-        xfer += (*_iter41).write(oprot);
+        xfer += (*_iter43).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2508,15 +2668,15 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayBatch::RelayBatch(const RelayBatch& other42) {
-  call = other42.call;
-  subs = other42.subs;
-  __isset = other42.__isset;
+RelayBatch::RelayBatch(const RelayBatch& other44) {
+  call = other44.call;
+  subs = other44.subs;
+  __isset = other44.__isset;
 }
-RelayBatch& RelayBatch::operator=(const RelayBatch& other43) {
-  call = other43.call;
-  subs = other43.subs;
-  __isset = other43.__isset;
+RelayBatch& RelayBatch::operator=(const RelayBatch& other45) {
+  call = other45.call;
+  subs = other45.subs;
+  __isset = other45.__isset;
   return *this;
 }
 void RelayBatch::printTo(std::ostream& out) const {
@@ -2690,14 +2850,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->versions.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->versions.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += iprot->readI64(this->versions[_i48]);
+              xfer += iprot->readI64(this->versions[_i50]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2780,10 +2940,10 @@
     xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->versions.size()));
-      std::vector<int64_t> ::const_iterator _iter49;
-      for (_iter49 = this->versions.begin(); _iter49 != this->versions.end(); ++_iter49)
+      std::vector<int64_t> ::const_iterator _iter51;
+      for (_iter51 = this->versions.begin(); _iter51 != this->versions.end(); ++_iter51)
       {
-        xfer += oprot->writeI64((*_iter49));
+        xfer += oprot->writeI64((*_iter51));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2815,33 +2975,33 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedAnswer::RelayedAnswer(const RelayedAnswer& other50) {
-  id = other50.id;
-  connection = other50.connection;
-  status = other50.status;
-  statedId = other50.statedId;
-  statedShard = other50.statedShard;
-  statedVersion = other50.statedVersion;
-  draining = other50.draining;
-  closing = other50.closing;
-  load = other50.load;
-  versions = other50.versions;
-  body = other50.body;
-  __isset = other50.__isset;
-}
-RelayedAnswer& RelayedAnswer::operator=(const RelayedAnswer& other51) {
-  id = other51.id;
-  connection = other51.connection;
-  status = other51.status;
-  statedId = other51.statedId;
-  statedShard = other51.statedShard;
-  statedVersion = other51.statedVersion;
-  draining = other51.draining;
-  closing = other51.closing;
-  load = other51.load;
-  versions = other51.versions;
-  body = other51.body;
-  __isset = other51.__isset;
+RelayedAnswer::RelayedAnswer(const RelayedAnswer& other52) {
+  id = other52.id;
+  connection = other52.connection;
+  status = other52.status;
+  statedId = other52.statedId;
+  statedShard = other52.statedShard;
+  statedVersion = other52.statedVersion;
+  draining = other52.draining;
+  closing = other52.closing;
+  load = other52.load;
+  versions = other52.versions;
+  body = other52.body;
+  __isset = other52.__isset;
+}
+RelayedAnswer& RelayedAnswer::operator=(const RelayedAnswer& other53) {
+  id = other53.id;
+  connection = other53.connection;
+  status = other53.status;
+  statedId = other53.statedId;
+  statedShard = other53.statedShard;
+  statedVersion = other53.statedVersion;
+  draining = other53.draining;
+  closing = other53.closing;
+  load = other53.load;
+  versions = other53.versions;
+  body = other53.body;
+  __isset = other53.__isset;
   return *this;
 }
 void RelayedAnswer::printTo(std::ostream& out) const {
@@ -2915,14 +3075,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->answers.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->answers.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->answers[_i56].read(iprot);
+              xfer += this->answers[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2957,10 +3117,10 @@
     xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-      std::vector<RelayedAnswer> ::const_iterator _iter57;
-      for (_iter57 = this->answers.begin(); _iter57 != this->answers.end(); ++_iter57)
+      std::vector<RelayedAnswer> ::const_iterator _iter59;
+      for (_iter59 = this->answers.begin(); _iter59 != this->answers.end(); ++_iter59)
       {
-        xfer += (*_iter57).write(oprot);
+        xfer += (*_iter59).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2978,15 +3138,15 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayAnswers::RelayAnswers(const RelayAnswers& other58) {
-  call = other58.call;
-  answers = other58.answers;
-  __isset = other58.__isset;
+RelayAnswers::RelayAnswers(const RelayAnswers& other60) {
+  call = other60.call;
+  answers = other60.answers;
+  __isset = other60.__isset;
 }
-RelayAnswers& RelayAnswers::operator=(const RelayAnswers& other59) {
-  call = other59.call;
-  answers = other59.answers;
-  __isset = other59.__isset;
+RelayAnswers& RelayAnswers::operator=(const RelayAnswers& other61) {
+  call = other61.call;
+  answers = other61.answers;
+  __isset = other61.__isset;
   return *this;
 }
 void RelayAnswers::printTo(std::ostream& out) const {
@@ -3341,41 +3501,41 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerFrame::PeerFrame(const PeerFrame& other60) {
-  protocolVersion = other60.protocolVersion;
-  sender = other60.sender;
-  senderIncarnation = other60.senderIncarnation;
-  sentUnixMicros = other60.sentUnixMicros;
-  sentLogical = other60.sentLogical;
-  ping = other60.ping;
-  ack = other60.ack;
-  probe = other60.probe;
-  generationAsk = other60.generationAsk;
-  generationContent = other60.generationContent;
-  orderForward = other60.orderForward;
-  orderForwarded = other60.orderForwarded;
-  orderOutcomeCopy = other60.orderOutcomeCopy;
-  relayBatch = other60.relayBatch;
-  relayAnswers = other60.relayAnswers;
-  __isset = other60.__isset;
-}
-PeerFrame& PeerFrame::operator=(const PeerFrame& other61) {
-  protocolVersion = other61.protocolVersion;
-  sender = other61.sender;
-  senderIncarnation = other61.senderIncarnation;
-  sentUnixMicros = other61.sentUnixMicros;
-  sentLogical = other61.sentLogical;
-  ping = other61.ping;
-  ack = other61.ack;
-  probe = other61.probe;
-  generationAsk = other61.generationAsk;
-  generationContent = other61.generationContent;
-  orderForward = other61.orderForward;
-  orderForwarded = other61.orderForwarded;
-  orderOutcomeCopy = other61.orderOutcomeCopy;
-  relayBatch = other61.relayBatch;
-  relayAnswers = other61.relayAnswers;
-  __isset = other61.__isset;
+PeerFrame::PeerFrame(const PeerFrame& other62) {
+  protocolVersion = other62.protocolVersion;
+  sender = other62.sender;
+  senderIncarnation = other62.senderIncarnation;
+  sentUnixMicros = other62.sentUnixMicros;
+  sentLogical = other62.sentLogical;
+  ping = other62.ping;
+  ack = other62.ack;
+  probe = other62.probe;
+  generationAsk = other62.generationAsk;
+  generationContent = other62.generationContent;
+  orderForward = other62.orderForward;
+  orderForwarded = other62.orderForwarded;
+  orderOutcomeCopy = other62.orderOutcomeCopy;
+  relayBatch = other62.relayBatch;
+  relayAnswers = other62.relayAnswers;
+  __isset = other62.__isset;
+}
+PeerFrame& PeerFrame::operator=(const PeerFrame& other63) {
+  protocolVersion = other63.protocolVersion;
+  sender = other63.sender;
+  senderIncarnation = other63.senderIncarnation;
+  sentUnixMicros = other63.sentUnixMicros;
+  sentLogical = other63.sentLogical;
+  ping = other63.ping;
+  ack = other63.ack;
+  probe = other63.probe;
+  generationAsk = other63.generationAsk;
+  generationContent = other63.generationContent;
+  orderForward = other63.orderForward;
+  orderForwarded = other63.orderForwarded;
+  orderOutcomeCopy = other63.orderOutcomeCopy;
+  relayBatch = other63.relayBatch;
+  relayAnswers = other63.relayAnswers;
+  __isset = other63.__isset;
   return *this;
 }
 void PeerFrame::printTo(std::ostream& out) const {
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -29,6 +29,8 @@
 
 class Rumor;
 
+class AdoptedSet;
+
 class Gossip;
 
 class GossipProbe;
@@ -390,8 +392,74 @@
 
 std::ostream& operator<<(std::ostream& out, const Rumor& obj);
 
+typedef struct _AdoptedSet__isset {
+  _AdoptedSet__isset() : generation(false), rosterHash(false), members(false) {}
+  bool generation :1;
+  bool rosterHash :1;
+  bool members :1;
+} _AdoptedSet__isset;
+
+/**
+ * Who has a generation in force.
+ */
+class AdoptedSet : public virtual ::apache::thrift::TBase {
+ public:
+
+  AdoptedSet(const AdoptedSet&);
+  AdoptedSet& operator=(const AdoptedSet&);
+  AdoptedSet() noexcept
+             : generation(0),
+               rosterHash(0),
+               members() {
+  }
+
+  virtual ~AdoptedSet() noexcept;
+  int64_t generation;
+  int64_t rosterHash;
+  std::string members;
+
+  _AdoptedSet__isset __isset;
+
+  void __set_generation(const int64_t val);
+
+  void __set_rosterHash(const int64_t val);
+
+  void __set_members(const std::string& val);
+
+  bool operator == (const AdoptedSet & rhs) const
+  {
+    if (__isset.generation != rhs.__isset.generation)
+      return false;
+    else if (__isset.generation && !(generation == rhs.generation))
+      return false;
+    if (__isset.rosterHash != rhs.__isset.rosterHash)
+      return false;
+    else if (__isset.rosterHash && !(rosterHash == rhs.rosterHash))
+      return false;
+    if (__isset.members != rhs.__isset.members)
+      return false;
+    else if (__isset.members && !(members == rhs.members))
+      return false;
+    return true;
+  }
+  bool operator != (const AdoptedSet &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AdoptedSet & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AdoptedSet &a, AdoptedSet &b);
+
+std::ostream& operator<<(std::ostream& out, const AdoptedSet& obj);
+
 typedef struct _Gossip__isset {
-  _Gossip__isset() : sequence(false), members(false), rumors(false), viewHash(false), sync(false), syncAfter(false), syncNext(false) {}
+  _Gossip__isset() : sequence(false), members(false), rumors(false), viewHash(false), sync(false), syncAfter(false), syncNext(false), adopted(false) {}
   bool sequence :1;
   bool members :1;
   bool rumors :1;
@@ -399,6 +467,7 @@
   bool sync :1;
   bool syncAfter :1;
   bool syncNext :1;
+  bool adopted :1;
 } _Gossip__isset;
 
 /**
@@ -425,6 +494,7 @@
   bool sync;
   int64_t syncAfter;
   int64_t syncNext;
+  AdoptedSet adopted;
 
   _Gossip__isset __isset;
 
@@ -442,6 +512,8 @@
 
   void __set_syncNext(const int64_t val);
 
+  void __set_adopted(const AdoptedSet& val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (__isset.sequence != rhs.__isset.sequence)
@@ -472,6 +544,10 @@
       return false;
     else if (__isset.syncNext && !(syncNext == rhs.syncNext))
       return false;
+    if (__isset.adopted != rhs.__isset.adopted)
+      return false;
+    else if (__isset.adopted && !(adopted == rhs.adopted))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/src/peer/gossip_wire.cpp
+++ b/src/peer/gossip_wire.cpp
@@ -143,6 +143,29 @@
   return out;
 }
 
+void
+SetAdopted(const AdoptedSet& aSet, wire::Gossip& aGossip)
+{
+  if (!aSet.generation_.IsValid()) {
+    return;
+  }
+  wire::AdoptedSet set;
+  set.__set_generation(IdToWire(aSet.generation_));
+  set.__set_rosterHash(static_cast<std::int64_t>(aSet.rosterHash_));
+  set.__set_members(aSet.members_);
+  aGossip.__set_adopted(set);
+}
+
+AdoptedSet
+AdoptedFromWire(const wire::AdoptedSet& aWire)
+{
+  AdoptedSet out;
+  IdFromWire(aWire.generation, out.generation_);
+  out.rosterHash_ = static_cast<std::uint64_t>(aWire.rosterHash);
+  out.members_ = aWire.members;
+  return out;
+}
+
 void
 NewsFromWire(const wire::Gossip& aWire,
              std::vector<MemberRecord>& aMembers,
--- a/src/peer/peer_codec.cpp
+++ b/src/peer/peer_codec.cpp
@@ -29,6 +29,7 @@
     gossip.__set_sync(true);
     gossip.__set_syncAfter(IdToWire(aBody.syncAfter_));
   }
+  SetAdopted(aBody.adopted_, gossip);
   aFrame.__set_ping(gossip);
 }
 
@@ -40,6 +41,7 @@
   if (aBody.syncNext_.IsValid()) {
     gossip.__set_syncNext(IdToWire(aBody.syncNext_));
   }
+  SetAdopted(aBody.adopted_, gossip);
   aFrame.__set_ack(gossip);
 }
 
@@ -111,6 +113,7 @@
   out.viewHash_ = static_cast<std::uint64_t>(aWire.viewHash);
   out.sync_ = aWire.sync;
   IdFromWire(aWire.syncAfter, out.syncAfter_);
+  out.adopted_ = AdoptedFromWire(aWire.adopted);
   NewsFromWire(aWire, out.members_, out.rumors_);
   return out;
 }
@@ -122,6 +125,7 @@
   out.sequence_ = static_cast<std::uint64_t>(aWire.sequence);
   out.viewHash_ = static_cast<std::uint64_t>(aWire.viewHash);
   IdFromWire(aWire.syncNext, out.syncNext_);
+  out.adopted_ = AdoptedFromWire(aWire.adopted);
   NewsFromWire(aWire, out.members_, out.rumors_);
   return out;
 }
--- a/src/peer/wire_internal.h
+++ b/src/peer/wire_internal.h
@@ -61,6 +61,13 @@
              const std::vector<Rumor>& aRumors,
              std::uint64_t aViewHash);
 
+/** Sets the field unless nothing is told. */
+void
+SetAdopted(const AdoptedSet& aSet, wire::Gossip& aGossip);
+
+AdoptedSet
+AdoptedFromWire(const wire::AdoptedSet& aWire);
+
 void
 NewsFromWire(const wire::Gossip& aWire,
              std::vector<MemberRecord>& aMembers,
--- a/tests/membership/fleet_fixture.cpp
+++ b/tests/membership/fleet_fixture.cpp
@@ -285,7 +285,9 @@
         ++node.heard_[leaving->server_];
       }
     } else if (const auto* event = std::get_if<TimelineRecord>(&decision)) {
-      node.timeline_.push_back(*event);
+      if (event->kind_ != TimelineKind::MemberJoined) {
+        node.timeline_.push_back(*event);
+      }
     } else if (const auto* answer = std::get_if<EntriesAnswer>(&decision)) {
       answer_ = *answer;
     } else if (std::holds_alternative<MembersChanged>(decision)) {
--- a/tests/membership/fleet_fixture.h
+++ b/tests/membership/fleet_fixture.h
@@ -35,9 +35,9 @@
   bool running_ = false;
   bool refuses_ = true; ///< Stopped: the VM says so; else it is silent.
   bool paused_ = false;
-  std::vector<PeerMessage> unread_;  ///< Arrived while it was paused.
-  std::map<std::string, int> heard_; ///< Servers of rumors, and how often.
-  std::vector<TimelineRecord> timeline_;
+  std::vector<PeerMessage> unread_;      ///< Arrived while it was paused.
+  std::map<std::string, int> heard_;     ///< Servers of rumors, and how often.
+  std::vector<TimelineRecord> timeline_; ///< All but joins.
   FleetCounters counters_;
 };
 
--- a/tests/membership/spread_test.cpp
+++ b/tests/membership/spread_test.cpp
@@ -190,7 +190,7 @@
 TEST(Spread, GenerationIsKnownEverywhereWithinASecond)
 {
   for (const SpreadCase& row : std::vector<SpreadCase>{
-         { 6, 0.0, 1s }, { 20, 0.0, 1s }, { 60, 0.0, 1s } }) {
+         { 6, 0.0, 1s }, { 20, 0.0, 1s }, { 60, 0.0, 1s }, { 200, 0.0, 3s } }) {
     Fleet fleet(row.size_, 6, 26);
     Settle(fleet);
     for (std::size_t i = 0; i < row.size_; ++i) {
--- a/tests/peer/peer_codec_test.cpp
+++ b/tests/peer/peer_codec_test.cpp
@@ -96,14 +96,17 @@
 GossipPing
 FullPing()
 {
-  return GossipPing{ 3,
-                     { FullRecord(), BriefRecord() },
-                     { LeavingRumor{ "b1", false, 123, true },
-                       QuarantineRumor{
-                         Fingerprint{ 0x9000000000000000ULL }, 2, 456 } },
-                     0xaaaaaaaaaaaaaaaaULL,
-                     true,
-                     DaemonId{ 0xbbbbbbbbbbbbbbbbULL } };
+  return GossipPing{
+    3,
+    { FullRecord(), BriefRecord() },
+    { LeavingRumor{ "b1", false, 123, true },
+      QuarantineRumor{ Fingerprint{ 0x9000000000000000ULL }, 2, 456 } },
+    0xaaaaaaaaaaaaaaaaULL,
+    true,
+    DaemonId{ 0xbbbbbbbbbbbbbbbbULL },
+    AdoptedSet{
+      Generation{ 4 }, 0xccccccccccccccccULL, std::string("\0\x81", 2) }
+  };
 }
 
 /** One message of every kind, all fields set. */
@@ -211,10 +214,16 @@
   CHECK_TRUE(leaving.listed_);
   CHECK_TRUE(ping.sync_);
   CHECK_TRUE(ping.syncAfter_ == FullPing().syncAfter_);
-  const auto ack = RoundTripBody(GossipAck{ 9, {}, {}, 8, DaemonId{ 7 } });
+  const auto ack = RoundTripBody(
+    GossipAck{ 9, {}, {}, 8, DaemonId{ 7 }, FullPing().adopted_ });
   LONGS_EQUAL(9, ack.sequence_);
   LONGS_EQUAL(8, ack.viewHash_);
   LONGS_EQUAL(7, ack.syncNext_.value_);
+  for (const AdoptedSet& set : { ping.adopted_, ack.adopted_ }) {
+    LONGS_EQUAL(4, set.generation_.value_);
+    CHECK_TRUE(set.rosterHash_ == FullPing().adopted_.rosterHash_);
+    CHECK_TRUE(set.members_ == FullPing().adopted_.members_);
+  }
   const auto& quarantine = std::get<QuarantineRumor>(ping.rumors_[1]);
   CHECK_TRUE(quarantine.fingerprint_.value_ == 0x9000000000000000ULL);
   LONGS_EQUAL(2, quarantine.crashes_);
