--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -1319,6 +1319,11 @@
   this->generation = val;
 __isset.generation = true;
 }
+
+void GenerationAsk::__set_base(const int64_t val) {
+  this->base = val;
+__isset.base = true;
+}
 std::ostream& operator<<(std::ostream& out, const GenerationAsk& obj)
 {
   obj.printTo(out);
@@ -1363,6 +1368,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1390,6 +1403,11 @@
     xfer += oprot->writeI64(this->generation);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.base) {
+    xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->base);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1399,17 +1417,20 @@
   using ::std::swap;
   swap(a.call, b.call);
   swap(a.generation, b.generation);
+  swap(a.base, b.base);
   swap(a.__isset, b.__isset);
 }
 
 GenerationAsk::GenerationAsk(const GenerationAsk& other26) noexcept {
   call = other26.call;
   generation = other26.generation;
+  base = other26.base;
   __isset = other26.__isset;
 }
 GenerationAsk& GenerationAsk::operator=(const GenerationAsk& other27) noexcept {
   call = other27.call;
   generation = other27.generation;
+  base = other27.base;
   __isset = other27.__isset;
   return *this;
 }
@@ -1418,6 +1439,7 @@
   out << "GenerationAsk(";
   out << "call="; (__isset.call ? (out << to_string(call)) : (out << "<null>"));
   out << ", " << "generation="; (__isset.generation ? (out << to_string(generation)) : (out << "<null>"));
+  out << ", " << "base="; (__isset.base ? (out << to_string(base)) : (out << "<null>"));
   out << ")";
 }
 
