Fix: peers are told of an unproven suspicion, not of a quarantine

Cause: when a replica of every service is lost, one query in flight counts many crashes; the count went out with the rumor and peers quarantine by the count. Ruled out: admission and the panic threshold (all refusals were code 1207). Change: an unproven suspicion is spread with a count below the threshold. Conclusion: only a proven crash is quarantined everywhere.

--- a/src/route/quarantine.cpp
+++ b/src/route/quarantine.cpp
@@ -16,11 +16,17 @@
   return aSuspicion.untilUnix_ <= aNow.unixMicros_;
 }
 
+// Peers quarantine by the count, so an unproven one stays below it: the loss of
+// a failure domain counts many crashes against whatever was in flight.
 void
 Spread(Step& aStep, Fingerprint aContent, const Suspicion& aSuspicion)
 {
-  aStep.out_.emplace_back(SpreadRumor{
-    QuarantineRumor{ aContent, aSuspicion.crashes_, aSuspicion.untilUnix_ } });
+  const std::uint32_t crashes =
+    aSuspicion.quarantined_
+      ? aSuspicion.crashes_
+      : std::min(aSuspicion.crashes_, kCrashesToQuarantine - 1);
+  aStep.out_.emplace_back(
+    SpreadRumor{ QuarantineRumor{ aContent, crashes, aSuspicion.untilUnix_ } });
 }
 
 void
--- a/tests/route/quarantine_test.cpp
+++ b/tests/route/quarantine_test.cpp
@@ -144,9 +144,14 @@
   }
   RunFor(world, milliseconds(250));
   CHECK_FALSE(world.rumors_.empty());
-  // None of it is to blame.
+  // None of it is to blame, and peers are not told that it is: they would
+  // quarantine by the count.
   RunFor(world, seconds(1));
   LONGS_EQUAL(0, RouteStatistics(world.daemons_[0]->state_).quarantined_);
+  for (const Rumor& rumor : world.rumors_) {
+    const auto* suspect = std::get_if<QuarantineRumor>(&rumor);
+    CHECK_TRUE(suspect == nullptr || suspect->crashes_ < kCrashesToQuarantine);
+  }
 }
 
 TEST(Quarantine, OrdersAreNotRunAfterTwoCrashes)
