Codechange: findings of the linter over the whole tree; slopes' load rows

Cause: the first whole lint found four places. Change: events are handed in by reference, decisions are moved out before they are looped, the time stamp's order is spelled out.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -109,7 +109,7 @@
         return {"queries_per_s": rate, "subs": subs,
                 "core_us_per_sub": 1e6 * (end - begin) / max(subs, 1),
                 "resident_mb": resident_bytes(daemons[0].process) / 1e6,
-                "p99_ms": summary["routes"][0]["latency_ms"]["p99"]}
+                "p99_ms": summary["routes"][0]["ms"]["p99"]}
 
 
 def main():
--- a/src/caller/caller_api.cpp
+++ b/src/caller/caller_api.cpp
@@ -75,7 +75,7 @@
   request.body_ = std::make_shared<const std::string>(aRequest.body_);
   aSession.WatchGone(
     [&aHost, id]() { aHost.Submit(CallerGone{ CallerRequestId{ id } }); });
-  const HostAnswer answer = aHost.Ask(id, std::move(request));
+  const HostAnswer answer = aHost.Ask(id, request);
   if (const auto* query = std::get_if<QueryAnswer>(&answer)) {
     return RenderQuery(*query);
   }
--- a/src/daemon/daemon_step.cpp
+++ b/src/daemon/daemon_step.cpp
@@ -249,9 +249,7 @@
     [&aStep](const auto& aItem) {
       using Item = std::decay_t<decltype(aItem)>;
       if constexpr (kIsInternal<Item>) {
-        // The vector that holds the item may grow while it is taken.
-        const Item item = aItem;
-        Take(aStep, item);
+        Take(aStep, aItem);
         return true;
       } else {
         return false;
@@ -264,8 +262,9 @@
 Settle(const DaemonStep& aStep, Decisions& aToHost)
 {
   for (std::size_t i = 0; i < aStep.out_.size(); ++i) {
-    if (!Loop(aStep, aStep.out_[i])) {
-      Decision decision = std::move(aStep.out_[i]);
+    // Moved out first: the vector may grow while the decision is taken.
+    Decision decision = std::move(aStep.out_[i]);
+    if (!Loop(aStep, decision)) {
       Pass(aStep, decision, aToHost);
     }
   }
--- a/src/machine/timeline_type.h
+++ b/src/machine/timeline_type.h
@@ -3,6 +3,7 @@
 
 #include "core/id_type.h"
 
+#include <compare>
 #include <cstdint>
 #include <string>
 
@@ -13,7 +14,13 @@
 {
   std::int64_t unixMicros_ = 0; ///< Largest wall clock seen.
   std::uint32_t logical_ = 0;   ///< Tie-breaker within a microsecond.
-  constexpr auto operator<=>(const HybridTime&) const = default;
+  constexpr bool operator==(const HybridTime&) const = default;
+  constexpr std::strong_ordering operator<=>(const HybridTime& aOther) const
+  {
+    const std::strong_ordering wall = unixMicros_ <=> aOther.unixMicros_;
+    return wall == std::strong_ordering::equal ? logical_ <=> aOther.logical_
+                                               : wall;
+  }
 };
 
 /** Kinds of time line events; names are in table/timeline_table.h. */
--- a/src/runtime/event_sink.h
+++ b/src/runtime/event_sink.h
@@ -8,6 +8,6 @@
 namespace camphorfield {
 
 /** Takes an event from any thread; never waits for a fiber. */
-using EventSink = std::function<void(Event)>;
+using EventSink = std::function<void(const Event&)>;
 
 } // namespace camphorfield
--- a/src/runtime/host.cpp
+++ b/src/runtime/host.cpp
@@ -38,15 +38,15 @@
   , timeline_(aSettings.name_, aSettings.timelineEvents_)
   , servers_(
       aPool,
-      [this](Event aEvent) { Submit(std::move(aEvent)); },
+      [this](const Event& aEvent) { Submit(aEvent); },
       LifeText(aSettings))
   , peers_(
       aPool,
-      [this](Event aEvent) { Submit(std::move(aEvent)); },
+      [this](const Event& aEvent) { Submit(aEvent); },
       [this](const std::string& aPayload) { OnFrame(aPayload); })
   , platform_(std::make_unique<PlatformClient>(
       aPool,
-      [this](Event aEvent) { Submit(std::move(aEvent)); },
+      [this](const Event& aEvent) { Submit(aEvent); },
       aSettings.platformAddress_))
   , pending_(aPool.Size())
   , timer_(aPool.At(0).Context())
@@ -60,7 +60,7 @@
 absl::Status
 Host::Start()
 {
-  const absl::Status status = peers_.Listen(settings_.peerAddress_);
+  absl::Status status = peers_.Listen(settings_.peerAddress_);
   if (!status.ok()) {
     return status;
   }
@@ -69,7 +69,7 @@
 }
 
 void
-Host::Submit(Event aEvent)
+Host::Submit(const Event& aEvent)
 {
   const std::lock_guard lock(coreMutex_);
   Step(aEvent);
@@ -176,12 +176,12 @@
 }
 
 HostAnswer
-Host::Ask(std::uint64_t aId, Event aEvent)
+Host::Ask(std::uint64_t aId, const Event& aEvent)
 {
   HostPromise promise;
   boost::fibers::future<HostAnswer> future = promise.get_future();
   pending_[WorkerOf(aId)].emplace(aId, &promise);
-  Submit(std::move(aEvent));
+  Submit(aEvent);
   return future.get();
 }
 
--- a/src/runtime/host.h
+++ b/src/runtime/host.h
@@ -48,7 +48,7 @@
   absl::Status Start();
 
   /** Hands in an event. Thread-safe. */
-  void Submit(Event aEvent);
+  void Submit(const Event& aEvent);
 
   /** Issues a request id whose answer goes to a worker. */
   std::uint64_t IssueRequestId(std::uint32_t aWorker);
@@ -58,7 +58,7 @@
    * @param aId Request id issued for this fiber's worker.
    * @param aEvent The request, with the same id.
    */
-  HostAnswer Ask(std::uint64_t aId, Event aEvent);
+  HostAnswer Ask(std::uint64_t aId, const Event& aEvent);
 
   /**
    * Ends an Ask whose caller has gone; its answer is not wanted any more.
