--- a/src/order/order_type.h
+++ b/src/order/order_type.h
@@ -76,6 +76,7 @@
   Duration window_ = std::chrono::minutes(15);   ///< Life of a key.
   Duration clockSkew_ = std::chrono::minutes(2); ///< Tolerated future of keys.
   Duration defaultDeadline_ = std::chrono::seconds(10);
+  Duration longestDeadline_ = std::chrono::minutes(5); ///< Of a forward.
   Duration platformTimeout_ = std::chrono::seconds(2);
   Duration backoffFirst_ = std::chrono::milliseconds(20);
   Duration backoffMost_ = std::chrono::seconds(2);
@@ -89,7 +90,8 @@
   Duration forwardMargin_ = std::chrono::milliseconds(20); ///< Way back.
   Duration issuerWait_ = std::chrono::seconds(2); ///< Issuer not known yet.
   Duration stopWait_ = std::chrono::seconds(5);   ///< Store out while stopping.
-  std::uint32_t writesPerSecond_ = 40; ///< Platform writes of this daemon.
+  std::uint32_t writesPerSecond_ =
+    240; ///< Writes of all daemons; each takes an equal part.
   std::uint32_t writeBurst_ = 20;
   std::size_t batchRecords_ = 512;    ///< Records in one append.
   std::size_t sealBytes_ = 49152;     ///< Head size that starts a segment.
