Fix: the bench gives each index version one shard map

Change: the map follows from the version's number. Conclusion: the case really changes versions now.

--- a/bench/cases.py
+++ b/bench/cases.py
@@ -98,7 +98,7 @@
     def action(turn):
         new = FIRST_VERSION + turn
         side.farm.behave(set={"versions": [new - 1, new]})
-        side.apply(side.objects([new - 1, new], shift=turn))
+        side.apply(side.objects([new - 1, new]))
     return [(1.0 + turn, lambda t=turn: action(t)) for turn in range(1, 8)]
 
 
--- a/bench/sides.py
+++ b/bench/sides.py
@@ -87,13 +87,13 @@
         self.wait_ready()
         self.addresses = bed.callers_addresses()
 
-    def objects(self, versions, shift=0):
-        """All configuration objects; shift moves shards between services."""
+    def objects(self, versions):
+        """All configuration objects; each version has its own shard map."""
         addresses = shapes.addresses_of(self.farm)
         desk = [spec["name"] for spec in self.specs[:SERVICES]]
         index = shapes.index_object("orders", desk, versions)
-        for i, version in enumerate(index["versions"]):
-            turn = (shift + i) % SERVICES
+        for number, version in zip(versions, index["versions"]):
+            turn = (number - FIRST_VERSION) % SERVICES
             version["shards"] = [
                 {"name": f"s{j:02d}", "service": desk[(j + turn) % SERVICES]}
                 for j in range(SERVICES)]
