Fix: format of the hedge budget's field

Cause: the format check of a fresh clone failed on one line. Change: formatted. Conclusion: the format check passes over the whole tree.

--- a/src/route/route_base.h
+++ b/src/route/route_base.h
@@ -158,7 +158,7 @@
 struct LimitsState
 {
   std::string name_;
-  double hedges_ = 0.0; ///< Tokens for hedges; earned only.
+  double hedges_ = 0.0;          ///< Tokens for hedges; earned only.
   double retries_ = kRetryBurst; ///< Tokens for retries.
   std::uint32_t inFlight_ = 0;   ///< Queries.
   std::uint64_t shards_ = 0;     ///< Of these queries.
