Codechange: remove marks that nothing reads any more from routing

Cause: only a run alone proves a crash now; who else was in flight is not asked. Change: Sub::alone_, BrokenRequest::alone_ and MarkNotAlone are gone. Conclusion: each attempt saves a walk over its server's connections.

--- a/src/route/quarantine.cpp
+++ b/src/route/quarantine.cpp
@@ -146,8 +146,7 @@
     return;
   }
   ServerState& server = aStep.state_.servers_[aConnection.server_];
-  server.broken_.push_back(
-    { sub->fingerprint_, aStep.now_.mono_, sub->alone_ });
+  server.broken_.push_back({ sub->fingerprint_, aStep.now_.mono_ });
 }
 
 } // namespace
@@ -262,18 +261,6 @@
   MarkWaitingServices(aStep.state_);
 }
 
-void
-MarkNotAlone(RouteState& aState, ServerIndex aServer)
-{
-  for (const std::uint32_t slot : aState.servers_[aServer].connections_) {
-    const std::uint64_t key = aState.connections_.slots_[slot].sub_;
-    Sub* sub = FindSlot(aState.subs_, key);
-    if (sub != nullptr) {
-      sub->alone_ = false;
-    }
-  }
-}
-
 void
 HearQuarantine(Step& aStep, const QuarantineRumor& aRumor)
 {
--- a/src/route/quarantine.h
+++ b/src/route/quarantine.h
@@ -48,10 +48,6 @@
 void
 NoteRun(Step& aStep, const Sub& aSub, SubEnd aEnd);
 
-/** Something else is in flight beside the requests of a server. */
-void
-MarkNotAlone(RouteState& aState, ServerIndex aServer);
-
 /** Have every service with waiting tasks looked at. */
 void
 MarkWaitingServices(RouteState& aState);
--- a/src/route/route_base.h
+++ b/src/route/route_base.h
@@ -58,7 +58,6 @@
   bool probe_ = false;     ///< Sent to a server on probation.
   bool exclusive_ = false; ///< Runs alone on its server.
   bool patient_ = false;   ///< Not cut off before its deadline.
-  bool alone_ = true;      ///< No other one was in flight beside it.
 };
 
 /** Progress of one shard of a query. */
--- a/src/route/server_table.h
+++ b/src/route/server_table.h
@@ -32,7 +32,6 @@
 {
   Fingerprint fingerprint_;
   TimePoint at_;
-  bool alone_ = false; ///< Nothing else was in flight on the server.
 };
 
 /** One backend server; outlives generations that name it the same. */
--- a/src/route/sub_cmd.cpp
+++ b/src/route/sub_cmd.cpp
@@ -44,10 +44,6 @@
 NoteInFlight(Step& aStep, Sub& aSub)
 {
   ServerState& server = aStep.state_.servers_[aSub.server_];
-  if (server.inFlight_ > 0) {
-    aSub.alone_ = false;
-    MarkNotAlone(aStep.state_, aSub.server_);
-  }
   ++server.inFlight_;
   if (aSub.exclusive_) {
     server.exclusive_ = true;
