Codechange: one function for the time an operator's command waits

Cause: the same conversion stood in three sources of the command line. Change: TimeoutOf is in cli/settings and the three call it. Conclusion: behaviour is unchanged.

--- a/src/cli/change_wait.cpp
+++ b/src/cli/change_wait.cpp
@@ -19,8 +19,7 @@
 {
   HttpRequest request;
   request.target_ = "/v1/status";
-  const auto response = CallDaemon(
-    aFlags.address_, request, std::chrono::milliseconds(aFlags.timeoutMillis_));
+  const auto response = CallDaemon(aFlags.address_, request, TimeoutOf(aFlags));
   if (!response.ok()) {
     return false;
   }
@@ -38,7 +37,7 @@
 WaitInForce(const OperatorFlags& aFlags)
 {
   const TimePoint begin = ReadClock().mono_;
-  const Duration limit = std::chrono::milliseconds(aFlags.timeoutMillis_);
+  const Duration limit = TimeoutOf(aFlags);
   while (ReadClock().mono_ - begin < limit) {
     if (IsInForce(aFlags)) {
       return true;
--- a/src/cli/operator_cmd.cpp
+++ b/src/cli/operator_cmd.cpp
@@ -18,12 +18,6 @@
 constexpr int kExitRefused = 1;
 constexpr int kExitUnavailable = 2;
 
-Duration
-TimeoutOf(const OperatorFlags& aFlags)
-{
-  return std::chrono::milliseconds(aFlags.timeoutMillis_);
-}
-
 /** Calls a daemon and prints its document. */
 int
 CallAndPrint(const OperatorFlags& aFlags, const HttpRequest& aRequest)
--- a/src/cli/settings.cpp
+++ b/src/cli/settings.cpp
@@ -167,6 +167,12 @@
     ->capture_default_str();
 }
 
+Duration
+TimeoutOf(const OperatorFlags& aFlags)
+{
+  return std::chrono::milliseconds(aFlags.timeoutMillis_);
+}
+
 absl::Status
 CheckDaemonFlags(DaemonFlags& aFlags)
 {
--- a/src/cli/settings.h
+++ b/src/cli/settings.h
@@ -43,6 +43,10 @@
 void
 AddOperatorFlags(CLI::App& aApp, OperatorFlags& aFlags);
 
+/** How long an operator's command waits for a daemon. */
+Duration
+TimeoutOf(const OperatorFlags& aFlags);
+
 /**
  * Checks the daemon's flags and completes aFlags.settings_.
  * @return InvalidArgument with a numbered message for each fault.
--- a/src/cli/timeline_cmd.cpp
+++ b/src/cli/timeline_cmd.cpp
@@ -31,12 +31,6 @@
   return aLeft.logical_ < aRight.logical_;
 }
 
-Duration
-TimeoutOf(const OperatorFlags& aFlags)
-{
-  return std::chrono::milliseconds(aFlags.timeoutMillis_);
-}
-
 std::string
 Fetch(const std::string& aAddress, const char* aTarget, Duration aTimeout)
 {
