--- /dev/null
+++ b/src/app/gateway_cmd.cpp
@@ -0,0 +1,259 @@
+#include "app/gateway_cmd.h"
+
+#include "adapter.h"
+#include "http_codec.h"
+#include "observe/log.h"
+#include "runtime/clock.h"
+#include "runtime/gateway_host.h"
+#include "runtime/http_server.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/fiber/operations.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <future>
+#include <iostream>
+#include <random>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr int kExitBadSettings = 2;
+/** Callers that keep an old answer of the directory are served for that share
+ * of the grace before the process ends. */
+constexpr double kLingerShare = 0.62;
+/** The process ends after this share of the grace, whatever is in flight. */
+constexpr double kStopShare = 0.9;
+constexpr Duration kStopPoll = std::chrono::milliseconds(50);
+constexpr Duration kMaxRequestTime = std::chrono::seconds(60);
+
+HttpServerLimits
+ToServerLimits(const GatewayLimits& aLimits)
+{
+  HttpServerLimits limits;
+  limits.maxHeaderBytes_ = aLimits.headerBytes_;
+  limits.maxBodyBytes_ = aLimits.bodyBytes_;
+  limits.requestTimeout_ =
+    std::min<Duration>(aLimits.headerTimeout_, kMaxRequestTime);
+  limits.idleTimeout_ = aLimits.idleTimeout_;
+  return limits;
+}
+
+/** The servers of one gateway and its life. */
+class GatewayProcess
+{
+public:
+  GatewayProcess(const platform::ProcessSettings& aSettings,
+                 const GatewayHostSettings& aHostSettings,
+                 WorkerPool& aPool);
+
+  absl::Status Start();
+  int AwaitEnd() { return ended_.get_future().get(); }
+
+private:
+  HttpResponse ServeCaller(const HttpRequest& aRequest, HttpSession& aSession);
+  HttpResponse ServeDirectory(const HttpRequest& aRequest);
+  void AwaitSignal();
+  void Stop();
+  void Drain();
+  void Reload();
+
+  platform::ProcessSettings settings_;
+  WorkerPool& pool_;
+  GatewayHost host_;
+  HttpServer callers_;
+  HttpServer ready_;
+  HttpServer directory_;
+  boost::asio::signal_set signals_;
+  bool stopping_ = false;
+  std::promise<int> ended_;
+};
+
+GatewayProcess::GatewayProcess(const platform::ProcessSettings& aSettings,
+                               const GatewayHostSettings& aHostSettings,
+                               WorkerPool& aPool)
+  : settings_(aSettings)
+  , pool_(aPool)
+  , host_(aHostSettings, platform::GetAdapter(), aPool)
+  , callers_(aPool,
+             HttpServerLimits{},
+             [this](const HttpRequest& aRequest, HttpSession& aSession) {
+               return ServeCaller(aRequest, aSession);
+             })
+  , ready_(aPool,
+           HttpServerLimits{},
+           [this](const HttpRequest& aRequest, HttpSession&) {
+             return platform::EncodeReady(aRequest, host_.IsReady());
+           })
+  , directory_(aPool,
+               HttpServerLimits{},
+               [this](const HttpRequest& aRequest, HttpSession&) {
+                 return ServeDirectory(aRequest);
+               })
+  , signals_(aPool.At(0).Context(), SIGTERM, SIGINT, SIGHUP)
+{
+  host_.OnLimits([this](const GatewayLimits& aLimits) {
+    callers_.SetLimits(ToServerLimits(aLimits));
+  });
+}
+
+absl::Status
+GatewayProcess::Start()
+{
+  for (const absl::Status& status :
+       { host_.Start(),
+         callers_.Listen(settings_.callerAddress_),
+         ready_.Listen(settings_.readyAddress_),
+         directory_.Listen(settings_.directoryAddress_) }) {
+    if (!status.ok()) {
+      return status;
+    }
+  }
+  pool_.At(0).Post([this]() { AwaitSignal(); });
+  return absl::OkStatus();
+}
+
+HttpResponse
+GatewayProcess::ServeCaller(const HttpRequest& aRequest, HttpSession& aSession)
+{
+  const GatewayCodec& codec = platform::GetGatewayCodec();
+  ProxyRequest request = codec.decodeRequest_(HttpRequest(aRequest));
+  request.caller_ = aSession.PeerIp();
+  return codec.encodeAnswer_(
+    host_.Ask(std::move(request), [&aSession](std::function<void()> aOnGone) {
+      aSession.WatchGone(std::move(aOnGone));
+    }));
+}
+
+HttpResponse
+GatewayProcess::ServeDirectory(const HttpRequest& aRequest)
+{
+  if (!platform::IsResolve(aRequest)) {
+    HttpResponse unknown;
+    unknown.status_ = 404;
+    return unknown;
+  }
+  return platform::EncodeResolve(host_.ListEntries());
+}
+
+void
+GatewayProcess::AwaitSignal()
+{
+  signals_.async_wait(
+    [this](const boost::system::error_code& aError, int aSignal) {
+      if (aError) {
+        return;
+      }
+      if (aSignal == SIGHUP) {
+        Reload();
+      } else if (!stopping_) {
+        stopping_ = true;
+        Stop();
+      }
+      AwaitSignal();
+    });
+}
+
+void
+GatewayProcess::Stop()
+{
+  WriteLog(LogLevel::Info,
+           "graceful shutdown begins",
+           { { "in_flight", std::to_string(host_.InFlight()) } });
+  host_.BeginStop();
+  callers_.BeginClosing();
+  pool_.At(0).Spawn([this]() { Drain(); });
+}
+
+// Callers hear of the stop from the directory and from each answer; those that
+// keep an old answer of the directory are served until it has expired.
+void
+GatewayProcess::Drain()
+{
+  const TimePoint begun = ReadClock().mono_;
+  const auto after = [this, begun](double aShare) {
+    return begun + Duration(static_cast<std::int64_t>(
+                     static_cast<double>(settings_.stopGrace_.count()) *
+                     aShare));
+  };
+  while (ReadClock().mono_ < after(kLingerShare)) {
+    boost::this_fiber::sleep_for(kStopPoll);
+  }
+  callers_.StopAccepting();
+  while (ReadClock().mono_ < after(kStopShare) && host_.InFlight() > 0) {
+    boost::this_fiber::sleep_for(kStopPoll);
+  }
+  // What was answered last still has to leave.
+  boost::this_fiber::sleep_for(kStopPoll);
+  WriteLog(LogLevel::Info,
+           "graceful shutdown ends",
+           { { "in_flight", std::to_string(host_.InFlight()) } });
+  ended_.set_value(0);
+}
+
+void
+GatewayProcess::Reload()
+{
+  const auto settings = platform::ReadSettingsFile();
+  WriteLog(settings.ok() ? LogLevel::Info : LogLevel::Error,
+           "settings read again",
+           { { "result", settings.status().ToString() } });
+}
+
+/** Sets what differs between daemons and between lives of one. */
+void
+SetLife(GatewayHostSettings& aSettings)
+{
+  std::random_device device;
+  aSettings.seed_ = (static_cast<std::uint64_t>(device()) << 32U) | device();
+  aSettings.membership_.self_.incarnation_ =
+    Incarnation{ static_cast<std::uint64_t>(ReadClock().unixMicros_) };
+}
+
+} // namespace
+
+void
+AddGatewayFlags(CLI::App& aApp, GatewayFlags& aFlags)
+{
+  aApp.add_option("--log-level", aFlags.logLevel_, "Least level written")
+    ->envname("CAMPHORFIELD_LOG_LEVEL")
+    ->check(CLI::IsMember({ "debug", "info", "warning", "error" }))
+    ->capture_default_str();
+}
+
+// The process ends without joining the worker: its fibers wait on sockets of
+// callers that have nothing in flight any more.
+int
+RunGateway(const GatewayFlags& aFlags)
+{
+  const auto settings = platform::ReadSettingsFile();
+  if (!settings.ok()) {
+    std::cerr << settings.status().message() << "\n";
+    return kExitBadSettings;
+  }
+  InitLog(ParseLogLevel(aFlags.logLevel_), settings->name_);
+  std::signal(SIGPIPE, SIG_IGN);
+  GatewayHostSettings hostSettings = platform::MakeHostSettings(*settings);
+  SetLife(hostSettings);
+  WorkerPool pool(1);
+  GatewayProcess process(*settings, hostSettings, pool);
+  const absl::Status started = process.Start();
+  if (!started.ok()) {
+    WriteLog(LogLevel::Error,
+             "gateway can't start",
+             { { "reason", std::string(started.message()) } });
+    std::_Exit(kExitBadSettings);
+  }
+  WriteLog(LogLevel::Info,
+           "gateway started",
+           { { "callers", settings->callerAddress_ },
+             { "peers", settings->peerAddress_ },
+             { "store", settings->storeAddress_ } });
+  const int status = process.AwaitEnd();
+  WriteLog(
+    LogLevel::Info, "gateway ended", { { "status", std::to_string(status) } });
+  std::_Exit(status);
+}
+
+} // namespace camphorfield
--- a/src/route/latency_hist.cpp
+++ b/src/core/latency_hist.cpp
@@ -1,4 +1,4 @@
-#include "route/latency_hist.h"
+#include "core/latency_hist.h"
 
 #include <algorithm>
 #include <bit>
--- a/src/route/pool.h
+++ b/src/core/pool.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <vector>
 
 namespace camphorfield {
@@ -17,7 +18,7 @@
 template<typename T>
 struct Pool
 {
-  std::vector<T> slots_;
+  std::deque<T> slots_; ///< Items stay where they are.
   std::vector<std::uint32_t> free_;
   std::uint64_t sequence_ = 0; ///< May be started anywhere.
 
--- /dev/null
+++ b/src/discovery/table_sync.cpp
@@ -0,0 +1,226 @@
+#include "discovery/table_sync.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr std::uint32_t kMaxDoublings = 6;
+
+/** Waits longer after each failure; the jitter keeps daemons apart. */
+Duration
+Backoff(std::uint32_t aFailures, Rng& aRng)
+{
+  const std::uint32_t doublings = std::min(aFailures - 1, kMaxDoublings);
+  const Duration pause = std::min<Duration>(
+    Duration(kStoreBackoffFloor) * (1 << doublings), kStoreBackoffCeiling);
+  const auto half = static_cast<std::uint64_t>(pause.count() / 2);
+  return pause / 2 + Duration(aRng() % (half + 1));
+}
+
+/** Until when an entry that has just disappeared stays in use. */
+TimePoint
+KeepUntil(const TableSync& aTable, TimePoint aNow)
+{
+  return aTable.wasOut_ ? aTable.returnedAt_ + kLapseGrace : aNow;
+}
+
+void
+Remove(TableSync& aTable, const std::string& aName, TimePoint aNow)
+{
+  const TimePoint keepUntil = KeepUntil(aTable, aNow);
+  if (keepUntil <= aNow) {
+    aTable.objects_.erase(aName);
+    aTable.lapsed_.erase(aName);
+    return;
+  }
+  if (aTable.objects_.count(aName) > 0) {
+    aTable.lapsed_.try_emplace(aName, keepUntil);
+  }
+}
+
+void
+Store(TableSync& aTable, StoreObject&& aObject)
+{
+  aTable.lapsed_.erase(aObject.name_);
+  StoreObject& known = aTable.objects_[aObject.name_];
+  if (known.revision_ <= aObject.revision_) {
+    known = std::move(aObject);
+  }
+}
+
+void
+TakePage(TableSync& aTable, StoreReply&& aReply, TimePoint aNow)
+{
+  if (aTable.after_.empty()) {
+    aTable.page_.clear();
+    // Changes made while the later pages are read come again by the watch.
+    aTable.pageRevision_ = aReply.revision_;
+  }
+  for (StoreObject& item : aReply.items_) {
+    aTable.after_ = std::max(aTable.after_, item.name_);
+    aTable.page_[item.name_] = std::move(item);
+  }
+  if (aReply.more_) {
+    return;
+  }
+  std::vector<std::string> missing;
+  for (const auto& [name, object] : aTable.objects_) {
+    if (aTable.page_.count(name) == 0) {
+      missing.push_back(name);
+    }
+  }
+  for (const std::string& name : missing) {
+    Remove(aTable, name, aNow);
+  }
+  for (auto& [name, object] : aTable.page_) {
+    Store(aTable, std::move(object));
+  }
+  aTable.page_.clear();
+  aTable.after_.clear();
+  aTable.revision_ = std::max(aTable.revision_, aTable.pageRevision_);
+  aTable.watching_ = true;
+  aTable.complete_ = true;
+}
+
+void
+TakeChanges(TableSync& aTable, StoreReply&& aReply, TimePoint aNow)
+{
+  for (StoreChange& change : aReply.changes_) {
+    if (change.removed_) {
+      Remove(aTable, change.object_.name_, aNow);
+    } else {
+      Store(aTable, std::move(change.object_));
+    }
+  }
+  aTable.revision_ = std::max(aTable.revision_, aReply.revision_);
+}
+
+TableChange
+TakeFailure(TableSync& aTable, StoreStatus aStatus, TimePoint aNow, Rng& aRng)
+{
+  TableChange change;
+  if (aStatus == StoreStatus::HistoryGone) {
+    RestartTable(aTable, aNow);
+    return change;
+  }
+  change.lost_ = aTable.failures_ == 0;
+  if (change.lost_) {
+    aTable.failingSince_ = aNow;
+  }
+  ++aTable.failures_;
+  aTable.nextCallAt_ = aNow + Backoff(aTable.failures_, aRng);
+  // A lost watch may have lost changes with it, and a page belongs to a
+  // reading that may be too old to go on with.
+  if (aStatus == StoreStatus::Lost) {
+    aTable.watching_ = false;
+    aTable.after_.clear();
+  }
+  return change;
+}
+
+} // namespace
+
+std::optional<StoreCall>
+NextStoreCall(const TableSync& aTable, TimePoint aNow)
+{
+  if (aNow < aTable.nextCallAt_) {
+    return std::nullopt;
+  }
+  StoreCall call;
+  call.kind_ = aTable.kind_;
+  call.timeout_ = kStoreTimeout;
+  if (aTable.watching_) {
+    call.op_ = StoreOp::Watch;
+    call.revision_ = aTable.revision_;
+    call.wait_ = kWatchWait;
+    call.timeout_ = Duration(kWatchWait) + kStoreTimeout;
+  } else {
+    call.after_ = aTable.after_;
+  }
+  return call;
+}
+
+TableChange
+TakeStoreReply(TableSync& aTable, StoreReply&& aReply, TimePoint aNow, Rng& aRng)
+{
+  if (aReply.status_ != StoreStatus::Ok) {
+    return TakeFailure(aTable, aReply.status_, aNow, aRng);
+  }
+  TableChange change;
+  change.regained_ = aTable.failures_ > 0;
+  if (change.regained_) {
+    aTable.wasOut_ = true;
+    aTable.returnedAt_ = aNow;
+    aTable.failures_ = 0;
+    aTable.failingSince_ = kNever;
+  }
+  change.changed_ = !aTable.watching_ || !aReply.changes_.empty();
+  if (aTable.watching_) {
+    TakeChanges(aTable, std::move(aReply), aNow);
+  } else {
+    TakePage(aTable, std::move(aReply), aNow);
+  }
+  aTable.nextCallAt_ = aNow;
+  return change;
+}
+
+TableChange
+DropLapsed(TableSync& aTable, TimePoint aNow)
+{
+  TableChange change;
+  // While the store is away nothing shows whether they live.
+  if (aTable.failures_ > 0) {
+    return change;
+  }
+  for (auto next = aTable.lapsed_.begin(); next != aTable.lapsed_.end();) {
+    if (next->second > aNow) {
+      ++next;
+      continue;
+    }
+    aTable.objects_.erase(next->first);
+    next = aTable.lapsed_.erase(next);
+    change.changed_ = true;
+  }
+  return change;
+}
+
+TimePoint
+NextLapse(const TableSync& aTable)
+{
+  TimePoint next = kNever;
+  for (const auto& [name, at] : aTable.lapsed_) {
+    next = std::min(next, at);
+  }
+  return next;
+}
+
+void
+RestartTable(TableSync& aTable, TimePoint aNow)
+{
+  aTable.watching_ = false;
+  aTable.after_.clear();
+  aTable.nextCallAt_ = aNow;
+}
+
+bool
+ImportTable(TableSync& aTable,
+            std::vector<StoreObject>&& aObjects,
+            std::uint64_t aRevision)
+{
+  if (aTable.complete_ && aRevision <= aTable.revision_) {
+    return false;
+  }
+  aTable.objects_.clear();
+  aTable.lapsed_.clear();
+  for (StoreObject& object : aObjects) {
+    aTable.objects_[object.name_] = std::move(object);
+  }
+  aTable.revision_ = aRevision;
+  aTable.complete_ = true;
+  return true;
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/gateway/backend_choice.cpp
@@ -0,0 +1,216 @@
+// Answers servers of unequal speed, servers that pause, and servers that are
+// slow or fail for a while: each request goes where it is expected to end
+// first, which may mean waiting for a busy server beside an idle slow one.
+#include "gateway/gateway_internal.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace camphorfield {
+
+namespace {
+
+double
+Fade(Duration aAge, Duration aHalfLife)
+{
+  const auto age = static_cast<double>(std::max(aAge, Duration::zero()).count());
+  return std::exp2(-age / static_cast<double>(aHalfLife.count()));
+}
+
+/** Requests that are ahead of a new one, as far as it is known. */
+double
+RequestsAhead(const Backend& aBackend, TimePoint aNow)
+{
+  const auto own = static_cast<double>(aBackend.inFlight_);
+  if (!aBackend.load_.known_) {
+    return own;
+  }
+  const double reported =
+    Fade(aNow - aBackend.loadAt_, kLoadLife) *
+    static_cast<double>(aBackend.load_.running_ + aBackend.load_.waiting_);
+  return std::max(own, reported);
+}
+
+/** Time that requests hang there beyond the usual; a pause lasts about as
+ * long again as it has lasted. */
+Duration
+StalledFor(const GatewayState& aState, const Backend& aBackend, TimePoint aNow)
+{
+  Duration longest{};
+  for (const std::uint64_t key : aBackend.connections_) {
+    const BackendConn& conn = aState.connections_.slots_[key & kSlotMask];
+    if (conn.state_ != BackendConnState::Busy) {
+      continue;
+    }
+    const Attempt& attempt =
+      aState.attempts_.slots_[conn.attempt_ & kSlotMask];
+    const Duration age = aNow - attempt.sentAt_;
+    const auto usual = static_cast<double>(attempt.expected_.count()) *
+                       std::max(aBackend.speed_, 1.0) * kStallFactor;
+    if (static_cast<double>(age.count()) > usual) {
+      longest = std::max(longest, age);
+    }
+  }
+  return longest;
+}
+
+double
+SpeedNow(const Backend& aBackend, TimePoint aNow)
+{
+  return 1.0 + (aBackend.speed_ - 1.0) *
+                 Fade(aNow - aBackend.speedAt_, kSpeedLife);
+}
+
+/** Expected time of an answer in microseconds if sent now. */
+double
+EstimateMicros(const GatewayState& aState,
+               const Backend& aBackend,
+               Duration aUsual,
+               TimePoint aNow)
+{
+  const auto usual = static_cast<double>(aUsual.count());
+  double micros = usual * SpeedNow(aBackend, aNow);
+  if (aBackend.load_.known_) {
+    micros *= std::max(1.0, aBackend.load_.slowness_ / 100.0);
+  }
+  if (aNow < aBackend.warmUntil_) {
+    micros *= kWarmupFactor;
+  }
+  const auto slots = static_cast<double>(std::max(aBackend.entry_.slots_, 1U));
+  const double waiting =
+    std::max(0.0, RequestsAhead(aBackend, aNow) + 1.0 - slots);
+  micros *= 1.0 + waiting / slots;
+  micros *= 1.0 + kFailureWeight * aBackend.failures_ *
+                    Fade(aNow - aBackend.failuresAt_, kFailureLife);
+  if (aBackend.entry_.failureDomain_ != aState.settings_.failureDomain_) {
+    micros += kOtherDomainWeight * usual;
+  }
+  return micros +
+         static_cast<double>(StalledFor(aState, aBackend, aNow).count());
+}
+
+bool
+WasTried(const RequestPart& aPart, std::uint64_t aBackend)
+{
+  return std::find(aPart.tried_.begin(), aPart.tried_.end(), aBackend) !=
+         aPart.tried_.end();
+}
+
+bool
+HasRoom(GatewayState& aState, const Backend& aBackend)
+{
+  return aBackend.inFlight_ < static_cast<std::uint32_t>(aBackend.limit_) &&
+         FindIdle(aState, aBackend) != nullptr;
+}
+
+/** Whether a part may go to a server, apart from its room. */
+bool
+MayTry(const GatewayRun& aRun,
+       const RequestPart& aPart,
+       const Backend& aBackend,
+       bool aHedge)
+{
+  const bool tried = WasTried(aPart, aBackend.key_);
+  if (aHedge && tried) {
+    return false;
+  }
+  return tried || aPart.tried_.size() < aRun.route_->maxAttempts_;
+}
+
+/** A server that a part could go to. */
+struct Candidate
+{
+  const Backend* backend_ = nullptr;
+  double micros_ = 0.0;
+  bool room_ = false;
+};
+
+/** Servers that may take a part; ejected ones only if there is no other. */
+std::vector<Candidate>
+FindCandidates(GatewayStep& aStep,
+               const GatewayRun& aRun,
+               const RequestPart& aPart,
+               bool aHedge,
+               bool aEjected)
+{
+  GatewayState& state = aStep.state_;
+  const Duration usual =
+    aRun.load_->median_.count() > 0 ? aRun.load_->median_ : kLatencyUnknown;
+  const GatewayServiceState& service = state.services_[aPart.service_];
+  std::vector<Candidate> found;
+  for (const std::uint64_t key : service.backends_) {
+    const Backend& backend = state.backends_.slots_[key & kSlotMask];
+    const bool ejected = aStep.Time() < backend.ejectedUntil_;
+    if (!IsUsable(backend) || ejected != aEjected ||
+        !MayTry(aRun, aPart, backend, aHedge)) {
+      continue;
+    }
+    Candidate candidate{ &backend,
+                         EstimateMicros(state, backend, usual, aStep.Time()),
+                         HasRoom(state, backend) };
+    if (!candidate.room_) {
+      // What is queued here would go there first.
+      const auto ahead = static_cast<double>(service.queue_.size() + 1);
+      candidate.micros_ +=
+        candidate.micros_ * ahead / std::max(backend.inFlight_, 1U);
+      if (backend.connections_.empty()) {
+        candidate.micros_ += static_cast<double>(kBackendConnectTimeout.count());
+      }
+    }
+    if (WasTried(aPart, key)) {
+      candidate.micros_ *= 3.0;
+    }
+    found.push_back(candidate);
+  }
+  return found;
+}
+
+} // namespace
+
+bool
+IsUsable(const Backend& aBackend)
+{
+  return aBackend.listed_ && !aBackend.entry_.draining_;
+}
+
+bool
+IsServiceDown(const GatewayState& aState,
+              const GatewayServiceState& aService,
+              TimePoint aNow)
+{
+  return std::all_of(
+    aService.backends_.begin(),
+    aService.backends_.end(),
+    [&aState, aNow](std::uint64_t aKey) {
+      const Backend& backend = aState.backends_.slots_[aKey & kSlotMask];
+      const bool unreachable = backend.connections_.size() == backend.opening_ &&
+                               backend.reconnect_ > kReconnectFloor * 2;
+      return !IsUsable(backend) ||
+             (unreachable && aNow < backend.ejectedUntil_);
+    });
+}
+
+std::uint64_t
+ChooseBackend(GatewayStep& aStep,
+              const GatewayRun& aRun,
+              const RequestPart& aPart,
+              bool aHedge)
+{
+  std::vector<Candidate> found =
+    FindCandidates(aStep, aRun, aPart, aHedge, false);
+  if (found.empty()) {
+    found = FindCandidates(aStep, aRun, aPart, aHedge, true);
+  }
+  const auto best =
+    std::min_element(found.begin(),
+                     found.end(),
+                     [](const Candidate& aLeft, const Candidate& aRight) {
+                       return aLeft.micros_ < aRight.micros_;
+                     });
+  if (best == found.end() || !best->room_) {
+    return 0;
+  }
+  return best->backend_->key_;
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/gateway/backend_conn.cpp
@@ -0,0 +1,221 @@
+// Answers servers that accept few connections from all callers together and
+// charge a slot for each new one: every daemon keeps to its share, and has one
+// more open than it uses.
+#include "gateway/gateway_func.h"
+#include "gateway/gateway_internal.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+namespace {
+
+std::uint32_t
+ConnectionsAllowed(const GatewayState& aState, const Backend& aBackend)
+{
+  const GatewayServiceState& service = aState.services_[aBackend.service_];
+  const double share = kConnectionShare * service.maxConnections_ /
+                       std::max(aState.daemons_, 1U);
+  return std::max(static_cast<std::uint32_t>(share), 1U);
+}
+
+void
+Open(GatewayStep& aStep, Backend& aBackend)
+{
+  BackendConn& conn = TakeSlot(aStep.state_.connections_);
+  const std::uint64_t key = conn.key_;
+  conn = BackendConn{};
+  conn.key_ = key;
+  conn.backend_ = aBackend.key_;
+  aBackend.connections_.push_back(key);
+  ++aBackend.opening_;
+  ++aStep.state_.stats_.connects_;
+  aStep.out_.emplace_back(BackendConnect{
+    ConnectionId{ key }, aBackend.entry_.address_, kBackendConnectTimeout });
+}
+
+/** Takes a connection out of the state; its end is known. */
+void
+Forget(GatewayState& aState, BackendConn& aConn)
+{
+  Backend* backend = FindSlot(aState.backends_, aConn.backend_);
+  if (aConn.state_ == BackendConnState::Opening) {
+    --backend->opening_;
+  }
+  std::erase(backend->connections_, aConn.key_);
+  const std::uint64_t key = aConn.backend_;
+  FreeSlot(aState.connections_, aConn);
+  ForgetIfUnused(aState, key);
+}
+
+/** Waits longer after each failure; the jitter keeps daemons apart. */
+void
+PutOffConnects(GatewayStep& aStep, Backend& aBackend)
+{
+  aBackend.reconnect_ = std::clamp<Duration>(
+    aBackend.reconnect_ * 2, kReconnectFloor, kReconnectCeiling);
+  const auto half = static_cast<std::uint64_t>(aBackend.reconnect_.count() / 2);
+  aBackend.connectAfter_ = aStep.Time() + aBackend.reconnect_ / 2 +
+                           Duration(aStep.rng_() % (half + 1));
+}
+
+void
+FailConnect(GatewayStep& aStep, BackendConn& aConn, BackendEnd aEnd)
+{
+  const std::uint64_t key = aConn.backend_;
+  Forget(aStep.state_, aConn);
+  Backend* backend = FindSlot(aStep.state_.backends_, key);
+  if (backend == nullptr) {
+    return;
+  }
+  PutOffConnects(aStep, *backend);
+  if (aEnd == BackendEnd::Refused) {
+    NoteRefusedConnect(aStep, key);
+  }
+  // With another connection open the server is there: it has too many.
+  if (backend->connections_.size() == backend->opening_) {
+    NoteFailure(aStep,
+                *backend,
+                aEnd == BackendEnd::Refused ? "it refuses connections"
+                                            : "it accepts no connections");
+  }
+  MarkService(aStep.state_, backend->service_);
+}
+
+} // namespace
+
+void
+EnsureConnections(GatewayStep& aStep, Backend& aBackend)
+{
+  GatewayServiceState& service = aStep.state_.services_[aBackend.service_];
+  if (!IsUsable(aBackend) || !service.configured_ ||
+      aStep.Time() < aBackend.connectAfter_ || aBackend.opening_ > 0) {
+    return;
+  }
+  const std::uint32_t wanted = std::min(
+    ConnectionsAllowed(aStep.state_, aBackend), aBackend.inFlight_ + 1);
+  if (aBackend.connections_.size() < wanted) {
+    Open(aStep, aBackend);
+  }
+}
+
+// The one used last is the least likely to have been dropped by the server.
+BackendConn*
+FindIdle(GatewayState& aState, const Backend& aBackend)
+{
+  BackendConn* best = nullptr;
+  for (const std::uint64_t key : aBackend.connections_) {
+    BackendConn& conn = aState.connections_.slots_[key & kSlotMask];
+    if (conn.state_ == BackendConnState::Idle &&
+        (best == nullptr || conn.usedAt_ > best->usedAt_)) {
+      best = &conn;
+    }
+  }
+  return best;
+}
+
+void
+CloseConnection(GatewayStep& aStep, std::uint64_t aConnection)
+{
+  BackendConn* conn = FindSlot(aStep.state_.connections_, aConnection);
+  if (conn != nullptr) {
+    aStep.out_.emplace_back(BackendDisconnect{ ConnectionId{ aConnection } });
+    Forget(aStep.state_, *conn);
+  }
+}
+
+void
+CloseIdle(GatewayStep& aStep, Backend& aBackend)
+{
+  const std::vector<std::uint64_t> connections = aBackend.connections_;
+  for (const std::uint64_t key : connections) {
+    const BackendConn* conn = FindSlot(aStep.state_.connections_, key);
+    if (conn->state_ != BackendConnState::Busy) {
+      CloseConnection(aStep, key);
+    }
+  }
+}
+
+void
+CareForConnections(GatewayStep& aStep)
+{
+  GatewayState& state = aStep.state_;
+  std::vector<std::uint64_t> expired;
+  for (const BackendConn& conn : state.connections_.slots_) {
+    if (conn.key_ != 0 && conn.state_ == BackendConnState::Idle &&
+        conn.expiresAt_ <= aStep.Time()) {
+      expired.push_back(conn.key_);
+    }
+  }
+  for (const std::uint64_t key : expired) {
+    CloseConnection(aStep, key);
+  }
+  for (const auto& [entry, key] : state.backendOf_) {
+    EnsureConnections(aStep, *FindSlot(state.backends_, key));
+  }
+}
+
+void
+GatewayOnEvent(GatewayState& aState,
+               const BackendOpened& aOpened,
+               const Now& aNow,
+               Rng& aRng,
+               GatewayDecisions& aOut)
+{
+  GatewayStep step{ aState, aNow, aRng, aOut };
+  BackendConn* conn = FindSlot(aState.connections_, aOpened.connection_.value_);
+  if (conn == nullptr) {
+    return;
+  }
+  Backend& backend = *FindSlot(aState.backends_, conn->backend_);
+  conn->state_ = BackendConnState::Idle;
+  conn->usedAt_ = aNow.mono_;
+  conn->expiresAt_ = aNow.mono_ + kKeepAliveUnknown;
+  --backend.opening_;
+  backend.reconnect_ = Duration::zero();
+  if (!IsUsable(backend)) {
+    CloseConnection(step, aOpened.connection_.value_);
+    return;
+  }
+  MarkService(aState, backend.service_);
+  PumpMarked(step);
+}
+
+void
+GatewayOnEvent(GatewayState& aState,
+               const BackendClosed& aClosed,
+               const Now& aNow,
+               Rng& aRng,
+               GatewayDecisions& aOut)
+{
+  GatewayStep step{ aState, aNow, aRng, aOut };
+  BackendConn* conn = FindSlot(aState.connections_, aClosed.connection_.value_);
+  if (conn == nullptr) {
+    return;
+  }
+  switch (conn->state_) {
+    case BackendConnState::Opening:
+      FailConnect(step, *conn, aClosed.end_);
+      break;
+    case BackendConnState::Busy: {
+      const std::uint64_t attemptKey = conn->attempt_;
+      const std::uint64_t backendKey = conn->backend_;
+      const Attempt& attempt = *FindSlot(aState.attempts_, attemptKey);
+      const GatewayRun* run = FindSlot(aState.runs_, attempt.run_);
+      if (run != nullptr && !aClosed.answerBegun_) {
+        NoteBrokenConnection(step, backendKey, run->fingerprint_);
+      }
+      EndAttempt(step,
+                 attemptKey,
+                 aClosed.end_ == BackendEnd::Malformed ? AttemptEnd::Garbled
+                                                       : AttemptEnd::Broken);
+      break;
+    }
+    default:
+      Forget(aState, *conn);
+      break;
+  }
+  PumpMarked(step);
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/gateway/backend_health.cpp
@@ -0,0 +1,130 @@
+// Answers servers that crash, fail part of their requests, or turn slow while
+// their health check stays good: only what becomes of requests counts.
+#include "gateway/gateway_internal.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace camphorfield {
+
+namespace {
+
+double
+FadeFailures(const Backend& aBackend, TimePoint aNow)
+{
+  const auto age = static_cast<double>((aNow - aBackend.failuresAt_).count());
+  return aBackend.failures_ *
+         std::exp2(-age / static_cast<double>(kFailureLife.count()));
+}
+
+void
+AddOutcome(Backend& aBackend, double aFailed, TimePoint aNow)
+{
+  const double before = FadeFailures(aBackend, aNow);
+  aBackend.failures_ = before + kFailureGain * (aFailed - before);
+  aBackend.failuresAt_ = aNow;
+}
+
+void
+AddSpeedSample(Backend& aBackend, double aSample, TimePoint aNow)
+{
+  const auto age = static_cast<double>((aNow - aBackend.speedAt_).count());
+  const double faded =
+    1.0 + (aBackend.speed_ - 1.0) *
+            std::exp2(-age / static_cast<double>(kSpeedLife.count()));
+  const double sample = std::clamp(aSample, kSpeedFloor, kSpeedCeiling);
+  aBackend.speed_ = faded + kLatencyGain * (sample - faded);
+  aBackend.speedAt_ = aNow;
+}
+
+double
+Ratio(Duration aTime, Duration aUsual)
+{
+  return static_cast<double>(aTime.count()) /
+         static_cast<double>(std::max<std::int64_t>(aUsual.count(), 1));
+}
+
+void
+Eject(GatewayStep& aStep, Backend& aBackend, const std::string& aReason)
+{
+  aBackend.ejection_ =
+    std::clamp<Duration>(aBackend.ejection_ * 2, kEjectionFloor, kEjectionCeiling);
+  aBackend.ejectedUntil_ = aStep.Time() + aBackend.ejection_;
+  ++aStep.state_.stats_.ejections_;
+  aStep.out_.emplace_back(BackendRecord{ aBackend.entry_.id_,
+                                         aBackend.entry_.service_,
+                                         "ejected",
+                                         aReason });
+}
+
+} // namespace
+
+void
+NoteAnswer(GatewayStep& aStep,
+           Backend& aBackend,
+           const Attempt& aAttempt,
+           const BackendAnswer& aAnswer)
+{
+  const TimePoint now = aStep.Time();
+  AddOutcome(aBackend, 0.0, now);
+  aBackend.failedInRow_ = 0;
+  if (aBackend.ejection_.count() > 0) {
+    aBackend.ejection_ = Duration::zero();
+    aBackend.ejectedUntil_ = now;
+    aStep.out_.emplace_back(BackendRecord{ aBackend.entry_.id_,
+                                           aBackend.entry_.service_,
+                                           "restored",
+                                           "it answered" });
+  }
+  AddSpeedSample(
+    aBackend, Ratio(now - aAttempt.sentAt_, aAttempt.expected_), now);
+  aBackend.limit_ =
+    std::min(aBackend.limit_ + 1.0 / aBackend.limit_, kLimitCeiling);
+  if (aAnswer.load_.known_) {
+    aBackend.load_ = aAnswer.load_;
+    aBackend.loadAt_ = now;
+  }
+}
+
+// Only a time beyond the known speed tells something: the answer may still
+// come at any moment.
+void
+NoteNoAnswerYet(GatewayStep& aStep, Backend& aBackend, const Attempt& aAttempt)
+{
+  const double ratio =
+    Ratio(aStep.Time() - aAttempt.sentAt_, aAttempt.expected_);
+  if (ratio > aBackend.speed_) {
+    AddSpeedSample(aBackend, ratio, aStep.Time());
+  }
+}
+
+void
+NoteFailure(GatewayStep& aStep, Backend& aBackend, const std::string& aReason)
+{
+  AddOutcome(aBackend, 1.0, aStep.Time());
+  if (++aBackend.failedInRow_ >= kFailuresToEject &&
+      aStep.Time() >= aBackend.ejectedUntil_) {
+    Eject(aStep, aBackend, aReason);
+  }
+}
+
+void
+NoteShed(GatewayStep& aStep, Backend& aBackend)
+{
+  ++aStep.state_.stats_.shed_;
+  AddOutcome(aBackend, 1.0, aStep.Time());
+  if (aStep.Time() >= aBackend.limitCutAt_ + kLimitPause) {
+    aBackend.limitCutAt_ = aStep.Time();
+    aBackend.limit_ = std::max(aBackend.limit_ * kLimitDecrease, kLimitFloor);
+  }
+}
+
+void
+NoteMisdirected(GatewayStep& aStep, Backend& aBackend)
+{
+  ++aBackend.misdirected_;
+  aBackend.ejection_ = kEjectionCeiling;
+  Eject(aStep, aBackend, "another server has its address");
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/gateway/backend_table.cpp
@@ -0,0 +1,143 @@
+#include "gateway/gateway_func.h"
+#include "gateway/gateway_internal.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+namespace {
+
+using BackendKey = std::pair<std::string, std::int64_t>;
+
+Backend&
+AddBackend(GatewayStep& aStep, const BackendEntry& aEntry)
+{
+  GatewayState& state = aStep.state_;
+  Backend& backend = TakeSlot(state.backends_);
+  const std::uint64_t key = backend.key_;
+  backend = Backend{};
+  backend.key_ = key;
+  backend.entry_ = aEntry;
+  backend.limit_ = kLimitStart;
+  backend.service_ = FindOrAddService(state, aEntry.service_);
+  state.services_[backend.service_].backends_.push_back(key);
+  state.backendOf_[BackendKey(aEntry.id_, aEntry.bornMillis_)] = key;
+  aStep.out_.emplace_back(BackendRecord{ aEntry.id_,
+                                         aEntry.service_,
+                                         "listed",
+                                         "at " + aEntry.address_ });
+  return backend;
+}
+
+void
+RemoveBackend(GatewayStep& aStep, Backend& aBackend)
+{
+  GatewayState& state = aStep.state_;
+  aBackend.listed_ = false;
+  std::vector<std::uint64_t>& listed =
+    state.services_[aBackend.service_].backends_;
+  std::erase(listed, aBackend.key_);
+  state.backendOf_.erase(
+    BackendKey(aBackend.entry_.id_, aBackend.entry_.bornMillis_));
+  aStep.out_.emplace_back(BackendRecord{ aBackend.entry_.id_,
+                                         aBackend.entry_.service_,
+                                         "removed",
+                                         "no longer listed" });
+  CloseIdle(aStep, aBackend);
+  ForgetIfUnused(state, aBackend.key_);
+}
+
+void
+UpdateBackend(GatewayStep& aStep, Backend& aBackend, const BackendEntry& aEntry)
+{
+  const bool drains = aEntry.draining_ && !aBackend.entry_.draining_;
+  aBackend.entry_ = aEntry;
+  if (drains) {
+    aStep.out_.emplace_back(BackendRecord{
+      aEntry.id_, aEntry.service_, "draining", "said by the server" });
+    CloseIdle(aStep, aBackend);
+  }
+}
+
+/** Servers of the state that a list no longer names, or names elsewhere. */
+std::vector<std::uint64_t>
+FindRemoved(const GatewayState& aState,
+            const std::map<BackendKey, const BackendEntry*>& aListed)
+{
+  std::vector<std::uint64_t> removed;
+  for (const auto& [key, backendKey] : aState.backendOf_) {
+    const BackendEntry& known =
+      aState.backends_.slots_[backendKey & kSlotMask].entry_;
+    const auto found = aListed.find(key);
+    if (found == aListed.end() ||
+        found->second->address_ != known.address_ ||
+        found->second->service_ != known.service_) {
+      removed.push_back(backendKey);
+    }
+  }
+  return removed;
+}
+
+} // namespace
+
+ServiceNumber
+FindOrAddService(GatewayState& aState, const std::string& aName)
+{
+  const auto [found, added] = aState.serviceNumber_.try_emplace(
+    aName, static_cast<ServiceNumber>(aState.services_.size()));
+  if (added) {
+    aState.services_.emplace_back();
+    aState.services_.back().name_ = aName;
+  }
+  return found->second;
+}
+
+void
+MarkService(GatewayState& aState, ServiceNumber aService)
+{
+  GatewayServiceState& service = aState.services_[aService];
+  if (!service.marked_) {
+    service.marked_ = true;
+    aState.marked_.push_back(aService);
+  }
+}
+
+void
+ForgetIfUnused(GatewayState& aState, std::uint64_t aBackend)
+{
+  Backend* backend = FindSlot(aState.backends_, aBackend);
+  if (backend != nullptr && !backend->listed_ &&
+      backend->connections_.empty()) {
+    FreeSlot(aState.backends_, *backend);
+  }
+}
+
+void
+GatewayAdoptServers(GatewayState& aState,
+                    const std::vector<BackendEntry>& aServers,
+                    const Now& aNow,
+                    Rng& aRng,
+                    GatewayDecisions& aOut)
+{
+  GatewayStep step{ aState, aNow, aRng, aOut };
+  std::map<BackendKey, const BackendEntry*> listed;
+  for (const BackendEntry& entry : aServers) {
+    listed[BackendKey(entry.id_, entry.bornMillis_)] = &entry;
+  }
+  for (const std::uint64_t key : FindRemoved(aState, listed)) {
+    RemoveBackend(step, *FindSlot(aState.backends_, key));
+  }
+  for (const auto& [key, entry] : listed) {
+    const auto known = aState.backendOf_.find(key);
+    Backend* backend = known == aState.backendOf_.end()
+                         ? &AddBackend(step, *entry)
+                         : FindSlot(aState.backends_, known->second);
+    UpdateBackend(step, *backend, *entry);
+    backend->warmUntil_ = aNow.mono_ + entry->warmupLeft_;
+    EnsureConnections(step, *backend);
+    MarkService(aState, backend->service_);
+  }
+  PumpMarked(step);
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/gateway/crash_guard.cpp
@@ -0,0 +1,94 @@
+// Answers a request that crashes each server that runs it and comes again:
+// content that was in flight on several servers when they crashed, and never
+// got an answer, isn't run any more. Content with an answer is innocent.
+#include "gateway/gateway_func.h"
+#include "gateway/gateway_internal.h"
+
+#include "core/hash_func.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+std::uint64_t
+MakeContentFingerprint(const ProxyRequest& aRequest)
+{
+  const ProxyMessage& message = *aRequest.message_;
+  const std::uint64_t path =
+    HashPair(HashText(message.host_), HashText(message.target_));
+  return HashPair(
+    path, HashPair(HashText(aRequest.caller_), HashText(message.body_)));
+}
+
+bool
+IsQuarantined(const GatewayState& aState,
+              std::uint64_t aFingerprint,
+              TimePoint aNow)
+{
+  const auto found = aState.suspects_.find(aFingerprint);
+  return found != aState.suspects_.end() && aNow < found->second.until_ &&
+         found->second.crashes_ >= kCrashesToQuarantine;
+}
+
+void
+NoteBrokenConnection(GatewayStep& aStep,
+                     std::uint64_t aBackend,
+                     std::uint64_t aFingerprint)
+{
+  std::vector<BrokenConnection>& broken = aStep.state_.broken_;
+  std::erase_if(broken, [&aStep](const BrokenConnection& aOne) {
+    return aOne.at_ + kCrashWindow < aStep.Time();
+  });
+  broken.push_back({ aStep.Time(), aBackend, aFingerprint });
+}
+
+void
+NoteRefusedConnect(GatewayStep& aStep, std::uint64_t aBackend)
+{
+  GatewayState& state = aStep.state_;
+  std::vector<std::uint64_t> suspects;
+  std::erase_if(state.broken_, [&](const BrokenConnection& aOne) {
+    const bool here = aOne.backend_ == aBackend;
+    if (here && aOne.at_ + kCrashWindow >= aStep.Time()) {
+      suspects.push_back(aOne.fingerprint_);
+    }
+    return here;
+  });
+  for (const std::uint64_t fingerprint : suspects) {
+    const auto known = state.suspects_.find(fingerprint);
+    const std::uint32_t before =
+      known == state.suspects_.end() ? 0 : known->second.crashes_;
+    GatewayHearSuspect(state, fingerprint, before + 1, aStep.now_);
+    aStep.out_.emplace_back(SuspectFound{ fingerprint, before + 1 });
+  }
+}
+
+void
+GatewayHearSuspect(GatewayState& aState,
+                   std::uint64_t aFingerprint,
+                   std::uint32_t aCrashes,
+                   const Now& aNow)
+{
+  std::erase_if(aState.suspects_, [&aNow](const auto& aItem) {
+    return aItem.second.until_ <= aNow.mono_;
+  });
+  if (aState.suspects_.size() >= kMaxSuspects) {
+    return;
+  }
+  SuspectContent& suspect = aState.suspects_[aFingerprint];
+  suspect.crashes_ = std::max(suspect.crashes_, aCrashes);
+  suspect.until_ = aNow.mono_ + kSuspectLife;
+}
+
+void
+ClearContent(GatewayState& aState, std::uint64_t aFingerprint)
+{
+  if (!aState.suspects_.empty()) {
+    aState.suspects_.erase(aFingerprint);
+  }
+  std::erase_if(aState.broken_, [aFingerprint](const BrokenConnection& aOne) {
+    return aOne.fingerprint_ == aFingerprint;
+  });
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,127 @@
+#include "gateway/gateway_func.h"
+#include "gateway/gateway_internal.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+namespace {
+
+void
+MarkConfigured(GatewayState& aState, const std::string& aName)
+{
+  const ServiceNumber number = FindOrAddService(aState, aName);
+  GatewayServiceState& service = aState.services_[number];
+  service.configured_ = true;
+  const auto configured = aState.config_->services_.find(aName);
+  if (configured != aState.config_->services_.end()) {
+    service.maxConnections_ = configured->second.maxConnections_;
+  }
+}
+
+void
+TakeTimer(GatewayStep& aStep, const KindTimer<GatewayTimer>& aTimer)
+{
+  GatewayRun* run = FindSlot(aStep.state_.runs_, aTimer.key_);
+  switch (aTimer.kind_) {
+    case GatewayTimer::RequestDeadline:
+      if (run != nullptr) {
+        ExpireRun(aStep, *run);
+      }
+      break;
+    case GatewayTimer::RequestSoft:
+      if (run != nullptr) {
+        SoftenRun(aStep, *run);
+      }
+      break;
+    case GatewayTimer::Hedge:
+      HedgeAttempt(aStep, aTimer.key_);
+      break;
+    case GatewayTimer::Silence:
+      EndSilentAttempt(aStep, aTimer.key_);
+      break;
+    default:
+      CareForConnections(aStep);
+      AddTimer(aStep.state_.timers_,
+               { aStep.Time() + kCareInterval, 0, 0, GatewayTimer::Care });
+      break;
+  }
+}
+
+} // namespace
+
+GatewayState
+MakeGatewayState(const GatewaySettings& aSettings)
+{
+  GatewayState state;
+  state.settings_ = aSettings;
+  AddTimer(state.timers_, { TimePoint{}, 0, 0, GatewayTimer::Care });
+  return state;
+}
+
+bool
+GatewayAdoptConfig(GatewayState& aState,
+                   const SharedGatewayConfig& aConfig,
+                   const Now& aNow,
+                   Rng& aRng,
+                   GatewayDecisions& aOut)
+{
+  if (aState.config_ != nullptr &&
+      aConfig->version_ <= aState.config_->version_) {
+    return false;
+  }
+  aState.config_ = aConfig;
+  for (GatewayServiceState& service : aState.services_) {
+    service.configured_ = false;
+  }
+  for (const GatewayRoute& route : aConfig->routes_) {
+    RouteLoad& load = aState.loads_[route.name_];
+    if (load.splitCredit_.size() != route.to_.size()) {
+      load.splitCredit_.assign(route.to_.size(), 0.0);
+    }
+    for (const ServiceShare& share : route.to_) {
+      MarkConfigured(aState, share.service_);
+    }
+    for (const std::string& shard : route.shards_) {
+      MarkConfigured(aState, shard);
+    }
+  }
+  GatewayStep step{ aState, aNow, aRng, aOut };
+  CareForConnections(step);
+  return true;
+}
+
+void
+GatewaySetDaemons(GatewayState& aState, std::uint32_t aDaemons)
+{
+  aState.daemons_ = std::max(aDaemons, 1U);
+}
+
+void
+GatewayOnEvent(GatewayState& aState,
+               const Tick&,
+               const Now& aNow,
+               Rng& aRng,
+               GatewayDecisions& aOut)
+{
+  GatewayStep step{ aState, aNow, aRng, aOut };
+  KindTimer<GatewayTimer> timer;
+  while (TakeDueTimer(aState.timers_, aNow.mono_, timer)) {
+    TakeTimer(step, timer);
+  }
+  PumpMarked(step);
+}
+
+TimePoint
+GatewayNextWake(const GatewayState& aState)
+{
+  return NextTimer(aState.timers_);
+}
+
+std::size_t
+GatewayInFlight(const GatewayState& aState)
+{
+  return aState.runs_.Count();
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/gateway/gateway_base.h
@@ -0,0 +1,238 @@
+/** State of the gateway. */
+#pragma once
+
+#include "core/latency_hist.h"
+#include "core/pool.h"
+#include "core/rng_type.h"
+#include "core/timer_heap.h"
+#include "gateway/gateway_type.h"
+#include "gateway/retry_budget.h"
+
+#include <array>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+namespace camphorfield {
+
+using ServiceNumber = std::uint32_t;
+
+/** What a timer of the gateway is for; key_ names the subject. */
+enum class GatewayTimer : std::uint8_t
+{
+  RequestDeadline, ///< key_: request.
+  RequestSoft,     ///< key_: request.
+  Hedge,           ///< key_: attempt.
+  Silence,         ///< key_: attempt.
+  Care,            ///< key_: unused.
+  End              ///< Number of kinds.
+};
+
+/** What the gateway must know of its own daemon and the platform's bounds. */
+struct GatewaySettings
+{
+  std::string failureDomain_;
+  BudgetLimits budget_;
+};
+
+/** Life of a connection to a backend server. */
+enum class BackendConnState : std::uint8_t
+{
+  Opening,
+  Idle,
+  Busy,
+  End ///< Number of states.
+};
+
+/** One connection to a backend server. */
+struct BackendConn
+{
+  std::uint64_t key_ = 0; ///< Value of its ConnectionId.
+  std::uint64_t backend_ = 0;
+  BackendConnState state_ = BackendConnState::Opening;
+  TimePoint usedAt_{};
+  TimePoint expiresAt_ = kNever; ///< Idle: to be closed then.
+  std::uint64_t attempt_ = 0;    ///< Busy: what it carries.
+};
+
+/** One life of one backend server. */
+struct Backend
+{
+  std::uint64_t key_ = 0;
+  BackendEntry entry_;
+  ServiceNumber service_ = 0;
+  bool listed_ = true;          ///< The newest list holds this life.
+  TimePoint warmUntil_{};       ///< It is slow until then.
+  std::vector<std::uint64_t> connections_;
+  std::uint32_t inFlight_ = 0;
+  std::uint32_t opening_ = 0;
+  double limit_ = 4.0;          ///< Requests of this daemon at a time.
+  TimePoint limitCutAt_{};      ///< Time of the latest decrease.
+  double speed_ = 1.0;          ///< Time of answers against the route's usual.
+  TimePoint speedAt_{};
+  double failures_ = 0.0;       ///< Moving share of failed attempts.
+  TimePoint failuresAt_{};
+  std::uint32_t failedInRow_ = 0;
+  Duration ejection_{};         ///< Length of the latest ejection.
+  TimePoint ejectedUntil_{};
+  Duration reconnect_{};        ///< Pause after the latest failed connect.
+  TimePoint connectAfter_{};
+  ReportedLoad load_;
+  TimePoint loadAt_{};
+  std::uint32_t misdirected_ = 0; ///< Answers of another server at its address.
+};
+
+/** Place of a waiting part: late requests last, then rank, then time left. */
+using QueueKey =
+  std::tuple<bool, std::uint32_t, TimePoint, std::uint64_t, std::uint32_t>;
+
+/** One service and what waits for it. */
+struct GatewayServiceState
+{
+  std::string name_;
+  std::uint32_t maxConnections_ = 1;
+  bool configured_ = false; ///< A route of the newest configuration leads here.
+  std::vector<std::uint64_t> backends_; ///< Listed lives.
+  std::set<QueueKey> queue_;
+  RetryBudget budget_;
+  bool marked_ = false; ///< To be looked at before the step ends.
+};
+
+/** What is learned of a route, kept over versions by its name. */
+struct RouteLoad
+{
+  LatencyHist answers_;       ///< Times of single attempts.
+  Duration median_{};         ///< Of these; zero: unknown.
+  Duration hedgeDelay_{};
+  Duration silence_{};
+  std::uint32_t sinceRefresh_ = 0;
+  double window_ = 64.0;      ///< Requests in flight that are admitted.
+  std::uint32_t inFlight_ = 0;
+  TimePoint windowCutAt_{};
+  std::vector<double> splitCredit_; ///< Of each share of a divided route.
+};
+
+/** Progress of one shard, or of a plain request. */
+enum class PartPhase : std::uint8_t
+{
+  Waiting, ///< In a queue.
+  Running, ///< One or two attempts are in flight.
+  Done,
+  Failed,
+  End ///< Number of phases.
+};
+
+/** One shard of a query; a plain request has one part. */
+struct RequestPart
+{
+  ServiceNumber service_ = 0;
+  PartPhase phase_ = PartPhase::Waiting;
+  QueueKey place_{};
+  std::uint8_t sends_ = 0;
+  std::uint8_t mayHaveRun_ = 0; ///< Sends that servers may have run.
+  bool counted_ = false;        ///< Its first send has been counted.
+  std::array<std::uint64_t, 2> attempts_{}; ///< In flight; zero: none.
+  std::vector<std::uint64_t> tried_;        ///< Servers, in order.
+  std::string proof_;
+  std::string body_;
+};
+
+/** One request of a caller. */
+struct GatewayRun
+{
+  std::uint64_t key_ = 0;
+  CallerRequestId id_;
+  SharedGatewayConfig config_; ///< Version that it runs under.
+  const GatewayRoute* route_ = nullptr; ///< In config_.
+  RouteLoad* load_ = nullptr;
+  SharedMessage message_;
+  std::uint64_t fingerprint_ = 0;
+  TimePoint arrivedAt_{};
+  TimePoint deadline_{};
+  TimePoint softAt_ = kNever; ///< Partial answers from here on.
+  std::uint32_t needed_ = 1;  ///< Parts without which it fails.
+  std::uint32_t done_ = 0;
+  std::uint32_t failed_ = 0;
+  std::uint32_t sends_ = 0;
+  std::uint32_t hedges_ = 0;
+  bool mayHaveRun_ = false;
+  bool late_ = false; ///< Past softAt_.
+  std::vector<RequestPart> parts_;
+  BackendAnswer failure_; ///< Latest whole answer that was no success.
+};
+
+/** One request sent to one server. */
+struct Attempt
+{
+  std::uint64_t key_ = 0; ///< Value of its SubRequestId.
+  std::uint64_t run_ = 0;
+  std::uint32_t part_ = 0;
+  std::uint64_t backend_ = 0;
+  std::uint64_t connection_ = 0;
+  TimePoint sentAt_{};
+  Duration expected_{}; ///< Usual time of an answer when it was sent.
+  bool hedge_ = false;
+};
+
+/** Content that was in flight on servers when they crashed. */
+struct SuspectContent
+{
+  std::uint32_t crashes_ = 0;
+  TimePoint until_{};
+};
+
+/** A connection broke with a request on it; a crash if others do, too. */
+struct BrokenConnection
+{
+  TimePoint at_{};
+  std::uint64_t backend_ = 0;
+  std::uint64_t fingerprint_ = 0;
+};
+
+/** Counters since the start of the daemon. */
+struct GatewayStats
+{
+  std::array<std::uint64_t, static_cast<std::size_t>(ProxyCode::End)>
+    byCode_{};
+  std::uint64_t late_ = 0;         ///< Successes after their objective.
+  std::uint64_t partial_ = 0;      ///< Successes with shards left out.
+  std::uint64_t shardsAsked_ = 0;  ///< Shards of answered queries.
+  std::uint64_t shardsMissing_ = 0;
+  std::uint64_t callersGone_ = 0;
+  std::uint64_t firstSends_ = 0;
+  std::uint64_t hedges_ = 0;
+  std::uint64_t hedgesWon_ = 0;
+  std::uint64_t retries_ = 0;
+  std::uint64_t budgetDenied_ = 0;
+  std::uint64_t connects_ = 0;
+  std::uint64_t shed_ = 0;         ///< Answers that say "not run".
+  std::uint64_t ejections_ = 0;
+  std::uint64_t garbled_ = 0;      ///< Answers that belong to no request.
+};
+
+/** State of the gateway. */
+struct GatewayState
+{
+  GatewaySettings settings_;
+  SharedGatewayConfig config_;
+  std::vector<GatewayServiceState> services_;
+  std::unordered_map<std::string, ServiceNumber> serviceNumber_;
+  std::map<std::string, RouteLoad> loads_; ///< By name of the route.
+  Pool<Backend> backends_;
+  std::map<std::pair<std::string, std::int64_t>, std::uint64_t> backendOf_;
+  Pool<BackendConn> connections_;
+  Pool<Attempt> attempts_;
+  Pool<GatewayRun> runs_;
+  std::unordered_map<CallerRequestId, std::uint64_t> runOf_;
+  std::vector<ServiceNumber> marked_;
+  KindTimerHeap<GatewayTimer> timers_;
+  std::map<std::uint64_t, SuspectContent> suspects_; ///< By fingerprint.
+  std::vector<BrokenConnection> broken_;
+  std::uint32_t daemons_ = 1; ///< That share the budgets and connections.
+  GatewayStats stats_;
+};
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/gateway/request_run.cpp
@@ -0,0 +1,448 @@
+// One request of a caller from arrival to answer. Answers shards that are
+// slow or lost: a query is answered in part just before its objective passes,
+// if enough shards are there, and ended at once when they can't be any more.
+#include "gateway/gateway_func.h"
+#include "gateway/gateway_internal.h"
+#include "gateway/route_match.h"
+#include "gateway/topk_merge.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace camphorfield {
+
+namespace {
+
+void
+CountAnswer(GatewayState& aState, const GatewayRun& aRun, ProxyCode aCode)
+{
+  GatewayStats& stats = aState.stats_;
+  ++stats.byCode_[static_cast<std::size_t>(aCode)];
+  stats.late_ += aCode <= ProxyCode::Merged && aRun.late_ ? 1 : 0;
+  if (aCode == ProxyCode::Merged) {
+    const std::size_t missing = aRun.parts_.size() - aRun.done_;
+    stats.partial_ += missing > 0 ? 1 : 0;
+    stats.shardsAsked_ += aRun.parts_.size();
+    stats.shardsMissing_ += missing;
+  }
+}
+
+void
+Record(GatewayStep& aStep, const GatewayRun& aRun, const ProxyAnswer& aAnswer)
+{
+  RequestRecord record;
+  record.requestId_ = aRun.message_->requestId_;
+  record.route_ = aRun.route_->name_;
+  record.version_ = aRun.config_->version_;
+  record.code_ = aAnswer.code_;
+  record.status_ = aAnswer.status_;
+  record.took_ = aStep.Time() - aRun.arrivedAt_;
+  record.shards_ = static_cast<std::uint32_t>(aRun.parts_.size());
+  record.covered_ = aRun.done_;
+  record.sends_ = aRun.sends_;
+  record.hedges_ = aRun.hedges_;
+  record.late_ = aRun.late_;
+  if (aRun.done_ < aRun.parts_.size()) {
+    for (const RequestPart& part : aRun.parts_) {
+      if (part.phase_ != PartPhase::Done) {
+        absl::StrAppend(
+          &record.reason_,
+          record.reason_.empty() ? "" : " ",
+          aStep.state_.services_[part.service_].name_,
+          part.phase_ == PartPhase::Waiting   ? ":queued"
+          : part.phase_ == PartPhase::Running ? ":unanswered"
+                                              : ":failed",
+          "/",
+          part.sends_);
+      }
+    }
+  }
+  aStep.out_.emplace_back(std::move(record));
+}
+
+/** Ends what is still under way for a run, and the run. A non-idempotent
+ * request that a server has begun is left to end by itself. */
+void
+Close(GatewayStep& aStep, GatewayRun& aRun)
+{
+  GatewayState& state = aStep.state_;
+  const bool stop = aRun.route_->kind_ == RequestKind::Idempotent;
+  for (RequestPart& part : aRun.parts_) {
+    if (part.phase_ == PartPhase::Waiting) {
+      DequeuePart(state, part);
+    }
+    const auto attempts = part.attempts_;
+    for (const std::uint64_t attempt : attempts) {
+      if (attempt != 0 && stop) {
+        CancelAttempt(aStep, attempt);
+      }
+    }
+  }
+  --aRun.load_->inFlight_;
+  state.runOf_.erase(aRun.id_);
+  const std::uint64_t key = aRun.key_;
+  aRun = GatewayRun{};
+  aRun.key_ = key;
+  FreeSlot(state.runs_, aRun);
+}
+
+void
+Finish(GatewayStep& aStep, GatewayRun& aRun, ProxyAnswer&& aAnswer)
+{
+  aAnswer.id_ = aRun.id_;
+  if (aAnswer.code_ <= ProxyCode::Merged) {
+    ClearContent(aStep.state_, aRun.fingerprint_);
+    if (!aRun.late_) {
+      NoteOnTime(*aRun.load_);
+    }
+  }
+  CountAnswer(aStep.state_, aRun, aAnswer.code_);
+  Record(aStep, aRun, aAnswer);
+  aStep.out_.emplace_back(std::move(aAnswer));
+  Close(aStep, aRun);
+}
+
+void
+FinishForwarded(GatewayStep& aStep, GatewayRun& aRun, BackendAnswer&& aFrom)
+{
+  ProxyAnswer answer;
+  answer.code_ = ProxyCode::Forwarded;
+  answer.status_ = aFrom.status_;
+  answer.fields_ = std::move(aFrom.fields_);
+  answer.body_ = std::move(aFrom.body_);
+  Finish(aStep, aRun, std::move(answer));
+}
+
+void
+FinishMerged(GatewayStep& aStep, GatewayRun& aRun)
+{
+  ProxyAnswer answer;
+  answer.code_ = ProxyCode::Merged;
+  std::vector<std::string_view> bodies;
+  for (RequestPart& part : aRun.parts_) {
+    if (part.phase_ == PartPhase::Done) {
+      bodies.emplace_back(part.body_);
+      answer.proofs_.push_back(std::move(part.proof_));
+    }
+  }
+  answer.missing_ = static_cast<std::uint32_t>(aRun.parts_.size()) - aRun.done_;
+  answer.body_ = MergeTopRecords(bodies, aRun.route_->topRecords_);
+  Finish(aStep, aRun, std::move(answer));
+}
+
+// "Not run" is said only while no server may have begun: what is still in
+// flight or was broken off may run.
+bool
+MayHaveRun(const GatewayRun& aRun)
+{
+  return aRun.mayHaveRun_ || aRun.done_ > 0 ||
+         std::any_of(aRun.parts_.begin(),
+                     aRun.parts_.end(),
+                     [](const RequestPart& aPart) {
+                       return aPart.attempts_[0] != 0 ||
+                              aPart.attempts_[1] != 0;
+                     });
+}
+
+void
+FinishFailed(GatewayStep& aStep, GatewayRun& aRun, ProxyCode aCode)
+{
+  ProxyAnswer answer;
+  answer.code_ = aCode;
+  if (!MayHaveRun(aRun)) {
+    answer.code_ = aRun.sends_ > 0 ? ProxyCode::NotRun : ProxyCode::NoServer;
+    answer.retryAfter_ = ChooseRetryAfter(*aRun.route_, aStep.rng_);
+  }
+  Finish(aStep, aRun, std::move(answer));
+}
+
+void
+Reject(GatewayStep& aStep,
+       const ProxyRequest& aRequest,
+       ProxyCode aCode,
+       const GatewayRoute* aRoute)
+{
+  ProxyAnswer answer;
+  answer.id_ = aRequest.id_;
+  answer.code_ = aCode;
+  answer.retryAfter_ = aRoute == nullptr
+                         ? Duration(kRetryAfterUnready)
+                         : ChooseRetryAfter(*aRoute, aStep.rng_);
+  ++aStep.state_.stats_.byCode_[static_cast<std::size_t>(aCode)];
+  RequestRecord record;
+  record.requestId_ = aRequest.message_->requestId_;
+  record.code_ = aCode;
+  if (aRoute != nullptr) {
+    const RouteLoad& load = aStep.state_.loads_[aRoute->name_];
+    record.route_ = aRoute->name_;
+    record.reason_ = absl::StrCat(
+      "in flight ", load.inFlight_, " of ", std::floor(load.window_));
+  } else {
+    record.reason_ =
+      absl::StrCat(aRequest.message_->host_, aRequest.message_->path_);
+  }
+  record.version_ =
+    aStep.state_.config_ == nullptr ? 0 : aStep.state_.config_->version_;
+  aStep.out_.emplace_back(std::move(record));
+  aStep.out_.emplace_back(std::move(answer));
+}
+
+Duration
+WaitOf(const ProxyRequest& aRequest, const GatewayRoute& aRoute)
+{
+  Duration wait = kDeadlineUnknown;
+  for (const Duration limit : { aRequest.patience_, aRoute.timeout_ }) {
+    wait = limit.count() > 0 ? std::min(wait, limit) : wait;
+  }
+  return wait - std::min<Duration>(kDeadlineMargin, wait / 10);
+}
+
+Duration
+SoftWaitOf(const GatewayRoute& aRoute)
+{
+  const auto share = static_cast<std::int64_t>(
+    static_cast<double>(aRoute.objective_.count()) * kObjectiveMarginShare);
+  return aRoute.objective_ -
+         std::min<Duration>(kObjectiveMargin + Duration(share),
+                            aRoute.objective_ / 3);
+}
+
+std::uint32_t
+PartsNeeded(const GatewayRoute& aRoute)
+{
+  if (!aRoute.IsQuery()) {
+    return 1;
+  }
+  const double needed =
+    std::ceil(aRoute.minCoverage_ * static_cast<double>(aRoute.shards_.size()) -
+              1e-9);
+  return std::max(static_cast<std::uint32_t>(needed), 1U);
+}
+
+void
+AddParts(GatewayState& aState, GatewayRun& aRun)
+{
+  const GatewayRoute& route = *aRun.route_;
+  if (!route.IsQuery()) {
+    aRun.parts_.emplace_back();
+    aRun.parts_.back().service_ =
+      FindOrAddService(aState, TakeShare(route, *aRun.load_));
+    return;
+  }
+  for (const std::string& shard : route.shards_) {
+    aRun.parts_.emplace_back();
+    aRun.parts_.back().service_ = FindOrAddService(aState, shard);
+  }
+}
+
+GatewayRun&
+MakeRun(GatewayStep& aStep,
+        const ProxyRequest& aRequest,
+        const GatewayRoute& aRoute)
+{
+  GatewayState& state = aStep.state_;
+  GatewayRun& run = TakeSlot(state.runs_);
+  run.id_ = aRequest.id_;
+  run.config_ = state.config_;
+  run.route_ = &aRoute;
+  run.load_ = &state.loads_[aRoute.name_];
+  run.message_ = aRequest.message_;
+  run.fingerprint_ = MakeContentFingerprint(aRequest);
+  run.arrivedAt_ = aStep.Time();
+  run.deadline_ = aStep.Time() + WaitOf(aRequest, aRoute);
+  run.softAt_ = run.deadline_;
+  run.needed_ = PartsNeeded(aRoute);
+  if (aRoute.objective_.count() > 0) {
+    run.softAt_ =
+      std::min(run.deadline_, aStep.Time() + SoftWaitOf(aRoute));
+  }
+  AddParts(state, run);
+  ++run.load_->inFlight_;
+  state.runOf_[run.id_] = run.key_;
+  return run;
+}
+
+void
+Begin(GatewayStep& aStep, GatewayRun& aRun)
+{
+  KindTimerHeap<GatewayTimer>& timers = aStep.state_.timers_;
+  AddTimer(timers,
+           { aRun.deadline_, aRun.key_, 0, GatewayTimer::RequestDeadline });
+  if (aRun.softAt_ < aRun.deadline_) {
+    AddTimer(timers, { aRun.softAt_, aRun.key_, 0, GatewayTimer::RequestSoft });
+  }
+  for (std::uint32_t i = 0; i < aRun.parts_.size(); ++i) {
+    EnqueuePart(aStep, aRun, i);
+  }
+}
+
+/** Shards of a route that no server can answer now. */
+std::uint32_t
+CountDown(const GatewayState& aState, const GatewayRun& aRun, TimePoint aNow)
+{
+  return static_cast<std::uint32_t>(
+    std::count_if(aRun.parts_.begin(),
+                  aRun.parts_.end(),
+                  [&aState, aNow](const RequestPart& aPart) {
+                    return IsServiceDown(
+                      aState, aState.services_[aPart.service_], aNow);
+                  }));
+}
+
+/** Ends a query once nothing is open, or it is late and has enough. */
+void
+Review(GatewayStep& aStep, GatewayRun& aRun)
+{
+  const auto parts = static_cast<std::uint32_t>(aRun.parts_.size());
+  if (parts - aRun.failed_ < aRun.needed_) {
+    FinishFailed(aStep, aRun, ProxyCode::LowCoverage);
+    return;
+  }
+  const bool closed = aRun.done_ + aRun.failed_ == parts;
+  if (closed || (aRun.late_ && aRun.done_ >= aRun.needed_)) {
+    FinishMerged(aStep, aRun);
+  }
+}
+
+} // namespace
+
+void
+GatewayOnEvent(GatewayState& aState,
+               const ProxyRequest& aRequest,
+               const Now& aNow,
+               Rng& aRng,
+               GatewayDecisions& aOut)
+{
+  GatewayStep step{ aState, aNow, aRng, aOut };
+  if (aState.config_ == nullptr) {
+    Reject(step, aRequest, ProxyCode::NotReady, nullptr);
+    return;
+  }
+  const GatewayRoute* route = FindRoute(
+    *aState.config_, aRequest.message_->host_, aRequest.message_->path_);
+  if (route == nullptr) {
+    Reject(step, aRequest, ProxyCode::NoRoute, nullptr);
+    return;
+  }
+  const std::uint64_t fingerprint = MakeContentFingerprint(aRequest);
+  if (IsQuarantined(aState, fingerprint, aNow.mono_)) {
+    Reject(step, aRequest, ProxyCode::Quarantined, route);
+    return;
+  }
+  RouteLoad& load = aState.loads_[route->name_];
+  if (load.window_ <= 0.0 || !IsAdmitted(load)) {
+    Reject(step, aRequest, ProxyCode::Overloaded, route);
+    return;
+  }
+  GatewayRun& run = MakeRun(step, aRequest, *route);
+  const auto parts = static_cast<std::uint32_t>(run.parts_.size());
+  if (parts - CountDown(aState, run, aNow.mono_) < run.needed_) {
+    FinishFailed(step, run, ProxyCode::NoServer);
+    return;
+  }
+  Begin(step, run);
+  PumpMarked(step);
+}
+
+void
+GatewayOnEvent(GatewayState& aState,
+               const CallerGone& aGone,
+               const Now& aNow,
+               Rng& aRng,
+               GatewayDecisions& aOut)
+{
+  GatewayStep step{ aState, aNow, aRng, aOut };
+  const auto found = aState.runOf_.find(aGone.id_);
+  if (found != aState.runOf_.end()) {
+    ++aState.stats_.callersGone_;
+    AbandonRun(step, *FindSlot(aState.runs_, found->second));
+    PumpMarked(step);
+  }
+}
+
+void
+CompletePart(GatewayStep& aStep,
+             GatewayRun& aRun,
+             std::uint32_t aPart,
+             BackendAnswer&& aAnswer)
+{
+  if (!aRun.route_->IsQuery()) {
+    FinishForwarded(aStep, aRun, std::move(aAnswer));
+    return;
+  }
+  RequestPart& part = aRun.parts_[aPart];
+  const auto attempts = part.attempts_;
+  for (const std::uint64_t attempt : attempts) {
+    if (attempt != 0) {
+      CancelAttempt(aStep, attempt);
+    }
+  }
+  if (part.phase_ == PartPhase::Waiting) {
+    DequeuePart(aStep.state_, part);
+  }
+  part.phase_ = PartPhase::Done;
+  part.proof_ = std::move(aAnswer.proof_);
+  part.body_ = std::move(aAnswer.body_);
+  ++aRun.done_;
+  Review(aStep, aRun);
+}
+
+void
+FailPart(GatewayStep& aStep, GatewayRun& aRun, std::uint32_t aPart)
+{
+  aRun.parts_[aPart].phase_ = PartPhase::Failed;
+  ++aRun.failed_;
+  if (aRun.route_->IsQuery()) {
+    Review(aStep, aRun);
+    return;
+  }
+  // A server's own failure goes to the caller as the server sent it, unless
+  // it only says that nothing has run.
+  if (aRun.mayHaveRun_ && aRun.failure_.status_ != 0 &&
+      !aRun.failure_.notRun_ && !aRun.failure_.encoded_ &&
+      aRun.failure_.status_ >= 300) {
+    FinishForwarded(aStep, aRun, std::move(aRun.failure_));
+    return;
+  }
+  FinishFailed(aStep, aRun, ProxyCode::Failed);
+}
+
+void
+SoftenRun(GatewayStep& aStep, GatewayRun& aRun)
+{
+  aRun.late_ = aRun.done_ < aRun.needed_;
+  if (!aRun.late_) {
+    if (aRun.route_->IsQuery()) {
+      FinishMerged(aStep, aRun);
+    }
+    return;
+  }
+  NoteLate(*aRun.load_, aRun.route_->objective_, aStep.Time());
+  // Behind all requests that can still be in time.
+  for (std::uint32_t i = 0; i < aRun.parts_.size(); ++i) {
+    if (aRun.parts_[i].phase_ == PartPhase::Waiting) {
+      DequeuePart(aStep.state_, aRun.parts_[i]);
+      EnqueuePart(aStep, aRun, i);
+    }
+  }
+}
+
+void
+ExpireRun(GatewayStep& aStep, GatewayRun& aRun)
+{
+  if (aRun.route_->IsQuery() && aRun.done_ >= aRun.needed_) {
+    FinishMerged(aStep, aRun);
+    return;
+  }
+  FinishFailed(aStep, aRun, ProxyCode::TimedOut);
+}
+
+void
+AbandonRun(GatewayStep& aStep, GatewayRun& aRun)
+{
+  Close(aStep, aRun);
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/gateway/retry_budget.h
@@ -0,0 +1,45 @@
+/** Budget of extra requests to one service, shared by all daemons. */
+#pragma once
+
+#include "core/time_type.h"
+#include "gateway/gateway_const.h"
+
+#include <array>
+#include <cstdint>
+
+namespace camphorfield {
+
+/** Bounds on extra requests to a service in a sliding window. */
+struct BudgetLimits
+{
+  double ratio_ = 0.2;                     ///< Extra for each request.
+  double slack_ = 50.0;                    ///< Extra besides, of all daemons.
+  Duration window_ = std::chrono::seconds(10);
+};
+
+/** Requests of one daemon to one service, by time. */
+struct RetryBudget
+{
+  std::array<std::uint32_t, kBudgetBuckets + 1> first_{};
+  std::array<std::uint32_t, kBudgetBuckets + 1> extra_{};
+  std::int64_t bucket_ = 0; ///< Number of the newest bucket.
+  std::uint32_t firstSum_ = 0;
+  std::uint32_t extraSum_ = 0;
+};
+
+/** Count the first request to the service for a caller's request. */
+void
+CountFirst(RetryBudget& aBudget, const BudgetLimits& aLimits, TimePoint aNow);
+
+/**
+ * Take leave for an extra request.
+ * @param aDaemons Daemons that share the slack, at least one.
+ * @return False when the budget is used up; nothing is counted then.
+ */
+bool
+TakeExtra(RetryBudget& aBudget,
+          const BudgetLimits& aLimits,
+          std::uint32_t aDaemons,
+          TimePoint aNow);
+
+} // namespace camphorfield
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 /** Entry point of the one binary. */
+#include "app/gateway_cmd.h"
 #include "cli/codes_cmd.h"
 #include "cli/daemon_cmd.h"
 #include "cli/operator_cmd.h"
@@ -75,6 +76,12 @@
   AddDaemonFlags(*daemon, daemonFlags);
   daemon->callback([&]() { status = RunDaemon(daemonFlags); });
 
+  GatewayFlags gatewayFlags;
+  CLI::App* gateway =
+    app.add_subcommand("gateway", "Run a gateway on the users' platform");
+  AddGatewayFlags(*gateway, gatewayFlags);
+  gateway->callback([&]() { status = RunGateway(gatewayFlags); });
+
   app.add_subcommand("codes", "Print the numbered codes")->callback([]() {
     std::cout << RenderCodes();
   });
--- /dev/null
+++ b/src/observe/request_log.cpp
@@ -0,0 +1,53 @@
+#include "observe/request_log.h"
+
+#include "observe/log.h"
+#include "table/proxy_table.h"
+#include "table/timeline_table.h"
+
+#include <string>
+
+namespace camphorfield {
+
+void
+LogRequest(const RequestRecord& aRecord)
+{
+  const bool well = aRecord.code_ <= ProxyCode::Merged && !aRecord.late_ &&
+                    aRecord.covered_ == aRecord.shards_;
+  WriteLog(well ? LogLevel::Debug : LogLevel::Info,
+           "request",
+           { { "request", aRecord.requestId_ },
+             { "route", aRecord.route_ },
+             { "outcome", GetProxyRow(aRecord.code_).name_ },
+             { "status", std::to_string(aRecord.status_) },
+             { "version", std::to_string(aRecord.version_) },
+             { "took_us", std::to_string(aRecord.took_.count()) },
+             { "late", aRecord.late_ ? "true" : "false" },
+             { "shards", std::to_string(aRecord.shards_) },
+             { "covered", std::to_string(aRecord.covered_) },
+             { "sends", std::to_string(aRecord.sends_) },
+             { "hedges", std::to_string(aRecord.hedges_) },
+             { "reason", aRecord.reason_ } });
+}
+
+void
+LogBackend(const BackendRecord& aRecord)
+{
+  WriteLog(LogLevel::Info,
+           "server",
+           { { "server", aRecord.server_ },
+             { "service", aRecord.service_ },
+             { "change", aRecord.change_ },
+             { "reason", aRecord.reason_ } });
+}
+
+void
+LogMembership(const TimelineRecord& aRecord)
+{
+  WriteLog(LogLevel::Info,
+           "member",
+           { { "event", kTimelineNames[static_cast<std::size_t>(aRecord.kind_)] },
+             { "daemon_concerned", aRecord.object_ },
+             { "reason", aRecord.text_ } });
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/observe/request_log.h
@@ -0,0 +1,21 @@
+/** Log lines of the gateway's decisions. */
+#pragma once
+
+#include "gateway/gateway_type.h"
+#include "machine/timeline_type.h"
+
+namespace camphorfield {
+
+/** Writes how a request ended; one that went well only at level debug. */
+void
+LogRequest(const RequestRecord& aRecord);
+
+/** Writes a change of what is believed of a server. */
+void
+LogBackend(const BackendRecord& aRecord);
+
+/** Writes a change of what is believed of another daemon. */
+void
+LogMembership(const TimelineRecord& aRecord);
+
+} // namespace camphorfield
--- a/src/route/route_base.h
+++ b/src/route/route_base.h
@@ -3,7 +3,7 @@
 
 #include "core/rng_type.h"
 #include "machine/decision_type.h"
-#include "route/pool.h"
+#include "core/pool.h"
 #include "route/route_const.h"
 #include "route/route_type.h"
 #include "route/server_table.h"
--- a/src/route/timer_heap.h
+++ b/src/route/timer_heap.h
@@ -1,10 +1,9 @@
-/** Flat heap of timers. Outdated ones are dropped when they come up. */
+/** Timers of the route package. */
 #pragma once
 
-#include "core/time_type.h"
+#include "core/timer_heap.h"
 
 #include <cstdint>
-#include <vector>
 
 namespace camphorfield {
 
@@ -26,35 +25,7 @@
   End            ///< Number of kinds.
 };
 
-/** One timer. */
-struct Timer
-{
-  TimePoint at_;
-  std::uint64_t key_ = 0;
-  std::uint32_t part_ = 0;
-  TimerKind kind_ = TimerKind::Server;
-};
-
-/** Timers with the earliest in front. */
-struct TimerHeap
-{
-  std::vector<Timer> heap_;
-};
-
-/** Add a timer. */
-void
-AddTimer(TimerHeap& aHeap, const Timer& aTimer);
-
-/**
- * Take the earliest timer that is due.
- * @param aTimer Receives it.
- * @return False when none is due.
- */
-bool
-TakeDueTimer(TimerHeap& aHeap, TimePoint aNow, Timer& aTimer);
-
-/** Time of the earliest timer, or kNever. */
-TimePoint
-NextTimer(const TimerHeap& aHeap);
+using Timer = KindTimer<TimerKind>;
+using TimerHeap = KindTimerHeap<TimerKind>;
 
 } // namespace camphorfield
--- a/src/runtime/address_func.cpp
+++ b/src/runtime/address_func.cpp
@@ -13,6 +13,18 @@
 // arrived: the state of a device in between may be lost.
 constexpr int kUnacknowledgedMillis = 3000;
 
+// The same for a connection on which nothing is sent: probed after this many
+// seconds of silence, then each second, and given up after so many probes.
+constexpr int kProbeAfterSeconds = 2;
+constexpr int kProbeEverySeconds = 1;
+constexpr int kProbes = 2;
+
+void
+SetSocketOption(int aSocket, int aLevel, int aOption, int aValue)
+{
+  setsockopt(aSocket, aLevel, aOption, &aValue, sizeof(aValue));
+}
+
 absl::Status
 AddressError(std::string_view aText)
 {
@@ -74,12 +86,12 @@
 {
   boost::system::error_code ignored;
   aSocket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-  const int timeout = kUnacknowledgedMillis;
-  setsockopt(aSocket.native_handle(),
-             IPPROTO_TCP,
-             TCP_USER_TIMEOUT,
-             &timeout,
-             sizeof(timeout));
+  const int handle = aSocket.native_handle();
+  SetSocketOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMillis);
+  SetSocketOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetSocketOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterSeconds);
+  SetSocketOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, kProbeEverySeconds);
+  SetSocketOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
 }
 
 } // namespace camphorfield
--- /dev/null
+++ b/src/runtime/backend_link.cpp
@@ -0,0 +1,316 @@
+#include "runtime/backend_link.h"
+
+#include "runtime/address_func.h"
+#include "runtime/http_beast.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+
+namespace camphorfield {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 4096;
+constexpr std::uint64_t kMaxAnswerBytes = 4ULL * 1024 * 1024;
+constexpr std::uint32_t kMaxHeaderBytes = 16U * 1024;
+constexpr std::uint32_t kFirstFinalStatus = 200;
+
+BackendEnd
+EndOfConnect(const boost::system::error_code& aError)
+{
+  return aError == boost::asio::error::connection_refused
+           ? BackendEnd::Refused
+           : BackendEnd::TimedOut;
+}
+
+} // namespace
+
+/** One connection. A read is always pending, so that its end is noticed. */
+class BackendLink : public std::enable_shared_from_this<BackendLink>
+{
+public:
+  BackendLink(BackendLinks& aOwner, std::uint64_t aId)
+    : owner_(aOwner)
+    , id_(aId)
+    , socket_(aOwner.context_)
+    , timer_(aOwner.context_)
+  {
+  }
+
+  void Connect(const BackendConnect& aConnect);
+  void Send(std::string aText);
+  void Shut();
+
+private:
+  using Parser = http::response_parser<http::string_body>;
+
+  void OnConnected(const boost::system::error_code& aError);
+  void Read();
+  void OnRead(const boost::system::error_code& aError, std::size_t aBytes);
+  void Parse();
+  void EndParse(const boost::system::error_code& aError);
+  void Deliver(bool aEnded);
+  void Fail(BackendEnd aEnd);
+  void WriteRest(std::size_t aWritten);
+  bool HasBegun() const { return parser_ && parser_->got_some(); }
+
+  BackendLinks& owner_;
+  std::uint64_t id_;
+  tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  std::string out_;
+  bool writing_ = false;
+  bool shut_ = false;
+};
+
+void
+BackendLink::Connect(const BackendConnect& aConnect)
+{
+  const auto endpoint = ParseAddress(aConnect.address_);
+  if (!endpoint.ok()) {
+    boost::asio::post(owner_.context_, [self = shared_from_this()]() {
+      self->Fail(BackendEnd::Refused);
+    });
+    return;
+  }
+  timer_.expires_after(aConnect.timeout_);
+  timer_.async_wait(
+    [self = shared_from_this()](const boost::system::error_code& aError) {
+      if (!aError) {
+        self->Fail(BackendEnd::TimedOut);
+      }
+    });
+  socket_.async_connect(
+    *endpoint,
+    [self = shared_from_this()](const boost::system::error_code& aError) {
+      self->OnConnected(aError);
+    });
+}
+
+void
+BackendLink::OnConnected(const boost::system::error_code& aError)
+{
+  if (shut_) {
+    return;
+  }
+  timer_.cancel();
+  if (aError) {
+    Fail(EndOfConnect(aError));
+    return;
+  }
+  TuneSocket(socket_);
+  boost::system::error_code ignored;
+  socket_.non_blocking(true, ignored);
+  Read();
+  owner_.sink_.opened_(BackendOpened{ ConnectionId{ id_ } });
+}
+
+// The socket's buffer nearly always takes the whole request at once.
+void
+BackendLink::Send(std::string aText)
+{
+  out_ = std::move(aText);
+  boost::system::error_code error;
+  const std::size_t written =
+    socket_.write_some(boost::asio::buffer(out_), error);
+  if (written < out_.size()) {
+    WriteRest(error ? 0 : written);
+  }
+}
+
+void
+BackendLink::WriteRest(std::size_t aWritten)
+{
+  writing_ = true;
+  boost::asio::async_write(
+    socket_,
+    boost::asio::buffer(out_) + aWritten,
+    [self = shared_from_this()](const boost::system::error_code& aError,
+                                std::size_t) {
+      self->writing_ = false;
+      if (aError && !self->shut_) {
+        self->Fail(BackendEnd::Reset);
+      }
+    });
+}
+
+void
+BackendLink::Shut()
+{
+  shut_ = true;
+  timer_.cancel();
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
+void
+BackendLink::Fail(BackendEnd aEnd)
+{
+  if (shut_) {
+    return;
+  }
+  const bool begun = HasBegun();
+  Shut();
+  owner_.Close(id_, aEnd, begun);
+}
+
+void
+BackendLink::Read()
+{
+  socket_.async_read_some(
+    buffer_.prepare(kReadBytes),
+    [self = shared_from_this()](const boost::system::error_code& aError,
+                                std::size_t aBytes) {
+      self->OnRead(aError, aBytes);
+    });
+}
+
+void
+BackendLink::OnRead(const boost::system::error_code& aError,
+                    std::size_t aBytes)
+{
+  if (shut_) {
+    return;
+  }
+  if (aError) {
+    EndParse(aError);
+    return;
+  }
+  buffer_.commit(aBytes);
+  Parse();
+  if (!shut_) {
+    Read();
+  }
+}
+
+// Bytes behind a whole answer are parsed as one more: a server that answers
+// twice is told apart by the id of the request.
+void
+BackendLink::Parse()
+{
+  while (buffer_.size() > 0 && !shut_) {
+    if (!parser_) {
+      parser_.emplace();
+      parser_->eager(true);
+      parser_->body_limit(kMaxAnswerBytes);
+      parser_->header_limit(kMaxHeaderBytes);
+    }
+    boost::system::error_code error;
+    buffer_.consume(parser_->put(buffer_.data(), error));
+    if (error == http::error::need_more) {
+      return;
+    }
+    if (error) {
+      Fail(BackendEnd::Malformed);
+      return;
+    }
+    if (!parser_->is_done()) {
+      return;
+    }
+    Deliver(false);
+  }
+}
+
+// An answer without a length is whole only if its connection ends in order.
+void
+BackendLink::EndParse(const boost::system::error_code& aError)
+{
+  const bool inOrder = aError == boost::asio::error::eof;
+  if (inOrder && HasBegun() && parser_->is_header_done() &&
+      parser_->need_eof()) {
+    boost::system::error_code error;
+    parser_->put_eof(error);
+    if (!error && parser_->is_done()) {
+      Deliver(true);
+      return;
+    }
+  }
+  Fail(inOrder ? BackendEnd::Closed : BackendEnd::Reset);
+}
+
+void
+BackendLink::Deliver(bool aEnded)
+{
+  http::response<http::string_body> message = parser_->release();
+  parser_.reset();
+  if (message.result_int() < kFirstFinalStatus) {
+    return;
+  }
+  HttpResponse response;
+  response.status_ = message.result_int();
+  // A server that answers before it has the whole request goes on to read
+  // the rest of it, which must not be another request.
+  response.close_ = aEnded || writing_ || !message.keep_alive();
+  CopyFields(message.base(), response.fields_);
+  response.body_ = std::move(message.body());
+  BackendAnswer answer = owner_.codec_.decodeAnswer_(std::move(response));
+  answer.connection_ = ConnectionId{ id_ };
+  owner_.sink_.answered_(std::move(answer));
+  if (aEnded) {
+    Fail(BackendEnd::Closed);
+  }
+}
+
+BackendLinks::BackendLinks(boost::asio::io_context& aContext,
+                           const GatewayCodec& aCodec,
+                           BackendSink aSink)
+  : context_(aContext)
+  , codec_(aCodec)
+  , sink_(std::move(aSink))
+{
+}
+
+BackendLinks::~BackendLinks() = default;
+
+void
+BackendLinks::Connect(const BackendConnect& aConnect)
+{
+  const std::uint64_t id = aConnect.connection_.value_;
+  const auto link = std::make_shared<BackendLink>(*this, id);
+  links_[id] = link;
+  link->Connect(aConnect);
+}
+
+void
+BackendLinks::Send(const BackendSend& aSend)
+{
+  const auto found = links_.find(aSend.connection_.value_);
+  if (found != links_.end()) {
+    found->second->Send(codec_.encodeSend_(aSend));
+  }
+}
+
+void
+BackendLinks::Disconnect(const BackendDisconnect& aDisconnect)
+{
+  const auto found = links_.find(aDisconnect.connection_.value_);
+  if (found != links_.end()) {
+    const std::shared_ptr<BackendLink> link = found->second;
+    links_.erase(found);
+    link->Shut();
+  }
+}
+
+void
+BackendLinks::Close(std::uint64_t aId, BackendEnd aEnd, bool aAnswerBegun)
+{
+  if (links_.erase(aId) > 0) {
+    sink_.closed_(BackendClosed{ ConnectionId{ aId }, aEnd, aAnswerBegun });
+  }
+}
+
+} // namespace camphorfield
--- a/src/runtime/clock.cpp
+++ b/src/runtime/clock.cpp
@@ -1,7 +1,23 @@
 #include "runtime/clock.h"
 
+#include <ctime>
+
 namespace camphorfield {
 
+namespace {
+
+Duration
+ReadSystemClock(clockid_t aClock)
+{
+  timespec time{};
+  clock_gettime(aClock, &time);
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::seconds(time.tv_sec) +
+    std::chrono::nanoseconds(time.tv_nsec));
+}
+
+} // namespace
+
 Now
 ReadClock()
 {
@@ -15,6 +31,12 @@
   return now;
 }
 
+Duration
+ReadSuspension()
+{
+  return ReadSystemClock(CLOCK_BOOTTIME) - ReadSystemClock(CLOCK_MONOTONIC);
+}
+
 std::chrono::steady_clock::time_point
 ToSteady(TimePoint aTime)
 {
--- a/src/runtime/clock.h
+++ b/src/runtime/clock.h
@@ -11,6 +11,11 @@
 Now
 ReadClock();
 
+/** Time in which the machine has been suspended since it started; the clock of
+ * the runtime doesn't count it. */
+Duration
+ReadSuspension();
+
 /** Time of the standard steady clock that equals a time of ours. */
 std::chrono::steady_clock::time_point
 ToSteady(TimePoint aTime);
--- /dev/null
+++ b/src/runtime/gateway_host.cpp
@@ -0,0 +1,543 @@
+#include "runtime/gateway_host.h"
+
+#include "discovery/tables_json.h"
+#include "gateway/directory.h"
+#include "gateway/gateway_func.h"
+#include "membership/membership_func.h"
+#include "observe/log.h"
+#include "observe/request_log.h"
+#include "peer/peer_codec.h"
+#include "runtime/clock.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr std::size_t kConfigTable = 0;
+constexpr std::size_t kServersTable = 1;
+constexpr Duration kCareEvery = std::chrono::milliseconds(250);
+/** Peers are asked for tables that often while the store doesn't answer. */
+constexpr Duration kPeerAskEvery = std::chrono::milliseconds(400);
+/** Not before the store has failed for so long. */
+constexpr Duration kPeerAskAfter = std::chrono::milliseconds(200);
+/** The largest fleet of this time shares budgets and connections: a daemon
+ * that is cut off, or restarts, must not take the shares of the others. */
+constexpr Duration kCountMemory = std::chrono::seconds(15);
+/** Daemons assumed until others have been heard of. */
+constexpr std::uint32_t kDaemonsUnknown = 8;
+constexpr Duration kUnknownFor = std::chrono::seconds(5);
+/** A VM that stood still for longer must read everything anew. */
+constexpr Duration kSuspensionNoticed = std::chrono::milliseconds(500);
+
+} // namespace
+
+GatewayHost::GatewayHost(const GatewayHostSettings& aSettings,
+                         const GatewayAdapter& aAdapter,
+                         WorkerPool& aPool)
+  : settings_(aSettings)
+  , adapter_(aAdapter)
+  , pool_(aPool)
+  , rng_(aSettings.seed_)
+  , gateway_(MakeGatewayState(aSettings.gateway_))
+  , membership_(MakeMembershipState(aSettings.membership_, ReadClock(), rng_))
+  , backends_(aPool.At(0).Context(),
+              adapter_.gateway_,
+              BackendSink{
+                [this](const BackendOpened& aItem) { Step(aItem); },
+                [this](BackendAnswer&& aItem) { Step(std::move(aItem)); },
+                [this](const BackendClosed& aItem) { Step(aItem); } })
+  , peers_(
+      aPool,
+      [this](const Event& aEvent) {
+        if (const auto* lost = std::get_if<PeerUnreachable>(&aEvent)) {
+          StepMembership(*lost);
+        }
+      },
+      [this](const std::string& aPayload) { OnFrame(aPayload); })
+  , store_(aPool.At(0),
+           adapter_.store_,
+           aSettings.storeAddress_,
+           { aSettings.configKind_, aSettings.serversKind_ },
+           [this](std::size_t aTable, const TableChange& aChange) {
+             OnTable(aTable, aChange);
+           })
+  , timer_(aPool.At(0).Context())
+  , members_(MembershipMembers(membership_))
+  , suspended_(ReadSuspension())
+{
+  daemonCounts_[ReadClock().mono_ + kUnknownFor - kCountMemory] =
+    kDaemonsUnknown;
+  GatewaySetDaemons(gateway_, kDaemonsUnknown);
+}
+
+absl::Status
+GatewayHost::Start()
+{
+  absl::Status status = peers_.Listen(settings_.membership_.self_.peerAddress_);
+  if (!status.ok()) {
+    return status;
+  }
+  pool_.At(0).Post([this]() {
+    store_.Start();
+    OnTimer();
+  });
+  return absl::OkStatus();
+}
+
+void
+GatewayHost::OnLimits(std::function<void(const GatewayLimits&)> aHandler)
+{
+  onLimits_ = std::move(aHandler);
+}
+
+template<typename Item>
+void
+GatewayHost::Step(Item&& aItem)
+{
+  GatewayOnEvent(gateway_,
+                 std::forward<Item>(aItem),
+                 ReadClock(),
+                 rng_,
+                 decisions_);
+  Carry();
+}
+
+template<typename Item>
+void
+GatewayHost::StepMembership(const Item& aItem)
+{
+  MembershipOnEvent(membership_, aItem, ReadClock(), rng_, memberDecisions_);
+  CarryMembership();
+  Arm();
+}
+
+// Drivers never call back from within a call, so the list doesn't grow while
+// it is carried out.
+void
+GatewayHost::Carry()
+{
+  for (GatewayDecision& decision : decisions_) {
+    Carry(decision);
+  }
+  decisions_.clear();
+  Arm();
+}
+
+void
+GatewayHost::Carry(GatewayDecision& aDecision)
+{
+  std::visit(
+    [this](auto& aItem) {
+      using Item = std::decay_t<decltype(aItem)>;
+      if constexpr (std::is_same_v<Item, ProxyAnswer>) {
+        const CallerRequestId id = aItem.id_;
+        Fulfil(id, std::move(aItem));
+      } else if constexpr (std::is_same_v<Item, BackendConnect>) {
+        backends_.Connect(aItem);
+      } else if constexpr (std::is_same_v<Item, BackendSend>) {
+        backends_.Send(aItem);
+      } else if constexpr (std::is_same_v<Item, BackendDisconnect>) {
+        backends_.Disconnect(aItem);
+      } else if constexpr (std::is_same_v<Item, SuspectFound>) {
+        QuarantineRumor rumor;
+        rumor.fingerprint_ = Fingerprint{ aItem.fingerprint_ };
+        rumor.crashes_ = aItem.crashes_;
+        rumor.untilUnixMicros_ =
+          ReadClock().unixMicros_ + Duration(std::chrono::minutes(1)).count();
+        StepMembership(SpreadRumor{ rumor });
+      } else if constexpr (std::is_same_v<Item, RequestRecord>) {
+        LogRequest(aItem);
+      } else if constexpr (std::is_same_v<Item, BackendRecord>) {
+        LogBackend(aItem);
+      }
+    },
+    aDecision);
+}
+
+void
+GatewayHost::CarryMembership()
+{
+  const Decisions decisions = std::exchange(memberDecisions_, {});
+  for (const Decision& decision : decisions) {
+    if (const auto* send = std::get_if<SendPeer>(&decision)) {
+      SendToPeer(*send);
+    } else if (const auto* changed = std::get_if<MembersChanged>(&decision)) {
+      members_ = changed->members_;
+      OnMembers(*members_);
+    } else if (const auto* heard = std::get_if<RumorHeard>(&decision)) {
+      const auto* rumor = std::get_if<QuarantineRumor>(&heard->rumor_);
+      if (rumor != nullptr) {
+        GatewayHearSuspect(gateway_,
+                           rumor->fingerprint_.value_,
+                           rumor->crashes_,
+                           ReadClock());
+      }
+    } else if (const auto* event = std::get_if<TimelineRecord>(&decision)) {
+      LogMembership(*event);
+    }
+  }
+}
+
+void
+GatewayHost::SendToPeer(const SendPeer& aSend)
+{
+  PeerMessage message;
+  message.from_ = membership_.self_.id_;
+  message.fromIncarnation_ = settings_.membership_.self_.incarnation_;
+  message.sent_ = HybridTime{ ReadClock().unixMicros_, 0 };
+  message.body_ = aSend.body_;
+  peers_.Send(PeerFrame{
+    aSend.to_, aSend.address_, aSend.call_, EncodePeerMessage(message) });
+}
+
+void
+GatewayHost::OnFrame(const std::string& aPayload)
+{
+  const absl::StatusOr<PeerMessage> message = DecodePeerMessage(aPayload);
+  if (!message.ok()) {
+    WriteLog(LogLevel::Warning,
+             "peer frame refused",
+             { { "reason", std::string(message.status().message()) } });
+    return;
+  }
+  if (std::holds_alternative<GenerationAsk>(message->body_)) {
+    AnswerTables(*message);
+    return;
+  }
+  if (const auto* content = std::get_if<GenerationContent>(&message->body_)) {
+    TakeTables(content->content_);
+    return;
+  }
+  StepMembership(*message);
+}
+
+void
+GatewayHost::OnMembers(const std::vector<MemberRecord>& aMembers)
+{
+  const TimePoint now = ReadClock().mono_;
+  daemonCounts_[now] = static_cast<std::uint32_t>(aMembers.size());
+  for (const MemberRecord& member : aMembers) {
+    newestHeard_ = std::max(newestHeard_, member.generation_.value_);
+  }
+}
+
+void
+GatewayHost::OnTable(std::size_t aTable, const TableChange& aChange)
+{
+  const char* kind = aTable == kConfigTable ? "config" : "servers";
+  if (aChange.lost_) {
+    WriteLog(LogLevel::Warning, "store lost", { { "kind", kind } });
+  }
+  if (aChange.regained_) {
+    WriteLog(LogLevel::Info, "store regained", { { "kind", kind } });
+  }
+  if (aChange.changed_) {
+    AdoptTables(aTable);
+  }
+  Arm();
+}
+
+void
+GatewayHost::AdoptTables(std::size_t aTable)
+{
+  if (!store_.Table(aTable).complete_) {
+    return;
+  }
+  if (aTable == kConfigTable) {
+    AdoptConfig();
+  } else {
+    AdoptServers();
+  }
+  MembershipSetReady(membership_, IsReady());
+}
+
+void
+GatewayHost::AdoptConfig()
+{
+  const TableSync& table = store_.Table(kConfigTable);
+  const auto found = table.objects_.find(settings_.configName_);
+  if (found == table.objects_.end()) {
+    return;
+  }
+  const auto config = adapter_.decodeConfig_(found->second.text_);
+  if (!config.ok()) {
+    WriteLog(LogLevel::Error,
+             "configuration refused",
+             { { "reason", std::string(config.status().message()) },
+               { "revision", std::to_string(found->second.revision_) } });
+    return;
+  }
+  const std::uint64_t version = (*config)->version_;
+  if (!GatewayAdoptConfig(gateway_, *config, ReadClock(), rng_, decisions_)) {
+    return;
+  }
+  WriteLog(LogLevel::Info,
+           "configuration in force",
+           { { "version", std::to_string(version) },
+             { "revision", std::to_string(found->second.revision_) },
+             { "routes", std::to_string((*config)->routes_.size()) } });
+  Carry();
+  if (onLimits_) {
+    onLimits_((*config)->limits_);
+  }
+  auto published = std::make_shared<PublishedConfig>();
+  published->generation_ = Generation{ version };
+  StepMembership(ConfigAdopted{ std::move(published) });
+}
+
+void
+GatewayHost::AdoptServers()
+{
+  const TableSync& table = store_.Table(kServersTable);
+  std::erase_if(entries_, [&table](const auto& aItem) {
+    return table.objects_.count(aItem.first) == 0;
+  });
+  std::vector<BackendEntry> servers;
+  for (const auto& [name, object] : table.objects_) {
+    auto& [revision, entry] = entries_[name];
+    if (revision != object.revision_) {
+      auto decoded = adapter_.decodeServer_(name, object.text_);
+      revision = object.revision_;
+      if (!decoded.ok()) {
+        entry = BackendEntry{};
+        WriteLog(LogLevel::Warning,
+                 "server entry ignored",
+                 { { "server", name },
+                   { "reason", std::string(decoded.status().message()) } });
+      } else {
+        entry = *std::move(decoded);
+      }
+    }
+    if (!entry.id_.empty()) {
+      servers.push_back(entry);
+    }
+  }
+  GatewayAdoptServers(gateway_, servers, ReadClock(), rng_, decisions_);
+  Carry();
+}
+
+// Only what the store itself has told is handed on.
+void
+GatewayHost::AnswerTables(const PeerMessage& aMessage)
+{
+  const auto& ask = std::get<GenerationAsk>(aMessage.body_);
+  const TableSync& config = store_.Table(kConfigTable);
+  const TableSync& servers = store_.Table(kServersTable);
+  const bool newer = config.revision_ > ask.generation_.value_ ||
+                     servers.revision_ > ask.base_.value_;
+  const auto sender =
+    std::find_if(members_->begin(),
+                 members_->end(),
+                 [&aMessage](const MemberRecord& aMember) {
+                   return aMember.id_ == aMessage.from_;
+                 });
+  if (!newer || !config.watching_ || !servers.watching_ ||
+      sender == members_->end()) {
+    return;
+  }
+  GenerationContent content;
+  content.call_ = ask.call_;
+  content.generation_ = Generation{ std::max<std::uint64_t>(
+    config.revision_, 1) };
+  content.content_ =
+    EncodeTables({ GetContent(config), GetContent(servers) });
+  SendToPeer(SendPeer{
+    sender->id_, sender->peerAddress_, std::move(content), PeerCallId{} });
+}
+
+void
+GatewayHost::TakeTables(const std::string& aContent)
+{
+  auto tables = DecodeTables(aContent);
+  if (!tables.ok()) {
+    WriteLog(LogLevel::Warning,
+             "tables of a peer refused",
+             { { "reason", std::string(tables.status().message()) } });
+    return;
+  }
+  for (TableContent& content : *tables) {
+    const std::size_t number =
+      content.kind_ == settings_.configKind_ ? kConfigTable : kServersTable;
+    TableSync& table = store_.Table(number);
+    const bool behind = number == kConfigTable ||
+                        table.failures_ > 0 || !table.complete_;
+    if (behind && ImportTable(
+                    table, std::move(content.objects_), content.revision_)) {
+      WriteLog(LogLevel::Info,
+               "table taken from a peer",
+               { { "kind", content.kind_ },
+                 { "revision", std::to_string(content.revision_) } });
+      AdoptTables(number);
+    }
+  }
+}
+
+void
+GatewayHost::AskPeerForTables()
+{
+  const Now now = ReadClock();
+  const TableSync& config = store_.Table(kConfigTable);
+  const TableSync& servers = store_.Table(kServersTable);
+  const std::uint64_t version =
+    gateway_.config_ == nullptr ? 0 : gateway_.config_->version_;
+  const auto failing = [&now](const TableSync& aTable) {
+    return aTable.failures_ > 0 &&
+           now.mono_ - aTable.failingSince_ > kPeerAskAfter;
+  };
+  const bool wanted =
+    failing(config) || failing(servers) || newestHeard_ > version;
+  if (!wanted || now.mono_ < nextPeerAsk_) {
+    return;
+  }
+  nextPeerAsk_ = now.mono_ + kPeerAskEvery;
+  std::vector<const MemberRecord*> peers;
+  for (const MemberRecord& member : *members_) {
+    if (member.id_ != membership_.self_.id_ &&
+        member.state_ == MemberState::Alive && member.ready_) {
+      peers.push_back(&member);
+    }
+  }
+  if (peers.empty()) {
+    return;
+  }
+  const MemberRecord& peer = *peers[rng_() % peers.size()];
+  GenerationAsk ask;
+  ask.call_ = PeerCallId{ 1 };
+  ask.generation_ = Generation{ config.revision_ };
+  ask.base_ = Generation{ servers.revision_ };
+  SendToPeer(SendPeer{ peer.id_, peer.peerAddress_, ask, PeerCallId{} });
+}
+
+// The steady clock stands still while the VM does, so that deadlines and
+// watches look younger than they are.
+void
+GatewayHost::CheckSuspension()
+{
+  const Duration suspended = ReadSuspension();
+  if (suspended - suspended_ > kSuspensionNoticed) {
+    WriteLog(LogLevel::Warning,
+             "the VM stood still",
+             { { "millis",
+                 std::to_string((suspended - suspended_).count() / 1000) } });
+    store_.Restart();
+  }
+  suspended_ = suspended;
+}
+
+ProxyAnswer
+GatewayHost::Ask(
+  ProxyRequest aRequest,
+  const std::function<void(std::function<void()>)>& aWatchGone)
+{
+  const CallerRequestId id{ nextRequest_++ };
+  aRequest.id_ = id;
+  Promise promise;
+  boost::fibers::future<ProxyAnswer> future = promise.get_future();
+  pending_.emplace(id, &promise);
+  Step(aRequest);
+  if (pending_.count(id) > 0) {
+    aWatchGone([this, id]() { Abandon(id); });
+  }
+  return future.get();
+}
+
+// The entry goes first: a second answer, after an Abandon, finds none.
+void
+GatewayHost::Fulfil(CallerRequestId aId, ProxyAnswer&& aAnswer)
+{
+  const auto found = pending_.find(aId);
+  if (found == pending_.end()) {
+    return;
+  }
+  Promise* promise = found->second;
+  pending_.erase(found);
+  promise->set_value(std::move(aAnswer));
+}
+
+void
+GatewayHost::Abandon(CallerRequestId aId)
+{
+  Step(CallerGone{ aId });
+  ProxyAnswer nothing;
+  nothing.id_ = aId;
+  Fulfil(aId, std::move(nothing));
+}
+
+EntriesAnswer
+GatewayHost::ListEntries() const
+{
+  return ListFronts(*members_);
+}
+
+bool
+GatewayHost::IsReady() const
+{
+  return !stopping_ && gateway_.config_ != nullptr &&
+         !gateway_.backendOf_.empty();
+}
+
+void
+GatewayHost::BeginStop()
+{
+  stopping_ = true;
+  MembershipSetReady(membership_, false);
+  StepMembership(StopAsked{ "signal" });
+}
+
+std::size_t
+GatewayHost::InFlight() const
+{
+  return GatewayInFlight(gateway_);
+}
+
+void
+GatewayHost::Arm()
+{
+  const TimePoint wake = std::min({ GatewayNextWake(gateway_),
+                                    MembershipNextWake(membership_),
+                                    nextCare_ });
+  if (wake >= armed_) {
+    return;
+  }
+  armed_ = wake;
+  timer_.expires_at(ToSteady(wake));
+  timer_.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      OnTimer();
+    }
+  });
+}
+
+void
+GatewayHost::OnTimer()
+{
+  armed_ = kNever;
+  const TimePoint now = ReadClock().mono_;
+  if (now >= nextCare_) {
+    nextCare_ = now + kCareEvery;
+    CheckSuspension();
+    AskPeerForTables();
+    if (DropLapsed(store_.Table(kServersTable), now).changed_) {
+      AdoptTables(kServersTable);
+    }
+    std::erase_if(daemonCounts_, [this, now](const auto& aItem) {
+      return aItem.first + kCountMemory < now && daemonCounts_.size() > 1;
+    });
+    std::uint32_t daemons = 1;
+    for (const auto& [at, count] : daemonCounts_) {
+      daemons = std::max(daemons, count);
+    }
+    GatewaySetDaemons(gateway_, daemons);
+  }
+  if (now >= MembershipNextWake(membership_)) {
+    StepMembership(Tick{});
+  }
+  Step(Tick{});
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/runtime/gateway_host.h
@@ -0,0 +1,133 @@
+/** Carries events into the gateway's decision core and decisions out of it. */
+#pragma once
+
+#include "discovery/table_sync.h"
+#include "gateway/gateway_base.h"
+#include "machine/decision_type.h"
+#include "membership/membership_base.h"
+#include "runtime/backend_link.h"
+#include "runtime/peer_link.h"
+#include "runtime/store_reader.h"
+#include "runtime/worker.h"
+
+#include <absl/status/statusor.h>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/fiber/future.hpp>
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace camphorfield {
+
+/** Settings of a gateway's host. */
+struct GatewayHostSettings
+{
+  MembershipSettings membership_; ///< self_ with name, addresses and domain.
+  GatewaySettings gateway_;
+  std::string storeAddress_; ///< "IP:port" of the platform's store.
+  std::string configKind_;   ///< Kind of the configuration's object.
+  std::string configName_;   ///< Name of the configuration's object.
+  std::string serversKind_;  ///< Kind of the servers' entries.
+  std::uint64_t seed_ = 0;   ///< Seed of the random numbers.
+};
+
+/** Functions of the adapter. */
+struct GatewayAdapter
+{
+  GatewayCodec gateway_;
+  StoreCodec store_;
+  absl::StatusOr<SharedGatewayConfig> (*decodeConfig_)(
+    const std::string& aText);
+  absl::StatusOr<BackendEntry> (*decodeServer_)(const std::string& aId,
+                                                const std::string& aText);
+};
+
+/**
+ * One gateway's host. Everything runs on one worker's thread, so it has no
+ * locks; calls from elsewhere are posted there.
+ */
+class GatewayHost
+{
+public:
+  GatewayHost(const GatewayHostSettings& aSettings,
+              const GatewayAdapter& aAdapter,
+              WorkerPool& aPool);
+
+  /** Begins to accept peers and to read the store. */
+  absl::Status Start();
+
+  /** Called on each new configuration's limits. */
+  void OnLimits(std::function<void(const GatewayLimits&)> aHandler);
+
+  /** Hands in a request and waits for its answer; suspends the fiber. */
+  ProxyAnswer Ask(ProxyRequest aRequest,
+                  const std::function<void(std::function<void()>)>& aWatchGone);
+
+  /** Addresses for callers that ask where to connect. */
+  EntriesAnswer ListEntries() const;
+
+  /** Whether callers may be sent here. */
+  bool IsReady() const;
+
+  /** Tells the others that this daemon is about to stop. */
+  void BeginStop();
+
+  std::size_t InFlight() const;
+  const GatewayState& State() const { return gateway_; }
+  std::uint64_t StoreCalls() const { return store_.Calls(); }
+
+private:
+  using Promise = boost::fibers::promise<ProxyAnswer>;
+
+  template<typename Item>
+  void Step(Item&& aItem);
+  template<typename Item>
+  void StepMembership(const Item& aItem);
+  void Carry();
+  void Carry(GatewayDecision& aDecision);
+  void CarryMembership();
+  void SendToPeer(const SendPeer& aSend);
+  void OnFrame(const std::string& aPayload);
+  void OnMembers(const std::vector<MemberRecord>& aMembers);
+  void OnTable(std::size_t aTable, const TableChange& aChange);
+  void AdoptTables(std::size_t aTable);
+  void AdoptConfig();
+  void AdoptServers();
+  void AnswerTables(const PeerMessage& aMessage);
+  void TakeTables(const std::string& aContent);
+  void AskPeerForTables();
+  void CheckSuspension();
+  void Fulfil(CallerRequestId aId, ProxyAnswer&& aAnswer);
+  void Abandon(CallerRequestId aId);
+  void Arm();
+  void OnTimer();
+
+  GatewayHostSettings settings_;
+  GatewayAdapter adapter_;
+  WorkerPool& pool_;
+  Rng rng_;
+  GatewayState gateway_;
+  MembershipState membership_;
+  BackendLinks backends_;
+  PeerLinks peers_;
+  StoreReader store_;
+  boost::asio::steady_timer timer_;
+  TimePoint armed_ = kNever;
+  TimePoint nextCare_{};
+  TimePoint nextPeerAsk_{};
+  std::function<void(const GatewayLimits&)> onLimits_;
+  std::unordered_map<CallerRequestId, Promise*> pending_;
+  std::uint64_t nextRequest_ = 1;
+  GatewayDecisions decisions_;
+  Decisions memberDecisions_;
+  std::shared_ptr<const std::vector<MemberRecord>> members_;
+  std::uint64_t newestHeard_ = 0; ///< Newest configuration of any member.
+  std::map<std::string, std::pair<std::uint64_t, BackendEntry>> entries_;
+  std::map<TimePoint, std::uint32_t> daemonCounts_; ///< Recent ones.
+  Duration suspended_{}; ///< Time in which the VM stood still, in total.
+  bool stopping_ = false;
+};
+
+} // namespace camphorfield
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <atomic>
 #include <boost/fiber/operations.hpp>
 #include <optional>
 #include <sstream>
@@ -29,13 +30,13 @@
                   HttpServerLimits aLimits,
                   HttpHandler aHandler)
     : pool_(aPool)
-    , limits_(aLimits)
+    , limits_(std::make_shared<const HttpServerLimits>(aLimits))
     , handler_(std::move(aHandler))
   {
   }
 
   WorkerPool& pool_;
-  HttpServerLimits limits_;
+  std::atomic<std::shared_ptr<const HttpServerLimits>> limits_;
   HttpHandler handler_;
   std::optional<tcp::acceptor> acceptor_;
   tcp::endpoint local_;
@@ -45,7 +46,7 @@
 
 namespace {
 
-constexpr std::uint32_t kMaxHeaderBytes = 16U * 1024;
+constexpr std::size_t kReadBytes = 4096;
 constexpr auto kAcceptPause = std::chrono::milliseconds(20);
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
 
@@ -70,6 +71,7 @@
   Session& operator=(const Session&) = delete;
 
   std::uint32_t WorkerIndex() const override { return worker_; }
+  std::string PeerIp() const override;
   void WatchGone(std::function<void()> aOnGone) override;
 
   /** Serves requests until the connection ends. */
@@ -77,6 +79,7 @@
 
 private:
   bool ServeOne();
+  bool AwaitRequest(const HttpServerLimits& aLimits);
   bool Answer(const HttpResponse& aResponse, bool aKeepAlive);
   bool RefuseMalformed(const boost::system::error_code& aError);
 
@@ -115,6 +118,14 @@
   stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
+std::string
+Session::PeerIp() const
+{
+  boost::system::error_code error;
+  const tcp::endpoint peer = stream_.socket().remote_endpoint(error);
+  return error ? std::string() : peer.address().to_string();
+}
+
 bool
 Session::RefuseMalformed(const boost::system::error_code& aError)
 {
@@ -140,13 +151,32 @@
   return false;
 }
 
+/** Waits for the first byte of a request; false when none comes. */
+bool
+Session::AwaitRequest(const HttpServerLimits& aLimits)
+{
+  if (buffer_.size() > 0) {
+    return true;
+  }
+  stream_.expires_after(aLimits.idleTimeout_);
+  const IoResult first = AwaitIo([&](auto aHandler) {
+    stream_.async_read_some(buffer_.prepare(kReadBytes), aHandler);
+  });
+  buffer_.commit(first.bytes_);
+  return !first.error_;
+}
+
 bool
 Session::ServeOne()
 {
+  const std::shared_ptr<const HttpServerLimits> limits = server_->limits_;
+  if (!AwaitRequest(*limits)) {
+    return false;
+  }
   Parser parser;
-  parser.body_limit(server_->limits_.maxBodyBytes_);
-  parser.header_limit(kMaxHeaderBytes);
-  stream_.expires_after(server_->limits_.requestTimeout_);
+  parser.body_limit(limits->maxBodyBytes_);
+  parser.header_limit(limits->maxHeaderBytes_);
+  stream_.expires_after(limits->requestTimeout_);
   const IoResult read = AwaitIo([&](auto aHandler) {
     http::async_read(stream_, buffer_, parser, aHandler);
   });
@@ -157,6 +187,7 @@
   Request message = parser.release();
   HttpRequest request;
   request.method_ = FromVerb(message.method());
+  request.methodText_ = std::string(message.method_string());
   request.target_ = std::string(message.target());
   CopyFields(message.base(), request.fields_);
   request.body_ = std::move(message.body());
@@ -173,7 +204,9 @@
   http::response<http::string_body> message;
   message.version(11);
   message.result(aResponse.status_);
-  SetFields(aResponse.fields_, message.base());
+  for (const HttpField& field : aResponse.fields_) {
+    message.insert(field.name_, field.value_);
+  }
   message.keep_alive(aKeepAlive);
   message.body() = aResponse.body_;
   message.prepare_payload();
@@ -204,7 +237,8 @@
     const IoResult accepted = AwaitIo([&](auto aHandler) {
       aServer->acceptor_->async_accept(socket, aHandler);
     });
-    if (accepted.error_ == boost::asio::error::operation_aborted) {
+    if (accepted.error_ == boost::asio::error::operation_aborted ||
+        !aServer->acceptor_->is_open()) {
       return;
     }
     if (accepted.error_) {
@@ -212,7 +246,7 @@
       boost::this_fiber::sleep_for(kAcceptPause);
       continue;
     }
-    if (aServer->sessions_ >= aServer->limits_.maxSessions_) {
+    if (aServer->sessions_ >= aServer->limits_.load()->maxSessions_) {
       continue;
     }
     StartSession(aServer, std::move(socket), worker);
@@ -250,6 +284,19 @@
   return text.str();
 }
 
+void
+HttpServer::SetLimits(const HttpServerLimits& aLimits)
+{
+  state_->limits_ = std::make_shared<const HttpServerLimits>(aLimits);
+}
+
+void
+HttpServer::StopAccepting()
+{
+  boost::system::error_code ignored;
+  state_->acceptor_->close(ignored);
+}
+
 void
 HttpServer::BeginClosing()
 {
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -17,11 +17,13 @@
 /** Bounds that protect the daemon from its clients. */
 struct HttpServerLimits
 {
+  std::uint32_t maxHeaderBytes_ = 16U * 1024;   ///< Larger headers: 431.
   std::uint64_t maxBodyBytes_ = 1024ULL * 1024; ///< Larger bodies: 413.
   std::uint32_t maxSessions_ = 4096;            ///< Further ones are closed.
-  Duration requestTimeout_ = std::chrono::seconds(60); ///< To receive one
-                                                       ///< request, idle
-                                                       ///< time included.
+  Duration idleTimeout_ = std::chrono::seconds(60); ///< Between requests.
+  Duration requestTimeout_ = std::chrono::seconds(60); ///< From the first
+                                                       ///< byte of a request
+                                                       ///< to its last.
 };
 
 /** Connection that a request came on. */
@@ -33,6 +35,9 @@
   /** Index of the worker that the session runs on. */
   virtual std::uint32_t WorkerIndex() const = 0;
 
+  /** IP number of the client. */
+  virtual std::string PeerIp() const = 0;
+
   /** Calls a function, at most once, if the client closes the connection
    * before the handler returns. */
   virtual void WatchGone(std::function<void()> aOnGone) = 0;
@@ -58,9 +63,15 @@
   /** Address that Listen has bound. */
   std::string LocalAddress() const;
 
+  /** Puts other limits in force, from each session's next request on. */
+  void SetLimits(const HttpServerLimits& aLimits);
+
   /** From now on each response ends its connection. */
   void BeginClosing();
 
+  /** Refuses new connections; call on the first worker's thread. */
+  void StopAccepting();
+
 private:
   std::shared_ptr<struct HttpServerState> state_;
 };
--- a/src/runtime/http_type.h
+++ b/src/runtime/http_type.h
@@ -30,6 +30,7 @@
 struct HttpRequest
 {
   HttpMethod method_ = HttpMethod::Get;
+  std::string methodText_;        ///< As received; not used when sending.
   std::string target_ = "/";      ///< Path with query string.
   std::vector<HttpField> fields_; ///< Header fields.
   std::string body_;
--- /dev/null
+++ b/src/runtime/store_reader.cpp
@@ -0,0 +1,133 @@
+#include "runtime/store_reader.h"
+
+#include "observe/log.h"
+#include "runtime/clock.h"
+
+#include <boost/fiber/operations.hpp>
+#include <random>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+constexpr Duration kLongestNap = std::chrono::milliseconds(200);
+
+/** One table and the connection that keeps it up to date. */
+struct TableReader
+{
+  TableSync table_;
+  std::unique_ptr<HttpClient> client_; ///< Null while there is none.
+};
+
+} // namespace
+
+/** Shared by the reader and its fibers. */
+struct StoreReaderState
+{
+  Worker& worker_;
+  StoreCodec codec_;
+  std::string address_;
+  TableHandler handler_;
+  std::vector<TableReader> readers_;
+  Rng rng_{ std::random_device{}() };
+  std::uint64_t calls_ = 0;
+};
+
+namespace {
+
+StoreReply
+Exchange(StoreReaderState& aState, TableReader& aReader, const StoreCall& aCall)
+{
+  HttpExchange exchange;
+  std::string fault;
+  ++aState.calls_;
+  if (aReader.client_ == nullptr) {
+    aReader.client_ = std::make_unique<HttpClient>(aState.worker_.Context());
+    exchange.end_ =
+      aReader.client_->Connect(aState.address_, kConnectTimeout);
+  }
+  if (exchange.end_ == HttpEnd::Ok) {
+    exchange = aReader.client_->Exchange(aState.codec_.encodeCall_(aCall),
+                                         aCall.timeout_);
+  }
+  StoreReply reply = aState.codec_.decodeReply_(aCall, exchange, fault);
+  if (exchange.end_ != HttpEnd::Ok || exchange.response_.close_) {
+    aReader.client_.reset();
+  }
+  if (!fault.empty() && aReader.table_.failures_ == 0) {
+    WriteLog(LogLevel::Warning,
+             "store call failed",
+             { { "kind", aCall.kind_ }, { "reason", fault } });
+  }
+  return reply;
+}
+
+void
+RunReader(const std::shared_ptr<StoreReaderState>& aState, std::size_t aTable)
+{
+  TableReader& reader = aState->readers_[aTable];
+  while (true) {
+    const TimePoint now = ReadClock().mono_;
+    const auto call = NextStoreCall(reader.table_, now);
+    if (!call) {
+      const Duration left = reader.table_.nextCallAt_ - now;
+      boost::this_fiber::sleep_for(std::min<Duration>(left, kLongestNap));
+      continue;
+    }
+    StoreReply reply = Exchange(*aState, reader, *call);
+    const TableChange change = TakeStoreReply(
+      reader.table_, std::move(reply), ReadClock().mono_, aState->rng_);
+    aState->handler_(aTable, change);
+  }
+}
+
+} // namespace
+
+StoreReader::StoreReader(Worker& aWorker,
+                         StoreCodec aCodec,
+                         std::string aAddress,
+                         const std::vector<std::string>& aKinds,
+                         TableHandler aHandler)
+  : state_(std::make_shared<StoreReaderState>(
+      StoreReaderState{ aWorker, aCodec, std::move(aAddress),
+                        std::move(aHandler), {} }))
+{
+  for (const std::string& kind : aKinds) {
+    state_->readers_.emplace_back();
+    state_->readers_.back().table_.kind_ = kind;
+  }
+}
+
+void
+StoreReader::Start()
+{
+  for (std::size_t i = 0; i < state_->readers_.size(); ++i) {
+    state_->worker_.Spawn([state = state_, i]() { RunReader(state, i); });
+  }
+}
+
+TableSync&
+StoreReader::Table(std::size_t aTable)
+{
+  return state_->readers_[aTable].table_;
+}
+
+// The calls that are waiting end as lost, which has the tables read anew.
+void
+StoreReader::Restart()
+{
+  for (TableReader& reader : state_->readers_) {
+    if (reader.client_ != nullptr) {
+      reader.client_->Abort();
+    }
+  }
+}
+
+std::uint64_t
+StoreReader::Calls() const
+{
+  return state_->calls_;
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/table/proxy_table.h
@@ -0,0 +1,42 @@
+/** One row for each outcome of a caller's request. */
+#pragma once
+
+#include "gateway/gateway_type.h"
+
+#include <array>
+#include <cstddef>
+
+namespace camphorfield {
+
+/** Row of the table of outcomes. */
+struct ProxyRow
+{
+  ProxyCode code_;
+  const char* name_; ///< In logs and metrics.
+};
+
+// clang-format off
+constexpr std::array<ProxyRow, static_cast<std::size_t>(ProxyCode::End)>
+  kProxyTable{ {
+  { ProxyCode::Forwarded,   "forwarded" },
+  { ProxyCode::Merged,      "merged" },
+  { ProxyCode::NoRoute,     "no_route" },
+  { ProxyCode::NotReady,    "not_ready" },
+  { ProxyCode::Overloaded,  "overloaded" },
+  { ProxyCode::NoServer,    "no_server" },
+  { ProxyCode::NotRun,      "not_run" },
+  { ProxyCode::Quarantined, "quarantined" },
+  { ProxyCode::Failed,      "failed" },
+  { ProxyCode::TimedOut,    "timed_out" },
+  { ProxyCode::LowCoverage, "low_coverage" },
+} };
+// clang-format on
+
+/** Row of an outcome; any but ProxyCode::End. */
+constexpr const ProxyRow&
+GetProxyRow(ProxyCode aCode)
+{
+  return kProxyTable[static_cast<std::size_t>(aCode)];
+}
+
+} // namespace camphorfield
