--- a/src/app/gateway_cmd.cpp
+++ b/src/app/gateway_cmd.cpp
@@ -173,9 +173,9 @@
 {
   const TimePoint begun = ReadClock().mono_;
   const auto after = [this, begun](double aShare) {
-    return begun + Duration(static_cast<std::int64_t>(
-                     static_cast<double>(settings_.stopGrace_.count()) *
-                     aShare));
+    return begun +
+           Duration(static_cast<std::int64_t>(
+             static_cast<double>(settings_.stopGrace_.count()) * aShare));
   };
   while (ReadClock().mono_ < after(kLingerShare)) {
     boost::this_fiber::sleep_for(kStopPoll);
--- a/src/discovery/table_sync.cpp
+++ b/src/discovery/table_sync.cpp
@@ -144,7 +144,10 @@
 }
 
 TableChange
-TakeStoreReply(TableSync& aTable, StoreReply&& aReply, TimePoint aNow, Rng& aRng)
+TakeStoreReply(TableSync& aTable,
+               StoreReply&& aReply,
+               TimePoint aNow,
+               Rng& aRng)
 {
   if (aReply.status_ != StoreStatus::Ok) {
     return TakeFailure(aTable, aReply.status_, aNow, aRng);
--- a/src/discovery/table_sync.h
+++ b/src/discovery/table_sync.h
@@ -49,9 +49,9 @@
 {
   StoreOp op_ = StoreOp::List;
   std::string kind_;
-  std::string after_;           ///< List: name that the page begins behind.
-  std::uint64_t revision_ = 0;  ///< Watch: changes after this one.
-  Duration wait_{};             ///< Watch: longest wait.
+  std::string after_;          ///< List: name that the page begins behind.
+  std::uint64_t revision_ = 0; ///< Watch: changes after this one.
+  Duration wait_{};            ///< Watch: longest wait.
   Duration timeout_{};
 };
 
@@ -87,18 +87,18 @@
   std::uint64_t pageRevision_ = 0;          ///< Of its first page.
   std::uint32_t failures_ = 0;              ///< In a row.
   TimePoint nextCallAt_{};
-  TimePoint failingSince_ = kNever; ///< First of these failures.
-  TimePoint returnedAt_{};          ///< End of the latest outage.
-  bool wasOut_ = false;             ///< There has been one.
+  TimePoint failingSince_ = kNever;         ///< First of these failures.
+  TimePoint returnedAt_{};                  ///< End of the latest outage.
+  bool wasOut_ = false;                     ///< There has been one.
   std::map<std::string, TimePoint> lapsed_; ///< Removed then if not rewritten.
 };
 
 /** What a call or the passing of time has done. */
 struct TableChange
 {
-  bool changed_ = false;   ///< objects_ or complete_ differ.
-  bool lost_ = false;      ///< The store has just stopped to answer.
-  bool regained_ = false;  ///< It answers again.
+  bool changed_ = false;  ///< objects_ or complete_ differ.
+  bool lost_ = false;     ///< The store has just stopped to answer.
+  bool regained_ = false; ///< It answers again.
 };
 
 /** Call that is due, if there is one. */
@@ -107,7 +107,10 @@
 
 /** Takes up the reply to the latest call. */
 TableChange
-TakeStoreReply(TableSync& aTable, StoreReply&& aReply, TimePoint aNow, Rng& aRng);
+TakeStoreReply(TableSync& aTable,
+               StoreReply&& aReply,
+               TimePoint aNow,
+               Rng& aRng);
 
 /** Removes entries that were not written again after an outage. */
 TableChange
--- a/src/discovery/tables_json.cpp
+++ b/src/discovery/tables_json.cpp
@@ -31,10 +31,9 @@
   table.revision_ = aObject.at("revision").to_number<std::uint64_t>();
   for (const json::value& item : aObject.at("objects").as_array()) {
     const json::object& object = item.as_object();
-    table.objects_.push_back(
-      { std::string(object.at("name").as_string()),
-        object.at("revision").to_number<std::uint64_t>(),
-        std::string(object.at("text").as_string()) });
+    table.objects_.push_back({ std::string(object.at("name").as_string()),
+                               object.at("revision").to_number<std::uint64_t>(),
+                               std::string(object.at("text").as_string()) });
   }
   return table;
 }
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -51,7 +51,8 @@
                Duration(kHedgeFloor) });
   const auto slowest =
     static_cast<double>(GetQuantile(aLoad.answers_, 0.99).count());
-  aLoad.silence_ = Duration(static_cast<std::int64_t>(slowest * kSilenceFactor));
+  aLoad.silence_ =
+    Duration(static_cast<std::int64_t>(slowest * kSilenceFactor));
 }
 
 /** Part that an attempt belongs to, or null when its run has ended. */
@@ -77,20 +78,17 @@
   }
   const Duration silence =
     std::max<Duration>(aRun.load_->silence_, kSilenceFloor);
-  AddTimer(timers,
-           { aAttempt.sentAt_ + silence,
-             aAttempt.key_,
-             0,
-             GatewayTimer::Silence });
-  if (aAttempt.hedge_) {
+  AddTimer(
+    timers,
+    { aAttempt.sentAt_ + silence, aAttempt.key_, 0, GatewayTimer::Silence });
+  if (aAttempt.hedge_ || !aStep.state_.settings_.policy_.hedge_) {
     return;
   }
   const Duration delay = aRun.load_->hedgeDelay_.count() > 0
                            ? aRun.load_->hedgeDelay_
                            : Duration(kHedgeUnknown);
-  AddTimer(
-    timers,
-    { aAttempt.sentAt_ + delay, aAttempt.key_, 0, GatewayTimer::Hedge });
+  AddTimer(timers,
+           { aAttempt.sentAt_ + delay, aAttempt.key_, 0, GatewayTimer::Hedge });
 }
 
 void
@@ -105,14 +103,10 @@
   Backend& backend = *FindSlot(state.backends_, aBackend);
   BackendConn& conn = *FindIdle(state, backend);
   Attempt& attempt = TakeSlot(state.attempts_);
-  attempt = Attempt{ attempt.key_,
-                     aRun.key_,
-                     aPart,
-                     aBackend,
-                     conn.key_,
-                     aStep.Time(),
-                     UsualTime(*aRun.load_),
-                     aHedge };
+  attempt = Attempt{
+    attempt.key_,           aRun.key_, aPart, aBackend, conn.key_, aStep.Time(),
+    UsualTime(*aRun.load_), aHedge
+  };
   conn.state_ = BackendConnState::Busy;
   conn.attempt_ = attempt.key_;
   ++backend.inFlight_;
@@ -161,7 +155,9 @@
 
 /** Gives a connection back after a whole answer. */
 void
-Release(GatewayStep& aStep, const Attempt& aAttempt, const BackendAnswer& aAnswer)
+Release(GatewayStep& aStep,
+        const Attempt& aAttempt,
+        const BackendAnswer& aAnswer)
 {
   GatewayState& state = aStep.state_;
   BackendConn& conn = *FindSlot(state.connections_, aAttempt.connection_);
@@ -182,8 +178,8 @@
 bool
 MayRetry(const GatewayRun& aRun, const RequestPart& aPart)
 {
-  const bool repeatable = aRun.route_->kind_ == RequestKind::Idempotent ||
-                          aPart.mayHaveRun_ == 0;
+  const bool repeatable =
+    aRun.route_->kind_ == RequestKind::Idempotent || aPart.mayHaveRun_ == 0;
   return repeatable && aPart.sends_ < kMaxSends;
 }
 
@@ -324,8 +320,8 @@
   RequestPart& part = aRun.parts_[aPart];
   part.phase_ = PartPhase::Waiting;
   const TimePoint urgency = aRun.late_ ? aRun.deadline_ : aRun.softAt_;
-  part.place_ = QueueKey(
-    aRun.late_, aRun.route_->priority_, urgency, aRun.key_, aPart);
+  part.place_ =
+    QueueKey(aRun.late_, aRun.route_->priority_, urgency, aRun.key_, aPart);
   aStep.state_.services_[part.service_].queue_.insert(part.place_);
   MarkService(aStep.state_, part.service_);
 }
--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -13,7 +13,8 @@
 double
 Fade(Duration aAge, Duration aHalfLife)
 {
-  const auto age = static_cast<double>(std::max(aAge, Duration::zero()).count());
+  const auto age =
+    static_cast<double>(std::max(aAge, Duration::zero()).count());
   return std::exp2(-age / static_cast<double>(aHalfLife.count()));
 }
 
@@ -42,8 +43,7 @@
     if (conn.state_ != BackendConnState::Busy) {
       continue;
     }
-    const Attempt& attempt =
-      aState.attempts_.slots_[conn.attempt_ & kSlotMask];
+    const Attempt& attempt = aState.attempts_.slots_[conn.attempt_ & kSlotMask];
     const Duration age = aNow - attempt.sentAt_;
     const auto usual = static_cast<double>(attempt.expected_.count()) *
                        std::max(aBackend.speed_, 1.0) * kStallFactor;
@@ -57,8 +57,8 @@
 double
 SpeedNow(const Backend& aBackend, TimePoint aNow)
 {
-  return 1.0 + (aBackend.speed_ - 1.0) *
-                 Fade(aNow - aBackend.speedAt_, kSpeedLife);
+  return 1.0 +
+         (aBackend.speed_ - 1.0) * Fade(aNow - aBackend.speedAt_, kSpeedLife);
 }
 
 /** Expected time of an answer in microseconds if sent now. */
@@ -69,6 +69,9 @@
                TimePoint aNow)
 {
   const auto usual = static_cast<double>(aUsual.count());
+  if (!aState.settings_.policy_.placement_) {
+    return usual;
+  }
   double micros = usual * SpeedNow(aBackend, aNow);
   if (aBackend.load_.known_) {
     micros *= std::max(1.0, aBackend.load_.slowness_ / 100.0);
@@ -154,7 +157,8 @@
       candidate.micros_ +=
         candidate.micros_ * ahead / std::max(backend.inFlight_, 1U);
       if (backend.connections_.empty()) {
-        candidate.micros_ += static_cast<double>(kBackendConnectTimeout.count());
+        candidate.micros_ +=
+          static_cast<double>(kBackendConnectTimeout.count());
       }
     }
     if (WasTried(aPart, key)) {
@@ -178,16 +182,17 @@
               const GatewayServiceState& aService,
               TimePoint aNow)
 {
-  return std::all_of(
-    aService.backends_.begin(),
-    aService.backends_.end(),
-    [&aState, aNow](std::uint64_t aKey) {
-      const Backend& backend = aState.backends_.slots_[aKey & kSlotMask];
-      const bool unreachable = backend.connections_.size() == backend.opening_ &&
-                               backend.reconnect_ > kReconnectFloor * 2;
-      return !IsUsable(backend) ||
-             (unreachable && aNow < backend.ejectedUntil_);
-    });
+  return std::all_of(aService.backends_.begin(),
+                     aService.backends_.end(),
+                     [&aState, aNow](std::uint64_t aKey) {
+                       const Backend& backend =
+                         aState.backends_.slots_[aKey & kSlotMask];
+                       const bool unreachable =
+                         backend.connections_.size() == backend.opening_ &&
+                         backend.reconnect_ > kReconnectFloor * 2;
+                       return !IsUsable(backend) ||
+                              (unreachable && aNow < backend.ejectedUntil_);
+                     });
 }
 
 std::uint64_t
--- a/src/gateway/backend_conn.cpp
+++ b/src/gateway/backend_conn.cpp
@@ -14,8 +14,8 @@
 ConnectionsAllowed(const GatewayState& aState, const Backend& aBackend)
 {
   const GatewayServiceState& service = aState.services_[aBackend.service_];
-  const double share = kConnectionShare * service.maxConnections_ /
-                       std::max(aState.daemons_, 1U);
+  const double share =
+    kConnectionShare * service.maxConnections_ / std::max(aState.daemons_, 1U);
   return std::max(static_cast<std::uint32_t>(share), 1U);
 }
 
--- a/src/gateway/backend_health.cpp
+++ b/src/gateway/backend_health.cpp
@@ -47,14 +47,12 @@
 void
 Eject(GatewayStep& aStep, Backend& aBackend, const std::string& aReason)
 {
-  aBackend.ejection_ =
-    std::clamp<Duration>(aBackend.ejection_ * 2, kEjectionFloor, kEjectionCeiling);
+  aBackend.ejection_ = std::clamp<Duration>(
+    aBackend.ejection_ * 2, kEjectionFloor, kEjectionCeiling);
   aBackend.ejectedUntil_ = aStep.Time() + aBackend.ejection_;
   ++aStep.state_.stats_.ejections_;
-  aStep.out_.emplace_back(BackendRecord{ aBackend.entry_.id_,
-                                         aBackend.entry_.service_,
-                                         "ejected",
-                                         aReason });
+  aStep.out_.emplace_back(BackendRecord{
+    aBackend.entry_.id_, aBackend.entry_.service_, "ejected", aReason });
 }
 
 } // namespace
--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -22,10 +22,8 @@
   backend.service_ = FindOrAddService(state, aEntry.service_);
   state.services_[backend.service_].backends_.push_back(key);
   state.backendOf_[BackendKey(aEntry.id_, aEntry.bornMillis_)] = key;
-  aStep.out_.emplace_back(BackendRecord{ aEntry.id_,
-                                         aEntry.service_,
-                                         "listed",
-                                         "at " + aEntry.address_ });
+  aStep.out_.emplace_back(BackendRecord{
+    aEntry.id_, aEntry.service_, "listed", "at " + aEntry.address_ });
   return backend;
 }
 
@@ -69,8 +67,7 @@
     const BackendEntry& known =
       aState.backends_.slots_[backendKey & kSlotMask].entry_;
     const auto found = aListed.find(key);
-    if (found == aListed.end() ||
-        found->second->address_ != known.address_ ||
+    if (found == aListed.end() || found->second->address_ != known.address_ ||
         found->second->service_ != known.service_) {
       removed.push_back(backendKey);
     }
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -31,11 +31,21 @@
   End              ///< Number of kinds.
 };
 
+/** Decisions that can be switched off, to measure what each is worth. */
+struct GatewayPolicy
+{
+  bool hedge_ = true;     ///< Ask a second server when the first is slow.
+  bool partial_ = true;   ///< Answer in part just before the objective.
+  bool admission_ = true; ///< Reject what can't be in time.
+  bool placement_ = true; ///< Expected answer time; off: any server in turn.
+};
+
 /** What the gateway must know of its own daemon and the platform's bounds. */
 struct GatewaySettings
 {
   std::string failureDomain_;
   BudgetLimits budget_;
+  GatewayPolicy policy_;
 };
 
 /** Life of a connection to a backend server. */
@@ -64,21 +74,21 @@
   std::uint64_t key_ = 0;
   BackendEntry entry_;
   ServiceNumber service_ = 0;
-  bool listed_ = true;          ///< The newest list holds this life.
-  TimePoint warmUntil_{};       ///< It is slow until then.
+  bool listed_ = true;    ///< The newest list holds this life.
+  TimePoint warmUntil_{}; ///< It is slow until then.
   std::vector<std::uint64_t> connections_;
   std::uint32_t inFlight_ = 0;
   std::uint32_t opening_ = 0;
-  double limit_ = 4.0;          ///< Requests of this daemon at a time.
-  TimePoint limitCutAt_{};      ///< Time of the latest decrease.
-  double speed_ = 1.0;          ///< Time of answers against the route's usual.
+  double limit_ = 4.0;     ///< Requests of this daemon at a time.
+  TimePoint limitCutAt_{}; ///< Time of the latest decrease.
+  double speed_ = 1.0;     ///< Time of answers against the route's usual.
   TimePoint speedAt_{};
-  double failures_ = 0.0;       ///< Moving share of failed attempts.
+  double failures_ = 0.0; ///< Moving share of failed attempts.
   TimePoint failuresAt_{};
   std::uint32_t failedInRow_ = 0;
-  Duration ejection_{};         ///< Length of the latest ejection.
+  Duration ejection_{}; ///< Length of the latest ejection.
   TimePoint ejectedUntil_{};
-  Duration reconnect_{};        ///< Pause after the latest failed connect.
+  Duration reconnect_{}; ///< Pause after the latest failed connect.
   TimePoint connectAfter_{};
   ReportedLoad load_;
   TimePoint loadAt_{};
@@ -104,15 +114,17 @@
 /** What is learned of a route, kept over versions by its name. */
 struct RouteLoad
 {
-  LatencyHist answers_;       ///< Times of single attempts.
-  Duration median_{};         ///< Of these; zero: unknown.
+  LatencyHist answers_; ///< Times of single attempts.
+  Duration median_{};   ///< Of these; zero: unknown.
   Duration hedgeDelay_{};
   Duration silence_{};
   std::uint32_t sinceRefresh_ = 0;
-  double window_ = 64.0;      ///< Requests in flight that are admitted.
+  double window_ = 64.0; ///< Requests in flight that are admitted.
   std::uint32_t inFlight_ = 0;
   TimePoint windowCutAt_{};
   std::vector<double> splitCredit_; ///< Of each share of a divided route.
+  Duration patience_{};  ///< Longest that callers have said they wait.
+  TimePoint patienceAt_{};
 };
 
 /** Progress of one shard, or of a plain request. */
@@ -145,7 +157,7 @@
 {
   std::uint64_t key_ = 0;
   CallerRequestId id_;
-  SharedGatewayConfig config_; ///< Version that it runs under.
+  SharedGatewayConfig config_;          ///< Version that it runs under.
   const GatewayRoute* route_ = nullptr; ///< In config_.
   RouteLoad* load_ = nullptr;
   SharedMessage message_;
@@ -195,11 +207,10 @@
 /** Counters since the start of the daemon. */
 struct GatewayStats
 {
-  std::array<std::uint64_t, static_cast<std::size_t>(ProxyCode::End)>
-    byCode_{};
-  std::uint64_t late_ = 0;         ///< Successes after their objective.
-  std::uint64_t partial_ = 0;      ///< Successes with shards left out.
-  std::uint64_t shardsAsked_ = 0;  ///< Shards of answered queries.
+  std::array<std::uint64_t, static_cast<std::size_t>(ProxyCode::End)> byCode_{};
+  std::uint64_t late_ = 0;        ///< Successes after their objective.
+  std::uint64_t partial_ = 0;     ///< Successes with shards left out.
+  std::uint64_t shardsAsked_ = 0; ///< Shards of answered queries.
   std::uint64_t shardsMissing_ = 0;
   std::uint64_t callersGone_ = 0;
   std::uint64_t firstSends_ = 0;
@@ -208,9 +219,9 @@
   std::uint64_t retries_ = 0;
   std::uint64_t budgetDenied_ = 0;
   std::uint64_t connects_ = 0;
-  std::uint64_t shed_ = 0;         ///< Answers that say "not run".
+  std::uint64_t shed_ = 0; ///< Answers that say "not run".
   std::uint64_t ejections_ = 0;
-  std::uint64_t garbled_ = 0;      ///< Answers that belong to no request.
+  std::uint64_t garbled_ = 0; ///< Answers that belong to no request.
 };
 
 /** State of the gateway. */
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -21,6 +21,9 @@
 /** Wait for an answer when neither caller nor route names one. */
 constexpr Duration kDeadlineUnknown = seconds(30);
 
+/** The longest wait that callers name is forgotten after this time. */
+constexpr Duration kPatienceLife = seconds(10);
+
 // Connections to backend servers.
 constexpr Duration kBackendConnectTimeout = milliseconds(400);
 constexpr Duration kReconnectFloor = milliseconds(40);
@@ -77,9 +80,14 @@
 
 // Admission.
 constexpr double kWindowStart = 64.0;
-constexpr double kWindowFloor = 4.0;
+constexpr double kWindowFloor = 1.0;
 constexpr double kWindowCeiling = 1000.0;
+constexpr double kWindowIncrease = 0.25;
 constexpr double kWindowDecrease = 0.8;
+/** Requests that take longer than this share of the objective until enough
+ * shards have answered show that servers are short of room. */
+constexpr double kPressureShare = 0.6;
+constexpr double kWindowPressureDecrease = 0.85;
 constexpr Duration kRetryAfterFloor = milliseconds(30);
 constexpr Duration kRetryAfterUnready = milliseconds(300);
 
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -78,9 +78,7 @@
 
 /** Learn that no answer has come for some time. */
 void
-NoteNoAnswerYet(GatewayStep& aStep,
-                Backend& aBackend,
-                const Attempt& aAttempt);
+NoteNoAnswerYet(GatewayStep& aStep, Backend& aBackend, const Attempt& aAttempt);
 
 /** Learn from an attempt that failed, or a connection that didn't open. */
 void
@@ -177,9 +175,12 @@
 bool
 IsAdmitted(const RouteLoad& aLoad);
 
-/** A request of the route was answered within its objective. */
+/** Enough parts of a request of the route had answers after some time. */
 void
-NoteOnTime(RouteLoad& aLoad);
+NoteEnough(RouteLoad& aLoad,
+           Duration aTook,
+           Duration aObjective,
+           TimePoint aNow);
 
 /** A request of the route could not be answered within its objective. */
 void
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -35,14 +35,14 @@
   std::string host_;
   std::string prefix_; ///< Begins and ends with a slash.
   RequestKind kind_ = RequestKind::Idempotent;
-  Duration timeout_{};             ///< Longest wait; zero: the caller's.
-  Duration objective_{};           ///< Latency objective; zero: none.
-  std::uint32_t priority_ = 0;     ///< Zero is the most urgent.
-  std::uint32_t maxAttempts_ = 1;  ///< Servers that may run one shard.
-  std::vector<ServiceShare> to_;   ///< Plain routes: where requests go.
+  Duration timeout_{};              ///< Longest wait; zero: the caller's.
+  Duration objective_{};            ///< Latency objective; zero: none.
+  std::uint32_t priority_ = 0;      ///< Zero is the most urgent.
+  std::uint32_t maxAttempts_ = 1;   ///< Servers that may run one shard.
+  std::vector<ServiceShare> to_;    ///< Plain routes: where requests go.
   std::vector<std::string> shards_; ///< Queries: one service for each shard.
-  std::uint32_t topRecords_ = 0;   ///< Queries: records in the answer.
-  double minCoverage_ = 0.0;       ///< Queries: share of shards needed.
+  std::uint32_t topRecords_ = 0;    ///< Queries: records in the answer.
+  double minCoverage_ = 0.0;        ///< Queries: share of shards needed.
 
   bool IsQuery() const { return !shards_.empty(); }
 };
@@ -77,14 +77,14 @@
 /** One backend server as it announces itself. */
 struct BackendEntry
 {
-  std::string id_;            ///< Names the server; one life may reuse it.
+  std::string id_;              ///< Names the server; one life may reuse it.
   std::int64_t bornMillis_ = 0; ///< Start of this life in Unix milliseconds.
   std::string service_;
   std::string address_; ///< "IP:port".
   std::string failureDomain_;
-  std::uint32_t slots_ = 1; ///< Requests that it runs at a time.
-  bool draining_ = false;   ///< It takes no new work.
-  Duration warmupLeft_{};   ///< It is slow for this long after its start.
+  std::uint32_t slots_ = 1;    ///< Requests that it runs at a time.
+  bool draining_ = false;      ///< It takes no new work.
+  Duration warmupLeft_{};      ///< It is slow for this long after its start.
   std::uint64_t sequence_ = 0; ///< Rises with each write of this life.
 };
 
@@ -102,7 +102,7 @@
   std::string target_; ///< Path with query string.
   std::string path_;   ///< Target up to the query string.
   std::string host_;
-  std::string requestId_; ///< The caller's; empty when it sent none.
+  std::string requestId_;            ///< The caller's; empty when it sent none.
   std::vector<MessageField> fields_; ///< End-to-end fields only.
   std::string body_;
 };
@@ -121,18 +121,18 @@
 /** Outcome of a caller's request. */
 enum class ProxyCode : std::uint8_t
 {
-  Forwarded,    ///< A server's answer, unchanged.
-  Merged,       ///< Answer of a query.
-  NoRoute,      ///< No route matches.
-  NotReady,     ///< No configuration is known yet.
-  Overloaded,   ///< Rejected before it was sent to a server.
-  NoServer,     ///< No server can run it; it did not run.
-  NotRun,       ///< All servers tried say that it did not run.
-  Quarantined,  ///< Its content crashes servers.
-  Failed,       ///< A server broke off or sent garbage; it may have run.
-  TimedOut,     ///< No answer in time; it may have run.
-  LowCoverage,  ///< Too few shards answered; it may have run.
-  End           ///< Number of codes.
+  Forwarded,   ///< A server's answer, unchanged.
+  Merged,      ///< Answer of a query.
+  NoRoute,     ///< No route matches.
+  NotReady,    ///< No configuration is known yet.
+  Overloaded,  ///< Rejected before it was sent to a server.
+  NoServer,    ///< No server can run it; it did not run.
+  NotRun,      ///< All servers tried say that it did not run.
+  Quarantined, ///< Its content crashes servers.
+  Failed,      ///< A server broke off or sent garbage; it may have run.
+  TimedOut,    ///< No answer in time; it may have run.
+  LowCoverage, ///< Too few shards answered; it may have run.
+  End          ///< Number of codes.
 };
 
 /** Answer to a caller. */
@@ -140,7 +140,7 @@
 {
   CallerRequestId id_;
   ProxyCode code_ = ProxyCode::Failed;
-  std::uint32_t status_ = 0; ///< Forwarded only: the server's status.
+  std::uint32_t status_ = 0;         ///< Forwarded only: the server's status.
   std::vector<MessageField> fields_; ///< Forwarded only: the server's fields.
   std::string body_;
   std::vector<std::string> proofs_; ///< Merged: of the parts in the answer.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -47,15 +47,14 @@
   if (aRun.done_ < aRun.parts_.size()) {
     for (const RequestPart& part : aRun.parts_) {
       if (part.phase_ != PartPhase::Done) {
-        absl::StrAppend(
-          &record.reason_,
-          record.reason_.empty() ? "" : " ",
-          aStep.state_.services_[part.service_].name_,
-          part.phase_ == PartPhase::Waiting   ? ":queued"
-          : part.phase_ == PartPhase::Running ? ":unanswered"
-                                              : ":failed",
-          "/",
-          part.sends_);
+        absl::StrAppend(&record.reason_,
+                        record.reason_.empty() ? "" : " ",
+                        aStep.state_.services_[part.service_].name_,
+                        part.phase_ == PartPhase::Waiting   ? ":queued"
+                        : part.phase_ == PartPhase::Running ? ":unanswered"
+                                                            : ":failed",
+                        "/",
+                        part.sends_);
       }
     }
   }
@@ -94,9 +93,6 @@
   aAnswer.id_ = aRun.id_;
   if (aAnswer.code_ <= ProxyCode::Merged) {
     ClearContent(aStep.state_, aRun.fingerprint_);
-    if (!aRun.late_) {
-      NoteOnTime(*aRun.load_);
-    }
   }
   CountAnswer(aStep.state_, aRun, aAnswer.code_);
   Record(aStep, aRun, aAnswer);
@@ -199,14 +195,31 @@
   return wait - std::min<Duration>(kDeadlineMargin, wait / 10);
 }
 
+// A caller that comes back names a shorter wait than one that comes first; the
+// objective counts from when it came first.
+Duration
+WaitedBefore(const ProxyRequest& aRequest, RouteLoad& aLoad, TimePoint aNow)
+{
+  if (aRequest.patience_.count() == 0) {
+    return Duration::zero();
+  }
+  if (aRequest.patience_ >= aLoad.patience_ ||
+      aNow - aLoad.patienceAt_ > kPatienceLife) {
+    aLoad.patience_ = aRequest.patience_;
+    aLoad.patienceAt_ = aNow;
+  }
+  return aLoad.patience_ - aRequest.patience_;
+}
+
+/** Time until an answer is late, with a margin for its way to the caller. */
 Duration
-SoftWaitOf(const GatewayRoute& aRoute)
+SoftWaitOf(const GatewayRoute& aRoute, Duration aWaited)
 {
   const auto share = static_cast<std::int64_t>(
     static_cast<double>(aRoute.objective_.count()) * kObjectiveMarginShare);
-  return aRoute.objective_ -
-         std::min<Duration>(kObjectiveMargin + Duration(share),
-                            aRoute.objective_ / 3);
+  const Duration margin = std::min<Duration>(
+    kObjectiveMargin + Duration(share), aRoute.objective_ / 3);
+  return aRoute.objective_ - margin - aWaited;
 }
 
 std::uint32_t
@@ -215,9 +228,8 @@
   if (!aRoute.IsQuery()) {
     return 1;
   }
-  const double needed =
-    std::ceil(aRoute.minCoverage_ * static_cast<double>(aRoute.shards_.size()) -
-              1e-9);
+  const double needed = std::ceil(
+    aRoute.minCoverage_ * static_cast<double>(aRoute.shards_.size()) - 1e-9);
   return std::max(static_cast<std::uint32_t>(needed), 1U);
 }
 
@@ -240,7 +252,8 @@
 GatewayRun&
 MakeRun(GatewayStep& aStep,
         const ProxyRequest& aRequest,
-        const GatewayRoute& aRoute)
+        const GatewayRoute& aRoute,
+        Duration aSoftWait)
 {
   GatewayState& state = aStep.state_;
   GatewayRun& run = TakeSlot(state.runs_);
@@ -254,9 +267,11 @@
   run.deadline_ = aStep.Time() + WaitOf(aRequest, aRoute);
   run.softAt_ = run.deadline_;
   run.needed_ = PartsNeeded(aRoute);
-  if (aRoute.objective_.count() > 0) {
-    run.softAt_ =
-      std::min(run.deadline_, aStep.Time() + SoftWaitOf(aRoute));
+  if (aRoute.objective_.count() > 0 && state.settings_.policy_.partial_) {
+    run.late_ = aSoftWait <= Duration::zero();
+    run.softAt_ = run.late_
+                    ? run.deadline_
+                    : std::min(run.deadline_, aStep.Time() + aSoftWait);
   }
   AddParts(state, run);
   ++run.load_->inFlight_;
@@ -282,13 +297,12 @@
 std::uint32_t
 CountDown(const GatewayState& aState, const GatewayRun& aRun, TimePoint aNow)
 {
-  return static_cast<std::uint32_t>(
-    std::count_if(aRun.parts_.begin(),
-                  aRun.parts_.end(),
-                  [&aState, aNow](const RequestPart& aPart) {
-                    return IsServiceDown(
-                      aState, aState.services_[aPart.service_], aNow);
-                  }));
+  return static_cast<std::uint32_t>(std::count_if(
+    aRun.parts_.begin(),
+    aRun.parts_.end(),
+    [&aState, aNow](const RequestPart& aPart) {
+      return IsServiceDown(aState, aState.services_[aPart.service_], aNow);
+    }));
 }
 
 /** Ends a query once nothing is open, or it is late and has enough. */
@@ -332,11 +346,12 @@
     return;
   }
   RouteLoad& load = aState.loads_[route->name_];
-  if (load.window_ <= 0.0 || !IsAdmitted(load)) {
+  const Duration waited = WaitedBefore(aRequest, load, aNow.mono_);
+  if (aState.settings_.policy_.admission_ && !IsAdmitted(load)) {
     Reject(step, aRequest, ProxyCode::Overloaded, route);
     return;
   }
-  GatewayRun& run = MakeRun(step, aRequest, *route);
+  GatewayRun& run = MakeRun(step, aRequest, *route, SoftWaitOf(*route, waited));
   const auto parts = static_cast<std::uint32_t>(run.parts_.size());
   if (parts - CountDown(aState, run, aNow.mono_) < run.needed_) {
     FinishFailed(step, run, ProxyCode::NoServer);
@@ -369,6 +384,10 @@
              BackendAnswer&& aAnswer)
 {
   if (!aRun.route_->IsQuery()) {
+    NoteEnough(*aRun.load_,
+               aStep.Time() - aRun.arrivedAt_,
+               aRun.route_->objective_,
+               aStep.Time());
     FinishForwarded(aStep, aRun, std::move(aAnswer));
     return;
   }
@@ -385,7 +404,12 @@
   part.phase_ = PartPhase::Done;
   part.proof_ = std::move(aAnswer.proof_);
   part.body_ = std::move(aAnswer.body_);
-  ++aRun.done_;
+  if (++aRun.done_ == aRun.needed_) {
+    NoteEnough(*aRun.load_,
+               aStep.Time() - aRun.arrivedAt_,
+               aRun.route_->objective_,
+               aStep.Time());
+  }
   Review(aStep, aRun);
 }
 
--- a/src/gateway/retry_budget.h
+++ b/src/gateway/retry_budget.h
@@ -12,8 +12,8 @@
 /** Bounds on extra requests to a service in a sliding window. */
 struct BudgetLimits
 {
-  double ratio_ = 0.2;                     ///< Extra for each request.
-  double slack_ = 50.0;                    ///< Extra besides, of all daemons.
+  double ratio_ = 0.2;  ///< Extra for each request.
+  double slack_ = 50.0; ///< Extra besides, of all daemons.
   Duration window_ = std::chrono::seconds(10);
 };
 
--- a/src/observe/request_log.cpp
+++ b/src/observe/request_log.cpp
@@ -43,11 +43,12 @@
 void
 LogMembership(const TimelineRecord& aRecord)
 {
-  WriteLog(LogLevel::Info,
-           "member",
-           { { "event", kTimelineNames[static_cast<std::size_t>(aRecord.kind_)] },
-             { "daemon_concerned", aRecord.object_ },
-             { "reason", aRecord.text_ } });
+  WriteLog(
+    LogLevel::Info,
+    "member",
+    { { "event", kTimelineNames[static_cast<std::size_t>(aRecord.kind_)] },
+      { "daemon_concerned", aRecord.object_ },
+      { "reason", aRecord.text_ } });
 }
 
 } // namespace camphorfield
--- a/src/route/route_base.h
+++ b/src/route/route_base.h
@@ -1,9 +1,9 @@
 /** State of the route package. */
 #pragma once
 
+#include "core/pool.h"
 #include "core/rng_type.h"
 #include "machine/decision_type.h"
-#include "core/pool.h"
 #include "route/route_const.h"
 #include "route/route_type.h"
 #include "route/server_table.h"
--- a/src/route/server_table.h
+++ b/src/route/server_table.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "core/id_type.h"
+#include "core/latency_hist.h"
 #include "core/time_type.h"
 #include "object/object_type.h"
-#include "core/latency_hist.h"
 #include "route/route_const.h"
 #include "route/task_queue.h"
 
--- a/src/runtime/backend_link.cpp
+++ b/src/runtime/backend_link.cpp
@@ -180,8 +180,7 @@
 }
 
 void
-BackendLink::OnRead(const boost::system::error_code& aError,
-                    std::size_t aBytes)
+BackendLink::OnRead(const boost::system::error_code& aError, std::size_t aBytes)
 {
   if (shut_) {
     return;
--- a/src/runtime/clock.cpp
+++ b/src/runtime/clock.cpp
@@ -12,8 +12,7 @@
   timespec time{};
   clock_gettime(aClock, &time);
   return std::chrono::duration_cast<Duration>(
-    std::chrono::seconds(time.tv_sec) +
-    std::chrono::nanoseconds(time.tv_nsec));
+    std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
 } // namespace
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -45,12 +45,12 @@
   , rng_(aSettings.seed_)
   , gateway_(MakeGatewayState(aSettings.gateway_))
   , membership_(MakeMembershipState(aSettings.membership_, ReadClock(), rng_))
-  , backends_(aPool.At(0).Context(),
-              adapter_.gateway_,
-              BackendSink{
-                [this](const BackendOpened& aItem) { Step(aItem); },
-                [this](BackendAnswer&& aItem) { Step(std::move(aItem)); },
-                [this](const BackendClosed& aItem) { Step(aItem); } })
+  , backends_(
+      aPool.At(0).Context(),
+      adapter_.gateway_,
+      BackendSink{ [this](const BackendOpened& aItem) { Step(aItem); },
+                   [this](BackendAnswer&& aItem) { Step(std::move(aItem)); },
+                   [this](const BackendClosed& aItem) { Step(aItem); } })
   , peers_(
       aPool,
       [this](const Event& aEvent) {
@@ -99,11 +99,8 @@
 void
 GatewayHost::Step(Item&& aItem)
 {
-  GatewayOnEvent(gateway_,
-                 std::forward<Item>(aItem),
-                 ReadClock(),
-                 rng_,
-                 decisions_);
+  GatewayOnEvent(
+    gateway_, std::forward<Item>(aItem), ReadClock(), rng_, decisions_);
   Carry();
 }
 
@@ -172,10 +169,8 @@
     } else if (const auto* heard = std::get_if<RumorHeard>(&decision)) {
       const auto* rumor = std::get_if<QuarantineRumor>(&heard->rumor_);
       if (rumor != nullptr) {
-        GatewayHearSuspect(gateway_,
-                           rumor->fingerprint_.value_,
-                           rumor->crashes_,
-                           ReadClock());
+        GatewayHearSuspect(
+          gateway_, rumor->fingerprint_.value_, rumor->crashes_, ReadClock());
       }
     } else if (const auto* event = std::get_if<TimelineRecord>(&decision)) {
       LogMembership(*event);
@@ -330,22 +325,20 @@
   const TableSync& servers = store_.Table(kServersTable);
   const bool newer = config.revision_ > ask.generation_.value_ ||
                      servers.revision_ > ask.base_.value_;
-  const auto sender =
-    std::find_if(members_->begin(),
-                 members_->end(),
-                 [&aMessage](const MemberRecord& aMember) {
-                   return aMember.id_ == aMessage.from_;
-                 });
+  const auto sender = std::find_if(members_->begin(),
+                                   members_->end(),
+                                   [&aMessage](const MemberRecord& aMember) {
+                                     return aMember.id_ == aMessage.from_;
+                                   });
   if (!newer || !config.watching_ || !servers.watching_ ||
       sender == members_->end()) {
     return;
   }
   GenerationContent content;
   content.call_ = ask.call_;
-  content.generation_ = Generation{ std::max<std::uint64_t>(
-    config.revision_, 1) };
-  content.content_ =
-    EncodeTables({ GetContent(config), GetContent(servers) });
+  content.generation_ =
+    Generation{ std::max<std::uint64_t>(config.revision_, 1) };
+  content.content_ = EncodeTables({ GetContent(config), GetContent(servers) });
   SendToPeer(SendPeer{
     sender->id_, sender->peerAddress_, std::move(content), PeerCallId{} });
 }
@@ -364,10 +357,10 @@
     const std::size_t number =
       content.kind_ == settings_.configKind_ ? kConfigTable : kServersTable;
     TableSync& table = store_.Table(number);
-    const bool behind = number == kConfigTable ||
-                        table.failures_ > 0 || !table.complete_;
-    if (behind && ImportTable(
-                    table, std::move(content.objects_), content.revision_)) {
+    const bool behind =
+      number == kConfigTable || table.failures_ > 0 || !table.complete_;
+    if (behind &&
+        ImportTable(table, std::move(content.objects_), content.revision_)) {
       WriteLog(LogLevel::Info,
                "table taken from a peer",
                { { "kind", content.kind_ },
@@ -430,9 +423,8 @@
 }
 
 ProxyAnswer
-GatewayHost::Ask(
-  ProxyRequest aRequest,
-  const std::function<void(std::function<void()>)>& aWatchGone)
+GatewayHost::Ask(ProxyRequest aRequest,
+                 const std::function<void(std::function<void()>)>& aWatchGone)
 {
   const CallerRequestId id{ nextRequest_++ };
   aRequest.id_ = id;
@@ -498,9 +490,8 @@
 void
 GatewayHost::Arm()
 {
-  const TimePoint wake = std::min({ GatewayNextWake(gateway_),
-                                    MembershipNextWake(membership_),
-                                    nextCare_ });
+  const TimePoint wake = std::min(
+    { GatewayNextWake(gateway_), MembershipNextWake(membership_), nextCare_ });
   if (wake >= armed_) {
     return;
   }
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -4,6 +4,7 @@
 #include "runtime/fiber_io.h"
 #include "runtime/http_beast.h"
 
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -12,7 +13,6 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
-#include <atomic>
 #include <boost/fiber/operations.hpp>
 #include <optional>
 #include <sstream>
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -20,7 +20,7 @@
   std::uint32_t maxHeaderBytes_ = 16U * 1024;   ///< Larger headers: 431.
   std::uint64_t maxBodyBytes_ = 1024ULL * 1024; ///< Larger bodies: 413.
   std::uint32_t maxSessions_ = 4096;            ///< Further ones are closed.
-  Duration idleTimeout_ = std::chrono::seconds(60); ///< Between requests.
+  Duration idleTimeout_ = std::chrono::seconds(60);    ///< Between requests.
   Duration requestTimeout_ = std::chrono::seconds(60); ///< From the first
                                                        ///< byte of a request
                                                        ///< to its last.
--- a/src/runtime/store_reader.cpp
+++ b/src/runtime/store_reader.cpp
@@ -44,8 +44,7 @@
   ++aState.calls_;
   if (aReader.client_ == nullptr) {
     aReader.client_ = std::make_unique<HttpClient>(aState.worker_.Context());
-    exchange.end_ =
-      aReader.client_->Connect(aState.address_, kConnectTimeout);
+    exchange.end_ = aReader.client_->Connect(aState.address_, kConnectTimeout);
   }
   if (exchange.end_ == HttpEnd::Ok) {
     exchange = aReader.client_->Exchange(aState.codec_.encodeCall_(aCall),
@@ -89,9 +88,12 @@
                          std::string aAddress,
                          const std::vector<std::string>& aKinds,
                          TableHandler aHandler)
-  : state_(std::make_shared<StoreReaderState>(
-      StoreReaderState{ aWorker, aCodec, std::move(aAddress),
-                        std::move(aHandler), {} }))
+  : state_(
+      std::make_shared<StoreReaderState>(StoreReaderState{ aWorker,
+                                                           aCodec,
+                                                           std::move(aAddress),
+                                                           std::move(aHandler),
+                                                           {} }))
 {
   for (const std::string& kind : aKinds) {
     state_->readers_.emplace_back();
--- /dev/null
+++ b/tests/discovery/table_sync_test.cpp
@@ -0,0 +1,206 @@
+#include "discovery/table_sync.h"
+#include "discovery/tables_json.h"
+
+#include <CppUTest/TestHarness.h>
+#include <string>
+#include <vector>
+
+using namespace camphorfield;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+StoreReply
+ListReply(const std::vector<std::string>& aNames,
+          std::uint64_t aRevision,
+          bool aMore = false)
+{
+  StoreReply reply;
+  for (const std::string& name : aNames) {
+    reply.items_.push_back({ name, aRevision, "{}" });
+  }
+  reply.more_ = aMore;
+  reply.revision_ = aRevision;
+  return reply;
+}
+
+StoreReply
+ChangeReply(const std::string& aName, bool aRemoved, std::uint64_t aRevision)
+{
+  StoreReply reply;
+  reply.changes_.push_back({ { aName, aRevision, "{}" }, aRemoved });
+  reply.revision_ = aRevision;
+  return reply;
+}
+
+StoreReply
+FailedReply(StoreStatus aStatus)
+{
+  StoreReply reply;
+  reply.status_ = aStatus;
+  return reply;
+}
+
+/** A table on a paused clock. */
+struct Bench
+{
+  TableSync table_;
+  TimePoint now_{ seconds(100) };
+  Rng rng_{ 7 };
+
+  TableChange Take(StoreReply aReply)
+  {
+    return TakeStoreReply(table_, std::move(aReply), now_, rng_);
+  }
+  bool Has(const std::string& aName) const
+  {
+    return table_.objects_.count(aName) > 0;
+  }
+  /** Lets the clock run to the next call. */
+  StoreCall NextCall()
+  {
+    now_ = std::max(now_, table_.nextCallAt_);
+    return *NextStoreCall(table_, now_);
+  }
+};
+
+} // namespace
+
+TEST_GROUP(TableSync){};
+
+TEST(TableSync, ReadsAllPagesThenWatchesFromTheFirst)
+{
+  Bench bench;
+  LONGS_EQUAL(StoreOp::List, bench.NextCall().op_);
+  bench.Take(ListReply({ "a", "b" }, 10, true));
+  STRCMP_EQUAL("b", bench.NextCall().after_.c_str());
+  CHECK_FALSE(bench.table_.complete_);
+  bench.Take(ListReply({ "c" }, 14));
+  CHECK_TRUE(bench.table_.complete_);
+  LONGS_EQUAL(3, bench.table_.objects_.size());
+  const StoreCall watch = bench.NextCall();
+  LONGS_EQUAL(StoreOp::Watch, watch.op_);
+  // A change between the pages must come by the watch.
+  LONGS_EQUAL(10, watch.revision_);
+}
+
+TEST(TableSync, FollowsChanges)
+{
+  Bench bench;
+  bench.Take(ListReply({ "a" }, 10));
+  CHECK_TRUE(bench.Take(ChangeReply("b", false, 11)).changed_);
+  CHECK_TRUE(bench.Has("b"));
+  bench.Take(ChangeReply("a", true, 12));
+  CHECK_FALSE(bench.Has("a"));
+  LONGS_EQUAL(12, bench.NextCall().revision_);
+  // A watch that ran out tells nothing.
+  StoreReply nothing;
+  nothing.revision_ = 12;
+  CHECK_FALSE(bench.Take(std::move(nothing)).changed_);
+}
+
+TEST(TableSync, OlderRevisionsNeverReplaceNewerOnes)
+{
+  Bench bench;
+  bench.Take(ListReply({ "a" }, 20));
+  bench.Take(FailedReply(StoreStatus::HistoryGone));
+  LONGS_EQUAL(StoreOp::List, bench.NextCall().op_);
+  bench.Take(ListReply({ "a" }, 15));
+  LONGS_EQUAL(20, bench.table_.objects_.at("a").revision_);
+  LONGS_EQUAL(20, bench.NextCall().revision_);
+}
+
+TEST(TableSync, FailuresWaitLongerAndReadAnew)
+{
+  struct Case
+  {
+    const char* name_;
+    StoreStatus status_;
+    StoreOp next_; ///< Call after the failure of a watch.
+    bool waits_;
+  };
+  const std::vector<Case> cases{
+    { "refused", StoreStatus::Refused, StoreOp::Watch, true },
+    { "lost", StoreStatus::Lost, StoreOp::List, true },
+    { "history gone", StoreStatus::HistoryGone, StoreOp::List, false },
+  };
+  for (const Case& item : cases) {
+    Bench bench;
+    bench.Take(ListReply({ "a" }, 10));
+    bench.Take(FailedReply(item.status_));
+    CHECK_TEXT(NextStoreCall(bench.table_, bench.now_).has_value() !=
+                 item.waits_,
+               item.name_);
+    LONGS_EQUAL_TEXT(item.next_, bench.NextCall().op_, item.name_);
+    for (int i = 0; i < 20; ++i) {
+      bench.Take(FailedReply(StoreStatus::Refused));
+      CHECK_TEXT(bench.table_.nextCallAt_ - bench.now_ <= kStoreBackoffCeiling,
+                 item.name_);
+    }
+    CHECK_TEXT(bench.table_.nextCallAt_ - bench.now_ >=
+                 kStoreBackoffCeiling / 2,
+               item.name_);
+    CHECK_TEXT(bench.Has("a"), item.name_);
+  }
+}
+
+// Entries that expired while the store was away are written again within two
+// seconds of its return; one that isn't is gone.
+TEST(TableSync, LapsedEntriesStayUntilTheGraceEnds)
+{
+  Bench bench;
+  bench.Take(ListReply({ "back", "gone" }, 10));
+  bench.Take(FailedReply(StoreStatus::Lost));
+  bench.now_ += seconds(8);
+  CHECK_FALSE(DropLapsed(bench.table_, bench.now_).changed_);
+  CHECK_TRUE(bench.Take(ListReply({}, 20)).regained_);
+  CHECK_TRUE(bench.Has("back"));
+  CHECK_TRUE(bench.Has("gone"));
+  bench.now_ += milliseconds(1900);
+  bench.Take(ChangeReply("back", false, 21));
+  DropLapsed(bench.table_, bench.now_);
+  CHECK_TRUE(bench.Has("gone"));
+  bench.now_ += milliseconds(400);
+  CHECK_TRUE(DropLapsed(bench.table_, bench.now_).changed_);
+  CHECK_TRUE(bench.Has("back"));
+  CHECK_FALSE(bench.Has("gone"));
+  // With the store in order a removal counts at once.
+  bench.now_ += seconds(5);
+  bench.Take(ChangeReply("back", true, 22));
+  CHECK_FALSE(bench.Has("back"));
+}
+
+TEST(TableSync, TakesNewerTablesFromPeersOnly)
+{
+  Bench source;
+  source.Take(ListReply({ "a", "b" }, 30));
+  const auto tables = DecodeTables(EncodeTables({ GetContent(source.table_) }));
+  CHECK_TRUE(tables.ok());
+  Bench bench;
+  CHECK_TRUE(ImportTable(bench.table_,
+                         std::vector<StoreObject>(tables->front().objects_),
+                         tables->front().revision_));
+  CHECK_TRUE(bench.Has("b"));
+  CHECK_TRUE(bench.table_.complete_);
+  // Its own reading still has to come.
+  LONGS_EQUAL(StoreOp::List, bench.NextCall().op_);
+  CHECK_FALSE(ImportTable(bench.table_, {}, 30));
+  CHECK_TRUE(bench.Has("a"));
+}
+
+TEST(TableSync, MalformedTablesAreRefused)
+{
+  const std::vector<const char*> cases{
+    "",
+    "{}",
+    "[1]",
+    R"([{"kind":"x"}])",
+    R"([{"kind":"x","revision":-1,"objects":[]}])",
+    R"([{"kind":"x","revision":1,"objects":[{"name":1}]}])",
+  };
+  for (const char* text : cases) {
+    CHECK_FALSE_TEXT(DecodeTables(text).ok(), text);
+  }
+}
--- /dev/null
+++ b/tests/gateway/load_test.cpp
@@ -0,0 +1,234 @@
+// Replays of the load patterns that the gateway's decisions answer.
+#include "gateway/replay_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace camphorfield;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kShards = 20;
+constexpr std::size_t kDaemons = 6;
+constexpr const char* kWide = "/wide/q";
+
+GatewayRoute
+WideRoute()
+{
+  GatewayRoute route;
+  route.name_ = "wide";
+  route.prefix_ = "/wide/";
+  route.timeout_ = seconds(2);
+  route.objective_ = milliseconds(200);
+  route.priority_ = 1;
+  route.maxAttempts_ = 2;
+  route.topRecords_ = 20;
+  route.minCoverage_ = 0.89;
+  for (std::size_t i = 0; i < kShards; ++i) {
+    route.shards_.push_back("shard" + std::to_string(i));
+  }
+  return route;
+}
+
+ReplayLoad
+WideLoad(double aPerSecond)
+{
+  ReplayLoad load;
+  load.target_ = kWide;
+  load.perSecond_ = aPerSecond;
+  load.work_ = milliseconds(28);
+  return load;
+}
+
+using Disturb = void (*)(Replay& aReplay);
+
+void
+NoTrouble(Replay&)
+{
+}
+
+void
+PauseAll(Replay& aReplay)
+{
+  int offset = 0;
+  for (ModelServer& server : aReplay.Servers()) {
+    server.pauseEvery_ = seconds(6);
+    server.pauseFor_ = milliseconds(250);
+    server.pauseAt_ = milliseconds(137 * ++offset);
+  }
+}
+
+/** One replica of some shards is slow, as a noisy neighbour makes it. */
+void
+SlowSome(Replay& aReplay)
+{
+  for (std::size_t i = 0; i < kShards; i += 7) {
+    aReplay.Servers()[2 * i].speed_ = 8.0;
+  }
+}
+
+void
+SilenceSome(Replay& aReplay)
+{
+  aReplay.At(seconds(2), [&aReplay]() {
+    for (std::size_t i = 0; i < kShards; i += 7) {
+      aReplay.Servers()[2 * i].fault_ = ModelFault::Silent;
+    }
+  });
+}
+
+void
+LoseShard(Replay& aReplay)
+{
+  for (ModelServer& server : aReplay.Servers()) {
+    if (server.service_ == "shard3") {
+      server.fault_ = ModelFault::Down;
+    }
+  }
+}
+
+/** Result of one load under a policy. */
+ReplayResult
+Play(const GatewayPolicy& aPolicy, Disturb aDisturb, const ReplayLoad& aLoad)
+{
+  Replay replay(kDaemons, 42);
+  replay.AddShards(kShards);
+  replay.SetRoute(WideRoute());
+  replay.SetPolicy(aPolicy);
+  aDisturb(replay);
+  replay.Publish();
+  return replay.Run({ aLoad }, seconds(20))[kWide];
+}
+
+GatewayPolicy
+Without(bool GatewayPolicy::*aPart)
+{
+  GatewayPolicy policy;
+  policy.*aPart = false;
+  return policy;
+}
+
+/** A decision and the load pattern that it answers. */
+struct GainCase
+{
+  const char* name_;
+  Disturb disturb_;
+  double perSecond_;
+  bool GatewayPolicy::*part_;
+};
+
+/** What callers must see under a load pattern. */
+struct PatternCase
+{
+  const char* name_;
+  Disturb disturb_;
+  double perSecond_;
+  double onTime_; ///< Share answered within the objective, at least.
+};
+
+} // namespace
+
+TEST_GROUP(Load){};
+
+// Each decision must be worth something under the load that it is for.
+TEST(Load, EachDecisionServesMoreThanWithoutIt)
+{
+  const std::vector<GainCase> cases{
+    { "hedges, servers that pause", PauseAll, 60, &GatewayPolicy::hedge_ },
+    { "partial answers, a lost shard's slow neighbours",
+      SlowSome,
+      70,
+      &GatewayPolicy::partial_ },
+    { "admission, twice the capacity",
+      NoTrouble,
+      260,
+      &GatewayPolicy::admission_ },
+    { "placement, slow replicas", SlowSome, 60, &GatewayPolicy::placement_ },
+  };
+  for (const GainCase& item : cases) {
+    const ReplayLoad load = WideLoad(item.perSecond_);
+    const double with = Play(GatewayPolicy{}, item.disturb_, load).WorthShare();
+    const double without =
+      Play(Without(item.part_), item.disturb_, load).WorthShare();
+    printf("%s: %.3f with, %.3f without\n", item.name_, with, without);
+    CHECK_TEXT(with > without, item.name_);
+  }
+}
+
+// The brief asks for a complete answer on time; under a fault of some servers
+// nine in ten callers must not notice.
+TEST(Load, CallersAreServedOnTimeUnderFaults)
+{
+  const std::vector<PatternCase> cases{
+    { "calm", NoTrouble, 60, 0.99 },
+    { "servers pause", PauseAll, 60, 0.9 },
+    { "replicas are slow", SlowSome, 60, 0.9 },
+    { "replicas fall silent", SilenceSome, 60, 0.9 },
+    { "a shard is lost", LoseShard, 60, 0.9 },
+  };
+  for (const PatternCase& item : cases) {
+    const ReplayResult result =
+      Play(GatewayPolicy{}, item.disturb_, WideLoad(item.perSecond_));
+    printf("%s: on time %.3f worth %.3f late %u rejected %u failed %u\n",
+           item.name_,
+           result.OnTimeShare(),
+           result.WorthShare(),
+           result.late_,
+           result.rejected_,
+           result.failed_);
+    CHECK_TEXT(result.OnTimeShare() >= item.onTime_, item.name_);
+  }
+}
+
+// Stated target: at twice the capacity goodput is nine tenths of what the
+// servers can run, and half of the refusals come within 5 ms.
+TEST(Load, GoodputHoldsAtTwiceTheCapacity)
+{
+  // Two servers of two slots a shard; the slowest pair of speeds is 1.0, 1.3.
+  const double capacity = 2.0 * (1.0 / 1.0 + 1.0 / 1.3) / 0.028 * 1.0;
+  const ReplayResult result =
+    Play(GatewayPolicy{}, NoTrouble, WideLoad(2.0 * capacity));
+  const double goodput = result.worth_ / 20.0;
+  printf("capacity %.1f goodput %.1f on time %u late %u rejected %u failed %u "
+         "of %u refusals %zu\n",
+         capacity,
+         goodput,
+         result.onTime_,
+         result.late_,
+         result.rejected_,
+         result.failed_,
+         result.asked_,
+         result.rejectedAfter_.size());
+  for (bool GatewayPolicy::*part :
+       { &GatewayPolicy::hedge_, &GatewayPolicy::partial_ }) {
+    const ReplayResult r =
+      Play(Without(part), NoTrouble, WideLoad(2.0 * capacity));
+    printf("without: goodput %.1f on time %u late %u rejected %u failed %u\n",
+           r.worth_ / 20,
+           r.onTime_,
+           r.late_,
+           r.rejected_,
+           r.failed_);
+  }
+  for (double x : { 0.6, 0.8, 0.9, 1.0, 1.1, 1.3 }) {
+    const ReplayResult r =
+      Play(GatewayPolicy{}, NoTrouble, WideLoad(x * capacity));
+    printf("load %.1f: goodput %.1f on time %u late %u rejected %u failed %u\n",
+           x * capacity,
+           r.worth_ / 20,
+           r.onTime_,
+           r.late_,
+           r.rejected_,
+           r.failed_);
+  }
+  CHECK_TRUE(goodput >= 0.9 * capacity);
+  std::vector<Duration> refusals = result.rejectedAfter_;
+  CHECK_FALSE(refusals.empty());
+  std::sort(refusals.begin(), refusals.end());
+  CHECK_TRUE(refusals[refusals.size() / 2] <= milliseconds(5));
+}
--- /dev/null
+++ b/tests/gateway/replay_fixture.cpp
@@ -0,0 +1,542 @@
+#include "gateway/replay_fixture.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace camphorfield {
+
+namespace {
+
+constexpr Duration kTrip = std::chrono::microseconds(300);
+constexpr Duration kHandshake = std::chrono::milliseconds(6);
+constexpr double kWorkSpread = 0.35;
+constexpr double kTailShare = 0.01;
+constexpr double kTailFactor = 5.0;
+
+} // namespace
+
+double
+ReplayResult::OnTimeShare() const
+{
+  return asked_ == 0 ? 1.0 : static_cast<double>(onTime_) / asked_;
+}
+
+double
+ReplayResult::WorthShare() const
+{
+  return asked_ == 0 ? 1.0 : worth_ / asked_;
+}
+
+Replay::Replay(std::size_t aDaemons, std::uint64_t aSeed)
+  : rng_(aSeed)
+{
+  for (std::size_t i = 0; i < aDaemons; ++i) {
+    GatewaySettings settings;
+    settings.failureDomain_ = i % 2 == 0 ? "a" : "b";
+    settings.budget_.slack_ = 52.0;
+    daemons_.push_back(
+      ModelDaemon{ std::make_unique<GatewayState>(MakeGatewayState(settings)),
+                   Rng(aSeed + i + 1) });
+    GatewaySetDaemons(*daemons_.back().state_,
+                      static_cast<std::uint32_t>(aDaemons));
+  }
+  config_.version_ = 1;
+}
+
+ModelServer&
+Replay::AddServer(const std::string& aService, double aSpeed)
+{
+  servers_.emplace_back();
+  ModelServer& server = servers_.back();
+  server.id_ = "i-" + std::to_string(servers_.size());
+  server.service_ = aService;
+  server.domain_ = servers_.size() % 2 == 0 ? "a" : "b";
+  server.speed_ = aSpeed;
+  config_.services_[aService] = GatewayService{ aService, 25 };
+  return server;
+}
+
+void
+Replay::AddShards(std::size_t aShards)
+{
+  constexpr std::array kSpeeds{ 0.8, 1.0, 1.3 };
+  for (std::size_t i = 0; i < aShards; ++i) {
+    const std::string service = "shard" + std::to_string(i);
+    AddServer(service, kSpeeds[i % kSpeeds.size()]);
+    AddServer(service, kSpeeds[(i + 1) % kSpeeds.size()]);
+  }
+}
+
+void
+Replay::SetRoute(GatewayRoute aRoute)
+{
+  aRoute.host_ = "host";
+  std::erase_if(config_.routes_, [&aRoute](const GatewayRoute& aOther) {
+    return aOther.name_ == aRoute.name_;
+  });
+  config_.routes_.push_back(std::move(aRoute));
+}
+
+void
+Replay::SetPolicy(const GatewayPolicy& aPolicy)
+{
+  for (ModelDaemon& daemon : daemons_) {
+    daemon.state_->settings_.policy_ = aPolicy;
+  }
+}
+
+void
+Replay::Publish()
+{
+  ++config_.version_;
+  std::vector<BackendEntry> entries;
+  for (const ModelServer& server : servers_) {
+    BackendEntry entry;
+    entry.id_ = server.id_;
+    entry.bornMillis_ = 1;
+    entry.service_ = server.service_;
+    entry.address_ = server.id_;
+    entry.failureDomain_ = server.domain_;
+    entry.slots_ = server.slots_;
+    entry.draining_ = server.draining_;
+    entry.sequence_ = config_.version_;
+    entries.push_back(entry);
+  }
+  const auto config = std::make_shared<const GatewayConfig>(config_);
+  for (std::size_t i = 0; i < daemons_.size(); ++i) {
+    GatewayDecisions decisions;
+    GatewayAdoptConfig(
+      *daemons_[i].state_, config, NowOf(), daemons_[i].rng_, decisions);
+    GatewayAdoptServers(
+      *daemons_[i].state_, entries, NowOf(), daemons_[i].rng_, decisions);
+    Carry(i, decisions);
+  }
+  Advance(std::chrono::milliseconds(500));
+}
+
+template<typename Item>
+void
+Replay::Give(std::size_t aDaemon, Item&& aItem)
+{
+  GatewayDecisions decisions;
+  ModelDaemon& daemon = daemons_[aDaemon];
+  GatewayOnEvent(
+    *daemon.state_, std::forward<Item>(aItem), NowOf(), daemon.rng_, decisions);
+  Carry(aDaemon, decisions);
+}
+
+void
+Replay::Arm(std::size_t aDaemon)
+{
+  ModelDaemon& daemon = daemons_[aDaemon];
+  const TimePoint wake = GatewayNextWake(*daemon.state_);
+  if (wake >= daemon.armed_) {
+    return;
+  }
+  daemon.armed_ = wake;
+  At(std::max(wake - now_, Duration::zero()), [this, aDaemon, wake]() {
+    if (daemons_[aDaemon].armed_ == wake) {
+      daemons_[aDaemon].armed_ = kNever;
+      Give(aDaemon, Tick{});
+    }
+  });
+}
+
+void
+Replay::Carry(std::size_t aDaemon, GatewayDecisions& aDecisions)
+{
+  for (GatewayDecision& decision : aDecisions) {
+    if (auto* answer = std::get_if<ProxyAnswer>(&decision)) {
+      const std::uint64_t id = answer->id_.value_;
+      const auto waiter = waiters_.find(id);
+      if (waiter != waiters_.end()) {
+        const Waiter function = std::move(waiter->second);
+        waiters_.erase(waiter);
+        function(*answer);
+      } else {
+        answers_[id] = std::move(*answer);
+      }
+    } else if (const auto* connect = std::get_if<BackendConnect>(&decision)) {
+      Connect(aDaemon, *connect);
+    } else if (const auto* send = std::get_if<BackendSend>(&decision)) {
+      sendsSeen_.push_back(*send);
+      const std::uint64_t serial =
+        serialOf_.at({ aDaemon, send->connection_.value_ });
+      At(kTrip, [this, serial, copy = *send]() { Deliver(serial, copy); });
+    } else if (const auto* end = std::get_if<BackendDisconnect>(&decision)) {
+      const auto found = serialOf_.find({ aDaemon, end->connection_.value_ });
+      if (found != serialOf_.end()) {
+        const std::uint64_t serial = found->second;
+        serialOf_.erase(found);
+        At(kTrip, [this, serial]() { Drop(serial); });
+      }
+    }
+  }
+  Arm(aDaemon);
+}
+
+void
+Replay::Connect(std::size_t aDaemon, const BackendConnect& aConnect)
+{
+  const std::uint64_t serial = nextSerial_++;
+  const std::uint64_t key = aConnect.connection_.value_;
+  const auto server = std::find_if(
+    servers_.begin(), servers_.end(), [&](const ModelServer& aServer) {
+      return aServer.id_ == aConnect.address_;
+    });
+  const auto index = static_cast<std::size_t>(server - servers_.begin());
+  serialOf_[{ aDaemon, key }] = serial;
+  connections_[serial] = ModelConnection{ aDaemon, key, index, 0, "" };
+  if (server->fault_ == ModelFault::Silent) {
+    At(aConnect.timeout_,
+       [this, serial]() { Break(serial, BackendEnd::TimedOut); });
+    return;
+  }
+  if (server->fault_ == ModelFault::Down) {
+    At(2 * kTrip, [this, serial]() { Break(serial, BackendEnd::Refused); });
+    return;
+  }
+  ++server->connections_;
+  server->most_ = std::max(server->most_, server->connections_);
+  At(2 * kTrip + kHandshake, [this, serial, aDaemon, key]() {
+    if (serialOf_.count({ aDaemon, key }) > 0 &&
+        connections_.count(serial) > 0) {
+      Give(aDaemon, BackendOpened{ ConnectionId{ key } });
+    }
+  });
+}
+
+void
+Replay::Drop(std::uint64_t aConnection)
+{
+  const auto found = connections_.find(aConnection);
+  if (found == connections_.end()) {
+    return;
+  }
+  const ModelConnection connection = found->second;
+  connections_.erase(found);
+  ModelServer& server = servers_[connection.server_];
+  server.connections_ -= server.connections_ > 0 ? 1 : 0;
+  if (connection.job_ != 0) {
+    std::erase(server.waiting_, connection.job_);
+    std::erase(server.running_, connection.job_);
+    jobs_.erase(connection.job_);
+    StartJobs(connection.server_);
+  }
+}
+
+void
+Replay::Break(std::uint64_t aConnection, BackendEnd aEnd)
+{
+  const auto found = connections_.find(aConnection);
+  if (found == connections_.end()) {
+    return;
+  }
+  const ModelConnection connection = found->second;
+  Drop(aConnection);
+  const bool open =
+    serialOf_.erase({ connection.daemon_, connection.key_ }) > 0;
+  if (open) {
+    Give(connection.daemon_,
+         BackendClosed{ ConnectionId{ connection.key_ }, aEnd, false });
+  }
+}
+
+void
+Replay::Deliver(std::uint64_t aConnection, const BackendSend& aSend)
+{
+  const auto found = connections_.find(aConnection);
+  if (found == connections_.end()) {
+    return;
+  }
+  ModelServer& server = servers_[found->second.server_];
+  ++server.arrivals_;
+  if (server.fault_ == ModelFault::Silent) {
+    return;
+  }
+  if (server.fault_ == ModelFault::Shed ||
+      server.waiting_.size() >= server.queue_) {
+    BackendAnswer shed;
+    shed.status_ = 503;
+    shed.notRun_ = true;
+    Reply(aConnection, std::move(shed));
+    return;
+  }
+  const std::uint64_t job = nextSerial_++;
+  found->second.job_ = job;
+  const Duration mean = workOf_[aSend.message_->path_];
+  jobs_[job] =
+    ModelJob{ found->second.server_, aConnection, aSend, Work(mean) };
+  server.waiting_.push_back(job);
+  StartJobs(found->second.server_);
+}
+
+Duration
+Replay::Work(Duration aMean)
+{
+  std::normal_distribution<double> spread(0.0, kWorkSpread);
+  const double tail =
+    static_cast<double>(rng_() % 10000) < kTailShare * 10000 ? kTailFactor : 1;
+  const double factor =
+    std::exp(spread(rng_) - kWorkSpread * kWorkSpread / 2) * tail;
+  return Duration(
+    static_cast<std::int64_t>(static_cast<double>(aMean.count()) * factor));
+}
+
+Duration
+Replay::PauseLeft(const ModelServer& aServer) const
+{
+  if (aServer.pauseEvery_.count() == 0) {
+    return Duration::zero();
+  }
+  const std::int64_t place =
+    (now_.time_since_epoch() + aServer.pauseAt_).count() %
+    aServer.pauseEvery_.count();
+  return std::max(aServer.pauseFor_ - Duration(place), Duration::zero());
+}
+
+void
+Replay::Crash(std::size_t aServer)
+{
+  servers_[aServer].fault_ = ModelFault::Down;
+  std::vector<std::uint64_t> open;
+  for (const auto& [serial, connection] : connections_) {
+    if (connection.server_ == aServer) {
+      open.push_back(serial);
+    }
+  }
+  for (const std::uint64_t serial : open) {
+    At(kTrip, [this, serial]() { Break(serial, BackendEnd::Reset); });
+  }
+}
+
+void
+Replay::StartJobs(std::size_t aServer)
+{
+  ModelServer& server = servers_[aServer];
+  while (server.running_.size() < server.slots_ && !server.waiting_.empty()) {
+    const std::uint64_t key = server.waiting_.front();
+    server.waiting_.pop_front();
+    server.running_.push_back(key);
+    ++server.ran_;
+    ModelJob& job = jobs_.at(key);
+    job.running_ = true;
+    if (server.crashesOn_ &&
+        job.send_.message_->path_.find("poison") != std::string::npos) {
+      Crash(aServer);
+      return;
+    }
+    const auto work = static_cast<std::int64_t>(
+      static_cast<double>(job.work_.count()) * server.speed_);
+    At(Duration(work) + PauseLeft(server), [this, key]() { EndJob(key); });
+  }
+}
+
+void
+Replay::EndJob(std::uint64_t aJob)
+{
+  const auto found = jobs_.find(aJob);
+  if (found == jobs_.end()) {
+    return;
+  }
+  ModelServer& server = servers_[found->second.server_];
+  // A pause that began meanwhile holds the answer back.
+  const Duration pause = PauseLeft(server);
+  if (pause.count() > 0) {
+    At(pause, [this, aJob]() { EndJob(aJob); });
+    return;
+  }
+  const ModelJob job = found->second;
+  jobs_.erase(found);
+  std::erase(server.running_, aJob);
+  ModelConnection& connection = connections_.at(job.connection_);
+  connection.job_ = 0;
+  const ProxyMessage& message = *job.send_.message_;
+  BackendAnswer answer;
+  answer.status_ = server.fault_ == ModelFault::Fail ? 500 : 200;
+  answer.requestId_ = message.requestId_;
+  answer.proof_ = server.id_ + "/" + message.requestId_;
+  answer.load_ =
+    ReportedLoad{ true,
+                  static_cast<std::uint32_t>(server.running_.size()),
+                  static_cast<std::uint32_t>(server.waiting_.size()),
+                  server.slots_ };
+  answer.body_.assign(16, 'r');
+  switch (server.fault_) {
+    case ModelFault::Silent:
+      break;
+    case ModelFault::Reset:
+      Break(job.connection_, BackendEnd::Reset);
+      break;
+    case ModelFault::Garble:
+      answer.proof_.clear();
+      Reply(job.connection_, std::move(answer));
+      break;
+    case ModelFault::Twice:
+      if (!connection.lastId_.empty()) {
+        BackendAnswer extra = answer;
+        extra.requestId_ = connection.lastId_;
+        Reply(job.connection_, std::move(extra));
+      }
+      connection.lastId_ = message.requestId_;
+      Reply(job.connection_, std::move(answer));
+      break;
+    default:
+      Reply(job.connection_, std::move(answer));
+      break;
+  }
+  StartJobs(job.server_);
+}
+
+void
+Replay::Reply(std::uint64_t aConnection, BackendAnswer aAnswer)
+{
+  At(kTrip, [this, aConnection, answer = std::move(aAnswer)]() mutable {
+    const auto found = connections_.find(aConnection);
+    if (found == connections_.end()) {
+      return;
+    }
+    const ModelConnection connection = found->second;
+    if (serialOf_.count({ connection.daemon_, connection.key_ }) > 0) {
+      answer.connection_ = ConnectionId{ connection.key_ };
+      Give(connection.daemon_, std::move(answer));
+    }
+  });
+}
+
+void
+Replay::At(Duration aAfter, std::function<void()> aAction)
+{
+  schedule_.push(
+    Scheduled{ now_ + aAfter,
+               order_++,
+               std::make_shared<std::function<void()>>(std::move(aAction)) });
+}
+
+void
+Replay::Advance(Duration aTime)
+{
+  const TimePoint end = now_ + aTime;
+  while (!schedule_.empty() && schedule_.top().at_ <= end) {
+    const Scheduled next = schedule_.top();
+    schedule_.pop();
+    now_ = std::max(now_, next.at_);
+    (*next.action_)();
+  }
+  now_ = end;
+}
+
+std::uint64_t
+Replay::Ask(std::size_t aDaemon, const std::string& aTarget, Duration aPatience)
+{
+  const std::uint64_t id = nextRequest_++;
+  auto message = std::make_shared<ProxyMessage>();
+  message->method_ = "GET";
+  message->target_ = aTarget;
+  message->path_ = aTarget;
+  message->host_ = "host";
+  message->requestId_ = "r" + std::to_string(id);
+  ProxyRequest request;
+  request.id_ = CallerRequestId{ id };
+  request.caller_ = "caller";
+  request.message_ = std::move(message);
+  request.patience_ = aPatience;
+  Give(aDaemon, request);
+  return id;
+}
+
+void
+Replay::Leave(std::size_t aDaemon, std::uint64_t aRequest)
+{
+  Give(aDaemon, CallerGone{ CallerRequestId{ aRequest } });
+}
+
+const ProxyAnswer*
+Replay::AnswerOf(std::uint64_t aRequest) const
+{
+  const auto found = answers_.find(aRequest);
+  return found == answers_.end() ? nullptr : &found->second;
+}
+
+ModelServer&
+Replay::Server(const std::string& aId)
+{
+  return *std::find_if(
+    servers_.begin(), servers_.end(), [&aId](const ModelServer& aServer) {
+      return aServer.id_ == aId;
+    });
+}
+
+std::uint64_t
+Replay::Sends() const
+{
+  return sendsSeen_.size();
+}
+
+void
+Replay::Offer(const ReplayLoad& aLoad,
+              ReplayResult& aResult,
+              TimePoint aBegun,
+              std::uint32_t aRetriesLeft)
+{
+  const TimePoint sent = now_;
+  const std::size_t daemon = rng_() % daemons_.size();
+  waiters_[nextRequest_] = [this, &aLoad, &aResult, aBegun, sent, aRetriesLeft](
+                             const ProxyAnswer& aAnswer) {
+    const auto route = std::find_if(
+      config_.routes_.begin(),
+      config_.routes_.end(),
+      [&aLoad](const GatewayRoute& aRoute) {
+        return aLoad.target_.substr(0, aRoute.prefix_.size()) == aRoute.prefix_;
+      });
+    if (aAnswer.code_ <= ProxyCode::Merged) {
+      const bool late = now_ - aBegun > route->objective_;
+      const auto shards =
+        static_cast<double>(std::max<std::size_t>(route->shards_.size(), 1));
+      const double coverage = 1.0 - aAnswer.missing_ / shards;
+      ++(late ? aResult.late_ : aResult.onTime_);
+      aResult.worth_ += late ? 0.0 : coverage * coverage;
+      aResult.took_.push_back(now_ - aBegun);
+      return;
+    }
+    if (aAnswer.retryAfter_.count() == 0) {
+      ++aResult.failed_;
+      return;
+    }
+    aResult.rejectedAfter_.push_back(now_ - sent);
+    if (aRetriesLeft == 0) {
+      ++aResult.rejected_;
+      return;
+    }
+    At(aAnswer.retryAfter_, [this, &aLoad, &aResult, aBegun, aRetriesLeft]() {
+      Offer(aLoad, aResult, aBegun, aRetriesLeft - 1);
+    });
+  };
+  const TimePoint deadline = aBegun + aLoad.patience_;
+  Ask(daemon, aLoad.target_, deadline - now_);
+}
+
+std::map<std::string, ReplayResult>
+Replay::Run(const std::vector<ReplayLoad>& aLoads, Duration aTime)
+{
+  std::map<std::string, ReplayResult> results;
+  for (const ReplayLoad& load : aLoads) {
+    workOf_[load.target_] = load.work_;
+    std::exponential_distribution<double> gap(load.perSecond_);
+    for (double at = gap(rng_); at < static_cast<double>(aTime.count()) / 1e6;
+         at += gap(rng_)) {
+      ReplayResult& result = results[load.target_];
+      At(Duration(static_cast<std::int64_t>(at * 1e6)),
+         [this, &load, &result]() {
+           ++result.asked_;
+           Offer(load, result, now_, load.retries_);
+         });
+    }
+  }
+  Advance(aTime + std::chrono::seconds(10));
+  return results;
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/tests/gateway/replay_fixture.h
@@ -0,0 +1,189 @@
+/** Daemons, a model of backend servers and callers on a paused clock. */
+#pragma once
+
+#include "gateway/gateway_func.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace camphorfield {
+
+/** How a model server answers for a while. */
+enum class ModelFault : std::uint8_t
+{
+  None,
+  Shed,   ///< Says "not run" to everything.
+  Fail,   ///< Fails after the work.
+  Reset,  ///< Breaks the connection after the work.
+  Garble, ///< Answers without a proof.
+  Twice,  ///< Answers again with an older id before each answer.
+  Silent, ///< Neither answers nor accepts connections.
+  Down,   ///< Refuses connections; what is in flight is reset.
+  End     ///< Number of faults.
+};
+
+/** One model server. */
+struct ModelServer
+{
+  std::string id_;
+  std::string service_;
+  std::string domain_;
+  std::uint32_t slots_ = 2;
+  std::uint32_t queue_ = 12;
+  double speed_ = 1.0; ///< Work takes that many times as long.
+  Duration pauseEvery_{};
+  Duration pauseFor_{};
+  Duration pauseAt_{}; ///< Offset of the first pause.
+  ModelFault fault_ = ModelFault::None;
+  bool draining_ = false;
+  bool crashesOn_ = false; ///< Crashes when it begins "poison".
+  std::uint32_t connections_ = 0;
+  std::uint32_t most_ = 0; ///< Connections at a time.
+  std::uint64_t arrivals_ = 0;
+  std::uint64_t ran_ = 0;
+  std::deque<std::uint64_t> waiting_;
+  std::vector<std::uint64_t> running_;
+};
+
+/** What callers saw of one route. */
+struct ReplayResult
+{
+  std::uint32_t asked_ = 0;
+  std::uint32_t onTime_ = 0;
+  std::uint32_t late_ = 0;
+  std::uint32_t rejected_ = 0; ///< Ended with a refusal.
+  std::uint32_t failed_ = 0;
+  double worth_ = 0.0; ///< On time, times the square of the coverage.
+  std::vector<Duration> took_;
+  std::vector<Duration> rejectedAfter_;
+
+  double OnTimeShare() const;
+  double WorthShare() const;
+};
+
+/** Load of one route. */
+struct ReplayLoad
+{
+  std::string target_;
+  double perSecond_ = 0.0; ///< Over all daemons.
+  Duration work_{};        ///< Mean work of one part.
+  Duration patience_ = std::chrono::seconds(2);
+  std::uint32_t retries_ = 1; ///< Of a caller after a refusal.
+};
+
+/** The replay. Times of work are drawn from the seed alone. */
+class Replay
+{
+public:
+  Replay(std::size_t aDaemons, std::uint64_t aSeed);
+
+  ModelServer& AddServer(const std::string& aService, double aSpeed);
+  /** A query over services shard0, shard1, ... of two servers each. */
+  void AddShards(std::size_t aShards);
+  void SetRoute(GatewayRoute aRoute);
+  void SetPolicy(const GatewayPolicy& aPolicy);
+  /** Tells the daemons of routes and servers and lets them connect. */
+  void Publish();
+  /** Offers loads for a while; results by target. */
+  std::map<std::string, ReplayResult> Run(const std::vector<ReplayLoad>& aLoads,
+                                          Duration aTime);
+  /** One request at one daemon now. */
+  std::uint64_t Ask(std::size_t aDaemon,
+                    const std::string& aTarget,
+                    Duration aPatience);
+  void Leave(std::size_t aDaemon, std::uint64_t aRequest);
+  void Advance(Duration aTime);
+  void At(Duration aAfter, std::function<void()> aAction);
+
+  ModelServer& Server(const std::string& aId);
+  std::deque<ModelServer>& Servers() { return servers_; }
+  const ProxyAnswer* AnswerOf(std::uint64_t aRequest) const;
+  GatewayState& Daemon(std::size_t aDaemon)
+  {
+    return *daemons_[aDaemon].state_;
+  }
+  Duration Work(Duration aMean);
+  std::uint64_t Sends() const;
+  const std::vector<BackendSend>& SendsSeen() const { return sendsSeen_; }
+  TimePoint Clock() const { return now_; }
+
+private:
+  struct ModelDaemon
+  {
+    std::unique_ptr<GatewayState> state_;
+    Rng rng_;
+    TimePoint armed_ = kNever;
+  };
+  struct ModelConnection
+  {
+    std::size_t daemon_ = 0;
+    std::uint64_t key_ = 0;
+    std::size_t server_ = 0;
+    std::uint64_t job_ = 0;
+    std::string lastId_; ///< Id of the request before.
+  };
+  struct ModelJob
+  {
+    std::size_t server_ = 0;
+    std::uint64_t connection_ = 0;
+    BackendSend send_;
+    Duration work_{};
+    bool running_ = false;
+  };
+  struct Scheduled
+  {
+    TimePoint at_;
+    std::uint64_t order_;
+    std::shared_ptr<std::function<void()>> action_;
+    bool operator>(const Scheduled& aOther) const
+    {
+      return std::tie(at_, order_) > std::tie(aOther.at_, aOther.order_);
+    }
+  };
+  using Waiter = std::function<void(const ProxyAnswer&)>;
+
+  template<typename Item>
+  void Give(std::size_t aDaemon, Item&& aItem);
+  void Carry(std::size_t aDaemon, GatewayDecisions& aDecisions);
+  void Connect(std::size_t aDaemon, const BackendConnect& aConnect);
+  void Deliver(std::uint64_t aConnection, const BackendSend& aSend);
+  void Drop(std::uint64_t aConnection);
+  void StartJobs(std::size_t aServer);
+  void EndJob(std::uint64_t aJob);
+  void Reply(std::uint64_t aConnection, BackendAnswer aAnswer);
+  void Break(std::uint64_t aConnection, BackendEnd aEnd);
+  void Crash(std::size_t aServer);
+  void Arm(std::size_t aDaemon);
+  Now NowOf() const { return Now{ now_, now_.time_since_epoch().count() }; }
+  Duration PauseLeft(const ModelServer& aServer) const;
+  void Offer(const ReplayLoad& aLoad,
+             ReplayResult& aResult,
+             TimePoint aBegun,
+             std::uint32_t aRetriesLeft);
+
+  TimePoint now_{ std::chrono::seconds(1000) };
+  Rng rng_;
+  std::vector<ModelDaemon> daemons_;
+  std::deque<ModelServer> servers_;
+  GatewayConfig config_;
+  std::map<std::uint64_t, ModelConnection> connections_; ///< By serial.
+  std::map<std::pair<std::size_t, std::uint64_t>, std::uint64_t> serialOf_;
+  std::map<std::uint64_t, ModelJob> jobs_;
+  std::uint64_t nextSerial_ = 1;
+  std::uint64_t nextRequest_ = 1;
+  std::uint64_t order_ = 0;
+  std::priority_queue<Scheduled, std::vector<Scheduled>, std::greater<>>
+    schedule_;
+  std::map<std::uint64_t, Waiter> waiters_; ///< By request.
+  std::map<std::uint64_t, ProxyAnswer> answers_;
+  std::map<std::string, Duration> workOf_; ///< By target.
+  std::vector<BackendSend> sendsSeen_;
+};
+
+} // namespace camphorfield
