--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -17,10 +17,7 @@
 /** At most once in a while: requests that were admitted together are late
  * together. */
 void
-ShrinkWindow(RouteLoad& aLoad,
-             double aFactor,
-             Duration aPause,
-             TimePoint aNow)
+ShrinkWindow(RouteLoad& aLoad, double aFactor, Duration aPause, TimePoint aNow)
 {
   if (aNow < aLoad.windowCutAt_ + aPause) {
     return;
@@ -55,8 +52,8 @@
   }
   // Only while it is in use; otherwise it says nothing about load.
   if (static_cast<double>(aLoad.inFlight_) * 2.0 >= aLoad.window_) {
-    aLoad.window_ = std::min(
-      aLoad.window_ + kWindowIncrease / aLoad.window_, kWindowCeiling);
+    aLoad.window_ =
+      std::min(aLoad.window_ + kWindowIncrease / aLoad.window_, kWindowCeiling);
   }
 }
 
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -178,9 +178,9 @@
 bool
 MayRetry(const GatewayRun& aRun, const RequestPart& aPart)
 {
-  const bool repeatable =
-    aRun.route_->kind_ == RequestKind::Idempotent || aPart.mayHaveRun_ == 0;
-  return repeatable && aPart.sends_ < kMaxSends;
+  const std::uint32_t runs =
+    aRun.route_->kind_ == RequestKind::Idempotent ? kMaxRuns : 1;
+  return aPart.mayHaveRun_ < runs && aPart.sends_ < kMaxSends;
 }
 
 void
@@ -371,7 +371,10 @@
   RequestPart& part = run->parts_[index];
   NoteNoAnswerYet(
     aStep, *FindSlot(state.backends_, attempt->backend_), *attempt);
-  if (part.attempts_[1] != 0 || part.sends_ >= kMaxSends) {
+  if (part.attempts_[0] != 0 && part.attempts_[1] != 0) {
+    return;
+  }
+  if (part.mayHaveRun_ + 1U >= kMaxRuns || part.sends_ >= kMaxSends) {
     return;
   }
   const std::uint64_t backend = ChooseBackend(aStep, *run, part, true);
--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -57,18 +57,51 @@
   }
 }
 
+/** Whether an entry was written before what is known of its server. */
+bool
+IsStale(const GatewayState& aState, const BackendEntry& aEntry)
+{
+  const auto newest = aState.newestWrite_.find(aEntry.id_);
+  return newest != aState.newestWrite_.end() &&
+         std::pair(aEntry.bornMillis_, aEntry.sequence_) < newest->second;
+}
+
+/** The entries, with what is known in place of those that are stale. */
+std::map<BackendKey, BackendEntry>
+ReplaceStale(GatewayState& aState, const std::vector<BackendEntry>& aServers)
+{
+  std::map<BackendKey, BackendEntry> listed;
+  std::map<std::string, std::pair<std::int64_t, std::uint64_t>> newest;
+  for (const BackendEntry& entry : aServers) {
+    if (!IsStale(aState, entry)) {
+      newest[entry.id_] = { entry.bornMillis_, entry.sequence_ };
+      listed[BackendKey(entry.id_, entry.bornMillis_)] = entry;
+      continue;
+    }
+    const auto& known = aState.newestWrite_.at(entry.id_);
+    const BackendKey key(entry.id_, known.first);
+    newest[entry.id_] = known;
+    const auto backend = aState.backendOf_.find(key);
+    if (backend != aState.backendOf_.end()) {
+      listed[key] = aState.backends_.slots_[backend->second & kSlotMask].entry_;
+    }
+  }
+  aState.newestWrite_ = std::move(newest);
+  return listed;
+}
+
 /** Servers of the state that a list no longer names, or names elsewhere. */
 std::vector<std::uint64_t>
 FindRemoved(const GatewayState& aState,
-            const std::map<BackendKey, const BackendEntry*>& aListed)
+            const std::map<BackendKey, BackendEntry>& aListed)
 {
   std::vector<std::uint64_t> removed;
   for (const auto& [key, backendKey] : aState.backendOf_) {
     const BackendEntry& known =
       aState.backends_.slots_[backendKey & kSlotMask].entry_;
     const auto found = aListed.find(key);
-    if (found == aListed.end() || found->second->address_ != known.address_ ||
-        found->second->service_ != known.service_) {
+    if (found == aListed.end() || found->second.address_ != known.address_ ||
+        found->second.service_ != known.service_) {
       removed.push_back(backendKey);
     }
   }
@@ -117,20 +150,18 @@
                     GatewayDecisions& aOut)
 {
   GatewayStep step{ aState, aNow, aRng, aOut };
-  std::map<BackendKey, const BackendEntry*> listed;
-  for (const BackendEntry& entry : aServers) {
-    listed[BackendKey(entry.id_, entry.bornMillis_)] = &entry;
-  }
+  const std::map<BackendKey, BackendEntry> listed =
+    ReplaceStale(aState, aServers);
   for (const std::uint64_t key : FindRemoved(aState, listed)) {
     RemoveBackend(step, *FindSlot(aState.backends_, key));
   }
   for (const auto& [key, entry] : listed) {
     const auto known = aState.backendOf_.find(key);
     Backend* backend = known == aState.backendOf_.end()
-                         ? &AddBackend(step, *entry)
+                         ? &AddBackend(step, entry)
                          : FindSlot(aState.backends_, known->second);
-    UpdateBackend(step, *backend, *entry);
-    backend->warmUntil_ = aNow.mono_ + entry->warmupLeft_;
+    UpdateBackend(step, *backend, entry);
+    backend->warmUntil_ = aNow.mono_ + entry.warmupLeft_;
     EnsureConnections(step, *backend);
     MarkService(aState, backend->service_);
   }
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -123,7 +123,7 @@
   std::uint32_t inFlight_ = 0;
   TimePoint windowCutAt_{};
   std::vector<double> splitCredit_; ///< Of each share of a divided route.
-  Duration patience_{};  ///< Longest that callers have said they wait.
+  Duration patience_{}; ///< Longest that callers have said they wait.
   TimePoint patienceAt_{};
 };
 
@@ -234,6 +234,8 @@
   std::map<std::string, RouteLoad> loads_; ///< By name of the route.
   Pool<Backend> backends_;
   std::map<std::pair<std::string, std::int64_t>, std::uint64_t> backendOf_;
+  /** Start and number of the latest write of each listed server. */
+  std::map<std::string, std::pair<std::int64_t, std::uint64_t>> newestWrite_;
   Pool<BackendConn> connections_;
   Pool<Attempt> attempts_;
   Pool<GatewayRun> runs_;
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -74,6 +74,7 @@
 constexpr std::uint32_t kSamplesToHedge = 30;
 constexpr Duration kHedgeUnknown = milliseconds(60); ///< With fewer samples.
 constexpr std::uint32_t kMaxSends = 5; ///< For one shard, not run included.
+constexpr std::uint32_t kMaxRuns = 3; ///< The same, of those that may have run.
 constexpr std::size_t kBudgetBuckets = 20;
 /** Share of the platform's bounds on extra requests that is used. */
 constexpr double kBudgetUse = 0.8;
@@ -94,7 +95,7 @@
 // Content that crashes servers.
 constexpr std::uint32_t kCrashesToQuarantine = 3; ///< Servers, by all daemons.
 constexpr Duration kCrashWindow = milliseconds(600);
-constexpr Duration kSuspectLife = seconds(60);
+constexpr Duration kSuspectLife = seconds(300);
 constexpr std::size_t kMaxSuspects = 1024;
 
 /** Interval of routine care for servers and connections. */
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -217,8 +217,8 @@
 {
   const auto share = static_cast<std::int64_t>(
     static_cast<double>(aRoute.objective_.count()) * kObjectiveMarginShare);
-  const Duration margin = std::min<Duration>(
-    kObjectiveMargin + Duration(share), aRoute.objective_ / 3);
+  const Duration margin = std::min<Duration>(kObjectiveMargin + Duration(share),
+                                             aRoute.objective_ / 3);
   return aRoute.objective_ - margin - aWaited;
 }
 
@@ -269,9 +269,8 @@
   run.needed_ = PartsNeeded(aRoute);
   if (aRoute.objective_.count() > 0 && state.settings_.policy_.partial_) {
     run.late_ = aSoftWait <= Duration::zero();
-    run.softAt_ = run.late_
-                    ? run.deadline_
-                    : std::min(run.deadline_, aStep.Time() + aSoftWait);
+    run.softAt_ = run.late_ ? run.deadline_
+                            : std::min(run.deadline_, aStep.Time() + aSoftWait);
   }
   AddParts(state, run);
   ++run.load_->inFlight_;
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -2,6 +2,7 @@
 
 #include "discovery/tables_json.h"
 #include "gateway/directory.h"
+#include "gateway/gateway_const.h"
 #include "gateway/gateway_func.h"
 #include "membership/membership_func.h"
 #include "observe/log.h"
@@ -145,7 +146,7 @@
         rumor.fingerprint_ = Fingerprint{ aItem.fingerprint_ };
         rumor.crashes_ = aItem.crashes_;
         rumor.untilUnixMicros_ =
-          ReadClock().unixMicros_ + Duration(std::chrono::minutes(1)).count();
+          ReadClock().unixMicros_ + Duration(kSuspectLife).count();
         StepMembership(SpreadRumor{ rumor });
       } else if constexpr (std::is_same_v<Item, RequestRecord>) {
         LogRequest(aItem);
--- a/tests/gateway/load_test.cpp
+++ b/tests/gateway/load_test.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kShards = 20;
 constexpr std::size_t kDaemons = 6;
 constexpr const char* kWide = "/wide/q";
+constexpr double kSeconds = 20.0; ///< Load is offered for that long.
 
 GatewayRoute
 WideRoute()
@@ -155,7 +156,6 @@
     const double with = Play(GatewayPolicy{}, item.disturb_, load).WorthShare();
     const double without =
       Play(Without(item.part_), item.disturb_, load).WorthShare();
-    printf("%s: %.3f with, %.3f without\n", item.name_, with, without);
     CHECK_TEXT(with > without, item.name_);
   }
 }
@@ -174,13 +174,6 @@
   for (const PatternCase& item : cases) {
     const ReplayResult result =
       Play(GatewayPolicy{}, item.disturb_, WideLoad(item.perSecond_));
-    printf("%s: on time %.3f worth %.3f late %u rejected %u failed %u\n",
-           item.name_,
-           result.OnTimeShare(),
-           result.WorthShare(),
-           result.late_,
-           result.rejected_,
-           result.failed_);
     CHECK_TEXT(result.OnTimeShare() >= item.onTime_, item.name_);
   }
 }
@@ -189,43 +182,13 @@
 // servers can run, and half of the refusals come within 5 ms.
 TEST(Load, GoodputHoldsAtTwiceTheCapacity)
 {
-  // Two servers of two slots a shard; the slowest pair of speeds is 1.0, 1.3.
-  const double capacity = 2.0 * (1.0 / 1.0 + 1.0 / 1.3) / 0.028 * 1.0;
+  // Two servers of two slots a shard; the slowest pair runs at 1.0 and 1.3.
+  // One work in a hundred takes five times as long.
+  constexpr double kMeanWork = 0.028 * 1.04;
+  const double capacity = 2.0 * (1.0 + 1.0 / 1.3) / kMeanWork;
   const ReplayResult result =
     Play(GatewayPolicy{}, NoTrouble, WideLoad(2.0 * capacity));
-  const double goodput = result.worth_ / 20.0;
-  printf("capacity %.1f goodput %.1f on time %u late %u rejected %u failed %u "
-         "of %u refusals %zu\n",
-         capacity,
-         goodput,
-         result.onTime_,
-         result.late_,
-         result.rejected_,
-         result.failed_,
-         result.asked_,
-         result.rejectedAfter_.size());
-  for (bool GatewayPolicy::*part :
-       { &GatewayPolicy::hedge_, &GatewayPolicy::partial_ }) {
-    const ReplayResult r =
-      Play(Without(part), NoTrouble, WideLoad(2.0 * capacity));
-    printf("without: goodput %.1f on time %u late %u rejected %u failed %u\n",
-           r.worth_ / 20,
-           r.onTime_,
-           r.late_,
-           r.rejected_,
-           r.failed_);
-  }
-  for (double x : { 0.6, 0.8, 0.9, 1.0, 1.1, 1.3 }) {
-    const ReplayResult r =
-      Play(GatewayPolicy{}, NoTrouble, WideLoad(x * capacity));
-    printf("load %.1f: goodput %.1f on time %u late %u rejected %u failed %u\n",
-           x * capacity,
-           r.worth_ / 20,
-           r.onTime_,
-           r.late_,
-           r.rejected_,
-           r.failed_);
-  }
+  const double goodput = result.worth_ / kSeconds;
   CHECK_TRUE(goodput >= 0.9 * capacity);
   std::vector<Duration> refusals = result.rejectedAfter_;
   CHECK_FALSE(refusals.empty());
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -101,6 +101,8 @@
   void Advance(Duration aTime);
   void At(Duration aAfter, std::function<void()> aAction);
 
+  /** Takes a server down: its connections are reset. */
+  void Crash(std::size_t aServer);
   ModelServer& Server(const std::string& aId);
   std::deque<ModelServer>& Servers() { return servers_; }
   const ProxyAnswer* AnswerOf(std::uint64_t aRequest) const;
@@ -158,7 +160,6 @@
   void EndJob(std::uint64_t aJob);
   void Reply(std::uint64_t aConnection, BackendAnswer aAnswer);
   void Break(std::uint64_t aConnection, BackendEnd aEnd);
-  void Crash(std::size_t aServer);
   void Arm(std::size_t aDaemon);
   Now NowOf() const { return Now{ now_, now_.time_since_epoch().count() }; }
   Duration PauseLeft(const ModelServer& aServer) const;
--- /dev/null
+++ b/tests/gateway/rules_test.cpp
@@ -0,0 +1,375 @@
+// What callers and servers must see whatever servers do, on a paused clock.
+#include "gateway/replay_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace camphorfield;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+GatewayRoute
+PlainRoute(RequestKind aKind)
+{
+  GatewayRoute route;
+  route.name_ = "plain";
+  route.prefix_ = "/plain/";
+  route.kind_ = aKind;
+  route.timeout_ = seconds(4);
+  route.objective_ = milliseconds(400);
+  route.maxAttempts_ = 2;
+  route.to_.push_back({ "shard0", 1.0 });
+  return route;
+}
+
+GatewayRoute
+QueryRoute(std::size_t aShards, double aCoverage)
+{
+  GatewayRoute route;
+  route.name_ = "query";
+  route.prefix_ = "/query/";
+  route.timeout_ = seconds(2);
+  route.objective_ = milliseconds(200);
+  route.maxAttempts_ = 2;
+  route.topRecords_ = 5;
+  route.minCoverage_ = aCoverage;
+  for (std::size_t i = 0; i < aShards; ++i) {
+    route.shards_.push_back("shard" + std::to_string(i));
+  }
+  return route;
+}
+
+/** A fleet of one daemon in front of some shards. */
+struct OneDaemon
+{
+  OneDaemon(std::size_t aShards, const GatewayRoute& aRoute)
+    : replay_(1, 5)
+  {
+    replay_.AddShards(aShards);
+    replay_.SetRoute(aRoute);
+    replay_.Publish();
+  }
+  /** Asks, waits and returns the answer. */
+  const ProxyAnswer& Ask(const std::string& aTarget)
+  {
+    const std::uint64_t id = replay_.Ask(0, aTarget, seconds(3));
+    replay_.Advance(seconds(5));
+    const ProxyAnswer* answer = replay_.AnswerOf(id);
+    CHECK_TRUE(answer != nullptr);
+    return *answer;
+  }
+  void SetFault(std::size_t aServer, ModelFault aFault)
+  {
+    replay_.Servers()[aServer].fault_ = aFault;
+    if (aFault == ModelFault::Down) {
+      replay_.Crash(aServer);
+    }
+  }
+  std::uint64_t Ran()
+  {
+    std::uint64_t ran = 0;
+    for (const ModelServer& server : replay_.Servers()) {
+      ran += server.ran_;
+    }
+    return ran;
+  }
+  Replay replay_;
+};
+
+/** One fault of both servers of a plain route. */
+struct KindCase
+{
+  const char* name_;
+  ModelFault fault_;
+  RequestKind kind_;
+  ProxyCode code_;
+  std::uint64_t ran_; ///< Runs, at most.
+};
+
+/** A fault of the first server of each shard. */
+struct FaultCase
+{
+  const char* name_;
+  ModelFault fault_;
+};
+
+} // namespace
+
+TEST_GROUP(Rules){};
+
+// "Not run" is a promise; a non-idempotent request runs once at most.
+TEST(Rules, OutcomesTellTheTruthAboutRuns)
+{
+  const std::vector<KindCase> cases{
+    { "calm",
+      ModelFault::None,
+      RequestKind::NonIdempotent,
+      ProxyCode::Forwarded,
+      1 },
+    { "shed",
+      ModelFault::Shed,
+      RequestKind::NonIdempotent,
+      ProxyCode::NotRun,
+      0 },
+    { "shed, may be repeated",
+      ModelFault::Shed,
+      RequestKind::Idempotent,
+      ProxyCode::NotRun,
+      0 },
+    { "fails",
+      ModelFault::Fail,
+      RequestKind::NonIdempotent,
+      ProxyCode::Forwarded,
+      1 },
+    { "fails, may be repeated",
+      ModelFault::Fail,
+      RequestKind::Idempotent,
+      ProxyCode::Forwarded,
+      3 },
+    { "answer lost",
+      ModelFault::Reset,
+      RequestKind::NonIdempotent,
+      ProxyCode::Failed,
+      1 },
+    { "answer lost, may be repeated",
+      ModelFault::Reset,
+      RequestKind::Idempotent,
+      ProxyCode::Failed,
+      3 },
+    { "spoilt answer",
+      ModelFault::Garble,
+      RequestKind::NonIdempotent,
+      ProxyCode::Failed,
+      1 },
+    { "silence",
+      ModelFault::Silent,
+      RequestKind::NonIdempotent,
+      ProxyCode::TimedOut,
+      0 },
+  };
+  for (const KindCase& item : cases) {
+    OneDaemon fleet(1, PlainRoute(item.kind_));
+    fleet.SetFault(0, item.fault_);
+    fleet.SetFault(1, item.fault_);
+    const ProxyAnswer& answer = fleet.Ask("/plain/x");
+    LONGS_EQUAL_TEXT(item.code_, answer.code_, item.name_);
+    CHECK_TEXT(fleet.Ran() <= item.ran_, item.name_);
+    const bool promised = answer.retryAfter_.count() > 0;
+    CHECK_TEXT(!promised || fleet.Ran() == 0, item.name_);
+  }
+}
+
+// One replica's fault must not be seen by the caller of a query.
+TEST(Rules, QueriesAreWholeWithOneReplicaFaulty)
+{
+  const std::vector<FaultCase> cases{
+    { "shed", ModelFault::Shed },   { "fail", ModelFault::Fail },
+    { "reset", ModelFault::Reset }, { "garble", ModelFault::Garble },
+    { "twice", ModelFault::Twice }, { "silent", ModelFault::Silent },
+    { "down", ModelFault::Down },
+  };
+  for (const FaultCase& item : cases) {
+    OneDaemon fleet(4, QueryRoute(4, 0.75));
+    for (std::size_t i = 0; i < 8; i += 2) {
+      fleet.SetFault(i, item.fault_);
+    }
+    for (int i = 0; i < 6; ++i) {
+      const ProxyAnswer& answer = fleet.Ask("/query/x");
+      LONGS_EQUAL_TEXT(ProxyCode::Merged, answer.code_, item.name_);
+      LONGS_EQUAL_TEXT(4, answer.proofs_.size() + answer.missing_, item.name_);
+    }
+  }
+}
+
+// Each shard proves its part once, and only answers to this request count.
+TEST(Rules, ProofsAreOfThisRequestAndOfOneServerAShard)
+{
+  OneDaemon fleet(6, QueryRoute(6, 0.5));
+  for (ModelServer& server : fleet.replay_.Servers()) {
+    server.fault_ = ModelFault::Twice;
+  }
+  for (int i = 1; i <= 20; ++i) {
+    const ProxyAnswer& answer = fleet.Ask("/query/x");
+    LONGS_EQUAL(ProxyCode::Merged, answer.code_);
+    std::set<std::string> services;
+    for (const std::string& proof : answer.proofs_) {
+      const std::size_t slash = proof.find('/');
+      STRCMP_EQUAL(("r" + std::to_string(i)).c_str(),
+                   proof.substr(slash + 1).c_str());
+      services.insert(fleet.replay_.Server(proof.substr(0, slash)).service_);
+    }
+    LONGS_EQUAL(answer.proofs_.size(), services.size());
+  }
+}
+
+TEST(Rules, TooFewShardsAreNoSuccess)
+{
+  OneDaemon fleet(4, QueryRoute(4, 0.75));
+  for (std::size_t i = 0; i < 4; ++i) {
+    fleet.SetFault(i, ModelFault::Fail);
+  }
+  LONGS_EQUAL(ProxyCode::LowCoverage, fleet.Ask("/query/x").code_);
+}
+
+// What can't be served is rejected at once, with a time to come back.
+TEST(Rules, RequestsThatNoServerCanRunAreRejectedAtOnce)
+{
+  OneDaemon fleet(4, QueryRoute(4, 1.0));
+  fleet.SetFault(0, ModelFault::Down);
+  fleet.SetFault(1, ModelFault::Down);
+  for (int i = 0; i < 4; ++i) {
+    fleet.Ask("/query/x");
+  }
+  const std::uint64_t id = fleet.replay_.Ask(0, "/query/x", seconds(2));
+  fleet.replay_.Advance(milliseconds(1));
+  const ProxyAnswer* answer = fleet.replay_.AnswerOf(id);
+  CHECK_TRUE(answer != nullptr);
+  LONGS_EQUAL(ProxyCode::NoServer, answer->code_);
+  CHECK_TRUE(answer->retryAfter_.count() > 0);
+}
+
+TEST(Rules, DrainingServersGetNothingNew)
+{
+  OneDaemon fleet(2, QueryRoute(2, 1.0));
+  fleet.Ask("/query/x");
+  fleet.replay_.Servers()[0].draining_ = true;
+  fleet.replay_.Publish();
+  const std::uint64_t before = fleet.replay_.Servers()[0].arrivals_;
+  for (int i = 0; i < 10; ++i) {
+    LONGS_EQUAL(ProxyCode::Merged, fleet.Ask("/query/x").code_);
+  }
+  LONGS_EQUAL(before, fleet.replay_.Servers()[0].arrivals_);
+}
+
+TEST(Rules, ACallersLeavingEndsTheWork)
+{
+  OneDaemon fleet(4, QueryRoute(4, 1.0));
+  fleet.Ask("/query/x");
+  for (ModelServer& server : fleet.replay_.Servers()) {
+    server.speed_ = 1e6;
+    server.pauseEvery_ = seconds(1000);
+    server.pauseFor_ = seconds(1000);
+  }
+  const std::uint64_t id = fleet.replay_.Ask(0, "/query/x", seconds(2));
+  fleet.replay_.Advance(milliseconds(20));
+  fleet.replay_.Leave(0, id);
+  fleet.replay_.Advance(milliseconds(100));
+  for (const ModelServer& server : fleet.replay_.Servers()) {
+    LONGS_EQUAL(0, server.running_.size());
+  }
+  LONGS_EQUAL(0, GatewayInFlight(fleet.replay_.Daemon(0)));
+  CHECK_TRUE(fleet.replay_.AnswerOf(id) == nullptr);
+}
+
+// Servers are told what is left of the caller's time, not more.
+TEST(Rules, RemainingTimePassedOnIsWhatIsLeft)
+{
+  OneDaemon fleet(2, QueryRoute(2, 1.0));
+  fleet.SetFault(0, ModelFault::Fail);
+  fleet.Ask("/query/x");
+  for (const BackendSend& send : fleet.replay_.SendsSeen()) {
+    CHECK_TRUE(send.remaining_ <= seconds(2));
+    CHECK_FALSE(send.expectedServer_.empty());
+  }
+}
+
+TEST(Rules, AnswersComeAtTheRoutesTimeout)
+{
+  GatewayRoute route = PlainRoute(RequestKind::Idempotent);
+  route.timeout_ = milliseconds(300);
+  OneDaemon fleet(1, route);
+  fleet.SetFault(0, ModelFault::Silent);
+  fleet.SetFault(1, ModelFault::Silent);
+  const std::uint64_t id = fleet.replay_.Ask(0, "/plain/x", seconds(8));
+  fleet.replay_.Advance(milliseconds(301));
+  const ProxyAnswer* answer = fleet.replay_.AnswerOf(id);
+  CHECK_TRUE(answer != nullptr);
+  LONGS_EQUAL(ProxyCode::TimedOut, answer->code_);
+}
+
+// A share of a server's connections each, over all daemons.
+TEST(Rules, ConnectionsStayUnderTheServersCap)
+{
+  Replay replay(6, 9);
+  replay.AddShards(2);
+  replay.SetRoute(QueryRoute(2, 0.5));
+  replay.Publish();
+  ReplayLoad load;
+  load.target_ = "/query/x";
+  load.perSecond_ = 600;
+  load.work_ = milliseconds(28);
+  replay.Run({ load }, seconds(5));
+  for (const ModelServer& server : replay.Servers()) {
+    CHECK_TRUE(server.most_ <= 25);
+  }
+}
+
+// Content that crashes the servers that run it is stopped; the same path
+// keeps working for content that doesn't.
+TEST(Rules, ContentThatCrashesServersIsQuarantined)
+{
+  OneDaemon fleet(1, PlainRoute(RequestKind::Idempotent));
+  const auto revive = [&fleet]() {
+    for (ModelServer& server : fleet.replay_.Servers()) {
+      server.fault_ = ModelFault::None;
+      server.crashesOn_ = true;
+    }
+    fleet.replay_.Advance(seconds(5));
+  };
+  revive();
+  std::uint64_t crashes = 0;
+  for (int i = 0; i < 12; ++i) {
+    const std::uint64_t before = fleet.Ran();
+    fleet.Ask("/plain/poison");
+    crashes += fleet.Ran() - before;
+    revive();
+    LONGS_EQUAL(ProxyCode::Forwarded, fleet.Ask("/plain/good").code_);
+  }
+  // Three crashes prove it, the third attempt at most two of them.
+  CHECK_TRUE(crashes <= 4);
+}
+
+TEST(Rules, StaleEntriesDontReplaceNewerOnes)
+{
+  struct Case
+  {
+    const char* name_;
+    std::int64_t born_;
+    std::uint64_t sequence_;
+    bool draining_; ///< As the entry says; the known one is draining.
+    bool usable_;
+  };
+  const std::vector<Case> cases{
+    { "older life", 5, 9, false, false },
+    { "older write of the same life", 10, 2, false, false },
+    { "newer write of the same life", 10, 4, false, true },
+    { "next life", 11, 0, false, true },
+  };
+  for (const Case& item : cases) {
+    GatewayState state = MakeGatewayState(GatewaySettings{});
+    Rng rng(1);
+    GatewayDecisions out;
+    BackendEntry entry;
+    entry.id_ = "i-1";
+    entry.service_ = "s";
+    entry.address_ = "10.0.0.1:1";
+    entry.bornMillis_ = 10;
+    entry.sequence_ = 3;
+    entry.draining_ = true;
+    const Now now{ TimePoint{ seconds(1) }, 0 };
+    GatewayAdoptServers(state, { entry }, now, rng, out);
+    entry.bornMillis_ = item.born_;
+    entry.sequence_ = item.sequence_;
+    entry.draining_ = item.draining_;
+    GatewayAdoptServers(state, { entry }, now, rng, out);
+    LONGS_EQUAL_TEXT(1, state.backendOf_.size(), item.name_);
+    const Backend& backend =
+      state.backends_.slots_[state.backendOf_.begin()->second & kSlotMask];
+    CHECK_TEXT(backend.entry_.draining_ != item.usable_, item.name_);
+  }
+}
