Add: bounded log on standard output, one line a request, metrics of the gateway

Change: a token bucket in lines and bytes that drops routine lines first and tells how many; writes only where a pipe has room; each request's line names the servers of the parts that their first server did not answer; /metrics on the first inner port.

--- a/src/app/gateway_cmd.cpp
+++ b/src/app/gateway_cmd.cpp
@@ -3,6 +3,7 @@
 #include "adapter.h"
 #include "http_codec.h"
 #include "observe/log.h"
+#include "ops/gateway_metrics.h"
 #include "runtime/clock.h"
 #include "runtime/gateway_host.h"
 #include "runtime/http_server.h"
@@ -20,6 +21,8 @@
 namespace {
 
 constexpr int kExitBadSettings = 2;
+constexpr std::uint32_t kStatusNotFound = 404;
+constexpr const char* kMetricsPath = "/metrics";
 /** Callers that keep an old answer of the directory are served for that share
  * of the grace before the process ends. */
 constexpr double kLingerShare = 0.62;
@@ -53,6 +56,7 @@
 
 private:
   HttpResponse ServeCaller(const HttpRequest& aRequest, HttpSession& aSession);
+  HttpResponse ServeMetrics(const HttpRequest& aRequest);
   HttpResponse ServeDirectory(const HttpRequest& aRequest);
   void AwaitSignal();
   void Stop();
@@ -65,6 +69,7 @@
   HttpServer callers_;
   HttpServer ready_;
   HttpServer directory_;
+  HttpServer metrics_;
   boost::asio::signal_set signals_;
   bool stopping_ = false;
   std::promise<int> ended_;
@@ -91,6 +96,11 @@
                [this](const HttpRequest& aRequest, HttpSession&) {
                  return ServeDirectory(aRequest);
                })
+  , metrics_(aPool,
+             HttpServerLimits{},
+             [this](const HttpRequest& aRequest, HttpSession&) {
+               return ServeMetrics(aRequest);
+             })
   , signals_(aPool.At(0).Context(), SIGTERM, SIGINT, SIGHUP)
 {
   host_.OnLimits([this](const GatewayLimits& aLimits) {
@@ -105,7 +115,8 @@
        { host_.Start(),
          callers_.Listen(settings_.callerAddress_),
          ready_.Listen(settings_.readyAddress_),
-         directory_.Listen(settings_.directoryAddress_) }) {
+         directory_.Listen(settings_.directoryAddress_),
+         metrics_.Listen(settings_.metricsAddress_) }) {
     if (!status.ok()) {
       return status;
     }
@@ -126,12 +137,25 @@
     }));
 }
 
+HttpResponse
+GatewayProcess::ServeMetrics(const HttpRequest& aRequest)
+{
+  HttpResponse response;
+  if (aRequest.target_ != kMetricsPath) {
+    response.status_ = kStatusNotFound;
+    return response;
+  }
+  response.fields_.push_back({ "Content-Type", "text/plain; version=0.0.4" });
+  response.body_ = RenderGatewayMetrics(host_);
+  return response;
+}
+
 HttpResponse
 GatewayProcess::ServeDirectory(const HttpRequest& aRequest)
 {
   if (!platform::IsResolve(aRequest)) {
     HttpResponse unknown;
-    unknown.status_ = 404;
+    unknown.status_ = kStatusNotFound;
     return unknown;
   }
   return platform::EncodeResolve(host_.ListEntries());
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -111,6 +111,17 @@
   bool marked_ = false; ///< To be looked at before the step ends.
 };
 
+/** Upper bounds of the histogram of answer times; the objectives of routes
+ * are usually among them. */
+constexpr std::array<Duration, 11> kTookBounds{
+  std::chrono::milliseconds(5),   std::chrono::milliseconds(10),
+  std::chrono::milliseconds(25),  std::chrono::milliseconds(50),
+  std::chrono::milliseconds(80),  std::chrono::milliseconds(100),
+  std::chrono::milliseconds(200), std::chrono::milliseconds(400),
+  std::chrono::milliseconds(800), std::chrono::seconds(2),
+  std::chrono::seconds(8)
+};
+
 /** What is learned of a route, kept over versions by its name. */
 struct RouteLoad
 {
@@ -123,7 +134,10 @@
   std::uint32_t inFlight_ = 0;
   TimePoint windowCutAt_{};
   std::vector<double> splitCredit_; ///< Of each share of a divided route.
-  Duration patience_{}; ///< Longest that callers have said they wait.
+  /** Answers by time; the last one is for those beyond all bounds. */
+  std::array<std::uint64_t, kTookBounds.size() + 1> tookCounts_{};
+  double tookSum_ = 0.0; ///< Seconds of these.
+  Duration patience_{};  ///< Longest that callers have said they wait.
   TimePoint patienceAt_{};
 };
 
@@ -163,6 +177,7 @@
   SharedMessage message_;
   std::uint64_t fingerprint_ = 0;
   TimePoint arrivedAt_{};
+  Duration waitedBefore_{}; ///< Since the caller's first attempt.
   TimePoint deadline_{};
   TimePoint softAt_ = kNever; ///< Partial answers from here on.
   std::uint32_t needed_ = 1;  ///< Parts without which it fails.
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -237,7 +237,10 @@
   std::uint32_t sends_ = 0;  ///< Requests sent to servers for it.
   std::uint32_t hedges_ = 0; ///< Of these, sent to beat a slow server.
   bool late_ = false;        ///< Answered after its latency objective.
-  std::string reason_;       ///< Inputs that decided a failure.
+  Duration waitedBefore_{};  ///< Since the caller's first attempt.
+  /** Parts that were not answered by their first server: service, what became
+   * of it, servers asked; or what decided a rejection. */
+  std::string reason_;
 };
 
 /** What the gateway believes of a server has changed, for the log. */
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -8,6 +8,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
@@ -15,6 +16,15 @@
 
 namespace {
 
+void
+CountTook(RouteLoad& aLoad, Duration aTook)
+{
+  const auto* bound =
+    std::lower_bound(kTookBounds.begin(), kTookBounds.end(), aTook);
+  ++aLoad.tookCounts_[static_cast<std::size_t>(bound - kTookBounds.begin())];
+  aLoad.tookSum_ += std::chrono::duration<double>(aTook).count();
+}
+
 void
 CountAnswer(GatewayState& aState, const GatewayRun& aRun, ProxyCode aCode)
 {
@@ -29,6 +39,30 @@
   }
 }
 
+void
+AppendPart(const GatewayState& aState,
+           const RequestPart& aPart,
+           std::string& aText)
+{
+  static constexpr std::array<const char*,
+                              static_cast<std::size_t>(PartPhase::End)>
+    kPhaseNames{ "queued", "unanswered", "answered", "failed" };
+  absl::StrAppend(&aText,
+                  aText.empty() ? "" : "; ",
+                  aState.services_[aPart.service_].name_,
+                  " ",
+                  kPhaseNames[static_cast<std::size_t>(aPart.phase_)],
+                  " sends ",
+                  aPart.sends_,
+                  " at");
+  for (const std::uint64_t key : aPart.tried_) {
+    const std::uint64_t slot = key & kSlotMask;
+    const Backend& backend = aState.backends_.slots_[slot];
+    absl::StrAppend(
+      &aText, " ", backend.key_ == key ? backend.entry_.id_ : "gone");
+  }
+}
+
 void
 Record(GatewayStep& aStep, const GatewayRun& aRun, const ProxyAnswer& aAnswer)
 {
@@ -44,18 +78,10 @@
   record.sends_ = aRun.sends_;
   record.hedges_ = aRun.hedges_;
   record.late_ = aRun.late_;
-  if (aRun.done_ < aRun.parts_.size()) {
-    for (const RequestPart& part : aRun.parts_) {
-      if (part.phase_ != PartPhase::Done) {
-        absl::StrAppend(&record.reason_,
-                        record.reason_.empty() ? "" : " ",
-                        aStep.state_.services_[part.service_].name_,
-                        part.phase_ == PartPhase::Waiting   ? ":queued"
-                        : part.phase_ == PartPhase::Running ? ":unanswered"
-                                                            : ":failed",
-                        "/",
-                        part.sends_);
-      }
+  record.waitedBefore_ = aRun.waitedBefore_;
+  for (const RequestPart& part : aRun.parts_) {
+    if (part.phase_ != PartPhase::Done || part.sends_ > 1) {
+      AppendPart(aStep.state_, part, record.reason_);
     }
   }
   aStep.out_.emplace_back(std::move(record));
@@ -93,6 +119,7 @@
   aAnswer.id_ = aRun.id_;
   if (aAnswer.code_ <= ProxyCode::Merged) {
     ClearContent(aStep.state_, aRun.fingerprint_);
+    CountTook(*aRun.load_, aStep.Time() - aRun.arrivedAt_);
   }
   CountAnswer(aStep.state_, aRun, aAnswer.code_);
   Record(aStep, aRun, aAnswer);
@@ -253,7 +280,7 @@
 MakeRun(GatewayStep& aStep,
         const ProxyRequest& aRequest,
         const GatewayRoute& aRoute,
-        Duration aSoftWait)
+        Duration aWaited)
 {
   GatewayState& state = aStep.state_;
   GatewayRun& run = TakeSlot(state.runs_);
@@ -264,13 +291,15 @@
   run.message_ = aRequest.message_;
   run.fingerprint_ = MakeContentFingerprint(aRequest);
   run.arrivedAt_ = aStep.Time();
+  run.waitedBefore_ = aWaited;
   run.deadline_ = aStep.Time() + WaitOf(aRequest, aRoute);
   run.softAt_ = run.deadline_;
   run.needed_ = PartsNeeded(aRoute);
   if (aRoute.objective_.count() > 0 && state.settings_.policy_.partial_) {
-    run.late_ = aSoftWait <= Duration::zero();
-    run.softAt_ = run.late_ ? run.deadline_
-                            : std::min(run.deadline_, aStep.Time() + aSoftWait);
+    const Duration wait = SoftWaitOf(aRoute, aWaited);
+    run.late_ = wait <= Duration::zero();
+    run.softAt_ =
+      run.late_ ? run.deadline_ : std::min(run.deadline_, aStep.Time() + wait);
   }
   AddParts(state, run);
   ++run.load_->inFlight_;
@@ -350,7 +379,7 @@
     Reject(step, aRequest, ProxyCode::Overloaded, route);
     return;
   }
-  GatewayRun& run = MakeRun(step, aRequest, *route, SoftWaitOf(*route, waited));
+  GatewayRun& run = MakeRun(step, aRequest, *route, waited);
   const auto parts = static_cast<std::uint32_t>(run.parts_.size());
   if (parts - CountDown(aState, run, aNow.mono_) < run.needed_) {
     FinishFailed(step, run, ProxyCode::NoServer);
@@ -383,6 +412,8 @@
              BackendAnswer&& aAnswer)
 {
   if (!aRun.route_->IsQuery()) {
+    aRun.parts_[aPart].phase_ = PartPhase::Done;
+    ++aRun.done_;
     NoteEnough(*aRun.load_,
                aStep.Time() - aRun.arrivedAt_,
                aRun.route_->objective_,
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -1,17 +1,18 @@
 #include "observe/log.h"
 
 #include <array>
+#include <atomic>
 #include <boost/json.hpp>
-#include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 #include <boost/smart_ptr/shared_ptr.hpp>
 #include <chrono>
-#include <iostream>
+#include <mutex>
+#include <unistd.h>
 
 namespace camphorfield {
 
@@ -20,6 +21,8 @@
 constexpr std::array<const char*, static_cast<std::size_t>(LogLevel::End)>
   kLevelNames{ "debug", "info", "warning", "error" };
 
+constexpr std::size_t kMaxLogField = 900; ///< Bytes of one value.
+
 /** Set once at start, before other threads. */
 struct LogSettings
 {
@@ -34,6 +37,42 @@
   return settings;
 }
 
+/** Output shared by all threads. */
+struct LogOutput
+{
+  std::mutex mutex_; ///< Guards the bucket; taken after any other lock.
+  LogBucket bucket_ = MakeLogBucket(LogLimits{}, MonotonicNow());
+  std::atomic<std::uint64_t> dropped_{ 0 };
+
+  static TimePoint MonotonicNow()
+  {
+    return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+  }
+};
+
+LogOutput&
+Output()
+{
+  static LogOutput output;
+  return output;
+}
+
+/** Sink of the library that hands whole lines to the bounded output. */
+class UnblockedBackend
+  : public boost::log::sinks::basic_formatted_sink_backend<char>
+{
+public:
+  void consume(const boost::log::record_view&, const std::string& aLine)
+  {
+    if (!WriteUnblocked(STDOUT_FILENO, aLine + "\n")) {
+      LogOutput& output = Output();
+      const std::lock_guard lock(output.mutex_);
+      ++output.bucket_.dropped_;
+    }
+  }
+};
+
 std::int64_t
 UnixMicros()
 {
@@ -42,41 +81,72 @@
     .count();
 }
 
+std::string
+RenderLine(LogLevel aLevel,
+           std::string_view aMessage,
+           std::initializer_list<LogField> aFields,
+           std::uint64_t aDropped)
+{
+  const LogSettings& settings = Settings();
+  boost::json::object line;
+  line["time_us"] = UnixMicros();
+  line["level"] = kLevelNames[static_cast<std::size_t>(aLevel)];
+  line["daemon"] = settings.daemon_;
+  line["message"] = std::string(aMessage);
+  if (aDropped > 0) {
+    line["lines_dropped_before"] = aDropped;
+  }
+  for (const LogField& field : aFields) {
+    if (!field.value_.empty()) {
+      line[boost::json::string_view(field.name_.data(), field.name_.size())] =
+        field.value_.substr(0, kMaxLogField);
+    }
+  }
+  return boost::json::serialize(line);
+}
+
 } // namespace
 
 void
 InitLog(LogLevel aLevel, const std::string& aDaemon)
 {
   Settings() = LogSettings{ aLevel, aDaemon };
-  using Backend = boost::log::sinks::text_ostream_backend;
-  using Sink = boost::log::sinks::synchronous_sink<Backend>;
-  auto backend = boost::make_shared<Backend>();
-  backend->add_stream(
-    boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
-  backend->auto_flush(true);
-  boost::log::core::get()->add_sink(boost::make_shared<Sink>(backend));
+  using Sink = boost::log::sinks::synchronous_sink<UnblockedBackend>;
+  boost::log::core::get()->add_sink(boost::make_shared<Sink>());
 }
 
 void
 WriteLog(LogLevel aLevel,
          std::string_view aMessage,
-         std::initializer_list<LogField> aFields)
+         std::initializer_list<LogField> aFields,
+         LogWeight aWeight)
 {
-  const LogSettings& settings = Settings();
-  if (aLevel < settings.level_) {
+  if (aLevel < Settings().level_) {
     return;
   }
-  boost::json::object line;
-  line["time_us"] = UnixMicros();
-  line["level"] = kLevelNames[static_cast<std::size_t>(aLevel)];
-  line["daemon"] = settings.daemon_;
-  line["message"] = std::string(aMessage);
-  for (const LogField& field : aFields) {
-    line[boost::json::string_view(field.name_.data(), field.name_.size())] =
-      field.value_;
+  LogOutput& output = Output();
+  std::string line;
+  {
+    const std::lock_guard lock(output.mutex_);
+    LogBucket& bucket = output.bucket_;
+    line = RenderLine(
+      aLevel, aMessage, aFields, bucket.dropped_ - bucket.droppedTold_);
+    const bool written =
+      TakeLine(bucket, line.size(), aWeight, LogOutput::MonotonicNow());
+    output.dropped_ = bucket.dropped_;
+    if (!written || line.size() > kMaxLogLine) {
+      return;
+    }
+    bucket.droppedTold_ = bucket.dropped_;
   }
-  boost::log::sources::logger_mt logger;
-  BOOST_LOG(logger) << boost::json::serialize(line);
+  static boost::log::sources::logger_mt logger;
+  BOOST_LOG(logger) << line;
+}
+
+std::uint64_t
+CountDroppedLines()
+{
+  return Output().dropped_;
 }
 
 LogLevel
--- a/src/observe/log.h
+++ b/src/observe/log.h
@@ -1,6 +1,8 @@
-/** Structured log: one JSON object a line on standard error. */
+/** Structured log: one JSON object a line on standard output. */
 #pragma once
 
+#include "observe/log_sink.h"
+
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -33,11 +35,20 @@
 void
 InitLog(LogLevel aLevel, const std::string& aDaemon);
 
-/** Writes a line. Thread-safe. */
+/**
+ * Writes a line. Thread-safe. Lines beyond the bounds of LogLimits, and those
+ * that the reader has no room for, are dropped; a line tells how many.
+ * @param aWeight Routine lines are dropped first.
+ */
 void
 WriteLog(LogLevel aLevel,
          std::string_view aMessage,
-         std::initializer_list<LogField> aFields = {});
+         std::initializer_list<LogField> aFields = {},
+         LogWeight aWeight = LogWeight::Important);
+
+/** Lines dropped since the start. */
+std::uint64_t
+CountDroppedLines();
 
 /**
  * Level of a name.
--- a/src/observe/request_log.cpp
+++ b/src/observe/request_log.cpp
@@ -13,20 +13,23 @@
 {
   const bool well = aRecord.code_ <= ProxyCode::Merged && !aRecord.late_ &&
                     aRecord.covered_ == aRecord.shards_;
-  WriteLog(well ? LogLevel::Debug : LogLevel::Info,
-           "request",
-           { { "request", aRecord.requestId_ },
-             { "route", aRecord.route_ },
-             { "outcome", GetProxyRow(aRecord.code_).name_ },
-             { "status", std::to_string(aRecord.status_) },
-             { "version", std::to_string(aRecord.version_) },
-             { "took_us", std::to_string(aRecord.took_.count()) },
-             { "late", aRecord.late_ ? "true" : "false" },
-             { "shards", std::to_string(aRecord.shards_) },
-             { "covered", std::to_string(aRecord.covered_) },
-             { "sends", std::to_string(aRecord.sends_) },
-             { "hedges", std::to_string(aRecord.hedges_) },
-             { "reason", aRecord.reason_ } });
+  WriteLog(
+    LogLevel::Info,
+    "request",
+    { { "request", aRecord.requestId_ },
+      { "route", aRecord.route_ },
+      { "outcome", GetProxyRow(aRecord.code_).name_ },
+      { "status", std::to_string(aRecord.status_) },
+      { "version", std::to_string(aRecord.version_) },
+      { "took_us", std::to_string(aRecord.took_.count()) },
+      { "late", aRecord.late_ ? "true" : "false" },
+      { "shards", std::to_string(aRecord.shards_) },
+      { "covered", std::to_string(aRecord.covered_) },
+      { "sends", std::to_string(aRecord.sends_) },
+      { "hedges", std::to_string(aRecord.hedges_) },
+      { "waited_before_us", std::to_string(aRecord.waitedBefore_.count()) },
+      { "reason", aRecord.reason_ } },
+    well ? LogWeight::Routine : LogWeight::Important);
 }
 
 void
--- a/src/observe/request_log.h
+++ b/src/observe/request_log.h
@@ -6,7 +6,7 @@
 
 namespace camphorfield {
 
-/** Writes how a request ended; one that went well only at level debug. */
+/** Writes how a request ended; one that went well is a routine line. */
 void
 LogRequest(const RequestRecord& aRecord);
 
--- /dev/null
+++ b/src/ops/gateway_metrics.cpp
@@ -0,0 +1,149 @@
+#include "ops/gateway_metrics.h"
+
+#include "observe/log.h"
+#include "table/proxy_table.h"
+
+#include <limits>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+#include <sstream>
+
+namespace camphorfield {
+
+namespace {
+
+/** Row of the table of plain counters. */
+struct CounterRow
+{
+  const char* name_;
+  const char* help_;
+  std::uint64_t GatewayStats::*value_;
+};
+
+// clang-format off
+constexpr CounterRow kCounters[] = {
+  { "camphorfield_gateway_late_total",             "Successes after their latency objective",     &GatewayStats::late_ },
+  { "camphorfield_gateway_partial_total",          "Successes with shards left out",              &GatewayStats::partial_ },
+  { "camphorfield_gateway_shards_asked_total",     "Shards of answered queries",                  &GatewayStats::shardsAsked_ },
+  { "camphorfield_gateway_shards_missing_total",   "Of these, left out of the answer",            &GatewayStats::shardsMissing_ },
+  { "camphorfield_gateway_callers_gone_total",     "Callers that left before the answer",         &GatewayStats::callersGone_ },
+  { "camphorfield_gateway_first_sends_total",      "First requests to a service",                 &GatewayStats::firstSends_ },
+  { "camphorfield_gateway_hedges_total",           "Requests sent to beat a slow server",         &GatewayStats::hedges_ },
+  { "camphorfield_gateway_hedges_won_total",       "Of these, answered first",                    &GatewayStats::hedgesWon_ },
+  { "camphorfield_gateway_retries_total",          "Requests sent after a failed one",            &GatewayStats::retries_ },
+  { "camphorfield_gateway_budget_denied_total",    "Hedges and retries that the budget denied",   &GatewayStats::budgetDenied_ },
+  { "camphorfield_gateway_connects_total",         "Connections to servers asked for",            &GatewayStats::connects_ },
+  { "camphorfield_gateway_shed_total",             "Answers of servers that say not run",         &GatewayStats::shed_ },
+  { "camphorfield_gateway_ejections_total",        "Servers set aside",                           &GatewayStats::ejections_ },
+  { "camphorfield_gateway_garbled_total",          "Answers that belong to no request",           &GatewayStats::garbled_ },
+};
+// clang-format on
+
+void
+AddCounters(prometheus::Registry& aRegistry, const GatewayStats& aStats)
+{
+  for (const CounterRow& row : kCounters) {
+    prometheus::BuildCounter()
+      .Name(row.name_)
+      .Help(row.help_)
+      .Register(aRegistry)
+      .Add({})
+      .Increment(static_cast<double>(aStats.*row.value_));
+  }
+  auto& outcomes = prometheus::BuildCounter()
+                     .Name("camphorfield_gateway_requests_total")
+                     .Help("Requests by outcome")
+                     .Register(aRegistry);
+  for (const ProxyRow& row : kProxyTable) {
+    const auto index = static_cast<std::size_t>(row.code_);
+    outcomes.Add({ { "outcome", row.name_ } })
+      .Increment(static_cast<double>(aStats.byCode_[index]));
+  }
+}
+
+void
+AddGauge(prometheus::Registry& aRegistry,
+         const char* aName,
+         const char* aHelp,
+         double aValue)
+{
+  prometheus::BuildGauge()
+    .Name(aName)
+    .Help(aHelp)
+    .Register(aRegistry)
+    .Add({})
+    .Set(aValue);
+}
+
+void
+AddGauges(prometheus::Registry& aRegistry, const GatewayHost& aHost)
+{
+  const GatewayState& state = aHost.State();
+  AddGauge(aRegistry,
+           "camphorfield_gateway_in_flight",
+           "Requests without an answer",
+           static_cast<double>(aHost.InFlight()));
+  AddGauge(aRegistry,
+           "camphorfield_gateway_config_version",
+           "Configuration in force",
+           state.config_ == nullptr
+             ? 0.0
+             : static_cast<double>(state.config_->version_));
+  AddGauge(aRegistry,
+           "camphorfield_gateway_servers",
+           "Servers listed",
+           static_cast<double>(state.backendOf_.size()));
+  AddGauge(aRegistry,
+           "camphorfield_gateway_daemons",
+           "Daemons that share budgets and connections",
+           static_cast<double>(state.daemons_));
+  AddGauge(aRegistry,
+           "camphorfield_gateway_store_calls",
+           "Calls to the platform's store since the start",
+           static_cast<double>(aHost.StoreCalls()));
+  AddGauge(aRegistry,
+           "camphorfield_log_lines_dropped",
+           "Lines not written since the start",
+           static_cast<double>(CountDroppedLines()));
+}
+
+} // namespace
+
+std::string
+RenderGatewayMetrics(const GatewayHost& aHost)
+{
+  prometheus::Registry registry;
+  const GatewayState& state = aHost.State();
+  AddCounters(registry, state.stats_);
+  AddGauges(registry, aHost);
+  std::vector<prometheus::MetricFamily> families = registry.Collect();
+  prometheus::MetricFamily latency;
+  latency.name = "camphorfield_gateway_request_seconds";
+  latency.help = "Time from a request's arrival to its success";
+  latency.type = prometheus::MetricType::Histogram;
+  for (const auto& [route, load] : state.loads_) {
+    prometheus::ClientMetric metric;
+    metric.label.push_back({ "route", route });
+    std::uint64_t count = 0;
+    for (std::size_t i = 0; i < load.tookCounts_.size(); ++i) {
+      count += load.tookCounts_[i];
+      const double bound = i < kTookBounds.size()
+                             ? static_cast<double>(kTookBounds[i].count()) / 1e6
+                             : std::numeric_limits<double>::infinity();
+      metric.histogram.bucket.push_back({ count, bound });
+    }
+    metric.histogram.sample_count = count;
+    metric.histogram.sample_sum = load.tookSum_;
+    if (count > 0) {
+      latency.metric.push_back(std::move(metric));
+    }
+  }
+  families.push_back(std::move(latency));
+  std::ostringstream text;
+  prometheus::TextSerializer().Serialize(text, families);
+  return text.str();
+}
+
+} // namespace camphorfield
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -37,9 +37,8 @@
     settings.failureDomain_ = i % 2 == 0 ? "a" : "b";
     settings.budget_.slack_ = 52.0;
     daemons_.push_back(
-      ModelDaemon{ std::make_unique<GatewayState>(MakeGatewayState(settings)),
-                   Rng(aSeed + i + 1) });
-    GatewaySetDaemons(*daemons_.back().state_,
+      ModelDaemon{ MakeGatewayState(settings), Rng(aSeed + i + 1) });
+    GatewaySetDaemons(daemons_.back().state_,
                       static_cast<std::uint32_t>(aDaemons));
   }
   config_.version_ = 1;
@@ -83,7 +82,7 @@
 Replay::SetPolicy(const GatewayPolicy& aPolicy)
 {
   for (ModelDaemon& daemon : daemons_) {
-    daemon.state_->settings_.policy_ = aPolicy;
+    daemon.state_.settings_.policy_ = aPolicy;
   }
 }
 
@@ -108,9 +107,9 @@
   for (std::size_t i = 0; i < daemons_.size(); ++i) {
     GatewayDecisions decisions;
     GatewayAdoptConfig(
-      *daemons_[i].state_, config, NowOf(), daemons_[i].rng_, decisions);
+      daemons_[i].state_, config, NowOf(), daemons_[i].rng_, decisions);
     GatewayAdoptServers(
-      *daemons_[i].state_, entries, NowOf(), daemons_[i].rng_, decisions);
+      daemons_[i].state_, entries, NowOf(), daemons_[i].rng_, decisions);
     Carry(i, decisions);
   }
   Advance(std::chrono::milliseconds(500));
@@ -123,7 +122,7 @@
   GatewayDecisions decisions;
   ModelDaemon& daemon = daemons_[aDaemon];
   GatewayOnEvent(
-    *daemon.state_, std::forward<Item>(aItem), NowOf(), daemon.rng_, decisions);
+    daemon.state_, std::forward<Item>(aItem), NowOf(), daemon.rng_, decisions);
   Carry(aDaemon, decisions);
 }
 
@@ -131,7 +130,7 @@
 Replay::Arm(std::size_t aDaemon)
 {
   ModelDaemon& daemon = daemons_[aDaemon];
-  const TimePoint wake = GatewayNextWake(*daemon.state_);
+  const TimePoint wake = GatewayNextWake(daemon.state_);
   if (wake >= daemon.armed_) {
     return;
   }
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -108,7 +108,7 @@
   const ProxyAnswer* AnswerOf(std::uint64_t aRequest) const;
   GatewayState& Daemon(std::size_t aDaemon)
   {
-    return *daemons_[aDaemon].state_;
+    return daemons_[aDaemon].state_;
   }
   Duration Work(Duration aMean);
   std::uint64_t Sends() const;
@@ -118,7 +118,7 @@
 private:
   struct ModelDaemon
   {
-    std::unique_ptr<GatewayState> state_;
+    GatewayState state_;
     Rng rng_;
     TimePoint armed_ = kNever;
   };
@@ -170,7 +170,7 @@
 
   TimePoint now_{ std::chrono::seconds(1000) };
   Rng rng_;
-  std::vector<ModelDaemon> daemons_;
+  std::deque<ModelDaemon> daemons_;
   std::deque<ModelServer> servers_;
   GatewayConfig config_;
   std::map<std::uint64_t, ModelConnection> connections_; ///< By serial.
--- a/tests/gateway/rules_test.cpp
+++ b/tests/gateway/rules_test.cpp
@@ -55,13 +55,13 @@
     replay_.Publish();
   }
   /** Asks, waits and returns the answer. */
-  const ProxyAnswer& Ask(const std::string& aTarget)
+  ProxyAnswer Ask(const std::string& aTarget)
   {
     const std::uint64_t id = replay_.Ask(0, aTarget, seconds(3));
     replay_.Advance(seconds(5));
     const ProxyAnswer* answer = replay_.AnswerOf(id);
     CHECK_TRUE(answer != nullptr);
-    return *answer;
+    return answer == nullptr ? ProxyAnswer{} : *answer;
   }
   void SetFault(std::size_t aServer, ModelFault aFault)
   {
@@ -156,7 +156,7 @@
     OneDaemon fleet(1, PlainRoute(item.kind_));
     fleet.SetFault(0, item.fault_);
     fleet.SetFault(1, item.fault_);
-    const ProxyAnswer& answer = fleet.Ask("/plain/x");
+    const ProxyAnswer answer = fleet.Ask("/plain/x");
     LONGS_EQUAL_TEXT(item.code_, answer.code_, item.name_);
     CHECK_TEXT(fleet.Ran() <= item.ran_, item.name_);
     const bool promised = answer.retryAfter_.count() > 0;
@@ -179,7 +179,7 @@
       fleet.SetFault(i, item.fault_);
     }
     for (int i = 0; i < 6; ++i) {
-      const ProxyAnswer& answer = fleet.Ask("/query/x");
+      const ProxyAnswer answer = fleet.Ask("/query/x");
       LONGS_EQUAL_TEXT(ProxyCode::Merged, answer.code_, item.name_);
       LONGS_EQUAL_TEXT(4, answer.proofs_.size() + answer.missing_, item.name_);
     }
@@ -194,7 +194,7 @@
     server.fault_ = ModelFault::Twice;
   }
   for (int i = 1; i <= 20; ++i) {
-    const ProxyAnswer& answer = fleet.Ask("/query/x");
+    const ProxyAnswer answer = fleet.Ask("/query/x");
     LONGS_EQUAL(ProxyCode::Merged, answer.code_);
     std::set<std::string> services;
     for (const std::string& proof : answer.proofs_) {
--- a/tools/testbed.py
+++ b/tools/testbed.py
@@ -70,13 +70,15 @@
 class Process:
     """One child process with its log files."""
 
-    def __init__(self, name, command, directory):
+    def __init__(self, name, command, directory, speaks=True):
+        """speaks: its standard output is read here; else it is the log."""
         self.name = name
         self.command = command
         self.log_path = os.path.join(directory, name + ".log")
         self.log = open(self.log_path, "ab")
         self.child = subprocess.Popen(
-            command, stdout=subprocess.PIPE, stderr=self.log)
+            command, stdout=subprocess.PIPE if speaks else self.log,
+            stderr=self.log)
 
     def read_json_line(self):
         """First line of its standard output, a JSON document."""
@@ -104,7 +106,8 @@
             self.child.send_signal(signal.SIGCONT)
             self.child.kill()
         self.child.wait()
-        self.child.stdout.close()
+        if self.child.stdout is not None:
+            self.child.stdout.close()
         self.log.close()
 
 
@@ -207,10 +210,10 @@
         """Path of a built program."""
         return os.path.join(self.build, name)
 
-    def start(self, name, *command):
-        """Start a program as a child."""
+    def start(self, name, *command, speaks=True):
+        """Start a program as a child; see Process."""
         process = Process(name, [str(part) for part in command],
-                          self.directory)
+                          self.directory, speaks)
         self.processes.append(process)
         return process
 
