Change: few daemons watch the store and feed the others; the strongest daemons serve callers

Ruled out: fewer calls by longer watches: each change of a server ends all of them. Change: two watchers a failure domain above 8 daemons, changes told to followers; capacity in the members' records; the directory names the strongest daemons that the servers' connections allow for; an answer leaves earlier by the work on its shards; a connection that is ended unused puts off the next one.

--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -22,6 +22,7 @@
   10: optional bool ready
   11: optional i64 generation
   12: optional i32 load       // per mille
+  13: optional i32 capacity   // per mille of a core
 }
 
 struct LeavingRumor {
--- /dev/null
+++ b/src/discovery/table_feed.cpp
@@ -0,0 +1,193 @@
+// Answers fleets of which each daemon would watch the store: a change of one
+// server would cost as many calls as there are daemons. A few watch, and tell
+// the others what has changed.
+#include "discovery/table_feed.h"
+
+#include <boost/json.hpp>
+#include <utility>
+
+namespace camphorfield {
+
+namespace json = boost::json;
+
+namespace {
+
+void
+AddChange(TableFeed& aFeed, const std::string& aKind, StoreChange aChange)
+{
+  aFeed.changes_.push_back(
+    FeedChange{ ++aFeed.newest_, aKind, std::move(aChange) });
+  if (aFeed.changes_.size() > kFeedChanges) {
+    aFeed.changes_.pop_front();
+  }
+}
+
+bool
+ReplaceWhole(const FeedMessage& aMessage, TableSync& aTable)
+{
+  std::vector<StoreObject> objects;
+  for (const FeedChange& change : aMessage.changes_) {
+    if (change.kind_ == aTable.kind_) {
+      objects.push_back(change.change_.object_);
+    }
+  }
+  const auto revision = aMessage.revisions_.find(aTable.kind_);
+  return revision != aMessage.revisions_.end() &&
+         ImportTable(aTable, std::move(objects), revision->second);
+}
+
+json::object
+EncodeChange(const FeedChange& aChange)
+{
+  const StoreChange& change = aChange.change_;
+  json::object object{ { "kind", aChange.kind_ },
+                       { "name", change.object_.name_ } };
+  if (change.removed_) {
+    object["removed"] = true;
+    return object;
+  }
+  object["revision"] = change.object_.revision_;
+  object["text"] = change.object_.text_;
+  return object;
+}
+
+/** Throws what boost::json throws for a missing or mistyped field. */
+FeedChange
+DecodeChange(const json::object& aObject)
+{
+  FeedChange change;
+  change.kind_ = std::string(aObject.at("kind").as_string());
+  change.change_.object_.name_ = std::string(aObject.at("name").as_string());
+  change.change_.removed_ = aObject.contains("removed");
+  if (!change.change_.removed_) {
+    StoreObject& object = change.change_.object_;
+    object.revision_ = aObject.at("revision").to_number<std::uint64_t>();
+    object.text_ = std::string(aObject.at("text").as_string());
+  }
+  return change;
+}
+
+} // namespace
+
+void
+NoteTable(TableFeed& aFeed, const TableSync& aTable)
+{
+  std::map<std::string, std::uint64_t>& told = aFeed.told_[aTable.kind_];
+  for (auto next = told.begin(); next != told.end();) {
+    if (aTable.objects_.count(next->first) > 0) {
+      ++next;
+      continue;
+    }
+    AddChange(aFeed, aTable.kind_, { { next->first, 0, "" }, true });
+    next = told.erase(next);
+  }
+  for (const auto& [name, object] : aTable.objects_) {
+    std::uint64_t& revision = told[name];
+    if (revision != object.revision_) {
+      revision = object.revision_;
+      AddChange(aFeed, aTable.kind_, { object, false });
+    }
+  }
+}
+
+FeedMessage
+MakeFeedMessage(const TableFeed& aFeed,
+                const std::vector<const TableSync*>& aTables,
+                std::uint64_t aLife,
+                std::uint64_t aNumber)
+{
+  FeedMessage message;
+  message.life_ = aFeed.life_;
+  message.number_ = aFeed.newest_;
+  const std::uint64_t oldest = aFeed.newest_ - aFeed.changes_.size();
+  message.whole_ = aLife != aFeed.life_ || aNumber < oldest;
+  for (const TableSync* table : aTables) {
+    message.revisions_[table->kind_] = table->revision_;
+    if (message.whole_) {
+      for (const auto& [name, object] : table->objects_) {
+        message.changes_.push_back(
+          FeedChange{ 0, table->kind_, { object, false } });
+      }
+    }
+  }
+  if (!message.whole_) {
+    for (const FeedChange& change : aFeed.changes_) {
+      if (change.number_ > aNumber) {
+        message.changes_.push_back(change);
+      }
+    }
+  }
+  return message;
+}
+
+bool
+ApplyFeed(const FeedMessage& aMessage, TableSync& aTable)
+{
+  if (aMessage.whole_) {
+    return ReplaceWhole(aMessage, aTable);
+  }
+  bool changed = false;
+  for (const FeedChange& item : aMessage.changes_) {
+    if (item.kind_ != aTable.kind_) {
+      continue;
+    }
+    const StoreObject& object = item.change_.object_;
+    if (item.change_.removed_) {
+      changed = aTable.objects_.erase(object.name_) > 0 || changed;
+      continue;
+    }
+    StoreObject& known = aTable.objects_[object.name_];
+    if (known.revision_ < object.revision_) {
+      known = object;
+      changed = true;
+    }
+  }
+  const auto revision = aMessage.revisions_.find(aTable.kind_);
+  if (revision != aMessage.revisions_.end()) {
+    aTable.revision_ = std::max(aTable.revision_, revision->second);
+  }
+  return changed;
+}
+
+std::string
+EncodeFeed(const FeedMessage& aMessage)
+{
+  json::object revisions;
+  for (const auto& [kind, revision] : aMessage.revisions_) {
+    revisions[kind] = revision;
+  }
+  json::array changes;
+  for (const FeedChange& change : aMessage.changes_) {
+    changes.push_back(EncodeChange(change));
+  }
+  return json::serialize(json::object{ { "life", aMessage.life_ },
+                                       { "number", aMessage.number_ },
+                                       { "whole", aMessage.whole_ },
+                                       { "revisions", std::move(revisions) },
+                                       { "changes", std::move(changes) } });
+}
+
+absl::StatusOr<FeedMessage>
+DecodeFeed(const std::string& aText)
+{
+  FeedMessage message;
+  try {
+    const json::value document = json::parse(aText);
+    const json::object& object = document.as_object();
+    message.life_ = object.at("life").to_number<std::uint64_t>();
+    message.number_ = object.at("number").to_number<std::uint64_t>();
+    message.whole_ = object.at("whole").as_bool();
+    for (const auto& item : object.at("revisions").as_object()) {
+      message.revisions_[std::string(item.key())] =
+        item.value().to_number<std::uint64_t>();
+    }
+    for (const json::value& item : object.at("changes").as_array()) {
+      message.changes_.push_back(DecodeChange(item.as_object()));
+    }
+  } catch (const std::exception& fault) {
+    return absl::InvalidArgumentError(fault.what());
+  }
+  return message;
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/src/discovery/table_feed.h
@@ -0,0 +1,75 @@
+/** Changes of tables, told to daemons that don't ask the store themselves. */
+#pragma once
+
+#include "discovery/table_sync.h"
+
+#include <absl/status/statusor.h>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace camphorfield {
+
+/** Changes kept; a daemon that is further behind gets whole tables. */
+constexpr std::size_t kFeedChanges = 2048;
+
+/** Change of one object of one kind. */
+struct FeedChange
+{
+  std::uint64_t number_ = 0;
+  std::string kind_;
+  StoreChange change_;
+};
+
+/** What one daemon tells others of its tables. */
+struct TableFeed
+{
+  std::uint64_t life_ = 0; ///< Numbers are of this life of the daemon.
+  std::uint64_t newest_ = 0;
+  std::deque<FeedChange> changes_;
+  /** What has been told: revision by kind and name. */
+  std::map<std::string, std::map<std::string, std::uint64_t>> told_;
+};
+
+/** Content of a message of a feed. */
+struct FeedMessage
+{
+  std::uint64_t life_ = 0;
+  std::uint64_t number_ = 0; ///< Of the newest change in it.
+  bool whole_ = false;       ///< Tables are whole; else changes of them.
+  std::map<std::string, std::uint64_t> revisions_; ///< Of the store, by kind.
+  std::vector<FeedChange> changes_; ///< Whole: one for each object.
+};
+
+/** Notes what has changed in a table since it was last noted. */
+void
+NoteTable(TableFeed& aFeed, const TableSync& aTable);
+
+/**
+ * What a daemon needs to have the tables as they are here.
+ * @param aLife Feed that it followed so far.
+ * @param aNumber Newest change that it has of it.
+ */
+FeedMessage
+MakeFeedMessage(const TableFeed& aFeed,
+                const std::vector<const TableSync*>& aTables,
+                std::uint64_t aLife,
+                std::uint64_t aNumber);
+
+/**
+ * Puts a message's content into a table.
+ * @return False when nothing differs.
+ */
+bool
+ApplyFeed(const FeedMessage& aMessage, TableSync& aTable);
+
+std::string
+EncodeFeed(const FeedMessage& aMessage);
+
+/** @return InvalidArgument when the text is malformed. */
+absl::StatusOr<FeedMessage>
+DecodeFeed(const std::string& aText);
+
+} // namespace camphorfield
--- a/src/discovery/table_sync.cpp
+++ b/src/discovery/table_sync.cpp
@@ -126,7 +126,7 @@
 std::optional<StoreCall>
 NextStoreCall(const TableSync& aTable, TimePoint aNow)
 {
-  if (aNow < aTable.nextCallAt_) {
+  if (aTable.passive_ || aNow < aTable.nextCallAt_) {
     return std::nullopt;
   }
   StoreCall call;
@@ -160,12 +160,14 @@
     aTable.failures_ = 0;
     aTable.failingSince_ = kNever;
   }
-  change.changed_ = !aTable.watching_ || !aReply.changes_.empty();
-  if (aTable.watching_) {
-    TakeChanges(aTable, std::move(aReply), aNow);
-  } else {
+  if (aReply.op_ == StoreOp::List) {
+    change.changed_ = true;
     TakePage(aTable, std::move(aReply), aNow);
+  } else if (aTable.watching_) {
+    change.changed_ = !aReply.changes_.empty();
+    TakeChanges(aTable, std::move(aReply), aNow);
   }
+  // A watch that was given up meanwhile tells nothing: the table is read anew.
   aTable.nextCallAt_ = aNow;
   return change;
 }
@@ -208,6 +210,13 @@
   aTable.nextCallAt_ = aNow;
 }
 
+bool
+IsTableFresh(const TableSync& aTable)
+{
+  return aTable.complete_ && aTable.watching_ && !aTable.passive_ &&
+         aTable.failures_ == 0;
+}
+
 bool
 ImportTable(TableSync& aTable,
             std::vector<StoreObject>&& aObjects,
--- a/src/discovery/table_sync.h
+++ b/src/discovery/table_sync.h
@@ -67,6 +67,7 @@
 /** Reply to a call. */
 struct StoreReply
 {
+  StoreOp op_ = StoreOp::List; ///< Of the call.
   StoreStatus status_ = StoreStatus::Ok;
   std::vector<StoreObject> items_;   ///< List only.
   bool more_ = false;                ///< List: there is another page.
@@ -82,6 +83,7 @@
   bool complete_ = false;      ///< Has been read whole since the start.
   std::uint64_t revision_ = 0; ///< Of the store, that objects_ stands for.
   bool watching_ = false;      ///< False: it has to be read whole.
+  bool passive_ = false;       ///< Another daemon tells of changes; no calls.
   std::map<std::string, StoreObject> page_; ///< Of a reading under way.
   std::string after_;                       ///< Where its next page begins.
   std::uint64_t pageRevision_ = 0;          ///< Of its first page.
@@ -124,6 +126,10 @@
 void
 RestartTable(TableSync& aTable, TimePoint aNow);
 
+/** Whether the copy is as the store has it now, as far as its replies tell. */
+bool
+IsTableFresh(const TableSync& aTable);
+
 /**
  * Takes a copy over from another daemon while the store doesn't answer.
  * @return False when it is not newer than the own one.
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -161,8 +161,10 @@
 {
   GatewayState& state = aStep.state_;
   BackendConn& conn = *FindSlot(state.connections_, aAttempt.connection_);
-  const Backend& backend = *FindSlot(state.backends_, aAttempt.backend_);
+  Backend& backend = *FindSlot(state.backends_, aAttempt.backend_);
   conn.state_ = BackendConnState::Idle;
+  conn.used_ = true;
+  backend.reconnect_ = Duration::zero();
   conn.attempt_ = 0;
   conn.usedAt_ = aStep.Time();
   const Duration life = aAnswer.keepAlive_.count() > 0
--- a/src/gateway/backend_conn.cpp
+++ b/src/gateway/backend_conn.cpp
@@ -82,6 +82,18 @@
   MarkService(aStep.state_, backend->service_);
 }
 
+/** One that was never used was accepted only to be ended: the server has as
+ * many connections as it takes. */
+void
+EndIdle(GatewayStep& aStep, BackendConn& aConn)
+{
+  Backend& backend = *FindSlot(aStep.state_.backends_, aConn.backend_);
+  if (!aConn.used_) {
+    PutOffConnects(aStep, backend);
+  }
+  Forget(aStep.state_, aConn);
+}
+
 } // namespace
 
 void
@@ -92,8 +104,10 @@
       aStep.Time() < aBackend.connectAfter_ || aBackend.opening_ > 0) {
     return;
   }
-  const std::uint32_t wanted = std::min(
-    ConnectionsAllowed(aStep.state_, aBackend), aBackend.inFlight_ + 1);
+  const bool ahead = aStep.state_.warm_ || !service.queue_.empty();
+  const std::uint32_t wanted =
+    std::min(ConnectionsAllowed(aStep.state_, aBackend),
+             aBackend.inFlight_ + (ahead ? 1 : 0));
   if (aBackend.connections_.size() < wanted) {
     Open(aStep, aBackend);
   }
@@ -172,7 +186,6 @@
   conn->usedAt_ = aNow.mono_;
   conn->expiresAt_ = aNow.mono_ + kKeepAliveUnknown;
   --backend.opening_;
-  backend.reconnect_ = Duration::zero();
   if (!IsUsable(backend)) {
     CloseConnection(step, aOpened.connection_.value_);
     return;
@@ -212,7 +225,7 @@
       break;
     }
     default:
-      Forget(aState, *conn);
+      EndIdle(step, *conn);
       break;
   }
   PumpMarked(step);
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -1,19 +1,72 @@
+// Answers fleets of VMs of unequal size before servers that accept few
+// connections: a query asks each shard, so daemons in service need connections
+// to all servers, and the strongest ones answer soonest.
 #include "gateway/directory.h"
 
+#include "core/hash_func.h"
+#include "gateway/gateway_const.h"
+
+#include <algorithm>
+#include <map>
+
 namespace camphorfield {
 
+namespace {
+
+std::uint64_t
+RankOf(const MemberRecord& aMember)
+{
+  return HashPair(aMember.id_.value_, 1);
+}
+
+} // namespace
+
+std::size_t
+CountFronts(const GatewayState& aState)
+{
+  double fewest = 0.0;
+  for (const GatewayServiceState& service : aState.services_) {
+    const double share = kConnectionShare * service.maxConnections_;
+    if (service.configured_ && (fewest == 0.0 || share < fewest)) {
+      fewest = share;
+    }
+  }
+  if (fewest == 0.0) {
+    return kDirectoryMost;
+  }
+  const auto count = static_cast<std::size_t>(fewest / kConnectionsWanted);
+  return std::clamp<std::size_t>(count, 1, kDirectoryMost);
+}
+
+std::vector<const MemberRecord*>
+ChooseFronts(const std::vector<MemberRecord>& aMembers, std::size_t aMost)
+{
+  std::vector<const MemberRecord*> fronts;
+  for (const MemberRecord& member : aMembers) {
+    if (member.state_ == MemberState::Alive && member.ready_ &&
+        !member.callerAddress_.empty()) {
+      fronts.push_back(&member);
+    }
+  }
+  std::sort(fronts.begin(),
+            fronts.end(),
+            [](const MemberRecord* aLeft, const MemberRecord* aRight) {
+              return aLeft->capacity_ != aRight->capacity_
+                       ? aLeft->capacity_ > aRight->capacity_
+                       : RankOf(*aLeft) < RankOf(*aRight);
+            });
+  fronts.resize(std::min(fronts.size(), aMost));
+  return fronts;
+}
+
 EntriesAnswer
-ListFronts(const std::vector<MemberRecord>& aMembers)
+ListFronts(const std::vector<MemberRecord>& aMembers, std::size_t aMost)
 {
   EntriesAnswer answer;
   answer.keepFor_ = kDirectoryKeepFor;
-  for (const MemberRecord& member : aMembers) {
-    const bool listed = member.state_ == MemberState::Alive && member.ready_ &&
-                        !member.callerAddress_.empty();
-    if (listed && answer.entries_.size() < kDirectoryMost) {
-      answer.entries_.push_back(
-        { member.callerAddress_, member.failureDomain_, member.name_ });
-    }
+  for (const MemberRecord* member : ChooseFronts(aMembers, aMost)) {
+    answer.entries_.push_back(
+      { member->callerAddress_, member->failureDomain_, member->name_ });
   }
   if (answer.entries_.empty()) {
     answer.code_ = ResultCode::NotReady;
@@ -21,4 +74,30 @@
   return answer;
 }
 
+std::vector<const MemberRecord*>
+ChooseWatchers(const std::vector<MemberRecord>& aMembers)
+{
+  std::map<std::string, std::vector<const MemberRecord*>> domains;
+  for (const MemberRecord& member : aMembers) {
+    if (member.state_ == MemberState::Alive) {
+      domains[member.failureDomain_].push_back(&member);
+    }
+  }
+  const bool all = aMembers.size() <= kAllWatch;
+  std::vector<const MemberRecord*> watchers;
+  for (auto& [domain, members] : domains) {
+    std::sort(members.begin(),
+              members.end(),
+              [](const MemberRecord* aLeft, const MemberRecord* aRight) {
+                return RankOf(*aLeft) < RankOf(*aRight);
+              });
+    const std::size_t count =
+      all ? members.size() : std::min(members.size(), kWatchersOfDomain);
+    watchers.insert(watchers.end(),
+                    members.begin(),
+                    members.begin() + static_cast<std::ptrdiff_t>(count));
+  }
+  return watchers;
+}
+
 } // namespace camphorfield
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -1,6 +1,7 @@
-/** Which daemons callers are told to connect to. */
+/** Which daemons do what: who serves callers, and who watches the store. */
 #pragma once
 
+#include "gateway/gateway_base.h"
 #include "machine/caller_type.h"
 #include "machine/peer_type.h"
 
@@ -15,12 +16,39 @@
  * daemon that stops serves them for that time. */
 constexpr Duration kDirectoryKeepFor = std::chrono::seconds(1);
 
+/** Connections that each daemon in service should have to each server. */
+constexpr double kConnectionsWanted = 2.0;
+
+/** Fleets up to this size watch the store each for themselves. */
+constexpr std::size_t kAllWatch = 8;
+/** Daemons of a failure domain that watch it in larger fleets. */
+constexpr std::size_t kWatchersOfDomain = 2;
+
+/**
+ * Daemons that can share the connections of the servers in use.
+ * @return At least one, at most kDirectoryMost.
+ */
+std::size_t
+CountFronts(const GatewayState& aState);
+
 /**
- * Addresses for a caller. Callers choose at random among them, so that each
- * address listed gets an equal share.
+ * Daemons that callers should use: those with the most capacity that are
+ * alive and ready.
  * @param aMembers All members but the dead, with this daemon.
+ * @param aMost See CountFronts.
  */
+std::vector<const MemberRecord*>
+ChooseFronts(const std::vector<MemberRecord>& aMembers, std::size_t aMost);
+
+/** Addresses for a caller, who chooses at random among them. */
 EntriesAnswer
-ListFronts(const std::vector<MemberRecord>& aMembers);
+ListFronts(const std::vector<MemberRecord>& aMembers, std::size_t aMost);
+
+/**
+ * Daemons that watch the store and tell the others. Views may differ for a
+ * while; one watcher more or less does no harm.
+ */
+std::vector<const MemberRecord*>
+ChooseWatchers(const std::vector<MemberRecord>& aMembers);
 
 } // namespace camphorfield
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -97,6 +97,12 @@
   aState.daemons_ = std::max(aDaemons, 1U);
 }
 
+void
+GatewaySetWarm(GatewayState& aState, bool aWarm)
+{
+  aState.warm_ = aWarm;
+}
+
 void
 GatewayOnEvent(GatewayState& aState,
                const Tick&,
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -44,6 +44,7 @@
 struct GatewaySettings
 {
   std::string failureDomain_;
+  double cpuShare_ = 1.0; ///< Of a core, that this daemon may use.
   BudgetLimits budget_;
   GatewayPolicy policy_;
 };
@@ -63,6 +64,7 @@
   std::uint64_t key_ = 0; ///< Value of its ConnectionId.
   std::uint64_t backend_ = 0;
   BackendConnState state_ = BackendConnState::Opening;
+  bool used_ = false; ///< It has brought an answer.
   TimePoint usedAt_{};
   TimePoint expiresAt_ = kNever; ///< Idle: to be closed then.
   std::uint64_t attempt_ = 0;    ///< Busy: what it carries.
@@ -260,6 +262,7 @@
   std::map<std::uint64_t, SuspectContent> suspects_; ///< By fingerprint.
   std::vector<BrokenConnection> broken_;
   std::uint32_t daemons_ = 1; ///< That share the budgets and connections.
+  bool warm_ = true; ///< Connections are opened before requests need them.
   GatewayStats stats_;
 };
 
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -16,6 +16,8 @@
 constexpr Duration kObjectiveMargin = milliseconds(9);
 /** The same as a share of the objective. */
 constexpr double kObjectiveMarginShare = 0.06;
+/** Time of a core that the daemon needs for each shard's answer. */
+constexpr Duration kShardCost = std::chrono::microseconds(40);
 /** Answer that much before the caller's own deadline. */
 constexpr Duration kDeadlineMargin = milliseconds(8);
 /** Wait for an answer when neither caller nor route names one. */
--- a/src/gateway/gateway_func.h
+++ b/src/gateway/gateway_func.h
@@ -39,6 +39,13 @@
 void
 GatewaySetDaemons(GatewayState& aState, std::uint32_t aDaemons);
 
+/**
+ * Sets whether callers are sent here: connections are kept open then.
+ * Otherwise they are opened when a request comes.
+ */
+void
+GatewaySetWarm(GatewayState& aState, bool aWarm);
+
 /**
  * Takes up what another daemon says of content that crashes servers.
  * @param aFingerprint Hash of the content.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -238,14 +238,21 @@
   return aLoad.patience_ - aRequest.patience_;
 }
 
-/** Time until an answer is late, with a margin for its way to the caller. */
+/** Time until an answer is late, with a margin for the work on its parts and
+ * its way to the caller. */
 Duration
-SoftWaitOf(const GatewayRoute& aRoute, Duration aWaited)
+SoftWaitOf(const GatewayState& aState,
+           const GatewayRoute& aRoute,
+           Duration aWaited)
 {
-  const auto share = static_cast<std::int64_t>(
-    static_cast<double>(aRoute.objective_.count()) * kObjectiveMarginShare);
-  const Duration margin = std::min<Duration>(kObjectiveMargin + Duration(share),
-                                             aRoute.objective_ / 3);
+  const auto objective = static_cast<double>(aRoute.objective_.count());
+  const double work = static_cast<double>(kShardCost.count()) *
+                      static_cast<double>(aRoute.shards_.size()) /
+                      aState.settings_.cpuShare_;
+  const Duration margin = std::min<Duration>(
+    kObjectiveMargin + Duration(static_cast<std::int64_t>(
+                         objective * kObjectiveMarginShare + work)),
+    aRoute.objective_ / 3);
   return aRoute.objective_ - margin - aWaited;
 }
 
@@ -296,7 +303,7 @@
   run.softAt_ = run.deadline_;
   run.needed_ = PartsNeeded(aRoute);
   if (aRoute.objective_.count() > 0 && state.settings_.policy_.partial_) {
-    const Duration wait = SoftWaitOf(aRoute, aWaited);
+    const Duration wait = SoftWaitOf(state, aRoute, aWaited);
     run.late_ = wait <= Duration::zero();
     run.softAt_ =
       run.late_ ? run.deadline_ : std::min(run.deadline_, aStep.Time() + wait);
--- a/src/machine/peer_type.h
+++ b/src/machine/peer_type.h
@@ -40,6 +40,7 @@
   bool ready_ = false;          ///< It has a confirmed configuration.
   Generation generation_;       ///< Configuration in force.
   std::uint32_t load_ = 0;      ///< Share of its capacity in use, per mille.
+  std::uint32_t capacity_ = 0;  ///< Per mille of a core; zero: not told.
 };
 
 /** A backend server is leaving, or has come back. */
--- a/src/membership/merge.cpp
+++ b/src/membership/merge.cpp
@@ -131,6 +131,7 @@
     aRecord.peerAddress_ = old.peerAddress_;
     aRecord.callerAddress_ = old.callerAddress_;
     aRecord.operatorAddress_ = old.operatorAddress_;
+    aRecord.capacity_ = old.capacity_;
     aRecord.failureDomain_ = old.failureDomain_;
   }
   if (!IsUsable(aRecord) || !DisplaceByAddress(aStep, aRecord)) {
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -77,6 +77,11 @@
   this->load = val;
 __isset.load = true;
 }
+
+void Member::__set_capacity(const int32_t val) {
+  this->capacity = val;
+__isset.capacity = true;
+}
 std::ostream& operator<<(std::ostream& out, const Member& obj)
 {
   obj.printTo(out);
@@ -201,6 +206,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->capacity);
+          this->__isset.capacity = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -278,6 +291,11 @@
     xfer += oprot->writeI32(this->load);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.capacity) {
+    xfer += oprot->writeFieldBegin("capacity", ::apache::thrift::protocol::T_I32, 13);
+    xfer += oprot->writeI32(this->capacity);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -297,6 +315,7 @@
   swap(a.ready, b.ready);
   swap(a.generation, b.generation);
   swap(a.load, b.load);
+  swap(a.capacity, b.capacity);
   swap(a.__isset, b.__isset);
 }
 
@@ -313,6 +332,7 @@
   ready = other0.ready;
   generation = other0.generation;
   load = other0.load;
+  capacity = other0.capacity;
   __isset = other0.__isset;
 }
 Member& Member::operator=(const Member& other1) {
@@ -328,6 +348,7 @@
   ready = other1.ready;
   generation = other1.generation;
   load = other1.load;
+  capacity = other1.capacity;
   __isset = other1.__isset;
   return *this;
 }
@@ -346,6 +367,7 @@
   out << ", " << "ready="; (__isset.ready ? (out << to_string(ready)) : (out << "<null>"));
   out << ", " << "generation="; (__isset.generation ? (out << to_string(generation)) : (out << "<null>"));
   out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
+  out << ", " << "capacity="; (__isset.capacity ? (out << to_string(capacity)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -56,7 +56,7 @@
 class PeerFrame;
 
 typedef struct _Member__isset {
-  _Member__isset() : id(false), name(false), incarnation(false), heartbeat(false), state(false), peerAddress(false), callerAddress(false), operatorAddress(false), failureDomain(false), ready(false), generation(false), load(false) {}
+  _Member__isset() : id(false), name(false), incarnation(false), heartbeat(false), state(false), peerAddress(false), callerAddress(false), operatorAddress(false), failureDomain(false), ready(false), generation(false), load(false), capacity(false) {}
   bool id :1;
   bool name :1;
   bool incarnation :1;
@@ -69,6 +69,7 @@
   bool ready :1;
   bool generation :1;
   bool load :1;
+  bool capacity :1;
 } _Member__isset;
 
 /**
@@ -91,7 +92,8 @@
            failureDomain(),
            ready(0),
            generation(0),
-           load(0) {
+           load(0),
+           capacity(0) {
   }
 
   virtual ~Member() noexcept;
@@ -107,6 +109,7 @@
   bool ready;
   int64_t generation;
   int32_t load;
+  int32_t capacity;
 
   _Member__isset __isset;
 
@@ -134,6 +137,8 @@
 
   void __set_load(const int32_t val);
 
+  void __set_capacity(const int32_t val);
+
   bool operator == (const Member & rhs) const
   {
     if (__isset.id != rhs.__isset.id)
@@ -184,6 +189,10 @@
       return false;
     else if (__isset.load && !(load == rhs.load))
       return false;
+    if (__isset.capacity != rhs.__isset.capacity)
+      return false;
+    else if (__isset.capacity && !(capacity == rhs.capacity))
+      return false;
     return true;
   }
   bool operator != (const Member &rhs) const {
--- a/src/peer/gossip_wire.cpp
+++ b/src/peer/gossip_wire.cpp
@@ -63,6 +63,9 @@
   if (!aRecord.operatorAddress_.empty()) {
     aMember.__set_operatorAddress(aRecord.operatorAddress_);
   }
+  if (aRecord.capacity_ != 0) {
+    aMember.__set_capacity(static_cast<std::int32_t>(aRecord.capacity_));
+  }
   if (!aRecord.failureDomain_.empty()) {
     aMember.__set_failureDomain(aRecord.failureDomain_);
   }
@@ -118,6 +121,7 @@
   out.ready_ = aMember.ready;
   IdFromWire(aMember.generation, out.generation_);
   out.load_ = static_cast<std::uint32_t>(aMember.load);
+  out.capacity_ = static_cast<std::uint32_t>(aMember.capacity);
   return out;
 }
 
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -1,6 +1,5 @@
 #include "runtime/gateway_host.h"
 
-#include "discovery/tables_json.h"
 #include "gateway/directory.h"
 #include "gateway/gateway_const.h"
 #include "gateway/gateway_func.h"
@@ -22,10 +21,18 @@
 constexpr std::size_t kConfigTable = 0;
 constexpr std::size_t kServersTable = 1;
 constexpr Duration kCareEvery = std::chrono::milliseconds(250);
-/** Peers are asked for tables that often while the store doesn't answer. */
-constexpr Duration kPeerAskEvery = std::chrono::milliseconds(400);
-/** Not before the store has failed for so long. */
-constexpr Duration kPeerAskAfter = std::chrono::milliseconds(200);
+/** A daemon that follows another one's tables says so that often. */
+constexpr Duration kFeedAskEvery = std::chrono::milliseconds(500);
+/** Without a word for so long, it asks another one, and the store. */
+constexpr Duration kFeedLife = std::chrono::milliseconds(1300);
+/** A daemon that has read the store waits so long for a feeder. */
+constexpr Duration kJoinTime = std::chrono::seconds(2);
+/** Connections are opened once the other daemons are known: too many daemons
+ * would exceed what servers accept. */
+constexpr Duration kWarmAfter = std::chrono::milliseconds(400);
+constexpr Duration kFollowerLife = std::chrono::seconds(3);
+/** A failing store is left to peers after this time. */
+constexpr Duration kFeedAfter = std::chrono::milliseconds(200);
 /** The largest fleet of this time shares budgets and connections: a daemon
  * that is cut off, or restarts, must not take the shares of the others. */
 constexpr Duration kCountMemory = std::chrono::seconds(15);
@@ -69,11 +76,13 @@
            })
   , timer_(aPool.At(0).Context())
   , members_(MembershipMembers(membership_))
+  , startedAt_(ReadClock().mono_)
   , suspended_(ReadSuspension())
 {
-  daemonCounts_[ReadClock().mono_ + kUnknownFor - kCountMemory] =
-    kDaemonsUnknown;
+  daemonCounts_[startedAt_ + kUnknownFor - kCountMemory] = kDaemonsUnknown;
+  GatewaySetWarm(gateway_, false);
   GatewaySetDaemons(gateway_, kDaemonsUnknown);
+  feed_.life_ = aSettings.membership_.self_.incarnation_.value_;
 }
 
 absl::Status
@@ -202,11 +211,11 @@
     return;
   }
   if (std::holds_alternative<GenerationAsk>(message->body_)) {
-    AnswerTables(*message);
+    AnswerFeed(*message);
     return;
   }
-  if (const auto* content = std::get_if<GenerationContent>(&message->body_)) {
-    TakeTables(content->content_);
+  if (std::holds_alternative<GenerationContent>(message->body_)) {
+    TakeFeed(*message);
     return;
   }
   StepMembership(*message);
@@ -250,6 +259,8 @@
     AdoptServers();
   }
   MembershipSetReady(membership_, IsReady());
+  NoteTable(feed_, store_.Table(aTable));
+  PushFeed();
 }
 
 void
@@ -317,62 +328,130 @@
   Carry();
 }
 
-// Only what the store itself has told is handed on.
+const MemberRecord*
+GatewayHost::FindMember(DaemonId aId) const
+{
+  const auto found = std::find_if(
+    members_->begin(), members_->end(), [aId](const MemberRecord& aMember) {
+      return aMember.id_ == aId;
+    });
+  return found == members_->end() ? nullptr : &*found;
+}
+
+bool
+GatewayHost::IsFresh()
+{
+  return IsTableFresh(store_.Table(kConfigTable)) &&
+         IsTableFresh(store_.Table(kServersTable));
+}
+
 void
-GatewayHost::AnswerTables(const PeerMessage& aMessage)
+GatewayHost::SendFeed(const MemberRecord& aTo,
+                      std::uint64_t aLife,
+                      std::uint64_t aNumber)
 {
-  const auto& ask = std::get<GenerationAsk>(aMessage.body_);
-  const TableSync& config = store_.Table(kConfigTable);
-  const TableSync& servers = store_.Table(kServersTable);
-  const bool newer = config.revision_ > ask.generation_.value_ ||
-                     servers.revision_ > ask.base_.value_;
-  const auto sender = std::find_if(members_->begin(),
-                                   members_->end(),
-                                   [&aMessage](const MemberRecord& aMember) {
-                                     return aMember.id_ == aMessage.from_;
-                                   });
-  if (!newer || !config.watching_ || !servers.watching_ ||
-      sender == members_->end()) {
+  const FeedMessage message = MakeFeedMessage(
+    feed_,
+    { &store_.Table(kConfigTable), &store_.Table(kServersTable) },
+    aLife,
+    aNumber);
+  GenerationContent content;
+  content.call_ = PeerCallId{ 1 };
+  content.generation_ = Generation{ 1 };
+  content.content_ = EncodeFeed(message);
+  SendToPeer(
+    SendPeer{ aTo.id_, aTo.peerAddress_, std::move(content), PeerCallId{} });
+}
+
+// Only what the store itself has told is handed on. Those who follow are told
+// of changes until they ask no more.
+void
+GatewayHost::AnswerFeed(const PeerMessage& aMessage)
+{
+  const MemberRecord* sender = FindMember(aMessage.from_);
+  if (sender == nullptr || !IsFresh()) {
     return;
   }
-  GenerationContent content;
-  content.call_ = ask.call_;
-  content.generation_ =
-    Generation{ std::max<std::uint64_t>(config.revision_, 1) };
-  content.content_ = EncodeTables({ GetContent(config), GetContent(servers) });
-  SendToPeer(SendPeer{
-    sender->id_, sender->peerAddress_, std::move(content), PeerCallId{} });
+  const auto& ask = std::get<GenerationAsk>(aMessage.body_);
+  SendFeed(*sender, ask.generation_.value_, ask.base_.value_);
+  followers_[aMessage.from_] =
+    FeedFollower{ feed_.newest_, ReadClock().mono_ + kFollowerLife };
+}
+
+void
+GatewayHost::PushFeed()
+{
+  const TimePoint now = ReadClock().mono_;
+  std::erase_if(followers_,
+                [now](const auto& aItem) { return aItem.second.until_ < now; });
+  for (auto& [id, follower] : followers_) {
+    const MemberRecord* member = FindMember(id);
+    if (member != nullptr && follower.number_ < feed_.newest_) {
+      SendFeed(*member, feed_.life_, follower.number_);
+      follower.number_ = feed_.newest_;
+    }
+  }
 }
 
 void
-GatewayHost::TakeTables(const std::string& aContent)
+GatewayHost::TakeFeed(const PeerMessage& aMessage)
 {
-  auto tables = DecodeTables(aContent);
-  if (!tables.ok()) {
+  const auto& content = std::get<GenerationContent>(aMessage.body_);
+  const auto message = DecodeFeed(content.content_);
+  if (!message.ok()) {
     WriteLog(LogLevel::Warning,
              "tables of a peer refused",
-             { { "reason", std::string(tables.status().message()) } });
+             { { "reason", std::string(message.status().message()) } });
+    return;
+  }
+  // Changes fit only on what was taken from the same life up to there.
+  if (aMessage.from_ != feeder_ ||
+      (!message->whole_ && message->life_ != feederLife_)) {
     return;
   }
-  for (TableContent& content : *tables) {
-    const std::size_t number =
-      content.kind_ == settings_.configKind_ ? kConfigTable : kServersTable;
+  feederLife_ = message->life_;
+  feederNumber_ = message->number_;
+  fedAt_ = ReadClock().mono_;
+  for (const std::size_t number : { kConfigTable, kServersTable }) {
     TableSync& table = store_.Table(number);
-    const bool behind =
-      number == kConfigTable || table.failures_ > 0 || !table.complete_;
-    if (behind &&
-        ImportTable(table, std::move(content.objects_), content.revision_)) {
-      WriteLog(LogLevel::Info,
-               "table taken from a peer",
-               { { "kind", content.kind_ },
-                 { "revision", std::to_string(content.revision_) } });
+    // A table that the store itself keeps up to date needs no help.
+    if (!IsTableFresh(table) && ApplyFeed(*message, table)) {
       AdoptTables(number);
     }
   }
 }
 
+// A daemon that follows keeps to its feeder; one that the store refuses tries
+// another one each time.
+const MemberRecord*
+GatewayHost::ChooseFeeder()
+{
+  const DaemonId self = membership_.self_.id_;
+  const bool heard = ReadClock().mono_ - fedAt_ < kFeedLife;
+  const MemberRecord* current = FindMember(feeder_);
+  if (heard && current != nullptr && current->state_ == MemberState::Alive) {
+    return current;
+  }
+  std::vector<const MemberRecord*> near;
+  std::vector<const MemberRecord*> all;
+  for (const MemberRecord* member : ChooseWatchers(*members_)) {
+    if (member->id_ == self) {
+      continue;
+    }
+    all.push_back(member);
+    if (member->failureDomain_ == membership_.self_.failureDomain_) {
+      near.push_back(member);
+    }
+  }
+  // After a silence others are tried too.
+  const bool first = feeder_.value_ == 0;
+  const std::vector<const MemberRecord*>& from =
+    first && !near.empty() ? near : all;
+  return from.empty() ? nullptr : from[rng_() % from.size()];
+}
+
 void
-GatewayHost::AskPeerForTables()
+GatewayHost::AskForFeed()
 {
   const Now now = ReadClock();
   const TableSync& config = store_.Table(kConfigTable);
@@ -381,30 +460,62 @@
     gateway_.config_ == nullptr ? 0 : gateway_.config_->version_;
   const auto failing = [&now](const TableSync& aTable) {
     return aTable.failures_ > 0 &&
-           now.mono_ - aTable.failingSince_ > kPeerAskAfter;
+           now.mono_ - aTable.failingSince_ > kFeedAfter;
   };
   const bool wanted =
-    failing(config) || failing(servers) || newestHeard_ > version;
-  if (!wanted || now.mono_ < nextPeerAsk_) {
+    !watcher_ || failing(config) || failing(servers) || newestHeard_ > version;
+  if (!wanted || now.mono_ < nextFeedAsk_) {
     return;
   }
-  nextPeerAsk_ = now.mono_ + kPeerAskEvery;
-  std::vector<const MemberRecord*> peers;
-  for (const MemberRecord& member : *members_) {
-    if (member.id_ != membership_.self_.id_ &&
-        member.state_ == MemberState::Alive && member.ready_) {
-      peers.push_back(&member);
-    }
-  }
-  if (peers.empty()) {
+  nextFeedAsk_ = now.mono_ + kFeedAskEvery;
+  const MemberRecord* feeder = ChooseFeeder();
+  if (feeder == nullptr) {
     return;
   }
-  const MemberRecord& peer = *peers[rng_() % peers.size()];
+  if (feeder->id_ != feeder_) {
+    feeder_ = feeder->id_;
+    feederLife_ = 0;
+    feederNumber_ = 0;
+  }
   GenerationAsk ask;
   ask.call_ = PeerCallId{ 1 };
-  ask.generation_ = Generation{ config.revision_ };
-  ask.base_ = Generation{ servers.revision_ };
-  SendToPeer(SendPeer{ peer.id_, peer.peerAddress_, ask, PeerCallId{} });
+  ask.generation_ = Generation{ feederLife_ };
+  ask.base_ = Generation{ feederNumber_ };
+  SendToPeer(SendPeer{ feeder->id_, feeder->peerAddress_, ask, PeerCallId{} });
+}
+
+// A daemon that doesn't watch reads the store once, and again whenever nobody
+// tells it of changes.
+void
+GatewayHost::ChooseRole()
+{
+  const DaemonId self = membership_.self_.id_;
+  const auto holds = [self](const std::vector<const MemberRecord*>& aList) {
+    return std::any_of(
+      aList.begin(), aList.end(), [self](const MemberRecord* aMember) {
+        return aMember->id_ == self;
+      });
+  };
+  watcher_ = holds(ChooseWatchers(*members_));
+  const TimePoint now = ReadClock().mono_;
+  const bool fed = now - fedAt_ < kFeedLife;
+  const bool joining = now < startedAt_ + kJoinTime;
+  for (const std::size_t number : { kConfigTable, kServersTable }) {
+    TableSync& table = store_.Table(number);
+    table.passive_ = !watcher_ && table.complete_ && (fed || joining);
+    // What was told meanwhile isn't in the watch's history.
+    table.watching_ = table.watching_ && !table.passive_;
+  }
+  const std::size_t fronts = CountFronts(gateway_);
+  const bool front =
+    holds(ChooseFronts(*members_, fronts)) || members_->size() <= fronts;
+  GatewaySetWarm(gateway_, front && now >= startedAt_ + kWarmAfter);
+  std::uint32_t daemons = 1;
+  for (const auto& [at, count] : daemonCounts_) {
+    daemons = std::max(daemons, count);
+  }
+  GatewaySetDaemons(gateway_,
+                    std::min(daemons, static_cast<std::uint32_t>(fronts)));
 }
 
 // The steady clock stands still while the VM does, so that deadlines and
@@ -464,7 +575,7 @@
 EntriesAnswer
 GatewayHost::ListEntries() const
 {
-  return ListFronts(*members_);
+  return ListFronts(*members_, CountFronts(gateway_));
 }
 
 bool
@@ -513,18 +624,14 @@
   if (now >= nextCare_) {
     nextCare_ = now + kCareEvery;
     CheckSuspension();
-    AskPeerForTables();
+    ChooseRole();
+    AskForFeed();
     if (DropLapsed(store_.Table(kServersTable), now).changed_) {
       AdoptTables(kServersTable);
     }
     std::erase_if(daemonCounts_, [this, now](const auto& aItem) {
       return aItem.first + kCountMemory < now && daemonCounts_.size() > 1;
     });
-    std::uint32_t daemons = 1;
-    for (const auto& [at, count] : daemonCounts_) {
-      daemons = std::max(daemons, count);
-    }
-    GatewaySetDaemons(gateway_, daemons);
   }
   if (now >= MembershipNextWake(membership_)) {
     StepMembership(Tick{});
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -1,6 +1,7 @@
 /** Carries events into the gateway's decision core and decisions out of it. */
 #pragma once
 
+#include "discovery/table_feed.h"
 #include "discovery/table_sync.h"
 #include "gateway/gateway_base.h"
 #include "machine/decision_type.h"
@@ -44,6 +45,13 @@
                                                 const std::string& aText);
 };
 
+/** A daemon that follows this one's tables. */
+struct FeedFollower
+{
+  std::uint64_t number_ = 0; ///< Newest change sent to it.
+  TimePoint until_{};        ///< It has asked again by then, or is gone.
+};
+
 /**
  * One gateway's host. Everything runs on one worker's thread, so it has no
  * locks; calls from elsewhere are posted there.
@@ -95,9 +103,17 @@
   void AdoptTables(std::size_t aTable);
   void AdoptConfig();
   void AdoptServers();
-  void AnswerTables(const PeerMessage& aMessage);
-  void TakeTables(const std::string& aContent);
-  void AskPeerForTables();
+  void AnswerFeed(const PeerMessage& aMessage);
+  void TakeFeed(const PeerMessage& aMessage);
+  void PushFeed();
+  void AskForFeed();
+  void ChooseRole();
+  bool IsFresh();
+  const MemberRecord* FindMember(DaemonId aId) const;
+  const MemberRecord* ChooseFeeder();
+  void SendFeed(const MemberRecord& aTo,
+                std::uint64_t aLife,
+                std::uint64_t aNumber);
   void CheckSuspension();
   void Fulfil(CallerRequestId aId, ProxyAnswer&& aAnswer);
   void Abandon(CallerRequestId aId);
@@ -116,7 +132,7 @@
   boost::asio::steady_timer timer_;
   TimePoint armed_ = kNever;
   TimePoint nextCare_{};
-  TimePoint nextPeerAsk_{};
+  TimePoint nextFeedAsk_{};
   std::function<void(const GatewayLimits&)> onLimits_;
   std::unordered_map<CallerRequestId, Promise*> pending_;
   std::uint64_t nextRequest_ = 1;
@@ -126,6 +142,14 @@
   std::uint64_t newestHeard_ = 0; ///< Newest configuration of any member.
   std::map<std::string, std::pair<std::uint64_t, BackendEntry>> entries_;
   std::map<TimePoint, std::uint32_t> daemonCounts_; ///< Recent ones.
+  TableFeed feed_; ///< What this daemon tells of its tables.
+  std::map<DaemonId, FeedFollower> followers_;
+  DaemonId feeder_; ///< Whom this daemon follows; zero: nobody.
+  std::uint64_t feederLife_ = 0;
+  std::uint64_t feederNumber_ = 0;
+  TimePoint fedAt_{};   ///< Time of the feeder's latest word.
+  bool watcher_ = true; ///< Reads the store for itself and others.
+  TimePoint startedAt_{};
   Duration suspended_{}; ///< Time in which the VM stood still, in total.
   bool stopping_ = false;
 };
--- a/src/runtime/store_reader.cpp
+++ b/src/runtime/store_reader.cpp
@@ -51,6 +51,7 @@
                                          aCall.timeout_);
   }
   StoreReply reply = aState.codec_.decodeReply_(aCall, exchange, fault);
+  reply.op_ = aCall.op_;
   if (exchange.end_ != HttpEnd::Ok || exchange.response_.close_) {
     aReader.client_.reset();
   }
@@ -71,7 +72,10 @@
     const auto call = NextStoreCall(reader.table_, now);
     if (!call) {
       const Duration left = reader.table_.nextCallAt_ - now;
-      boost::this_fiber::sleep_for(std::min<Duration>(left, kLongestNap));
+      const Duration nap = reader.table_.passive_ || left > kLongestNap
+                             ? Duration(kLongestNap)
+                             : left;
+      boost::this_fiber::sleep_for(nap);
       continue;
     }
     StoreReply reply = Exchange(*aState, reader, *call);
--- /dev/null
+++ b/tests/discovery/table_feed_test.cpp
@@ -0,0 +1,141 @@
+#include "discovery/table_feed.h"
+
+#include <CppUTest/TestHarness.h>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace camphorfield;
+
+namespace {
+
+TableSync
+MakeTable(const std::string& aKind)
+{
+  TableSync table;
+  table.kind_ = aKind;
+  table.complete_ = true;
+  return table;
+}
+
+void
+Put(TableSync& aTable, const std::string& aName, std::uint64_t aRevision)
+{
+  aTable.objects_[aName] =
+    StoreObject{ aName, aRevision, "t" + std::to_string(aRevision) };
+  aTable.revision_ = aRevision;
+}
+
+bool
+AreSame(const TableSync& aLeft, const TableSync& aRight)
+{
+  if (aLeft.objects_.size() != aRight.objects_.size()) {
+    return false;
+  }
+  for (const auto& [name, object] : aLeft.objects_) {
+    const auto other = aRight.objects_.find(name);
+    if (other == aRight.objects_.end() || other->second.text_ != object.text_) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/** A daemon that tells, and one that follows it. */
+struct Pair
+{
+  TableSync source_ = MakeTable("servers");
+  TableSync copy_ = MakeTable("servers");
+  TableFeed feed_;
+  std::uint64_t life_ = 0;
+  std::uint64_t number_ = 0;
+
+  /** One exchange over the wire; returns what was sent. */
+  FeedMessage Exchange()
+  {
+    NoteTable(feed_, source_);
+    const auto message = DecodeFeed(
+      EncodeFeed(MakeFeedMessage(feed_, { &source_ }, life_, number_)));
+    CHECK_TRUE(message.ok());
+    ApplyFeed(*message, copy_);
+    life_ = message->life_;
+    number_ = message->number_;
+    return *message;
+  }
+};
+
+} // namespace
+
+TEST_GROUP(TableFeed){};
+
+TEST(TableFeed, WholeOnceThenChangesOnly)
+{
+  Pair pair;
+  pair.feed_.life_ = 7;
+  Put(pair.source_, "a", 1);
+  Put(pair.source_, "b", 2);
+  CHECK_TRUE(pair.Exchange().whole_);
+  CHECK_TRUE(AreSame(pair.source_, pair.copy_));
+  Put(pair.source_, "c", 3);
+  pair.source_.objects_.erase("a");
+  const FeedMessage changes = pair.Exchange();
+  CHECK_FALSE(changes.whole_);
+  LONGS_EQUAL(2, changes.changes_.size());
+  CHECK_TRUE(AreSame(pair.source_, pair.copy_));
+  LONGS_EQUAL(0, pair.Exchange().changes_.size());
+}
+
+TEST(TableFeed, ANewLifeOrAGapSendsTheWholeTable)
+{
+  Pair pair;
+  pair.feed_.life_ = 7;
+  Put(pair.source_, "a", 1);
+  pair.Exchange();
+  pair.feed_ = TableFeed{};
+  pair.feed_.life_ = 8;
+  Put(pair.source_, "b", 2);
+  CHECK_TRUE(pair.Exchange().whole_);
+  CHECK_TRUE(AreSame(pair.source_, pair.copy_));
+  for (std::uint64_t i = 0; i < kFeedChanges + 10; ++i) {
+    Put(pair.source_, "c", 10 + i);
+    NoteTable(pair.feed_, pair.source_);
+  }
+  CHECK_TRUE(pair.Exchange().whole_);
+  CHECK_TRUE(AreSame(pair.source_, pair.copy_));
+}
+
+// Any series of changes and exchanges leaves the same tables.
+TEST(TableFeed, CopiesFollowAnySeriesOfChanges)
+{
+  std::mt19937_64 rng(3);
+  Pair pair;
+  pair.feed_.life_ = 1;
+  for (std::uint64_t i = 1; i < 3000; ++i) {
+    const std::string name = "n" + std::to_string(rng() % 30);
+    if (rng() % 3 == 0) {
+      pair.source_.objects_.erase(name);
+      pair.source_.revision_ = i;
+    } else {
+      Put(pair.source_, name, i);
+    }
+    if (rng() % 5 == 0) {
+      pair.Exchange();
+      CHECK_TRUE(AreSame(pair.source_, pair.copy_));
+    }
+  }
+}
+
+TEST(TableFeed, MalformedMessagesAreRefused)
+{
+  const std::vector<const char*> cases{
+    "",
+    "[]",
+    "{}",
+    R"({"life":1,"number":-1})",
+    R"({"life":1,"number":1,"whole":true,"revisions":{},"changes":[1]})",
+    R"({"life":1,"number":1,"whole":1,"revisions":{},"changes":[]})",
+  };
+  for (const char* text : cases) {
+    CHECK_FALSE_TEXT(DecodeFeed(text).ok(), text);
+  }
+}
--- a/tests/peer/peer_codec_test.cpp
+++ b/tests/peer/peer_codec_test.cpp
@@ -33,6 +33,7 @@
   record.ready_ = true;
   record.generation_.value_ = 991;
   record.load_ = 420;
+  record.capacity_ = 250;
   return record;
 }
 
@@ -179,6 +180,7 @@
   CHECK_TRUE(aExpected.ready_ == aActual.ready_);
   CHECK_TRUE(aExpected.generation_ == aActual.generation_);
   CHECK_TRUE(aExpected.load_ == aActual.load_);
+  CHECK_TRUE(aExpected.capacity_ == aActual.capacity_);
 }
 
 } // namespace
--- a/tools/testbed.py
+++ b/tools/testbed.py
@@ -263,7 +263,7 @@
             "--operator-address", daemon.operator,
             "--platform", self.platform.address,
             "--seeds", ",".join(seeds[:3]), *flags]
-        daemon.process = self.start(daemon.name, *command)
+        daemon.process = self.start(daemon.name, *command, speaks=False)
         return daemon
 
     def callers_addresses(self):
