--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -116,6 +116,10 @@
 
 // attempt.cpp
 
+/** Usual time of an answer of a route. */
+Duration
+UsualTime(const RouteLoad& aLoad);
+
 /** Send what waits for the services that were marked. */
 void
 PumpMarked(GatewayStep& aStep);
@@ -128,6 +132,8 @@
 void
 DequeuePart(GatewayState& aState, RequestPart& aPart);
 
+// attempt_answer.cpp
+
 /** End an attempt without a success; the part may be sent again. */
 void
 EndAttempt(GatewayStep& aStep, std::uint64_t aAttempt, AttemptEnd aEnd);
@@ -165,9 +171,36 @@
 void
 ExpireRun(GatewayStep& aStep, GatewayRun& aRun);
 
-/** End a run with no answer to its caller. */
+// request_answer.cpp
+
+/** End what is still under way for a run, and the run. */
+void
+CloseRun(GatewayStep& aStep, GatewayRun& aRun);
+
+/** Answer with what a server said. */
+void
+FinishForwarded(GatewayStep& aStep, GatewayRun& aRun, BackendAnswer&& aFrom);
+
+/** Answer a query with the parts that are there. */
+void
+FinishMerged(GatewayStep& aStep, GatewayRun& aRun);
+
+/**
+ * Answer with a failure.
+ * @param aCode Told if a server may have run it; else it is told as not run.
+ */
+void
+FinishFailed(GatewayStep& aStep, GatewayRun& aRun, ProxyCode aCode);
+
+/**
+ * Answer a request that is not taken up.
+ * @param aRoute Null when none is known.
+ */
 void
-AbandonRun(GatewayStep& aStep, GatewayRun& aRun);
+RejectRequest(GatewayStep& aStep,
+              const ProxyRequest& aRequest,
+              ProxyCode aCode,
+              const GatewayRoute* aRoute);
 
 // admission.cpp
 
--- /dev/null
+++ b/src/runtime/gateway_feed.cpp
@@ -0,0 +1,222 @@
+// Who reads the store, who is told by others, and who serves callers.
+#include "runtime/gateway_host.h"
+
+#include "gateway/directory.h"
+#include "gateway/gateway_func.h"
+#include "membership/membership_func.h"
+#include "observe/log.h"
+#include "runtime/clock.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorfield {
+
+namespace {
+
+/** A daemon that follows another one's tables says so that often. */
+constexpr Duration kFeedAskEvery = std::chrono::milliseconds(500);
+/** Without a word for so long, it asks another one, and the store. */
+constexpr Duration kFeedLife = std::chrono::milliseconds(1300);
+/** A daemon that has read the store waits so long for a feeder. */
+constexpr Duration kJoinTime = std::chrono::seconds(2);
+/** Connections are opened once the other daemons are known: too many daemons
+ * would exceed what servers accept. */
+constexpr Duration kWarmAfter = std::chrono::milliseconds(400);
+constexpr Duration kFollowerLife = std::chrono::seconds(3);
+/** A failing store is left to peers after this time. */
+constexpr Duration kFeedAfter = std::chrono::milliseconds(200);
+
+} // namespace
+
+const MemberRecord*
+GatewayHost::FindMember(DaemonId aId) const
+{
+  const auto found = std::find_if(
+    members_->begin(), members_->end(), [aId](const MemberRecord& aMember) {
+      return aMember.id_ == aId;
+    });
+  return found == members_->end() ? nullptr : &*found;
+}
+
+bool
+GatewayHost::IsFresh()
+{
+  return IsTableFresh(store_.Table(kConfigTable)) &&
+         IsTableFresh(store_.Table(kServersTable));
+}
+
+void
+GatewayHost::SendFeed(const MemberRecord& aTo,
+                      std::uint64_t aLife,
+                      std::uint64_t aNumber)
+{
+  const FeedMessage message = MakeFeedMessage(
+    feed_,
+    { &store_.Table(kConfigTable), &store_.Table(kServersTable) },
+    aLife,
+    aNumber);
+  GenerationContent content;
+  content.call_ = PeerCallId{ 1 };
+  content.generation_ = Generation{ 1 };
+  content.content_ = EncodeFeed(message);
+  SendToPeer(
+    SendPeer{ aTo.id_, aTo.peerAddress_, std::move(content), PeerCallId{} });
+}
+
+// Only what the store itself has told is handed on. Those who follow are told
+// of changes until they ask no more.
+void
+GatewayHost::AnswerFeed(const PeerMessage& aMessage)
+{
+  const MemberRecord* sender = FindMember(aMessage.from_);
+  if (sender == nullptr || !IsFresh()) {
+    return;
+  }
+  const auto& ask = std::get<GenerationAsk>(aMessage.body_);
+  SendFeed(*sender, ask.generation_.value_, ask.base_.value_);
+  followers_[aMessage.from_] =
+    FeedFollower{ feed_.newest_, ReadClock().mono_ + kFollowerLife };
+}
+
+void
+GatewayHost::PushFeed()
+{
+  const TimePoint now = ReadClock().mono_;
+  std::erase_if(followers_,
+                [now](const auto& aItem) { return aItem.second.until_ < now; });
+  for (auto& [id, follower] : followers_) {
+    const MemberRecord* member = FindMember(id);
+    if (member != nullptr && follower.number_ < feed_.newest_) {
+      SendFeed(*member, feed_.life_, follower.number_);
+      follower.number_ = feed_.newest_;
+    }
+  }
+}
+
+void
+GatewayHost::TakeFeed(const PeerMessage& aMessage)
+{
+  const auto& content = std::get<GenerationContent>(aMessage.body_);
+  const auto message = DecodeFeed(content.content_);
+  if (!message.ok()) {
+    WriteLog(LogLevel::Warning,
+             "tables of a peer refused",
+             { { "reason", std::string(message.status().message()) } });
+    return;
+  }
+  // Changes fit only on what was taken from the same life up to there.
+  if (aMessage.from_ != feeder_ ||
+      (!message->whole_ && message->life_ != feederLife_)) {
+    return;
+  }
+  feederLife_ = message->life_;
+  feederNumber_ = message->number_;
+  fedAt_ = ReadClock().mono_;
+  for (const std::size_t number : { kConfigTable, kServersTable }) {
+    TableSync& table = store_.Table(number);
+    // A table that the store itself keeps up to date needs no help.
+    if (!IsTableFresh(table) && ApplyFeed(*message, table)) {
+      AdoptTables(number);
+    }
+  }
+}
+
+// A daemon that follows keeps to its feeder; one that the store refuses tries
+// another one each time.
+const MemberRecord*
+GatewayHost::ChooseFeeder()
+{
+  const DaemonId self = membership_.self_.id_;
+  const bool heard = ReadClock().mono_ - fedAt_ < kFeedLife;
+  const MemberRecord* current = FindMember(feeder_);
+  if (heard && current != nullptr && current->state_ == MemberState::Alive) {
+    return current;
+  }
+  std::vector<const MemberRecord*> near;
+  std::vector<const MemberRecord*> all;
+  for (const MemberRecord* member : ChooseWatchers(*members_)) {
+    if (member->id_ == self) {
+      continue;
+    }
+    all.push_back(member);
+    if (member->failureDomain_ == membership_.self_.failureDomain_) {
+      near.push_back(member);
+    }
+  }
+  // After a silence others are tried too.
+  const bool first = feeder_.value_ == 0;
+  const std::vector<const MemberRecord*>& from =
+    first && !near.empty() ? near : all;
+  return from.empty() ? nullptr : from[rng_() % from.size()];
+}
+
+void
+GatewayHost::AskForFeed()
+{
+  const Now now = ReadClock();
+  const TableSync& config = store_.Table(kConfigTable);
+  const TableSync& servers = store_.Table(kServersTable);
+  const std::uint64_t version =
+    gateway_.config_ == nullptr ? 0 : gateway_.config_->version_;
+  const auto failing = [&now](const TableSync& aTable) {
+    return aTable.failures_ > 0 &&
+           now.mono_ - aTable.failingSince_ > kFeedAfter;
+  };
+  const bool wanted =
+    !watcher_ || failing(config) || failing(servers) || newestHeard_ > version;
+  if (!wanted || now.mono_ < nextFeedAsk_) {
+    return;
+  }
+  nextFeedAsk_ = now.mono_ + kFeedAskEvery;
+  const MemberRecord* feeder = ChooseFeeder();
+  if (feeder == nullptr) {
+    return;
+  }
+  if (feeder->id_ != feeder_) {
+    feeder_ = feeder->id_;
+    feederLife_ = 0;
+    feederNumber_ = 0;
+  }
+  GenerationAsk ask;
+  ask.call_ = PeerCallId{ 1 };
+  ask.generation_ = Generation{ feederLife_ };
+  ask.base_ = Generation{ feederNumber_ };
+  SendToPeer(SendPeer{ feeder->id_, feeder->peerAddress_, ask, PeerCallId{} });
+}
+
+// A daemon that doesn't watch reads the store once, and again whenever nobody
+// tells it of changes.
+void
+GatewayHost::ChooseRole()
+{
+  const DaemonId self = membership_.self_.id_;
+  const auto holds = [self](const std::vector<const MemberRecord*>& aList) {
+    return std::any_of(
+      aList.begin(), aList.end(), [self](const MemberRecord* aMember) {
+        return aMember->id_ == self;
+      });
+  };
+  watcher_ = holds(ChooseWatchers(*members_));
+  const TimePoint now = ReadClock().mono_;
+  const bool fed = now - fedAt_ < kFeedLife;
+  const bool joining = now < startedAt_ + kJoinTime;
+  for (const std::size_t number : { kConfigTable, kServersTable }) {
+    TableSync& table = store_.Table(number);
+    table.passive_ = !watcher_ && table.complete_ && (fed || joining);
+    // What was told meanwhile isn't in the watch's history.
+    table.watching_ = table.watching_ && !table.passive_;
+  }
+  const std::size_t fronts = CountFronts(gateway_);
+  const bool front =
+    holds(ChooseFronts(*members_, fronts)) || members_->size() <= fronts;
+  GatewaySetWarm(gateway_, front && now >= startedAt_ + kWarmAfter);
+  std::uint32_t daemons = 1;
+  for (const auto& [at, count] : daemonCounts_) {
+    daemons = std::max(daemons, count);
+  }
+  GatewaySetDaemons(gateway_,
+                    std::min(daemons, static_cast<std::uint32_t>(fronts)));
+}
+
+} // namespace camphorfield
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -22,6 +22,10 @@
 
 namespace camphorfield {
 
+// Tables of the store's objects.
+constexpr std::size_t kConfigTable = 0;
+constexpr std::size_t kServersTable = 1;
+
 /** Settings of a gateway's host. */
 struct GatewayHostSettings
 {
@@ -93,6 +97,7 @@
   void Step(Item&& aItem);
   template<typename Item>
   void StepMembership(const Item& aItem);
+  void TellMembership(const ConfigAdopted& aAdopted);
   void Carry();
   void Carry(GatewayDecision& aDecision);
   void CarryMembership();
--- /dev/null
+++ b/src/runtime/gateway_tables.cpp
@@ -0,0 +1,110 @@
+// What the store's objects become: the configuration in force and the servers.
+#include "runtime/gateway_host.h"
+
+#include "gateway/gateway_func.h"
+#include "membership/membership_func.h"
+#include "observe/log.h"
+#include "runtime/clock.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+void
+GatewayHost::OnTable(std::size_t aTable, const TableChange& aChange)
+{
+  const char* kind = aTable == kConfigTable ? "config" : "servers";
+  if (aChange.lost_) {
+    WriteLog(LogLevel::Warning, "store lost", { { "kind", kind } });
+  }
+  if (aChange.regained_) {
+    WriteLog(LogLevel::Info, "store regained", { { "kind", kind } });
+  }
+  if (aChange.changed_) {
+    AdoptTables(aTable);
+  }
+  Arm();
+}
+
+void
+GatewayHost::AdoptTables(std::size_t aTable)
+{
+  if (!store_.Table(aTable).complete_) {
+    return;
+  }
+  if (aTable == kConfigTable) {
+    AdoptConfig();
+  } else {
+    AdoptServers();
+  }
+  MembershipSetReady(membership_, IsReady());
+  NoteTable(feed_, store_.Table(aTable));
+  PushFeed();
+}
+
+void
+GatewayHost::AdoptConfig()
+{
+  const TableSync& table = store_.Table(kConfigTable);
+  const auto found = table.objects_.find(settings_.configName_);
+  if (found == table.objects_.end()) {
+    return;
+  }
+  const auto config = adapter_.decodeConfig_(found->second.text_);
+  if (!config.ok()) {
+    WriteLog(LogLevel::Error,
+             "configuration refused",
+             { { "reason", std::string(config.status().message()) },
+               { "revision", std::to_string(found->second.revision_) } });
+    return;
+  }
+  const std::uint64_t version = (*config)->version_;
+  if (!GatewayAdoptConfig(gateway_, *config, ReadClock(), rng_, decisions_)) {
+    return;
+  }
+  WriteLog(LogLevel::Info,
+           "configuration in force",
+           { { "version", std::to_string(version) },
+             { "revision", std::to_string(found->second.revision_) },
+             { "routes", std::to_string((*config)->routes_.size()) } });
+  Carry();
+  if (onLimits_) {
+    onLimits_((*config)->limits_);
+  }
+  auto published = std::make_shared<PublishedConfig>();
+  published->generation_ = Generation{ version };
+  TellMembership(ConfigAdopted{ std::move(published) });
+}
+
+void
+GatewayHost::AdoptServers()
+{
+  const TableSync& table = store_.Table(kServersTable);
+  std::erase_if(entries_, [&table](const auto& aItem) {
+    return table.objects_.count(aItem.first) == 0;
+  });
+  std::vector<BackendEntry> servers;
+  for (const auto& [name, object] : table.objects_) {
+    auto& [revision, entry] = entries_[name];
+    if (revision != object.revision_) {
+      auto decoded = adapter_.decodeServer_(name, object.text_);
+      revision = object.revision_;
+      if (!decoded.ok()) {
+        entry = BackendEntry{};
+        WriteLog(LogLevel::Warning,
+                 "server entry ignored",
+                 { { "server", name },
+                   { "reason", std::string(decoded.status().message()) } });
+      } else {
+        entry = *std::move(decoded);
+      }
+    }
+    if (!entry.id_.empty()) {
+      servers.push_back(entry);
+    }
+  }
+  GatewayAdoptServers(gateway_, servers, ReadClock(), rng_, decisions_);
+  Carry();
+}
+
+} // namespace camphorfield
