--- a/src/discovery/table_feed.cpp
+++ b/src/discovery/table_feed.cpp
@@ -120,6 +120,14 @@
   return message;
 }
 
+bool
+IsFeedWanted(const FeedMessage& aMessage, const TableSync& aTable)
+{
+  const auto revision = aMessage.revisions_.find(aTable.kind_);
+  return !IsTableFresh(aTable) || (revision != aMessage.revisions_.end() &&
+                                   revision->second > aTable.revision_);
+}
+
 bool
 ApplyFeed(const FeedMessage& aMessage, TableSync& aTable)
 {
--- a/src/discovery/table_feed.h
+++ b/src/discovery/table_feed.h
@@ -58,6 +58,13 @@
                 std::uint64_t aLife,
                 std::uint64_t aNumber);
 
+/**
+ * Whether a message should be put into a table: the store doesn't keep the
+ * table up to date, or has told the sender more, though a watch is open.
+ */
+bool
+IsFeedWanted(const FeedMessage& aMessage, const TableSync& aTable);
+
 /**
  * Puts a message's content into a table.
  * @return False when nothing differs.
--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -115,10 +115,16 @@
   fedAt_ = ReadClock().mono_;
   for (const std::size_t number : { kConfigTable, kServersTable }) {
     TableSync& table = store_.Table(number);
-    // A table that the store itself keeps up to date needs no help.
-    if (!IsTableFresh(table) && ApplyFeed(*message, table)) {
+    const bool dead = IsTableFresh(table) && IsFeedWanted(*message, table);
+    if (IsFeedWanted(*message, table) && ApplyFeed(*message, table)) {
       AdoptTables(number);
     }
+    if (dead) {
+      WriteLog(LogLevel::Warning,
+               "watch is silent: a peer knows more",
+               { { "kind", table.kind_ } });
+      store_.Restart();
+    }
   }
 }
 
@@ -180,7 +186,8 @@
   }
   GenerationAsk ask;
   ask.call_ = PeerCallId{ 1 };
-  ask.generation_ = Generation{ feederLife_ };
+  // One that reads the store itself may have left out earlier messages.
+  ask.generation_ = Generation{ watcher_ ? 0 : feederLife_ };
   ask.base_ = Generation{ feederNumber_ };
   SendToPeer(SendPeer{ feeder->id_, feeder->peerAddress_, ask, PeerCallId{} });
 }
--- a/tests/discovery/table_feed_test.cpp
+++ b/tests/discovery/table_feed_test.cpp
@@ -125,6 +125,35 @@
   }
 }
 
+// A watch that the store never answers looks open for as long as it may wait.
+TEST(TableFeed, WantedWhenThePeerKnowsMoreThanAnOpenWatch)
+{
+  struct Case
+  {
+    const char* name_;
+    bool watching_;
+    std::uint32_t failures_;
+    std::uint64_t told_; ///< Revision of the peer; the own one is 10.
+    bool wanted_;
+  };
+  const std::vector<Case> cases{
+    { "watch is up to date", true, 0, 10, false },
+    { "watch is ahead", true, 0, 9, false },
+    { "silent watch", true, 0, 11, true },
+    { "store refuses", true, 2, 10, true },
+    { "not read yet", false, 0, 10, true },
+  };
+  for (const Case& item : cases) {
+    TableSync table = MakeTable("servers");
+    table.watching_ = item.watching_;
+    table.failures_ = item.failures_;
+    table.revision_ = 10;
+    FeedMessage message;
+    message.revisions_["servers"] = item.told_;
+    CHECK_TEXT(IsFeedWanted(message, table) == item.wanted_, item.name_);
+  }
+}
+
 TEST(TableFeed, MalformedMessagesAreRefused)
 {
   const std::vector<const char*> cases{
