Codechange: remove two constants and a counter that nothing reads

Cause: found on rereading the whole change: kFreshConnection, kWindowStart and Backend::misdirected_ were left from earlier drafts. No behaviour changes. Ruled out: keeping them for later use.

--- a/src/gateway/backend_health.cpp
+++ b/src/gateway/backend_health.cpp
@@ -120,7 +120,6 @@
 void
 NoteMisdirected(GatewayStep& aStep, Backend& aBackend)
 {
-  ++aBackend.misdirected_;
   aBackend.ejection_ = kEjectionCeiling;
   Eject(aStep, aBackend, "another server has its address");
 }
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -94,7 +94,6 @@
   TimePoint connectAfter_{};
   ReportedLoad load_;
   TimePoint loadAt_{};
-  std::uint32_t misdirected_ = 0; ///< Answers of another server at its address.
 };
 
 /** Place of a waiting part: late requests last, then rank, then time left. */
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -36,8 +36,6 @@
 constexpr Duration kKeepAliveMargin = milliseconds(500);
 /** Life of an idle connection when the server names none. */
 constexpr Duration kKeepAliveUnknown = seconds(20);
-/** A non-idempotent request goes out on a connection used this recently. */
-constexpr Duration kFreshConnection = milliseconds(1500);
 /** One that silently holds a request this long is dead, at the least. */
 constexpr Duration kSilenceFloor = milliseconds(700);
 /** The same as a multiple of the route's 99th percentile. */
@@ -82,7 +80,6 @@
 constexpr double kBudgetUse = 0.8;
 
 // Admission.
-constexpr double kWindowStart = 64.0;
 constexpr double kWindowFloor = 1.0;
 constexpr double kWindowCeiling = 1000.0;
 constexpr double kWindowIncrease = 0.25;
