Change: callers are sent to as many of the strongest daemons as the load needs

Ruled out: too few connections (more of them were reset, not fewer). Change: each daemon tells the load that sends put on it; the directory lists the strongest ones whose processors carry four times the sum, two a failure domain at least. Connections are opened by those who will serve once all are ready. Budgets are shared by twice the daemons in service. A log line every 10 s sums up sends, connections, store calls and bytes to other daemons. Test: tests/gateway/directory_test.cpp.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -50,6 +50,8 @@
   conn.state_ = BackendConnState::Busy;
   conn.attempt_ = attempt.key_;
   ++backend.inFlight_;
+  state.stats_.farSends_ +=
+    backend.entry_.failureDomain_ != state.settings_.failureDomain_ ? 1 : 0;
   part.attempts_[part.attempts_[0] == 0 ? 0 : 1] = attempt.key_;
   part.phase_ = PartPhase::Running;
   ++part.sends_;
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -8,17 +8,37 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace camphorfield {
 
 namespace {
 
+constexpr std::uint32_t kCapacityUnknown = 1000; ///< Per mille of a core.
+
 std::uint64_t
 RankOf(const MemberRecord& aMember)
 {
   return HashPair(aMember.id_.value_, 1);
 }
 
+std::uint32_t
+CapacityOf(const MemberRecord& aMember)
+{
+  return aMember.capacity_ > 0 ? aMember.capacity_ : kCapacityUnknown;
+}
+
+/** Processors in use by all members together, per mille of a core. */
+double
+SumLoad(const std::vector<MemberRecord>& aMembers)
+{
+  double sum = 0.0;
+  for (const MemberRecord& member : aMembers) {
+    sum += member.load_ / 1000.0 * CapacityOf(member);
+  }
+  return sum;
+}
+
 } // namespace
 
 std::size_t
@@ -39,23 +59,36 @@
 }
 
 std::vector<const MemberRecord*>
-ChooseFronts(const std::vector<MemberRecord>& aMembers, std::size_t aMost)
+ChooseFronts(const std::vector<MemberRecord>& aMembers,
+             std::size_t aMost,
+             FrontScope aScope)
 {
   std::vector<const MemberRecord*> fronts;
+  std::set<std::string> domains;
   for (const MemberRecord& member : aMembers) {
-    if (member.state_ == MemberState::Alive && member.ready_ &&
+    if (member.state_ == MemberState::Alive &&
+        (member.ready_ || aScope == FrontScope::Alive) &&
         !member.callerAddress_.empty()) {
       fronts.push_back(&member);
+      domains.insert(member.failureDomain_);
     }
   }
   std::sort(fronts.begin(),
             fronts.end(),
             [](const MemberRecord* aLeft, const MemberRecord* aRight) {
-              return aLeft->capacity_ != aRight->capacity_
-                       ? aLeft->capacity_ > aRight->capacity_
+              return CapacityOf(*aLeft) != CapacityOf(*aRight)
+                       ? CapacityOf(*aLeft) > CapacityOf(*aRight)
                        : RankOf(*aLeft) < RankOf(*aRight);
             });
-  fronts.resize(std::min(fronts.size(), aMost));
+  const std::size_t least = kFrontsOfDomain * domains.size();
+  const double needed = kFrontHeadroom * SumLoad(aMembers);
+  const std::size_t most = std::min(fronts.size(), aMost);
+  std::size_t count = 0;
+  double capacity = 0.0;
+  while (count < most && (count < least || capacity < needed)) {
+    capacity += CapacityOf(*fronts[count++]);
+  }
+  fronts.resize(count);
   return fronts;
 }
 
@@ -64,7 +97,8 @@
 {
   EntriesAnswer answer;
   answer.keepFor_ = kDirectoryKeepFor;
-  for (const MemberRecord* member : ChooseFronts(aMembers, aMost)) {
+  for (const MemberRecord* member :
+       ChooseFronts(aMembers, aMost, FrontScope::Ready)) {
     answer.entries_.push_back(
       { member->callerAddress_, member->failureDomain_, member->name_ });
   }
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -19,6 +19,20 @@
 /** Connections that each daemon in service should have to each server. */
 constexpr double kConnectionsWanted = 2.0;
 
+/** Daemons in service for each failure domain, at the least. */
+constexpr std::size_t kFrontsOfDomain = 2;
+/** Their processors together carry the present load that many times: bursts
+ * and the loss of some of them included. */
+constexpr double kFrontHeadroom = 4.0;
+
+/** Which members count as candidates for service. */
+enum class FrontScope : std::uint8_t
+{
+  Ready, ///< Those that may be listed now.
+  Alive, ///< Those that are starting, too.
+  End    ///< Number of scopes.
+};
+
 /** Fleets up to this size watch the store each for themselves. */
 constexpr std::size_t kAllWatch = 8;
 /** Daemons of a failure domain that watch it in larger fleets. */
@@ -32,13 +46,15 @@
 CountFronts(const GatewayState& aState);
 
 /**
- * Daemons that callers should use: those with the most capacity that are
- * alive and ready.
+ * Daemons that callers should use: as many of those with the most capacity as
+ * the load needs.
  * @param aMembers All members but the dead, with this daemon.
  * @param aMost See CountFronts.
  */
 std::vector<const MemberRecord*>
-ChooseFronts(const std::vector<MemberRecord>& aMembers, std::size_t aMost);
+ChooseFronts(const std::vector<MemberRecord>& aMembers,
+             std::size_t aMost,
+             FrontScope aScope);
 
 /** Addresses for a caller, who chooses at random among them. */
 EntriesAnswer
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 #include "gateway/gateway_internal.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace camphorfield {
 
@@ -19,6 +20,27 @@
   }
 }
 
+/** Learns what share of the processor the sends of late have taken. */
+void
+NoteBusy(GatewayState& aState, TimePoint aNow)
+{
+  const GatewayStats& stats = aState.stats_;
+  const std::uint64_t sends =
+    stats.firstSends_ + stats.hedges_ + stats.retries_;
+  const auto passed = static_cast<double>((aNow - aState.busyAt_).count());
+  if (passed <= 0.0) {
+    return;
+  }
+  const double work = static_cast<double>(sends - aState.sendsAtBusy_) *
+                      static_cast<double>(kShardCost.count());
+  const double gain =
+    1.0 - std::exp2(-passed / static_cast<double>(Duration(kBusyLife).count()));
+  const double share = work / (passed * aState.settings_.cpuShare_);
+  aState.busy_ += gain * (share - aState.busy_);
+  aState.busyAt_ = aNow;
+  aState.sendsAtBusy_ = sends;
+}
+
 void
 TakeTimer(GatewayStep& aStep, const KindTimer<GatewayTimer>& aTimer)
 {
@@ -41,6 +63,7 @@
       EndSilentAttempt(aStep, aTimer.key_);
       break;
     default:
+      NoteBusy(aStep.state_, aStep.Time());
       CareForConnections(aStep);
       AddTimer(aStep.state_.timers_,
                { aStep.Time() + kCareInterval, 0, 0, GatewayTimer::Care });
@@ -124,6 +147,12 @@
   return NextTimer(aState.timers_);
 }
 
+std::uint32_t
+GatewayBusy(const GatewayState& aState)
+{
+  return static_cast<std::uint32_t>(aState.busy_ * 1000.0);
+}
+
 std::size_t
 GatewayInFlight(const GatewayState& aState)
 {
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -233,6 +233,7 @@
   std::uint64_t hedges_ = 0;
   std::uint64_t hedgesWon_ = 0;
   std::uint64_t retries_ = 0;
+  std::uint64_t farSends_ = 0; ///< To servers of other failure domains.
   std::uint64_t budgetDenied_ = 0;
   std::uint64_t connects_ = 0;
   std::uint64_t shed_ = 0; ///< Answers that say "not run".
@@ -261,6 +262,9 @@
   std::map<std::uint64_t, SuspectContent> suspects_; ///< By fingerprint.
   std::vector<BrokenConnection> broken_;
   std::uint32_t daemons_ = 1; ///< That share the budgets and connections.
+  double busy_ = 0.0;         ///< Share of the own processor that sends take.
+  TimePoint busyAt_{};
+  std::uint64_t sendsAtBusy_ = 0; ///< Sends up to then.
   bool warm_ = true; ///< Connections are opened before requests need them.
   GatewayStats stats_;
 };
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -18,6 +18,8 @@
 constexpr double kObjectiveMarginShare = 0.06;
 /** Time of a core that the daemon needs for each shard's answer. */
 constexpr Duration kShardCost = std::chrono::microseconds(40);
+/** The daemon's own load is averaged over about this time. */
+constexpr Duration kBusyLife = seconds(1);
 /** Answer that much before the caller's own deadline. */
 constexpr Duration kDeadlineMargin = milliseconds(8);
 /** Wait for an answer when neither caller nor route names one. */
--- a/src/gateway/gateway_func.h
+++ b/src/gateway/gateway_func.h
@@ -106,6 +106,10 @@
 TimePoint
 GatewayNextWake(const GatewayState& aState);
 
+/** Share of the own processor that requests take at present, per mille. */
+std::uint32_t
+GatewayBusy(const GatewayState& aState);
+
 /** Requests that have no answer yet. */
 std::size_t
 GatewayInFlight(const GatewayState& aState);
--- a/src/ops/gateway_metrics.cpp
+++ b/src/ops/gateway_metrics.cpp
@@ -33,6 +33,7 @@
   { "camphorfield_gateway_hedges_total",           "Requests sent to beat a slow server",         &GatewayStats::hedges_ },
   { "camphorfield_gateway_hedges_won_total",       "Of these, answered first",                    &GatewayStats::hedgesWon_ },
   { "camphorfield_gateway_retries_total",          "Requests sent after a failed one",            &GatewayStats::retries_ },
+  { "camphorfield_gateway_far_sends_total",        "Sends to servers of other failure domains",   &GatewayStats::farSends_ },
   { "camphorfield_gateway_budget_denied_total",    "Hedges and retries that the budget denied",   &GatewayStats::budgetDenied_ },
   { "camphorfield_gateway_connects_total",         "Connections to servers asked for",            &GatewayStats::connects_ },
   { "camphorfield_gateway_shed_total",             "Answers of servers that say not run",         &GatewayStats::shed_ },
--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -23,10 +23,23 @@
 /** Connections are opened once the other daemons are known: too many daemons
  * would exceed what servers accept. */
 constexpr Duration kWarmAfter = std::chrono::milliseconds(400);
+/** Views of who serves callers may differ, and callers keep old answers: at
+ * most that many times as many daemons serve at a time. */
+constexpr std::uint32_t kFrontViews = 2;
 constexpr Duration kFollowerLife = std::chrono::seconds(3);
 /** A failing store is left to peers after this time. */
 constexpr Duration kFeedAfter = std::chrono::milliseconds(200);
 
+std::uint32_t
+CountMost(const std::map<TimePoint, std::uint32_t>& aCounts)
+{
+  std::uint32_t most = 1;
+  for (const auto& [at, count] : aCounts) {
+    most = std::max(most, count);
+  }
+  return most;
+}
+
 } // namespace
 
 const MemberRecord*
@@ -214,16 +227,17 @@
     // What was told meanwhile isn't in the watch's history.
     table.watching_ = table.watching_ && !table.passive_;
   }
-  const std::size_t fronts = CountFronts(gateway_);
-  const bool front =
-    holds(ChooseFronts(*members_, fronts)) || members_->size() <= fronts;
+  MembershipSetLoad(membership_, GatewayBusy(gateway_));
+  const std::size_t most = CountFronts(gateway_);
+  const auto fronts = ChooseFronts(*members_, most, FrontScope::Ready);
+  // While all start, few are ready, and each would take itself for a front.
+  const bool front = (now >= startedAt_ + kJoinTime && holds(fronts)) ||
+                     holds(ChooseFronts(*members_, most, FrontScope::Alive));
   GatewaySetWarm(gateway_, front && now >= startedAt_ + kWarmAfter);
-  std::uint32_t daemons = 1;
-  for (const auto& [at, count] : daemonCounts_) {
-    daemons = std::max(daemons, count);
-  }
+  frontCounts_[now] = static_cast<std::uint32_t>(fronts.size());
+  const std::uint32_t daemons = CountMost(daemonCounts_);
   GatewaySetDaemons(gateway_,
-                    std::min(daemons, static_cast<std::uint32_t>(fronts)));
+                    std::min(daemons, kFrontViews * CountMost(frontCounts_)));
 }
 
 } // namespace camphorfield
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -18,6 +18,8 @@
 
 namespace {
 
+/** Interval of the log line that sums the traffic up. */
+constexpr Duration kTrafficEvery = std::chrono::seconds(10);
 constexpr Duration kCareEvery = std::chrono::milliseconds(250);
 /** The largest fleet of this time shares budgets and connections: a daemon
  * that is cut off, or restarts, must not take the shares of the others. */
@@ -188,8 +190,16 @@
   message.fromIncarnation_ = settings_.membership_.self_.incarnation_;
   message.sent_ = HybridTime{ ReadClock().unixMicros_, 0 };
   message.body_ = aSend.body_;
-  peers_.Send(PeerFrame{
-    aSend.to_, aSend.address_, aSend.call_, EncodePeerMessage(message) });
+  std::string text = EncodePeerMessage(message);
+  const bool tables = std::holds_alternative<GenerationContent>(aSend.body_);
+  (tables ? traffic_.tables_ : traffic_.membership_) += text.size();
+  const MemberRecord* member = FindMember(aSend.to_);
+  if (member != nullptr &&
+      member->failureDomain_ != membership_.self_.failureDomain_) {
+    traffic_.far_ += text.size();
+  }
+  peers_.Send(
+    PeerFrame{ aSend.to_, aSend.address_, aSend.call_, std::move(text) });
 }
 
 void
@@ -239,6 +249,30 @@
   suspended_ = suspended;
 }
 
+void
+GatewayHost::LogTraffic()
+{
+  const TimePoint now = ReadClock().mono_;
+  if (now < nextTraffic_) {
+    return;
+  }
+  nextTraffic_ = now + kTrafficEvery;
+  const GatewayStats& stats = gateway_.stats_;
+  WriteLog(LogLevel::Info,
+           "traffic since the start",
+           { { "busy_per_mille", std::to_string(GatewayBusy(gateway_)) },
+             { "daemons", std::to_string(gateway_.daemons_) },
+             { "first_sends", std::to_string(stats.firstSends_) },
+             { "far_sends", std::to_string(stats.farSends_) },
+             { "hedges", std::to_string(stats.hedges_) },
+             { "retries", std::to_string(stats.retries_) },
+             { "connects", std::to_string(stats.connects_) },
+             { "store_calls", std::to_string(store_.Calls()) },
+             { "membership_bytes", std::to_string(traffic_.membership_) },
+             { "table_bytes", std::to_string(traffic_.tables_) },
+             { "far_peer_bytes", std::to_string(traffic_.far_) } });
+}
+
 ProxyAnswer
 GatewayHost::Ask(ProxyRequest aRequest,
                  const std::function<void(std::function<void()>)>& aWatchGone)
@@ -329,14 +363,17 @@
   if (now >= nextCare_) {
     nextCare_ = now + kCareEvery;
     CheckSuspension();
+    LogTraffic();
     ChooseRole();
     AskForFeed();
     if (DropLapsed(store_.Table(kServersTable), now).changed_) {
       AdoptTables(kServersTable);
     }
-    std::erase_if(daemonCounts_, [this, now](const auto& aItem) {
-      return aItem.first + kCountMemory < now && daemonCounts_.size() > 1;
-    });
+    for (auto* counts : { &daemonCounts_, &frontCounts_ }) {
+      std::erase_if(*counts, [counts, now](const auto& aItem) {
+        return aItem.first + kCountMemory < now && counts->size() > 1;
+      });
+    }
   }
   if (now >= MembershipNextWake(membership_)) {
     StepMembership(Tick{});
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -49,6 +49,14 @@
                                                 const std::string& aText);
 };
 
+/** Bytes sent to other daemons since the start. */
+struct PeerTraffic
+{
+  std::uint64_t membership_ = 0;
+  std::uint64_t tables_ = 0;
+  std::uint64_t far_ = 0; ///< Of both, to other failure domains.
+};
+
 /** A daemon that follows this one's tables. */
 struct FeedFollower
 {
@@ -102,6 +110,7 @@
   void Carry(GatewayDecision& aDecision);
   void CarryMembership();
   void SendToPeer(const SendPeer& aSend);
+  void LogTraffic();
   void OnFrame(const std::string& aPayload);
   void OnMembers(const std::vector<MemberRecord>& aMembers);
   void OnTable(std::size_t aTable, const TableChange& aChange);
@@ -147,6 +156,7 @@
   std::uint64_t newestHeard_ = 0; ///< Newest configuration of any member.
   std::map<std::string, std::pair<std::uint64_t, BackendEntry>> entries_;
   std::map<TimePoint, std::uint32_t> daemonCounts_; ///< Recent ones.
+  std::map<TimePoint, std::uint32_t> frontCounts_;  ///< The same, in service.
   TableFeed feed_; ///< What this daemon tells of its tables.
   std::map<DaemonId, FeedFollower> followers_;
   DaemonId feeder_; ///< Whom this daemon follows; zero: nobody.
@@ -157,6 +167,8 @@
   TimePoint startedAt_{};
   Duration suspended_{}; ///< Time in which the VM stood still, in total.
   bool stopping_ = false;
+  PeerTraffic traffic_;
+  TimePoint nextTraffic_{};
 };
 
 } // namespace camphorfield
--- /dev/null
+++ b/tests/gateway/directory_test.cpp
@@ -0,0 +1,120 @@
+// Who serves callers: fleets of VMs of unequal size.
+#include "gateway/directory.h"
+
+#include <CppUTest/TestHarness.h>
+#include <string>
+#include <vector>
+
+using namespace camphorfield;
+
+namespace {
+
+constexpr std::size_t kManyAllowed = 64;
+
+/** Some members of one kind. */
+struct Group
+{
+  const char* domain_;
+  std::size_t count_;
+  std::uint32_t capacity_;
+  std::uint32_t load_;
+  bool ready_ = true;
+};
+
+std::vector<MemberRecord>
+MakeMembers(const std::vector<Group>& aGroups)
+{
+  std::vector<MemberRecord> members;
+  for (const Group& group : aGroups) {
+    for (std::size_t i = 0; i < group.count_; ++i) {
+      MemberRecord member;
+      member.name_ = "m" + std::to_string(members.size());
+      member.id_ = DaemonId{ members.size() + 1 };
+      member.state_ = MemberState::Alive;
+      member.ready_ = group.ready_;
+      member.callerAddress_ = "10.0.0.1:" + std::to_string(members.size());
+      member.failureDomain_ = group.domain_;
+      member.capacity_ = group.capacity_;
+      member.load_ = group.load_;
+      members.push_back(member);
+    }
+  }
+  return members;
+}
+
+} // namespace
+
+TEST_GROUP(Fronts){};
+
+TEST(Fronts, TheStrongestServeAsManyAsTheLoadNeeds)
+{
+  struct Case
+  {
+    const char* name_;
+    std::vector<Group> groups_;
+    std::size_t most_;
+    std::size_t fronts_;
+    std::uint32_t weakest_; ///< Capacity of the weakest front.
+  };
+  const std::vector<Case> cases{
+    { "a small fleet serves whole",
+      { { "a", 2, 250, 0 }, { "b", 2, 250, 0 }, { "c", 2, 250, 0 } },
+      kManyAllowed,
+      6,
+      250 },
+    { "the strong suffice",
+      { { "a", 2, 500, 0 },
+        { "b", 2, 500, 0 },
+        { "a", 20, 120, 0 },
+        { "b", 20, 120, 0 } },
+      kManyAllowed,
+      4,
+      500 },
+    // 2,000 in all, half of it in use: 4,000 are needed.
+    { "load brings in the weak",
+      { { "a", 2, 500, 500 }, { "b", 2, 500, 500 }, { "b", 40, 120, 0 } },
+      kManyAllowed,
+      4 + 17,
+      120 },
+    { "servers' connections bound the number",
+      { { "a", 2, 500, 900 }, { "b", 2, 500, 900 }, { "b", 40, 120, 0 } },
+      10,
+      10,
+      120 },
+    { "the weak carry on alone",
+      { { "a", 20, 120, 0 }, { "b", 20, 120, 0 } },
+      kManyAllowed,
+      4,
+      120 },
+    { "all that is left serves",
+      { { "a", 1, 120, 900 } },
+      kManyAllowed,
+      1,
+      120 },
+    { "members of unknown capacity count as one core",
+      { { "a", 8, 0, 0 }, { "a", 2, 500, 0 } },
+      kManyAllowed,
+      2,
+      0 },
+  };
+  for (const Case& item : cases) {
+    const std::vector<MemberRecord> members = MakeMembers(item.groups_);
+    const auto fronts = ChooseFronts(members, item.most_, FrontScope::Ready);
+    LONGS_EQUAL_TEXT(item.fronts_, fronts.size(), item.name_);
+    LONGS_EQUAL_TEXT(item.weakest_, fronts.back()->capacity_, item.name_);
+  }
+}
+
+// Otherwise each daemon of a starting fleet would take itself for a front and
+// open connections to all servers.
+TEST(Fronts, AStartingFleetKnowsWhoWillServe)
+{
+  const std::vector<MemberRecord> members =
+    MakeMembers({ { "a", 1, 120, 0, true }, { "a", 6, 500, 0, false } });
+  const auto now = ChooseFronts(members, kManyAllowed, FrontScope::Ready);
+  LONGS_EQUAL(1, now.size());
+  for (const MemberRecord* front :
+       ChooseFronts(members, kManyAllowed, FrontScope::Alive)) {
+    LONGS_EQUAL(500, front->capacity_);
+  }
+}
