Fix: a reset of an idle connection is no failure of its server

Cause: a server may drop an idle connection unseen; what is sent next is reset. Change: a reset within 20 ms of a send on a connection that had been idle is retried without a mark on the server; its service's idle connections end at 0.8 of that idle time for 10 s, with one spare less meanwhile.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -41,7 +41,7 @@
   GatewayState& state = aStep.state_;
   RequestPart& part = aRun.parts_[aPart];
   Backend& backend = *FindSlot(state.backends_, aBackend);
-  BackendConn& conn = *FindIdle(state, backend);
+  BackendConn& conn = *FindIdle(state, backend, aStep.Time());
   Attempt& attempt = TakeSlot(state.attempts_);
   attempt = Attempt{
     attempt.key_,           aRun.key_, aPart, aBackend, conn.key_, aStep.Time(),
--- a/src/gateway/attempt_answer.cpp
+++ b/src/gateway/attempt_answer.cpp
@@ -86,18 +86,12 @@
         const Attempt& aAttempt,
         const BackendAnswer& aAnswer)
 {
-  GatewayState& state = aStep.state_;
-  BackendConn& conn = *FindSlot(state.connections_, aAttempt.connection_);
-  Backend& backend = *FindSlot(state.backends_, aAttempt.backend_);
-  conn.state_ = BackendConnState::Idle;
-  conn.used_ = true;
+  Backend& backend = *FindSlot(aStep.state_.backends_, aAttempt.backend_);
   backend.reconnect_ = Duration::zero();
-  conn.attempt_ = 0;
-  conn.usedAt_ = aStep.Time();
   const Duration life = aAnswer.keepAlive_.count() > 0
                           ? aAnswer.keepAlive_ - kKeepAliveMargin
                           : Duration(kKeepAliveUnknown);
-  conn.expiresAt_ = aStep.Time() + life;
+  ReleaseConnection(aStep, aAttempt.connection_, life);
   if (aAnswer.closing_ || !IsUsable(backend)) {
     CloseConnection(aStep, aAttempt.connection_);
   }
--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -102,10 +102,10 @@
 }
 
 bool
-HasRoom(GatewayState& aState, const Backend& aBackend)
+HasRoom(GatewayState& aState, const Backend& aBackend, TimePoint aNow)
 {
   return aBackend.inFlight_ < static_cast<std::uint32_t>(aBackend.limit_) &&
-         FindIdle(aState, aBackend) != nullptr;
+         FindIdle(aState, aBackend, aNow) != nullptr;
 }
 
 /** Whether a part may go to a server, apart from its room. */
@@ -152,7 +152,7 @@
     }
     Candidate candidate{ &backend,
                          EstimateMicros(state, backend, usual, aStep.Time()),
-                         HasRoom(state, backend) };
+                         HasRoom(state, backend, aStep.Time()) };
     if (!candidate.room_) {
       // What is queued here would go there first.
       const auto ahead = static_cast<double>(service.queue_.size() + 1);
--- a/src/gateway/backend_conn.cpp
+++ b/src/gateway/backend_conn.cpp
@@ -34,6 +34,50 @@
     ConnectionId{ key }, aBackend.entry_.address_, kBackendConnectTimeout });
 }
 
+/** When a connection that is idle from now on is to be closed. */
+TimePoint
+IdleUntil(const GatewayServiceState& aService, Duration aLife, TimePoint aNow)
+{
+  const bool learned = aNow < aService.idleLifeUntil_;
+  return aNow + (learned ? std::min(aLife, aService.idleLife_) : aLife);
+}
+
+/** A server drops idle connections unseen: the others that were idle for long
+ * are as good as gone. */
+void
+NoteStale(GatewayStep& aStep, Backend& aBackend, Duration aIdle)
+{
+  GatewayState& state = aStep.state_;
+  GatewayServiceState& service = state.services_[aBackend.service_];
+  const auto life = Duration(static_cast<std::int64_t>(
+    static_cast<double>(aIdle.count()) * kIdleLifeShare));
+  const bool learned = aStep.Time() < service.idleLifeUntil_;
+  service.idleLife_ = learned ? std::min(service.idleLife_, life) : life;
+  service.idleLifeUntil_ = aStep.Time() + kIdleLifeMemory;
+  for (const std::uint64_t key : service.backends_) {
+    const Backend& backend = state.backends_.slots_[key & kSlotMask];
+    for (const std::uint64_t number : backend.connections_) {
+      BackendConn& conn = state.connections_.slots_[number & kSlotMask];
+      if (conn.state_ == BackendConnState::Idle) {
+        conn.expiresAt_ =
+          std::min(conn.expiresAt_, conn.usedAt_ + service.idleLife_);
+      }
+    }
+  }
+}
+
+/** Whether a connection had ended before the request on it was sent. */
+bool
+WasStale(const BackendConn& aConn,
+         const Attempt& aAttempt,
+         const BackendClosed& aClosed,
+         TimePoint aNow)
+{
+  return !aClosed.answerBegun_ && aClosed.end_ != BackendEnd::Malformed &&
+         aNow - aAttempt.sentAt_ <= kStaleReset &&
+         aAttempt.sentAt_ - aConn.usedAt_ > kStaleReset;
+}
+
 /** Takes a connection out of the state; its end is known. */
 void
 Forget(GatewayState& aState, BackendConn& aConn)
@@ -107,7 +151,9 @@
   const bool ahead = aStep.state_.warm_ || !service.queue_.empty();
   const bool near =
     aBackend.entry_.failureDomain_ == aStep.state_.settings_.failureDomain_;
-  const std::uint32_t spare = near ? kSpareNear : kSpareFar;
+  // Where idle connections don't last, few are worth their opening.
+  const bool lasting = aStep.Time() >= service.idleLifeUntil_;
+  const std::uint32_t spare = (near ? kSpareNear : kSpareFar) - !lasting;
   const std::uint32_t wanted =
     std::min(ConnectionsAllowed(aStep.state_, aBackend),
              aBackend.inFlight_ + (ahead ? spare : 0));
@@ -118,12 +164,12 @@
 
 // The one used last is the least likely to have been dropped by the server.
 BackendConn*
-FindIdle(GatewayState& aState, const Backend& aBackend)
+FindIdle(GatewayState& aState, const Backend& aBackend, TimePoint aNow)
 {
   BackendConn* best = nullptr;
   for (const std::uint64_t key : aBackend.connections_) {
     BackendConn& conn = aState.connections_.slots_[key & kSlotMask];
-    if (conn.state_ == BackendConnState::Idle &&
+    if (conn.state_ == BackendConnState::Idle && aNow < conn.expiresAt_ &&
         (best == nullptr || conn.usedAt_ > best->usedAt_)) {
       best = &conn;
     }
@@ -153,6 +199,20 @@
   }
 }
 
+void
+ReleaseConnection(GatewayStep& aStep, std::uint64_t aConnection, Duration aLife)
+{
+  GatewayState& state = aStep.state_;
+  BackendConn& conn = *FindSlot(state.connections_, aConnection);
+  const Backend& backend = *FindSlot(state.backends_, conn.backend_);
+  conn.state_ = BackendConnState::Idle;
+  conn.used_ = true;
+  conn.attempt_ = 0;
+  conn.usedAt_ = aStep.Time();
+  conn.expiresAt_ =
+    IdleUntil(state.services_[backend.service_], aLife, aStep.Time());
+}
+
 void
 CareForConnections(GatewayStep& aStep)
 {
@@ -187,7 +247,8 @@
   Backend& backend = *FindSlot(aState.backends_, conn->backend_);
   conn->state_ = BackendConnState::Idle;
   conn->usedAt_ = aNow.mono_;
-  conn->expiresAt_ = aNow.mono_ + kKeepAliveUnknown;
+  conn->expiresAt_ = IdleUntil(
+    aState.services_[backend.service_], kKeepAliveUnknown, aNow.mono_);
   --backend.opening_;
   if (!IsUsable(backend)) {
     CloseConnection(step, aOpened.connection_.value_);
@@ -217,14 +278,22 @@
       const std::uint64_t attemptKey = conn->attempt_;
       const std::uint64_t backendKey = conn->backend_;
       const Attempt& attempt = *FindSlot(aState.attempts_, attemptKey);
+      const bool stale = WasStale(*conn, attempt, aClosed, aNow.mono_);
+      if (stale) {
+        NoteStale(step,
+                  *FindSlot(aState.backends_, backendKey),
+                  attempt.sentAt_ - conn->usedAt_);
+      }
+      // A crash looks the same, until the server refuses connections.
       const GatewayRun* run = FindSlot(aState.runs_, attempt.run_);
       if (run != nullptr && !aClosed.answerBegun_) {
         NoteBrokenConnection(step, backendKey, run->fingerprint_);
       }
       EndAttempt(step,
                  attemptKey,
-                 aClosed.end_ == BackendEnd::Malformed ? AttemptEnd::Garbled
-                                                       : AttemptEnd::Broken);
+                 stale                                   ? AttemptEnd::Stale
+                 : aClosed.end_ == BackendEnd::Malformed ? AttemptEnd::Garbled
+                                                         : AttemptEnd::Broken);
       break;
     }
     default:
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -26,7 +26,7 @@
   Failed,  ///< The server answered with a failure; it may have run.
   Broken,  ///< No whole answer; it may have run.
   Garbled, ///< The answer isn't the server's; it may have run.
-  Dropped, ///< Nobody wants its answer any more.
+  Stale,   ///< The server had dropped the idle connection; it may have run.
   End      ///< Number of ends.
 };
 
@@ -100,7 +100,16 @@
 
 /** Idle connection to use next, or null. */
 BackendConn*
-FindIdle(GatewayState& aState, const Backend& aBackend);
+FindIdle(GatewayState& aState, const Backend& aBackend, TimePoint aNow);
+
+/**
+ * Takes back a connection after a whole answer.
+ * @param aLife Time that it may be idle for, as its server says.
+ */
+void
+ReleaseConnection(GatewayStep& aStep,
+                  std::uint64_t aConnection,
+                  Duration aLife);
 
 /** Close a connection that carries nothing. */
 void
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -187,7 +187,7 @@
     });
   const auto index = static_cast<std::size_t>(server - servers_.begin());
   serialOf_[{ aDaemon, key }] = serial;
-  connections_[serial] = ModelConnection{ aDaemon, key, index, 0, "" };
+  connections_[serial] = ModelConnection{ aDaemon, key, index, 0, "", now_ };
   if (server->fault_ == ModelFault::Silent) {
     At(aConnect.timeout_,
        [this, serial]() { Break(serial, BackendEnd::TimedOut); });
@@ -251,6 +251,11 @@
     return;
   }
   ModelServer& server = servers_[found->second.server_];
+  if (server.dropsIdle_.count() > 0 &&
+      now_ - found->second.idleSince_ > server.dropsIdle_) {
+    At(kTrip, [this, aConnection]() { Break(aConnection, BackendEnd::Reset); });
+    return;
+  }
   ++server.arrivals_;
   if (server.fault_ == ModelFault::Silent) {
     return;
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -41,6 +41,9 @@
   Duration pauseFor_{};
   Duration pauseAt_{}; ///< Offset of the first pause.
   ModelFault fault_ = ModelFault::None;
+  /** Connections that were idle for longer are dropped unseen: what is sent on
+   * them next is reset. Zero: none. */
+  Duration dropsIdle_{};
   bool draining_ = false;
   bool crashesOn_ = false; ///< Crashes when it begins "poison".
   std::uint32_t connections_ = 0;
@@ -126,6 +129,7 @@
     std::size_t server_ = 0;
     std::uint64_t job_ = 0;
     std::string lastId_; ///< Id of the request before.
+    TimePoint idleSince_{};
   };
   struct ModelJob
   {
--- a/tests/gateway/rules_test.cpp
+++ b/tests/gateway/rules_test.cpp
@@ -102,6 +102,34 @@
 
 TEST_GROUP(Rules){};
 
+// What a server never read is no failure of the server: it stays in use, and
+// the request goes out again at once. Connections that were idle for as long
+// are closed before they are used.
+TEST(Rules, DroppedIdleConnectionsAreNoFailuresOfTheirServers)
+{
+  constexpr int kRequests = 12;
+  OneDaemon fleet(4, QueryRoute(4, 1.0));
+  for (ModelServer& server : fleet.replay_.Servers()) {
+    server.dropsIdle_ = milliseconds(320);
+  }
+  fleet.replay_.Advance(seconds(1));
+  for (int i = 0; i < kRequests; ++i) {
+    const std::uint64_t id = fleet.replay_.Ask(0, "/query/q", seconds(2));
+    fleet.replay_.Advance(seconds(1));
+    const ProxyAnswer* answer = fleet.replay_.AnswerOf(id);
+    CHECK_TRUE(answer != nullptr && answer->code_ == ProxyCode::Merged);
+    LONGS_EQUAL(0, answer->missing_);
+  }
+  const GatewayStats& stats = fleet.replay_.Daemon(0).stats_;
+  LONGS_EQUAL(0, stats.ejections_);
+  // Each server is found out once.
+  CHECK_TRUE(stats.retries_ <= fleet.replay_.Servers().size());
+  for (const auto& [entry, key] : fleet.replay_.Daemon(0).backendOf_) {
+    const Backend* backend = FindSlot(fleet.replay_.Daemon(0).backends_, key);
+    DOUBLES_EQUAL(0.0, backend->failures_, 0.0);
+  }
+}
+
 // "Not run" is a promise; a non-idempotent request runs once at most.
 TEST(Rules, OutcomesTellTheTruthAboutRuns)
 {
