Change: tables go to followers compressed; a starting daemon asks peers first

Cause: a configuration of the grown sites is 110 KB and goes to 77 followers; daemons that the store turns away ask for whole tables twice a second. At the start each of 83 daemons read both tables, 1,475 calls in 10 s. Ruled out: handing on less: a refused watcher may have left out messages. Change: messages of the feed are zlib streams (zlib1g-dev), encoded once for all who are told the same; the tables are read from the store only once the others are known, by the watchers, and by others that nobody tells for 2 s. Test: TableFeed, SpoiledBytesAreRefused and the series.

--- a/src/discovery/table_feed.cpp
+++ b/src/discovery/table_feed.cpp
@@ -3,8 +3,10 @@
 // the others what has changed.
 #include "discovery/table_feed.h"
 
+#include <array>
 #include <boost/json.hpp>
 #include <utility>
+#include <zlib.h>
 
 namespace camphorfield {
 
@@ -36,6 +38,55 @@
          ImportTable(aTable, std::move(objects), revision->second);
 }
 
+constexpr std::size_t kLengthBytes = 4; ///< Before the compressed text.
+
+/** The text's length, most significant byte first, and a zlib stream. */
+std::string
+Compress(const std::string& aText)
+{
+  uLongf size = compressBound(aText.size());
+  std::string bytes(kLengthBytes + size, '\0');
+  for (std::size_t i = 0; i < kLengthBytes; ++i) {
+    bytes[i] =
+      static_cast<char>(aText.size() >> (8 * (kLengthBytes - 1 - i)) & 0xFFU);
+  }
+  // With a buffer of that bound it fails only for want of memory.
+  if (compress2(reinterpret_cast<Bytef*>(bytes.data() + kLengthBytes),
+                &size,
+                reinterpret_cast<const Bytef*>(aText.data()),
+                aText.size(),
+                Z_BEST_SPEED) != Z_OK) {
+    throw std::bad_alloc();
+  }
+  bytes.resize(kLengthBytes + size);
+  return bytes;
+}
+
+absl::StatusOr<std::string>
+Expand(const std::string& aBytes)
+{
+  if (aBytes.size() < kLengthBytes) {
+    return absl::InvalidArgumentError("message of a feed is too short");
+  }
+  std::size_t length = 0;
+  for (std::size_t i = 0; i < kLengthBytes; ++i) {
+    length = length << 8U | static_cast<unsigned char>(aBytes[i]);
+  }
+  if (length > kFeedMostBytes) {
+    return absl::InvalidArgumentError("message of a feed is too long");
+  }
+  std::string text(length, '\0');
+  uLongf size = length;
+  if (uncompress(reinterpret_cast<Bytef*>(text.data()),
+                 &size,
+                 reinterpret_cast<const Bytef*>(aBytes.data() + kLengthBytes),
+                 aBytes.size() - kLengthBytes) != Z_OK ||
+      size != length) {
+    return absl::InvalidArgumentError("message of a feed doesn't expand");
+  }
+  return text;
+}
+
 json::object
 EncodeChange(const FeedChange& aChange)
 {
@@ -168,19 +219,24 @@
   for (const FeedChange& change : aMessage.changes_) {
     changes.push_back(EncodeChange(change));
   }
-  return json::serialize(json::object{ { "life", aMessage.life_ },
-                                       { "number", aMessage.number_ },
-                                       { "whole", aMessage.whole_ },
-                                       { "revisions", std::move(revisions) },
-                                       { "changes", std::move(changes) } });
+  return Compress(
+    json::serialize(json::object{ { "life", aMessage.life_ },
+                                  { "number", aMessage.number_ },
+                                  { "whole", aMessage.whole_ },
+                                  { "revisions", std::move(revisions) },
+                                  { "changes", std::move(changes) } }));
 }
 
 absl::StatusOr<FeedMessage>
-DecodeFeed(const std::string& aText)
+DecodeFeed(const std::string& aBytes)
 {
+  const absl::StatusOr<std::string> text = Expand(aBytes);
+  if (!text.ok()) {
+    return text.status();
+  }
   FeedMessage message;
   try {
-    const json::value document = json::parse(aText);
+    const json::value document = json::parse(*text);
     const json::object& object = document.as_object();
     message.life_ = object.at("life").to_number<std::uint64_t>();
     message.number_ = object.at("number").to_number<std::uint64_t>();
--- a/src/discovery/table_feed.h
+++ b/src/discovery/table_feed.h
@@ -14,6 +14,8 @@
 
 /** Changes kept; a daemon that is further behind gets whole tables. */
 constexpr std::size_t kFeedChanges = 2048;
+/** Longest text of a message before it is compressed. */
+constexpr std::size_t kFeedMostBytes = 64UL << 20U;
 
 /** Change of one object of one kind. */
 struct FeedChange
@@ -72,11 +74,12 @@
 bool
 ApplyFeed(const FeedMessage& aMessage, TableSync& aTable);
 
+/** A message as compressed text. */
 std::string
 EncodeFeed(const FeedMessage& aMessage);
 
-/** @return InvalidArgument when the text is malformed. */
+/** @return InvalidArgument when the bytes are malformed or too long. */
 absl::StatusOr<FeedMessage>
-DecodeFeed(const std::string& aText);
+DecodeFeed(const std::string& aBytes);
 
 } // namespace camphorfield
--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -18,7 +18,7 @@
 constexpr Duration kFeedAskEvery = std::chrono::milliseconds(500);
 /** Without a word for so long, it asks another one, and the store. */
 constexpr Duration kFeedLife = std::chrono::milliseconds(1300);
-/** A daemon that has read the store waits so long for a feeder. */
+/** A daemon that starts waits so long for a feeder. */
 constexpr Duration kJoinTime = std::chrono::seconds(2);
 /** Connections are opened once the other daemons are known: too many daemons
  * would exceed what servers accept. */
@@ -26,6 +26,9 @@
 /** Views of who serves callers may differ, and callers keep old answers: at
  * most that many times as many daemons serve at a time. */
 constexpr std::uint32_t kFrontViews = 2;
+/** The others are known so long after the start; before, each daemon of a
+ * starting fleet would read the store. */
+constexpr Duration kKnownAfter = std::chrono::milliseconds(240);
 constexpr Duration kFollowerLife = std::chrono::seconds(3);
 /** A failing store is left to peers after this time. */
 constexpr Duration kFeedAfter = std::chrono::milliseconds(200);
@@ -69,10 +72,17 @@
     { &store_.Table(kConfigTable), &store_.Table(kServersTable) },
     aLife,
     aNumber);
+  // Most followers are told the same.
+  const std::tuple key(
+    message.number_, message.whole_, message.whole_ ? 0 : aNumber);
+  if (encodedFeed_.empty() || encodedKey_ != key) {
+    encodedFeed_ = EncodeFeed(message);
+    encodedKey_ = key;
+  }
   GenerationContent content;
   content.call_ = PeerCallId{ 1 };
   content.generation_ = Generation{ 1 };
-  content.content_ = EncodeFeed(message);
+  content.content_ = encodedFeed_;
   SendToPeer(
     SendPeer{ aTo.id_, aTo.peerAddress_, std::move(content), PeerCallId{} });
 }
@@ -205,8 +215,8 @@
   SendToPeer(SendPeer{ feeder->id_, feeder->peerAddress_, ask, PeerCallId{} });
 }
 
-// A daemon that doesn't watch reads the store once, and again whenever nobody
-// tells it of changes.
+// A daemon that doesn't watch reads the store only while nobody tells it of
+// changes.
 void
 GatewayHost::ChooseRole()
 {
@@ -221,9 +231,11 @@
   const TimePoint now = ReadClock().mono_;
   const bool fed = now - fedAt_ < kFeedLife;
   const bool joining = now < startedAt_ + kJoinTime;
+  const bool known = now >= startedAt_ + kKnownAfter;
   for (const std::size_t number : { kConfigTable, kServersTable }) {
     TableSync& table = store_.Table(number);
-    table.passive_ = !watcher_ && table.complete_ && (fed || joining);
+    table.passive_ =
+      !known || (!watcher_ && (joining || (fed && table.complete_)));
     // What was told meanwhile isn't in the watch's history.
     table.watching_ = table.watching_ && !table.passive_;
   }
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -159,6 +160,9 @@
   std::map<TimePoint, std::uint32_t> frontCounts_;  ///< The same, in service.
   TableFeed feed_; ///< What this daemon tells of its tables.
   std::map<DaemonId, FeedFollower> followers_;
+  std::string encodedFeed_; ///< The latest message.
+  /** What it tells: newest change, whole tables or not, changes after this. */
+  std::tuple<std::uint64_t, bool, std::uint64_t> encodedKey_;
   DaemonId feeder_; ///< Whom this daemon follows; zero: nobody.
   std::uint64_t feederLife_ = 0;
   std::uint64_t feederNumber_ = 0;
--- a/src/runtime/store_reader.cpp
+++ b/src/runtime/store_reader.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
-constexpr Duration kLongestNap = std::chrono::milliseconds(200);
+constexpr Duration kLongestNap = std::chrono::milliseconds(100);
 
 /** One table and the connection that keeps it up to date. */
 struct TableReader
--- a/tests/discovery/table_feed_test.cpp
+++ b/tests/discovery/table_feed_test.cpp
@@ -104,6 +104,26 @@
   CHECK_TRUE(AreSame(pair.source_, pair.copy_));
 }
 
+TEST(TableFeed, SpoiledBytesAreRefused)
+{
+  TableSync table = MakeTable("servers");
+  Put(table, "a", 1);
+  TableFeed feed;
+  NoteTable(feed, table);
+  const std::string good = EncodeFeed(MakeFeedMessage(feed, { &table }, 9, 0));
+  CHECK_TRUE(DecodeFeed(good).ok());
+  std::string length = good;
+  length[3] = static_cast<char>(length[3] + 1);
+  std::string huge = good;
+  huge[0] = '\x7f';
+  const std::vector<std::string> spoiled{
+    "", good.substr(0, 3), good.substr(0, good.size() / 2), length, huge
+  };
+  for (const std::string& bytes : spoiled) {
+    CHECK_FALSE(DecodeFeed(bytes).ok());
+  }
+}
+
 // Any series of changes and exchanges leaves the same tables.
 TEST(TableFeed, CopiesFollowAnySeriesOfChanges)
 {
