Change: watches of a busy table pause, followers of a store that is away wait

Ruled out: fewer watchers (a domain could lose its only one unnoticed). Change: after a watch that told of changes the next one goes out 150 ms later; a feeder that is cut off from the store answers so, and its followers ask others, and the store only after 5 to 10 s without news. Tests: ASeriesOfChangesCostsFewCalls, TellsThatTheSenderIsBehind.

--- a/src/discovery/table_feed.cpp
+++ b/src/discovery/table_feed.cpp
@@ -223,6 +223,7 @@
     json::serialize(json::object{ { "life", aMessage.life_ },
                                   { "number", aMessage.number_ },
                                   { "whole", aMessage.whole_ },
+                                  { "behind", aMessage.behind_ },
                                   { "revisions", std::move(revisions) },
                                   { "changes", std::move(changes) } }));
 }
@@ -241,6 +242,7 @@
     message.life_ = object.at("life").to_number<std::uint64_t>();
     message.number_ = object.at("number").to_number<std::uint64_t>();
     message.whole_ = object.at("whole").as_bool();
+    message.behind_ = object.at("behind").as_bool();
     for (const auto& item : object.at("revisions").as_object()) {
       message.revisions_[std::string(item.key())] =
         item.value().to_number<std::uint64_t>();
--- a/src/discovery/table_feed.h
+++ b/src/discovery/table_feed.h
@@ -41,6 +41,7 @@
   std::uint64_t life_ = 0;
   std::uint64_t number_ = 0; ///< Of the newest change in it.
   bool whole_ = false;       ///< Tables are whole; else changes of them.
+  bool behind_ = false;      ///< The store doesn't answer the sender, either.
   std::map<std::string, std::uint64_t> revisions_; ///< Of the store, by kind.
   std::vector<FeedChange> changes_; ///< Whole: one for each object.
 };
--- a/src/discovery/table_sync.cpp
+++ b/src/discovery/table_sync.cpp
@@ -160,7 +160,8 @@
     aTable.failures_ = 0;
     aTable.failingSince_ = kNever;
   }
-  if (aReply.op_ == StoreOp::List) {
+  const bool watch = aReply.op_ == StoreOp::Watch;
+  if (!watch) {
     change.changed_ = true;
     TakePage(aTable, std::move(aReply), aNow);
   } else if (aTable.watching_) {
@@ -168,7 +169,8 @@
     TakeChanges(aTable, std::move(aReply), aNow);
   }
   // A watch that was given up meanwhile tells nothing: the table is read anew.
-  aTable.nextCallAt_ = aNow;
+  const bool series = change.changed_ && watch && aTable.watching_;
+  aTable.nextCallAt_ = series ? aNow + kWatchGap : aNow;
   return change;
 }
 
--- a/src/discovery/table_sync.h
+++ b/src/discovery/table_sync.h
@@ -15,6 +15,9 @@
 /** Longest wait of a watch for the next change. A store that is silent when a
  * watch arrives never answers it, so this bounds how long that goes unseen. */
 constexpr Duration kWatchWait = std::chrono::seconds(3);
+/** Pause after a watch that told of changes: they come in series, and one call
+ * brings all that have come meanwhile. */
+constexpr Duration kWatchGap = std::chrono::milliseconds(150);
 /** A call without an answer by then is given up; a slow store takes 0.3 s. */
 constexpr Duration kStoreTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kStoreBackoffFloor = std::chrono::milliseconds(80);
--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -29,6 +29,10 @@
 /** The others are known so long after the start; before, each daemon of a
  * starting fleet would read the store. */
 constexpr Duration kKnownAfter = std::chrono::milliseconds(240);
+/** The watchers themselves may be turned away by a store that serves others:
+ * followers that have heard of no change for so long ask it, each at its own
+ * time. */
+constexpr Duration kAloneAfter = std::chrono::seconds(5);
 constexpr Duration kFollowerLife = std::chrono::seconds(3);
 /** A failing store is left to peers after this time. */
 constexpr Duration kFeedAfter = std::chrono::milliseconds(200);
@@ -79,21 +83,34 @@
     encodedFeed_ = EncodeFeed(message);
     encodedKey_ = key;
   }
+  SendFeedText(aTo, encodedFeed_);
+}
+
+void
+GatewayHost::SendFeedText(const MemberRecord& aTo, const std::string& aText)
+{
   GenerationContent content;
   content.call_ = PeerCallId{ 1 };
   content.generation_ = Generation{ 1 };
-  content.content_ = encodedFeed_;
+  content.content_ = aText;
   SendToPeer(
     SendPeer{ aTo.id_, aTo.peerAddress_, std::move(content), PeerCallId{} });
 }
 
 // Only what the store itself has told is handed on. Those who follow are told
-// of changes until they ask no more.
+// of changes until they ask no more; while the store is away they are told so,
+// else they would all turn to it.
 void
 GatewayHost::AnswerFeed(const PeerMessage& aMessage)
 {
   const MemberRecord* sender = FindMember(aMessage.from_);
-  if (sender == nullptr || !IsFresh()) {
+  if (sender == nullptr) {
+    return;
+  }
+  if (!IsFresh()) {
+    FeedMessage message;
+    message.behind_ = true;
+    SendFeedText(*sender, EncodeFeed(message));
     return;
   }
   const auto& ask = std::get<GenerationAsk>(aMessage.body_);
@@ -128,6 +145,10 @@
              { { "reason", std::string(message.status().message()) } });
     return;
   }
+  if (message->behind_) {
+    behindAt_ = ReadClock().mono_;
+    return;
+  }
   // Changes fit only on what was taken from the same life up to there.
   if (aMessage.from_ != feeder_ ||
       (!message->whole_ && message->life_ != feederLife_)) {
@@ -173,8 +194,9 @@
       near.push_back(member);
     }
   }
-  // After a silence others are tried too.
-  const bool first = feeder_.value_ == 0;
+  // After a silence, or from one that is behind, others are tried too.
+  const bool first =
+    feeder_.value_ == 0 && ReadClock().mono_ - behindAt_ >= kFeedLife;
   const std::vector<const MemberRecord*>& from =
     first && !near.empty() ? near : all;
   return from.empty() ? nullptr : from[rng_() % from.size()];
@@ -229,7 +251,10 @@
   };
   watcher_ = holds(ChooseWatchers(*members_));
   const TimePoint now = ReadClock().mono_;
-  const bool fed = now - fedAt_ < kFeedLife;
+  // With the store away nobody is fed; those who watch it see its return.
+  const bool behind =
+    now - behindAt_ < kFeedLife && now - fedAt_ < kAloneAfter + aloneJitter_;
+  const bool fed = now - fedAt_ < kFeedLife || behind;
   const bool joining = now < startedAt_ + kJoinTime;
   const bool known = now >= startedAt_ + kKnownAfter;
   for (const std::size_t number : { kConfigTable, kServersTable }) {
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -18,6 +18,8 @@
 
 namespace {
 
+/** Spread of the times at which daemons without news turn to the store. */
+constexpr Duration kAloneJitter = std::chrono::seconds(5);
 /** Interval of the log line that sums the traffic up. */
 constexpr Duration kTrafficEvery = std::chrono::seconds(10);
 constexpr Duration kCareEvery = std::chrono::milliseconds(250);
@@ -70,6 +72,8 @@
   daemonCounts_[startedAt_ + kUnknownFor - kCountMemory] = kDaemonsUnknown;
   GatewaySetWarm(gateway_, false);
   GatewaySetDaemons(gateway_, kDaemonsUnknown);
+  aloneJitter_ = Duration(static_cast<std::int64_t>(
+    rng_() % static_cast<std::uint64_t>(Duration(kAloneJitter).count())));
   feed_.life_ = aSettings.membership_.self_.incarnation_.value_;
 }
 
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -129,6 +129,7 @@
   void SendFeed(const MemberRecord& aTo,
                 std::uint64_t aLife,
                 std::uint64_t aNumber);
+  void SendFeedText(const MemberRecord& aTo, const std::string& aText);
   void CheckSuspension();
   void Fulfil(CallerRequestId aId, ProxyAnswer&& aAnswer);
   void Abandon(CallerRequestId aId);
@@ -166,8 +167,10 @@
   DaemonId feeder_; ///< Whom this daemon follows; zero: nobody.
   std::uint64_t feederLife_ = 0;
   std::uint64_t feederNumber_ = 0;
-  TimePoint fedAt_{};   ///< Time of the feeder's latest word.
-  bool watcher_ = true; ///< Reads the store for itself and others.
+  TimePoint behindAt_{};   ///< A feeder said that it is behind.
+  Duration aloneJitter_{}; ///< Added to the wait until it asks the store.
+  TimePoint fedAt_{};      ///< Time of the feeder's latest word.
+  bool watcher_ = true;    ///< Reads the store for itself and others.
   TimePoint startedAt_{};
   Duration suspended_{}; ///< Time in which the VM stood still, in total.
   bool stopping_ = false;
--- a/tests/discovery/table_feed_test.cpp
+++ b/tests/discovery/table_feed_test.cpp
@@ -104,6 +104,19 @@
   CHECK_TRUE(AreSame(pair.source_, pair.copy_));
 }
 
+// While the store is away a feeder says so; else its followers, hearing
+// nothing, would all turn to the store.
+TEST(TableFeed, TellsThatTheSenderIsBehind)
+{
+  for (const bool behind : { false, true }) {
+    FeedMessage message;
+    message.behind_ = behind;
+    const auto heard = DecodeFeed(EncodeFeed(message));
+    CHECK_TRUE(heard.ok());
+    CHECK_TRUE(heard->behind_ == behind);
+  }
+}
+
 TEST(TableFeed, SpoiledBytesAreRefused)
 {
   TableSync table = MakeTable("servers");
--- a/tests/discovery/table_sync_test.cpp
+++ b/tests/discovery/table_sync_test.cpp
@@ -70,6 +70,43 @@
 
 TEST_GROUP(TableSync){};
 
+// A fleet's servers register, or leave, within seconds: one call each would
+// cost as many calls as there are servers.
+TEST(TableSync, ASeriesOfChangesCostsFewCalls)
+{
+  constexpr int kChanges = 200;
+  constexpr Duration kBetween = std::chrono::milliseconds(10);
+  TableSync table;
+  table.kind_ = "servers";
+  table.complete_ = true;
+  table.watching_ = true;
+  Rng rng(1);
+  int calls = 0;
+  std::uint64_t pending = 0;
+  TimePoint now{ std::chrono::seconds(10) };
+  for (int i = 0; i < kChanges; ++i, now += kBetween) {
+    ++pending;
+    if (!NextStoreCall(table, now)) {
+      continue;
+    }
+    ++calls;
+    StoreReply reply;
+    reply.op_ = StoreOp::Watch;
+    for (; pending > 0; --pending) {
+      ++reply.revision_;
+      reply.changes_.push_back(
+        { { "i-" + std::to_string(i) + "-" + std::to_string(pending),
+            table.revision_ + reply.revision_,
+            "{}" },
+          false });
+    }
+    reply.revision_ += table.revision_;
+    TakeStoreReply(table, std::move(reply), now, rng);
+  }
+  CHECK_TRUE(calls <= kChanges * kBetween / kWatchGap + 1);
+  CHECK_TRUE(table.objects_.size() + pending == kChanges);
+}
+
 TEST(TableSync, ReadsAllPagesThenWatchesFromTheFirst)
 {
   Bench bench;
