--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The README's commands. Each installs what it needs, builds and runs.
 BUILD ?= build
-.PHONY: packages build test demo bench soak lint format
+.PHONY: packages build test demo bench soak gateway-soak lint format
 
 packages:
 	@.ci/install
@@ -21,6 +21,9 @@
 soak: build
 	python3 tools/soak.py --build $(BUILD)
 
+gateway-soak: build
+	python3 tests/soak/soak.py --build $(BUILD) --seeds 50
+
 lint:
 	.ci/lint $(BUILD)
 
--- /dev/null
+++ b/src/cli/explain_cmd.h
@@ -0,0 +1,24 @@
+/** Command that tells a request's story from collected logs. */
+#pragma once
+
+#include <CLI/CLI.hpp>
+#include <string>
+#include <vector>
+
+namespace camphorfield {
+
+/** Flags of `camphorfield explain`. */
+struct ExplainFlags
+{
+  std::string request_;
+  std::vector<std::string> files_; ///< Empty: standard input.
+};
+
+void
+AddExplainFlags(CLI::App& aApp, ExplainFlags& aFlags);
+
+/** @return Exit status: 1 when no line tells of it, 2 for unreadable files. */
+int
+RunExplain(const ExplainFlags& aFlags);
+
+} // namespace camphorfield
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,7 +2,9 @@
 #include "app/gateway_cmd.h"
 #include "cli/codes_cmd.h"
 #include "cli/daemon_cmd.h"
+#include "cli/explain_cmd.h"
 #include "cli/operator_cmd.h"
+#include "cli/settings_cmd.h"
 
 #include <CLI/CLI.hpp>
 #include <iostream>
@@ -86,6 +88,15 @@
     std::cout << RenderCodes();
   });
 
+  app.add_subcommand("settings", "Print the page of all settings")
+    ->callback([&app]() { std::cout << RenderSettings(app); });
+
+  ExplainFlags explainFlags;
+  CLI::App* explain =
+    app.add_subcommand("explain", "Tell one request's story from log files");
+  AddExplainFlags(*explain, explainFlags);
+  explain->callback([&]() { status = RunExplain(explainFlags); });
+
   OperatorFlags flags;
   for (const CommandRow& row : kCommands) {
     CLI::App* command = app.add_subcommand(row.name_, row.text_);
--- /dev/null
+++ b/src/ops/request_story.cpp
@@ -0,0 +1,278 @@
+#include "ops/request_story.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
+#include <array>
+#include <boost/json.hpp>
+#include <cstdint>
+#include <set>
+#include <tuple>
+
+namespace camphorfield {
+
+namespace json = boost::json;
+
+namespace {
+
+/** What a daemon believed that long before a request may have decided it. */
+constexpr std::int64_t kBeforeMicros = 30'000'000;
+constexpr std::int64_t kAfterMicros = 200'000; ///< What it led to.
+
+/** One log line. */
+struct StoryLine
+{
+  std::int64_t time_ = 0; ///< Microseconds of the daemon's own clock.
+  std::size_t place_ = 0; ///< Among all lines: order within one daemon.
+  std::string daemon_;
+  std::string message_;
+  json::object fields_;
+
+  std::string Text(const char* aName) const
+  {
+    const json::value* value = fields_.if_contains(aName);
+    return value != nullptr && value->is_string()
+             ? std::string(value->as_string())
+             : std::string();
+  }
+  std::int64_t Number(const char* aName) const
+  {
+    std::int64_t number = 0;
+    return absl::SimpleAtoi(Text(aName), &number) ? number : 0;
+  }
+};
+
+/** What an outcome means to a caller. */
+struct OutcomeRow
+{
+  const char* name_;
+  const char* text_;
+};
+
+// clang-format off
+constexpr std::array kOutcomes{
+  OutcomeRow{ "forwarded",    "a server's answer was passed on" },
+  OutcomeRow{ "merged",       "the shards' answers were merged" },
+  OutcomeRow{ "no_route",     "no route of the configuration matches it" },
+  OutcomeRow{ "not_ready",    "the gateway had no configuration yet; it did not run" },
+  OutcomeRow{ "overloaded",   "it was refused at once, because the gateway had as many requests of the route in flight as the servers can answer in time; it did not run" },
+  OutcomeRow{ "no_server",    "too few servers could take it; it did not run" },
+  OutcomeRow{ "not_run",      "the servers that were asked said that they did not run it" },
+  OutcomeRow{ "quarantined",  "its content had crashed servers; it did not run" },
+  OutcomeRow{ "failed",       "a server broke off or answered garbage; it may have run" },
+  OutcomeRow{ "timed_out",    "no answer came in time; it may have run" },
+  OutcomeRow{ "low_coverage", "too few shards answered; it may have run" },
+};
+// clang-format on
+
+std::vector<StoryLine>
+ParseLines(const std::vector<std::string>& aLines)
+{
+  std::vector<StoryLine> lines;
+  for (const std::string& text : aLines) {
+    // Collectors put their own words before the object.
+    const std::size_t begin = text.find('{');
+    if (begin == std::string::npos) {
+      continue;
+    }
+    boost::system::error_code error;
+    const json::value document = json::parse(text.substr(begin), error);
+    const json::object* object = error ? nullptr : document.if_object();
+    const json::value* time =
+      object == nullptr ? nullptr : object->if_contains("time_us");
+    if (time == nullptr || !time->is_int64()) {
+      continue;
+    }
+    StoryLine line;
+    line.time_ = time->as_int64();
+    line.place_ = lines.size();
+    line.fields_ = *object;
+    line.daemon_ = line.Text("daemon");
+    line.message_ = line.Text("message");
+    lines.push_back(std::move(line));
+  }
+  return lines;
+}
+
+std::string
+Millis(std::int64_t aMicros)
+{
+  return absl::StrFormat("%.1f ms", static_cast<double>(aMicros) / 1000.0);
+}
+
+/** Servers that a request's line names: those after " at". */
+std::set<std::string>
+ServersOf(const StoryLine& aLine)
+{
+  std::set<std::string> servers;
+  const std::string reason = aLine.Text("reason");
+  for (const absl::string_view part : absl::StrSplit(reason, ';')) {
+    const std::size_t at = part.find(" at ");
+    if (at == absl::string_view::npos) {
+      continue;
+    }
+    for (const absl::string_view server :
+         absl::StrSplit(part.substr(at + 4), ' ', absl::SkipEmpty())) {
+      servers.emplace(server);
+    }
+  }
+  return servers;
+}
+
+/** Whether a line tells of what decided a request on the same daemon. */
+bool
+IsCause(const StoryLine& aLine,
+        const StoryLine& aRequest,
+        const std::set<std::string>& aServers)
+{
+  const std::int64_t begun = aRequest.time_ - aRequest.Number("took_us");
+  if (aLine.daemon_ != aRequest.daemon_ ||
+      aLine.time_ < begun - kBeforeMicros ||
+      aLine.time_ > aRequest.time_ + kAfterMicros) {
+    return false;
+  }
+  if (aLine.message_ == "server") {
+    return aServers.count(aLine.Text("server")) > 0;
+  }
+  return aLine.message_ == "store lost" || aLine.message_ == "store regained" ||
+         aLine.message_ == "the VM stood still" ||
+         aLine.message_ == "gateway started" ||
+         aLine.message_ == "graceful shutdown begins" ||
+         aLine.message_ == "configuration in force";
+}
+
+std::string
+DescribeCause(const StoryLine& aLine)
+{
+  if (aLine.message_ == "server") {
+    return absl::StrCat("server ",
+                        aLine.Text("server"),
+                        " of ",
+                        aLine.Text("service"),
+                        ": ",
+                        aLine.Text("change"),
+                        " (",
+                        aLine.Text("reason"),
+                        ")");
+  }
+  if (aLine.message_ == "configuration in force") {
+    return absl::StrCat(
+      "configuration version ", aLine.Text("version"), " comes into force");
+  }
+  const std::string kind = aLine.Text("kind");
+  return kind.empty() ? aLine.message_
+                      : absl::StrCat(aLine.message_, " (", kind, ")");
+}
+
+std::string
+DescribeOutcome(const std::string& aOutcome)
+{
+  for (const OutcomeRow& row : kOutcomes) {
+    if (aOutcome == row.name_) {
+      return row.text_;
+    }
+  }
+  return absl::StrCat("outcome ", aOutcome);
+}
+
+/** The request's own line, in words. */
+std::string
+DescribeRequest(const StoryLine& aLine)
+{
+  std::string text = absl::StrCat("request on route ",
+                                  aLine.Text("route"),
+                                  ", configuration version ",
+                                  aLine.Text("version"),
+                                  ": ",
+                                  DescribeOutcome(aLine.Text("outcome")));
+  if (aLine.Number("status") > 0) {
+    absl::StrAppend(&text, ", status ", aLine.Number("status"));
+  }
+  absl::StrAppend(&text, ", after ", Millis(aLine.Number("took_us")));
+  if (aLine.Number("waited_before_us") > 0) {
+    absl::StrAppend(&text,
+                    " here and ",
+                    Millis(aLine.Number("waited_before_us")),
+                    " in earlier attempts");
+  }
+  if (aLine.Text("late") == "true") {
+    absl::StrAppend(&text, "; late for its objective");
+  }
+  if (aLine.Number("shards") > aLine.Number("covered")) {
+    absl::StrAppend(&text,
+                    "; ",
+                    aLine.Number("covered"),
+                    " of ",
+                    aLine.Number("shards"),
+                    " parts");
+  }
+  absl::StrAppend(&text,
+                  "; sends ",
+                  aLine.Number("sends"),
+                  ", hedges ",
+                  aLine.Number("hedges"));
+  return text;
+}
+
+void
+AppendLine(std::string& aText,
+           std::int64_t aFrom,
+           const StoryLine& aLine,
+           const std::string& aWords)
+{
+  absl::StrAppend(
+    &aText,
+    absl::StrFormat("%+11.1f ms  ",
+                    static_cast<double>(aLine.time_ - aFrom) / 1000.0),
+    aLine.daemon_,
+    "  ",
+    aWords,
+    "\n");
+}
+
+} // namespace
+
+absl::StatusOr<std::string>
+ExplainRequest(const std::vector<std::string>& aLines,
+               const std::string& aRequest)
+{
+  std::vector<StoryLine> lines = ParseLines(aLines);
+  std::stable_sort(lines.begin(),
+                   lines.end(),
+                   [](const StoryLine& aLeft, const StoryLine& aRight) {
+                     return std::tie(aLeft.time_, aLeft.place_) <
+                            std::tie(aRight.time_, aRight.place_);
+                   });
+  const auto first =
+    std::find_if(lines.begin(), lines.end(), [&](const StoryLine& aLine) {
+      return aLine.message_ == "request" && aLine.Text("request") == aRequest;
+    });
+  if (first == lines.end()) {
+    return absl::NotFoundError(
+      absl::StrCat("no line tells of request ",
+                   aRequest,
+                   "; requests that went well are logged by sample"));
+  }
+  std::string text = absl::StrCat(
+    "Request ", aRequest, "; times are from when it was answered.\n");
+  const std::set<std::string> servers = ServersOf(*first);
+  for (const StoryLine& line : lines) {
+    if (line.message_ == "request" && line.Text("request") == aRequest) {
+      AppendLine(text, first->time_, line, DescribeRequest(line));
+      const std::string reason = line.Text("reason");
+      for (const absl::string_view part :
+           absl::StrSplit(reason, ';', absl::SkipWhitespace())) {
+        absl::StrAppend(
+          &text, "                 - ", absl::StripAsciiWhitespace(part), "\n");
+      }
+    } else if (IsCause(line, *first, servers)) {
+      AppendLine(text, first->time_, line, DescribeCause(line));
+    }
+  }
+  return text;
+}
+
+} // namespace camphorfield
--- /dev/null
+++ b/tests/soak/book.py
@@ -0,0 +1,102 @@
+"""What callers and servers saw, and the promises that this must keep."""
+
+import wire
+
+PROMISES_NOT_RUN = (408, 421, 429, 503)
+TOP_RECORDS = 5
+MIN_COVERAGE = 0.7
+
+
+class Book:
+    """Record of a soak; `broken` lists what went wrong, in words."""
+
+    def __init__(self):
+        self.sent = {}      # Request id: (method, target, body, kind).
+        self.runs = {}      # Request id: services that began it.
+        self.proofs = {}    # Proof: (request id, service, body, failed).
+        self.promised = {}  # Request id: status that says "not run".
+        self.indexes = []   # Sets of shards of all versions.
+        self.allowed = {}   # Kind: services that some version allows.
+        self.statuses = {}  # (kind, status): count.
+        self.broken = []
+
+    def fail(self, text):
+        """Note a broken promise."""
+        self.broken.append(text)
+
+    def allow(self, query, plain, once):
+        """A version of the configuration is about to be written."""
+        self.indexes.append(frozenset(query))
+        for kind, services in (("query", query), ("plain", [plain]),
+                               ("once", [once])):
+            self.allowed.setdefault(kind, set()).update(services)
+
+    def add_proof(self, server, request, body, failed):
+        """A server has ended a request."""
+        proof = f"{server.name}.{len(self.proofs)}"
+        self.proofs[proof] = (request, server.service, body, failed)
+        return proof
+
+    def note_run(self, server, request, line, body):
+        """A server begins a request."""
+        sent = self.sent.get(request)
+        if sent is None:
+            self.fail(f"{server.name} runs {request}, which nobody sent")
+            return
+        method, target, content, kind = sent
+        if line.split(" ")[:2] != [method, target] or body != content:
+            self.fail(f"{server.name} got {request} changed: {line}")
+        if server.service not in self.allowed[kind]:
+            self.fail(f"{request} ({kind}) runs at {server.service}")
+        runs = self.runs.setdefault(request, [])
+        runs.append(server.service)
+        if kind == "once" and len(runs) > 1:
+            self.fail(f"{request} ran twice: {runs}")
+        if request in self.promised:
+            self.fail(f"{request} runs after {self.promised[request]}")
+
+    def note_answer(self, request, status, fields, body):
+        """A caller has a whole answer."""
+        kind = self.sent[request][3]
+        key = (kind, status)
+        self.statuses[key] = self.statuses.get(key, 0) + 1
+        if status in PROMISES_NOT_RUN:
+            self.promised[request] = status
+            if request in self.runs:
+                self.fail(f"{request} ({kind}) got {status}, but it ran")
+        elif status == 200 and kind == "query":
+            self.check_merged(request, fields, body)
+        elif wire.PROOF in fields:
+            self.check_forwarded(request, status, fields, body)
+        elif status == 200:
+            self.fail(f"{request} got a success without a proof")
+        elif status in (400, 401, 403, 404, 413):
+            self.fail(f"{request} ({kind}) was denied with {status}")
+
+    def check_forwarded(self, request, status, fields, body):
+        """A server's answer must come unchanged."""
+        known = self.proofs.get(fields[wire.PROOF])
+        if known is None or known[0] != request:
+            self.fail(f"{request} got the proof of another request")
+        elif known[2] != body or known[3] != (status == 500):
+            self.fail(f"{request} got an answer that was changed")
+
+    def check_merged(self, request, fields, body):
+        """Parts, their number and the records must fit."""
+        parts = []
+        for proof in wire.proofs_of(fields):
+            known = self.proofs.get(proof)
+            if known is None or known[0] != request or known[3]:
+                self.fail(f"{request}: {proof} is no good part")
+                return
+            parts.append(known)
+        services = [part[1] for part in parts]
+        total = len(parts) + int(fields.get(wire.MISSING_PARTS, "0"))
+        fits = any(len(index) == total and index.issuperset(services)
+                   for index in self.indexes)
+        if len(set(services)) != len(services) or not fits:
+            self.fail(f"{request}: parts {services} of {total} fit no index")
+        if len(parts) < MIN_COVERAGE * total:
+            self.fail(f"{request}: {len(parts)} of {total} is too little")
+        if body != wire.top_records([part[2] for part in parts], TOP_RECORDS):
+            self.fail(f"{request}: not the greatest records")
--- /dev/null
+++ b/tests/soak/standins.py
@@ -0,0 +1,259 @@
+"""Stand-ins of the soak: store, backend servers and a loopback proxy."""
+
+import asyncio
+import random
+import time
+
+import wire
+
+HOST = "127.0.0.1"
+PAGE = 50
+HISTORY = 400  # Changes that the store keeps.
+
+
+def reset(writer):
+    """End a connection with a reset."""
+    writer.transport.abort()
+
+
+class Proxy:
+    """A link to one address whose connections can be harmed from outside."""
+
+    def __init__(self, target):
+        self.target = target
+        self.mode = "ok"  # ok, delay, silent, one_way, refuse
+        self.delay_s = 0.0
+        self.address = ""
+        self.open = set()
+
+    async def start(self):
+        """Begin to accept."""
+        server = await asyncio.start_server(self.serve, HOST, 0)
+        self.address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+
+    def cut(self):
+        """Reset all open connections."""
+        for writer in list(self.open):
+            reset(writer)
+
+    async def serve(self, reader, writer):
+        """Carry one connection."""
+        if self.mode == "refuse":
+            reset(writer)
+            return
+        host, port = self.target.rsplit(":", 1)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                host, int(port))
+        except OSError:
+            reset(writer)
+            return
+        self.open |= {writer, far_writer}
+        try:
+            await asyncio.gather(self.pump(reader, far_writer, False),
+                                 self.pump(far_reader, writer, True))
+        finally:
+            self.open -= {writer, far_writer}
+            writer.close()
+            far_writer.close()
+
+    async def pump(self, reader, writer, is_back):
+        """Carry one direction."""
+        try:
+            while True:
+                data = await reader.read(65536)
+                if self.mode == "delay":
+                    await asyncio.sleep(self.delay_s)
+                silent = self.mode == "silent" or (
+                    self.mode == "one_way" and is_back)
+                if silent:
+                    while self.mode in ("silent", "one_way"):
+                        await asyncio.sleep(0.05)
+                    reset(writer)
+                    return
+                if not data:
+                    writer.close()
+                    return
+                writer.write(data)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            reset(writer)
+
+
+class Store:
+    """Objects by kind and name, with lists and watches."""
+
+    def __init__(self):
+        self.objects = {"config": {}, "servers": {}}
+        self.changes = []  # (revision, kind, object, deleted)
+        self.revision = 100
+        self.forgotten = 100  # Changes up to there are not kept.
+        self.mode = "ok"  # ok, down, busy, slow
+        self.changed = asyncio.Event()
+        self.address = ""
+        self.open = set()
+
+    async def start(self):
+        """Begin to accept."""
+        server = await asyncio.start_server(self.serve, HOST, 0)
+        self.address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+
+    def put(self, kind, name, content):
+        """Write an object; content None removes it."""
+        self.revision += 1
+        entry = wire.make_object(name, self.revision, content)
+        if content is None:
+            if self.objects[kind].pop(name, None) is None:
+                return
+        else:
+            self.objects[kind][name] = entry
+        self.changes.append((self.revision, kind, entry, content is None))
+        if len(self.changes) > HISTORY:
+            self.forgotten = self.changes.pop(0)[0]
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def forget(self):
+        """Drop the history."""
+        self.changes.clear()
+        self.forgotten = self.revision
+
+    def cut(self):
+        """Reset all connections, as an outage does."""
+        for writer in list(self.open):
+            reset(writer)
+
+    async def serve(self, reader, writer):
+        """Answer calls on one connection."""
+        self.open.add(writer)
+        try:
+            while True:
+                line, _, _ = await wire.read_message(reader)
+                if self.mode == "down":
+                    reset(writer)
+                    return
+                if self.mode == "slow":
+                    await asyncio.sleep(0.3)
+                writer.write(await self.answer(line.split(" ")[1]))
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # The caller has left, or the soak ends.
+        finally:
+            self.open.discard(writer)
+            writer.close()
+
+    async def answer(self, target):
+        """Reply to a list or a watch."""
+        if self.mode == "busy":
+            return wire.make_response(503, {})
+        path, _, text = target.partition("?")
+        kind = path.rsplit("/", 1)[1]
+        query = dict(item.split("=", 1) for item in text.split("&") if item)
+        if "watch" in query:
+            return await self.watch(kind, int(query["watch"]),
+                                    int(query.get("wait-ms", 0)) / 1000)
+        after = query.get("after", "")
+        names = sorted(name for name in self.objects[kind] if name > after)
+        return wire.store_reply({
+            "items": [self.objects[kind][name] for name in names[:PAGE]],
+            "more": len(names) > PAGE, "as-of": self.revision})
+
+    async def watch(self, kind, since, wait_s):
+        """Changes after a revision, as soon as there is one."""
+        end = time.monotonic() + wait_s
+        while True:
+            if since < self.forgotten:
+                return wire.make_response(410, {})
+            events = [{"object": entry, "deleted": deleted}
+                      for revision, of, entry, deleted in self.changes
+                      if of == kind and revision > since]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return wire.store_reply({"events": events,
+                                         "as-of": self.revision})
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+
+class Server:
+    """A backend server, what it does wrong, and what it has run."""
+
+    def __init__(self, book, name, service, zone, work_s, seed):
+        self.book = book
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.work_s = work_s
+        self.rng = random.Random(f"{seed}/{name}")
+        self.slots = 4
+        self.state = "ready"
+        self.born_ms = int(time.time() * 1000)
+        self.fault = "none"  # none, slow, errors, lost, extra, hang, full
+        self.running = 0
+        self.listener = None
+        self.port = 0
+        self.address = ""  # As callers are told: the proxy's.
+        self.open = set()
+
+    async def start(self):
+        """Begin to accept, at the same port as before."""
+        self.listener = await asyncio.start_server(self.serve, HOST, self.port)
+        self.port = self.listener.sockets[0].getsockname()[1]
+
+    def crash(self):
+        """Stop at once: nothing listens, connections are reset."""
+        self.listener.close()
+        for writer in list(self.open):
+            reset(writer)
+
+    async def serve(self, reader, writer):
+        """Answer requests on one connection."""
+        self.open.add(writer)
+        try:
+            while True:
+                message = await wire.read_message(reader)
+                answer = await self.answer(message)
+                if answer is None:
+                    reset(writer)
+                    return
+                writer.write(answer)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # The gateway has left, or the soak ends.
+        finally:
+            self.open.discard(writer)
+            writer.close()
+
+    async def answer(self, message):
+        """Run a request; None breaks the connection."""
+        line, fields, body = message
+        request = fields.get(wire.REQUEST_ID, "")
+        if line.split(" ")[1] == "/health":
+            return wire.make_response(200, {"instance-id": self.name})
+        if fields.get(wire.EXPECTED_SERVER, self.name) != self.name:
+            return wire.make_response(421, {wire.NOT_RUN: "1"})
+        if self.fault == "full" or self.running >= 3 * self.slots:
+            return wire.make_response(503, {wire.NOT_RUN: "1"})
+        self.book.note_run(self, request, line, body)
+        self.running += 1
+        try:
+            await asyncio.sleep(self.work_s * self.rng.uniform(0.5, 1.5) *
+                                (8 if self.fault == "slow" else 1))
+            if self.fault == "hang":
+                await asyncio.sleep(6)
+        finally:
+            self.running -= 1
+        if self.fault == "lost" and self.rng.random() < 0.3:
+            return None
+        failed = self.fault == "errors" and self.rng.random() < 0.5
+        content = self.rng.randbytes(wire.RECORD_BYTES * 6 + 3)
+        proof = self.book.add_proof(self, request, content, failed)
+        answer = wire.make_response(
+            500 if failed else 200,
+            {wire.PROOF: proof, wire.REQUEST_ID: request}, content)
+        if self.fault == "extra" and self.rng.random() < 0.3:
+            answer += wire.make_response(
+                200, {wire.PROOF: "late", wire.REQUEST_ID: "another"}, b"late")
+        return answer
--- /dev/null
+++ b/tests/soak/wire.py
@@ -0,0 +1,127 @@
+"""What the platform's callers, servers and store speak, as the soak needs it."""
+
+import json
+
+REQUEST_ID = "request-id"
+REMAINING_MS = "deadline-ms"
+PROOF = "server-stamp"
+PART_PROOFS = "part-stamps"
+MISSING_PARTS = "missing-parts"
+EXPECTED_SERVER = "expect-instance"
+NOT_RUN = "not-executed"
+RECORD_BYTES = 16
+
+
+class Broken(Exception):
+    """The other side ended the connection or sent no HTTP."""
+
+
+async def read_message(reader):
+    """One HTTP message: (first line, fields, body)."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    fields = {}
+    for line in lines[1:]:
+        if line:
+            name, _, value = line.partition(":")
+            fields[name.strip().lower()] = value.strip()
+    body = b""
+    if fields.get("transfer-encoding", "").lower() == "chunked":
+        while True:
+            size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
+            chunk = await reader.readexactly(size + 2)
+            if size == 0:
+                break
+            body += chunk[:-2]
+    elif "content-length" in fields:
+        body = await reader.readexactly(int(fields["content-length"]))
+    return lines[0], fields, body
+
+
+def make_request(method, target, fields, body=b""):
+    """A request as bytes."""
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    if body or method != "GET":
+        lines.append(f"content-length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def make_response(status, fields, body=b""):
+    """A response as bytes."""
+    lines = [f"HTTP/1.1 {status} Status"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    lines.append(f"content-length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def make_settings(place, zone, seeds, store, grace_s):
+    """Settings file of one gateway."""
+    return "\n".join([
+        f"node-name={place.name}", f"zone={zone}", f"ip={place.ip}",
+        f"bind-addrs.front={place.front}", f"bind-addrs.ready={place.ready}",
+        f"bind-addrs.control={place.control}",
+        f"bind-addrs.directory={place.directory}",
+        f"port-range={place.metrics.rsplit(':', 1)[1]},65535",
+        f"seeds={','.join(seeds)}", f"platform.address={store}",
+        "limits.cpu-share=0.25", f"bounds.grace-s={grace_s}",
+        "bounds.retry-budget-ratio=0.2", "bounds.budget-slack=52",
+        "bounds.budget-window-s=10", ""])
+
+
+def make_config(version, host, query, plain, once):
+    """A configuration: a query over shards, a plain route, one run at most."""
+    routes = [
+        {"name": "query", "host": host, "path-prefix": "/query/",
+         "type": "idempotent", "gather": query, "top-k": 5,
+         "min-coverage": 0.7, "max-attempts": 2, "timeout-ms": 2000,
+         "slo-ms": 200, "priority": 1},
+        {"name": "plain", "host": host, "path-prefix": "/plain/",
+         "type": "idempotent", "service": plain, "max-attempts": 2,
+         "timeout-ms": 2000, "slo-ms": 200, "priority": 2},
+        {"name": "once", "host": host, "path-prefix": "/once/",
+         "type": "non_idempotent", "service": once, "max-attempts": 2,
+         "timeout-ms": 2000, "slo-ms": 200, "priority": 2}]
+    names = sorted(set(query + [plain, once]))
+    return {"version": version, "routes": routes,
+            "services": [{"name": name, "health-path": "/health",
+                          "max-conns": 60} for name in names],
+            "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144,
+                       "header-timeout-ms": 3000, "idle-timeout-ms": 15000}}
+
+
+def make_entry(server, sequence):
+    """What a server says of itself."""
+    return {"service": server.service, "address": server.address,
+            "zone": server.zone, "version": "v1",
+            "concurrency": server.slots, "state": server.state,
+            "warmup-left-ms": 0, "seq": sequence, "born": server.born_ms}
+
+
+def make_object(name, revision, content):
+    """An object of the store."""
+    return {"meta": {"name": name, "revision": revision, "created": revision,
+                     "finalizers": [], "deleting": False},
+            "spec": content, "status": {}}
+
+
+def store_reply(document):
+    """A reply of the store as bytes."""
+    return make_response(200, {"content-type": "application/json"},
+                         json.dumps(document).encode())
+
+
+def proofs_of(fields):
+    """Proofs of the parts of an answer."""
+    text = fields.get(PART_PROOFS, "")
+    return [proof.strip() for proof in text.split(",") if proof.strip()]
+
+
+def top_records(bodies, count):
+    """The greatest records of all parts, falling."""
+    records = []
+    for body in bodies:
+        records += [body[at:at + RECORD_BYTES]
+                    for at in range(0, len(body) - RECORD_BYTES + 1,
+                                    RECORD_BYTES)]
+    return b"".join(sorted(records, reverse=True)[:count])
