Fix: a server that takes no more connections is left alone

Ruled out: fewer daemons in service (six fronts hold what 18 tried to get). Change: a server that ends fresh connections while others stay open is asked for no more than these for 2 to 4 s; the request on such a connection goes out again without a mark on the server. Test: Load, ServersThatTakeNoMoreConnectionsAreLeftAlone (fails before).

--- a/src/gateway/backend_conn.cpp
+++ b/src/gateway/backend_conn.cpp
@@ -103,6 +103,19 @@
                            Duration(aStep.rng_() % (half + 1));
 }
 
+/** A server has ended a connection though others are open: it takes no more. */
+void
+NoteFull(GatewayStep& aStep, Backend& aBackend)
+{
+  if (aBackend.connections_.size() == aBackend.opening_) {
+    return;
+  }
+  aBackend.accepted_ = static_cast<std::uint32_t>(aBackend.connections_.size());
+  const auto life = static_cast<std::uint64_t>(Duration(kAcceptedLife).count());
+  aBackend.acceptedUntil_ =
+    aStep.Time() + kAcceptedLife + Duration(aStep.rng_() % life);
+}
+
 void
 FailConnect(GatewayStep& aStep, BackendConn& aConn, BackendEnd aEnd)
 {
@@ -117,6 +130,7 @@
     NoteRefusedConnect(aStep, key);
   }
   // With another connection open the server is there: it has too many.
+  NoteFull(aStep, *backend);
   if (backend->connections_.size() == backend->opening_) {
     NoteFailure(aStep,
                 *backend,
@@ -131,11 +145,63 @@
 void
 EndIdle(GatewayStep& aStep, BackendConn& aConn)
 {
-  Backend& backend = *FindSlot(aStep.state_.backends_, aConn.backend_);
+  const std::uint64_t key = aConn.backend_;
   if (!aConn.used_) {
-    PutOffConnects(aStep, backend);
+    PutOffConnects(aStep, *FindSlot(aStep.state_.backends_, key));
   }
+  const bool fresh = aStep.Time() - aConn.usedAt_ < kFreshConnection;
   Forget(aStep.state_, aConn);
+  Backend* backend = FindSlot(aStep.state_.backends_, key);
+  if (fresh && backend != nullptr) {
+    NoteFull(aStep, *backend);
+  }
+}
+
+/** A connection that never brought an answer ends as soon as it is used: the
+ * server has reset it as one too many, and didn't read the request. */
+bool
+WasSurplus(const BackendConn& aConn,
+           const Attempt& aAttempt,
+           const BackendClosed& aClosed,
+           TimePoint aNow)
+{
+  return !aConn.used_ && !aClosed.answerBegun_ &&
+         aClosed.end_ != BackendEnd::Malformed &&
+         aNow - aAttempt.sentAt_ <= kStaleReset;
+}
+
+/** A connection ends with a request on it. */
+void
+EndBusy(GatewayStep& aStep, BackendConn& aConn, const BackendClosed& aClosed)
+{
+  GatewayState& state = aStep.state_;
+  const std::uint64_t backendKey = aConn.backend_;
+  const std::uint64_t attemptKey = aConn.attempt_;
+  const Attempt& attempt = *FindSlot(state.attempts_, attemptKey);
+  Backend& backend = *FindSlot(state.backends_, backendKey);
+  const bool stale = WasStale(aConn, attempt, aClosed, aStep.Time());
+  // Without another one open, nothing shows that the server is there.
+  const bool surplus = WasSurplus(aConn, attempt, aClosed, aStep.Time()) &&
+                       backend.connections_.size() > backend.opening_ + 1;
+  if (stale) {
+    NoteStale(aStep, backend, attempt.sentAt_ - aConn.usedAt_);
+  }
+  // A crash looks the same, until the server refuses connections.
+  const GatewayRun* run = FindSlot(state.runs_, attempt.run_);
+  if (run != nullptr && !aClosed.answerBegun_) {
+    NoteBrokenConnection(aStep, backendKey, run->fingerprint_);
+  }
+  AttemptEnd end = AttemptEnd::Broken;
+  if (stale || surplus) {
+    end = AttemptEnd::Stale;
+  } else if (aClosed.end_ == BackendEnd::Malformed) {
+    end = AttemptEnd::Garbled;
+  }
+  EndAttempt(aStep, attemptKey, end);
+  Backend* left = FindSlot(state.backends_, backendKey);
+  if (surplus && left != nullptr) {
+    NoteFull(aStep, *left);
+  }
 }
 
 } // namespace
@@ -154,9 +220,11 @@
   // Where idle connections don't last, few are worth their opening.
   const bool lasting = aStep.Time() >= service.idleLifeUntil_;
   const std::uint32_t spare = (near ? kSpareNear : kSpareFar) - !lasting;
-  const std::uint32_t wanted =
-    std::min(ConnectionsAllowed(aStep.state_, aBackend),
-             aBackend.inFlight_ + (ahead ? spare : 0));
+  std::uint32_t wanted = std::min(ConnectionsAllowed(aStep.state_, aBackend),
+                                  aBackend.inFlight_ + (ahead ? spare : 0));
+  if (aStep.Time() < aBackend.acceptedUntil_) {
+    wanted = std::min(wanted, std::max(aBackend.accepted_, 1U));
+  }
   if (aBackend.connections_.size() < wanted) {
     Open(aStep, aBackend);
   }
@@ -274,28 +342,9 @@
     case BackendConnState::Opening:
       FailConnect(step, *conn, aClosed.end_);
       break;
-    case BackendConnState::Busy: {
-      const std::uint64_t attemptKey = conn->attempt_;
-      const std::uint64_t backendKey = conn->backend_;
-      const Attempt& attempt = *FindSlot(aState.attempts_, attemptKey);
-      const bool stale = WasStale(*conn, attempt, aClosed, aNow.mono_);
-      if (stale) {
-        NoteStale(step,
-                  *FindSlot(aState.backends_, backendKey),
-                  attempt.sentAt_ - conn->usedAt_);
-      }
-      // A crash looks the same, until the server refuses connections.
-      const GatewayRun* run = FindSlot(aState.runs_, attempt.run_);
-      if (run != nullptr && !aClosed.answerBegun_) {
-        NoteBrokenConnection(step, backendKey, run->fingerprint_);
-      }
-      EndAttempt(step,
-                 attemptKey,
-                 stale                                   ? AttemptEnd::Stale
-                 : aClosed.end_ == BackendEnd::Malformed ? AttemptEnd::Garbled
-                                                         : AttemptEnd::Broken);
+    case BackendConnState::Busy:
+      EndBusy(step, *conn, aClosed);
       break;
-    }
     default:
       EndIdle(step, *conn);
       break;
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -90,7 +90,9 @@
   std::uint32_t failedInRow_ = 0;
   Duration ejection_{}; ///< Length of the latest ejection.
   TimePoint ejectedUntil_{};
-  Duration reconnect_{}; ///< Pause after the latest failed connect.
+  std::uint32_t accepted_ = 0; ///< Connections that it has left open.
+  TimePoint acceptedUntil_{};  ///< No more are asked for until then.
+  Duration reconnect_{};       ///< Pause after the latest failed connect.
   TimePoint connectAfter_{};
   ReportedLoad load_;
   TimePoint loadAt_{};
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -32,6 +32,12 @@
 constexpr Duration kBackendConnectTimeout = milliseconds(400);
 constexpr Duration kReconnectFloor = milliseconds(40);
 constexpr Duration kReconnectCeiling = milliseconds(1000);
+/** A server that ends fresh connections has as many as it takes; more of them
+ * would each cost it a slot for nothing. It is asked again after this time, and
+ * up to twice that. */
+constexpr Duration kAcceptedLife = seconds(2);
+/** A connection that the server ends so soon was one too many. */
+constexpr Duration kFreshConnection = milliseconds(700);
 /** Share of a server's connections that all daemons together may hold. */
 constexpr double kConnectionShare = 0.92;
 /** Connections kept open beyond those in use: several requests arrive at a
--- a/tests/gateway/load_test.cpp
+++ b/tests/gateway/load_test.cpp
@@ -178,6 +178,27 @@
   }
 }
 
+// Servers take fewer connections while many requests wait, and each one that
+// is tried costs a slot: what they end isn't asked for again at once.
+TEST(Load, ServersThatTakeNoMoreConnectionsAreLeftAlone)
+{
+  constexpr std::uint32_t kAccepts = 8;
+  Replay replay(kDaemons, 42);
+  replay.AddShards(kShards);
+  for (ModelServer& server : replay.Servers()) {
+    server.accepts_ = kAccepts;
+  }
+  replay.SetRoute(WideRoute());
+  replay.Publish();
+  const ReplayResult result = replay.Run({ WideLoad(90) }, seconds(20))[kWide];
+  // Each daemon asks once a second, and to replace what it closed.
+  const double tries = kDaemons * kSeconds;
+  for (const ModelServer& server : replay.Servers()) {
+    CHECK_TRUE(server.turnedAway_ <= tries + server.left_);
+  }
+  CHECK_TRUE(result.OnTimeShare() >= 0.9);
+}
+
 // Bytes between failure domains are dear: with a fifth of the slots in use,
 // nine in ten sends stay, and callers are served as in time as they are anyway.
 TEST(Load, SendsStayInTheirFailureDomain)
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -169,6 +169,7 @@
       if (found != serialOf_.end()) {
         const std::uint64_t serial = found->second;
         serialOf_.erase(found);
+        ++servers_[connections_.at(serial).server_].left_;
         At(kTrip, [this, serial]() { Drop(serial); });
       }
     }
@@ -197,13 +198,18 @@
     At(2 * kTrip, [this, serial]() { Break(serial, BackendEnd::Refused); });
     return;
   }
+  const bool over = server->connections_ >= server->accepts_;
+  server->turnedAway_ += over ? 1 : 0;
   ++server->connections_;
   server->most_ = std::max(server->most_, server->connections_);
-  At(2 * kTrip + kHandshake, [this, serial, aDaemon, key]() {
+  At(2 * kTrip + kHandshake, [this, serial, aDaemon, key, over]() {
     if (serialOf_.count({ aDaemon, key }) > 0 &&
         connections_.count(serial) > 0) {
       Give(aDaemon, BackendOpened{ ConnectionId{ key } });
     }
+    if (over) {
+      At(kTrip, [this, serial]() { Break(serial, BackendEnd::Reset); });
+    }
   });
 }
 
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -47,7 +47,10 @@
   bool draining_ = false;
   bool crashesOn_ = false; ///< Crashes when it begins "poison".
   std::uint32_t connections_ = 0;
-  std::uint32_t most_ = 0; ///< Connections at a time.
+  std::uint32_t most_ = 0;       ///< Connections at a time.
+  std::uint32_t accepts_ = 1000; ///< Connections; further ones are reset.
+  std::uint32_t turnedAway_ = 0; ///< Connections beyond these.
+  std::uint32_t left_ = 0;       ///< Connections that daemons closed.
   std::uint64_t arrivals_ = 0;
   std::uint64_t ran_ = 0;
   std::deque<std::uint64_t> waiting_;
