Change: connections are opened once no further daemon becomes known

Change: a daemon warms up 400 ms after the last new member, as a front among all that live; after 6 s the ready ones count.

--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -20,9 +20,11 @@
 constexpr Duration kFeedLife = std::chrono::milliseconds(1300);
 /** A daemon that starts waits so long for a feeder. */
 constexpr Duration kJoinTime = std::chrono::seconds(2);
-/** Connections are opened once the other daemons are known: too many daemons
- * would exceed what servers accept. */
+/** Connections are opened once no further daemon has become known for so long:
+ * too many daemons would exceed what servers accept. */
 constexpr Duration kWarmAfter = std::chrono::milliseconds(400);
+/** Daemons that are alive but not ready by then leave service to others. */
+constexpr Duration kUnreadyAfter = std::chrono::seconds(6);
 /** Views of who serves callers may differ, and callers keep old answers: at
  * most that many times as many daemons serve at a time. */
 constexpr std::uint32_t kFrontViews = 2;
@@ -267,10 +269,14 @@
   MembershipSetLoad(membership_, GatewayBusy(gateway_));
   const std::size_t most = CountFronts(gateway_);
   const auto fronts = ChooseFronts(*members_, most, FrontScope::Ready);
-  // While all start, few are ready, and each would take itself for a front.
-  const bool front = (now >= startedAt_ + kJoinTime && holds(fronts)) ||
-                     holds(ChooseFronts(*members_, most, FrontScope::Alive));
-  GatewaySetWarm(gateway_, front && now >= startedAt_ + kWarmAfter);
+  // While all start, few are known and ready, and each would take itself for a
+  // front.
+  const bool settled = now >= memberJoinedAt_ + kWarmAfter;
+  const bool front =
+    now < startedAt_ + kUnreadyAfter
+      ? settled && holds(ChooseFronts(*members_, most, FrontScope::Alive))
+      : holds(fronts);
+  GatewaySetWarm(gateway_, front);
   frontCounts_[now] = static_cast<std::uint32_t>(fronts.size());
   const std::uint32_t daemons = CountMost(daemonCounts_);
   GatewaySetDaemons(gateway_,
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -67,6 +67,7 @@
   , timer_(aPool.At(0).Context())
   , members_(MembershipMembers(membership_))
   , startedAt_(ReadClock().mono_)
+  , memberJoinedAt_(startedAt_)
   , suspended_(ReadSuspension())
 {
   daemonCounts_[startedAt_ + kUnknownFor - kCountMemory] = kDaemonsUnknown;
@@ -231,6 +232,10 @@
 GatewayHost::OnMembers(const std::vector<MemberRecord>& aMembers)
 {
   const TimePoint now = ReadClock().mono_;
+  if (aMembers.size() > memberCount_) {
+    memberJoinedAt_ = now;
+  }
+  memberCount_ = aMembers.size();
   daemonCounts_[now] = static_cast<std::uint32_t>(aMembers.size());
   for (const MemberRecord& member : aMembers) {
     newestHeard_ = std::max(newestHeard_, member.generation_.value_);
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -172,6 +172,8 @@
   TimePoint fedAt_{};      ///< Time of the feeder's latest word.
   bool watcher_ = true;    ///< Reads the store for itself and others.
   TimePoint startedAt_{};
+  TimePoint memberJoinedAt_{}; ///< Another daemon has become known.
+  std::size_t memberCount_ = 0;
   Duration suspended_{}; ///< Time in which the VM stood still, in total.
   bool stopping_ = false;
   PeerTraffic traffic_;
