Fix: no view of the fleet overdraws the retry budget

Cause: each daemon spent slack / min(fleet, 2 x entry daemons), whether callers reached it or not, and again after each restart. Change: src/gateway/fleet_role derives a daemon's role from its view, apart from input and output. A daemon uses 1 / entry daemons of the slack once it has been one, and has seen more than half of the largest fleet, for a whole window. Entry daemons beside servers of all shards come first among equals.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -118,7 +118,7 @@
   GatewayState& state = aStep.state_;
   const bool taken = TakeExtra(state.services_[aPart.service_].budget_,
                                state.settings_.budget_,
-                               state.daemons_,
+                               state.slackFraction_,
                                aStep.Time());
   state.stats_.budgetDenied_ += taken ? 0 : 1;
   return taken;
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -5,6 +5,7 @@
 #include "machine/caller_type.h"
 #include "machine/peer_type.h"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,8 +20,11 @@
 /** Connections that each entry daemon should have to each server. */
 constexpr double kConnectionsPerDaemon = 2.0;
 
-/** Least number of entry daemons per failure domain. */
+/** Least number of entry daemons per failure domain that may have some. */
 constexpr std::size_t kEntryDaemonsPerDomain = 2;
+/** A failure domain has servers of a query if at least this share of the
+ * query's shards has one there. */
+constexpr double kDomainCoverage = 0.9;
 /** Capacity of all entry daemons, in multiples of the present load. Covers
  * bursts and the loss of some of them. */
 constexpr double kEntryCapacityFactor = 4.0;
@@ -38,27 +42,35 @@
 /** Watchers per failure domain in larger fleets. */
 constexpr std::size_t kWatchersPerDomain = 2;
 
-/**
- * Number of entry daemons that the servers' connection limits allow.
- * @return At least one, at most kMaxDirectoryEntries.
- */
-std::size_t
-MaxEntryDaemons(const GatewayState& aState);
+/** What the backend servers allow and favour in the choice of entry daemons. */
+struct EntryLimits
+{
+  /** Most entry daemons by the servers' connection limits: at least one, at
+   * most kMaxDirectoryEntries. */
+  std::size_t maxCount_ = kMaxDirectoryEntries;
+  /** Failure domains with servers of nearly all shards of the queries; empty:
+   * no domain is better than another. */
+  std::set<std::string> serverDomains_;
+};
+
+/** Derives the limits from the configuration and the listed servers. */
+EntryLimits
+MakeEntryLimits(const GatewayState& aState);
 
 /**
  * Chooses the daemons that callers should use: those with the most capacity,
- * as many as the load needs.
+ * among them those beside servers first, as many as the load needs.
  * @param aMembers All members but the dead, including this daemon.
- * @param aLimit See MaxEntryDaemons.
  */
 std::vector<const MemberRecord*>
 ChooseEntryDaemons(const std::vector<MemberRecord>& aMembers,
-                   std::size_t aLimit,
+                   const EntryLimits& aLimits,
                    EntryScope aScope);
 
 /** Addresses of the entry daemons; a caller picks one at random. */
 EntriesAnswer
-ListEntryDaemons(const std::vector<MemberRecord>& aMembers, std::size_t aLimit);
+ListEntryDaemons(const std::vector<MemberRecord>& aMembers,
+                 const EntryLimits& aLimits);
 
 /**
  * Chooses the daemons that watch the store and send changes to the others.
--- /dev/null
+++ b/src/gateway/fleet_role.h
@@ -0,0 +1,54 @@
+/** Roles and shares of one daemon, derived from its view of the fleet. */
+#pragma once
+
+#include "gateway/directory.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace camphorfield {
+
+/** What one daemon does for the fleet, and the history that decides it. */
+struct FleetRole
+{
+  bool isWatcher_ = true;      ///< Reads the store; serves followers.
+  bool isEntryDaemon_ = false; ///< Opens connections ahead of requests.
+  /** Daemons that each server's connections are divided by. */
+  std::uint32_t connectionShares_ = 1;
+  /** Part of the retry budget's slack that this daemon may use, 0 to 1. */
+  double slackFraction_ = 0.0;
+
+  TimePoint startedAt_{};
+  TimePoint memberJoinedAt_{}; ///< Latest growth of the member list.
+  std::uint32_t memberCount_ = 0;
+  std::uint32_t largestFleet_ = 0; ///< Since the start of the process.
+  /** Start of the present time as an entry daemon in a majority; kNever
+   * otherwise. */
+  TimePoint slackEarnedSince_ = kNever;
+  std::map<TimePoint, std::uint32_t> daemonCounts_; ///< Recent fleet sizes.
+  std::map<TimePoint, std::uint32_t> entryDaemonCounts_; ///< Recent numbers.
+};
+
+/** Role of a daemon that has just started. */
+FleetRole
+MakeFleetRole(TimePoint aNow);
+
+/** Records the number of members. Call whenever the member list changes. */
+void
+RecordFleetSize(FleetRole& aRole, std::size_t aMembers, TimePoint aNow);
+
+/**
+ * Derives the role from the present view. Call at regular intervals.
+ * @param aMembers All members but the dead, including this daemon.
+ * @param aBudgetWindow Length of the retry budget's window.
+ */
+void
+UpdateFleetRole(FleetRole& aRole,
+                DaemonId aSelf,
+                const std::vector<MemberRecord>& aMembers,
+                const EntryLimits& aLimits,
+                Duration aBudgetWindow,
+                TimePoint aNow);
+
+} // namespace camphorfield
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -121,15 +121,11 @@
 }
 
 void
-GatewaySetDaemons(GatewayState& aState, std::uint32_t aDaemons)
+GatewaySetRole(GatewayState& aState, const FleetRole& aRole)
 {
-  aState.daemons_ = std::max(aDaemons, 1U);
-}
-
-void
-GatewaySetPreconnect(GatewayState& aState, bool aWarm)
-{
-  aState.preconnect_ = aWarm;
+  aState.daemons_ = std::max(aRole.connectionShares_, 1U);
+  aState.slackFraction_ = aRole.slackFraction_;
+  aState.preconnect_ = aRole.isEntryDaemon_;
 }
 
 void
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -267,8 +267,9 @@
   BasicTimerHeap<GatewayTimer> timers_;
   std::map<std::uint64_t, SuspectContent> suspects_; ///< By fingerprint.
   std::vector<BrokenConnection> broken_;
-  std::uint32_t daemons_ = 1; ///< Daemons sharing budgets and connections.
-  double cpuLoad_ = 0.0;      ///< Estimated processor use, as a share.
+  std::uint32_t daemons_ = 1;  ///< Daemons sharing servers' connections.
+  double slackFraction_ = 0.0; ///< Own part of the retry budget's slack.
+  double cpuLoad_ = 0.0;       ///< Estimated processor use, as a share.
   TimePoint cpuLoadAt_{};
   std::uint64_t sendsAtCpuLoad_ = 0; ///< Sends counted at cpuLoadAt_.
   bool preconnect_ = true;           ///< Open connections ahead of requests.
--- a/src/gateway/gateway_func.h
+++ b/src/gateway/gateway_func.h
@@ -1,6 +1,7 @@
 /** Entry points of the gateway's decision core. */
 #pragma once
 
+#include "gateway/fleet_role.h"
 #include "gateway/gateway_base.h"
 #include "machine/event_type.h"
 
@@ -32,19 +33,10 @@
                     Rng& aRng,
                     GatewayDecisions& aOut);
 
-/**
- * Sets the number of daemons that share budgets and connections.
- * @param aDaemons Including this daemon.
- */
-void
-GatewaySetDaemons(GatewayState& aState, std::uint32_t aDaemons);
-
-/**
- * Sets whether connections are opened ahead of requests, as on an entry
- * daemon, or only when a request needs them.
- */
+/** Applies this daemon's role: its shares of connections and retry budget, and
+ * whether connections are opened ahead of requests. */
 void
-GatewaySetPreconnect(GatewayState& aState, bool aWarm);
+GatewaySetRole(GatewayState& aState, const FleetRole& aRole);
 
 /**
  * Merges another daemon's report of content that crashes servers.
--- a/src/gateway/retry_budget.cpp
+++ b/src/gateway/retry_budget.cpp
@@ -1,7 +1,7 @@
 // Limits hedges and retries when many servers fail or pause at once, so that
 // all daemons together do not multiply the load of an overloaded service. The
 // part proportional to requests needs no coordination; the slack is divided
-// among the daemons.
+// among the entry daemons (fleet_role).
 #include "gateway/retry_budget.h"
 
 #include <algorithm>
@@ -50,7 +50,7 @@
 bool
 TakeExtra(RetryBudget& aBudget,
           const BudgetLimits& aLimits,
-          std::uint32_t aDaemons,
+          double aSlackFraction,
           TimePoint aNow)
 {
   Advance(aBudget, aLimits, aNow);
@@ -60,7 +60,7 @@
   const double allowed =
     kBudgetUse *
     (aLimits.ratio_ * static_cast<double>(aBudget.firstSum_ - oldest) +
-     aLimits.slack_ / std::max(aDaemons, 1U));
+     aLimits.slack_ * aSlackFraction);
   if (static_cast<double>(aBudget.extraSum_) + 1.0 > allowed) {
     return false;
   }
--- a/src/gateway/retry_budget.h
+++ b/src/gateway/retry_budget.h
@@ -33,13 +33,13 @@
 
 /**
  * Takes one extra request from the budget.
- * @param aDaemons Daemons that share the slack, at least one.
+ * @param aSlackFraction Part of the slack that this daemon may use, 0 to 1.
  * @return False, without counting, when the budget is used up.
  */
 bool
 TakeExtra(RetryBudget& aBudget,
           const BudgetLimits& aLimits,
-          std::uint32_t aDaemons,
+          double aSlackFraction,
           TimePoint aNow);
 
 } // namespace camphorfield
--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -23,15 +23,6 @@
 constexpr Duration kFeedTimeout = std::chrono::milliseconds(1300);
 /** A starting daemon waits this long for a feed before it reads the store. */
 constexpr Duration kFirstFeedTimeout = std::chrono::seconds(2);
-/** A starting daemon opens connections once the member list hasn't grown for
- * this time: too many daemons would exceed the servers' connection limits. */
-constexpr Duration kMembershipSettleTime = std::chrono::milliseconds(400);
-/** Until this time after its start, a daemon counts members that are alive but
- * not ready as entry daemons; afterwards only ready ones. */
-constexpr Duration kStartupPeriod = std::chrono::seconds(6);
-/** Daemons' views of the entry daemons may differ, and callers keep old answers
- * of the directory: up to this factor more daemons may serve at a time. */
-constexpr std::uint32_t kEntryViewFactor = 2;
 /** Time after the start until the members are known; without this wait each
  * daemon of a starting fleet would read the store. */
 constexpr Duration kDiscoveryTime = std::chrono::milliseconds(240);
@@ -42,16 +33,6 @@
 /** A feed is requested once the store has been failing for this time. */
 constexpr Duration kPeerFallbackAfter = std::chrono::milliseconds(200);
 
-std::uint32_t
-LargestCount(const std::map<TimePoint, std::uint32_t>& aCounts)
-{
-  std::uint32_t maxEntryDaemons = 1;
-  for (const auto& [at, count] : aCounts) {
-    maxEntryDaemons = std::max(maxEntryDaemons, count);
-  }
-  return maxEntryDaemons;
-}
-
 } // namespace
 
 const MemberRecord*
@@ -223,7 +204,7 @@
     return aTable.failures_ > 0 &&
            now.mono_ - aTable.failingSince_ > kPeerFallbackAfter;
   };
-  const bool isWanted = !isWatcher_ || isFailing(config) ||
+  const bool isWanted = !role_.isWatcher_ || isFailing(config) ||
                         isFailing(servers) || newestKnownVersion_ > version;
   if (!isWanted || now.mono_ < nextFeedRequestAt_) {
     return;
@@ -241,7 +222,8 @@
   GenerationRequest request;
   request.call_ = PeerCallId{ 1 };
   // A watcher may have skipped earlier feed messages: it requests whole tables.
-  request.generation_ = Generation{ isWatcher_ ? 0 : feedSourceIncarnation_ };
+  request.generation_ =
+    Generation{ role_.isWatcher_ ? 0 : feedSourceIncarnation_ };
   request.base_ = Generation{ feedPosition_ };
   SendToPeer(
     SendPeer{ source->id_, source->peerAddress_, request, PeerCallId{} });
@@ -251,49 +233,32 @@
 void
 GatewayHost::UpdateRole()
 {
-  const DaemonId self = membership_.self_.id_;
-  const auto includesSelf =
-    [self](const std::vector<const MemberRecord*>& aList) {
-      return std::any_of(
-        aList.begin(), aList.end(), [self](const MemberRecord* aMember) {
-          return aMember->id_ == self;
-        });
-    };
-  isWatcher_ = includesSelf(ChooseWatchers(*members_));
   const TimePoint now = ReadClock().mono_;
+  entryLimits_ = MakeEntryLimits(gateway_);
+  UpdateFleetRole(role_,
+                  membership_.self_.id_,
+                  *members_,
+                  entryLimits_,
+                  settings_.gateway_.budget_.window_,
+                  now);
+  GatewaySetRole(gateway_, role_);
+  MembershipSetLoad(membership_, GatewayCpuLoad(gateway_));
   // While the store is unavailable there is no feed, but followers leave the
   // store to the watchers, which notice its return, until the fallback time.
   const bool storeUnavailable =
     now - storeUnavailableAt_ < kFeedTimeout &&
     now - lastFeedAt_ < kStoreFallbackAfter + storeFallbackJitter_;
   const bool hasFeed = now - lastFeedAt_ < kFeedTimeout || storeUnavailable;
-  const bool joining = now < startedAt_ + kFirstFeedTimeout;
-  const bool membersKnown = now >= startedAt_ + kDiscoveryTime;
+  const bool joining = now < role_.startedAt_ + kFirstFeedTimeout;
+  const bool membersKnown = now >= role_.startedAt_ + kDiscoveryTime;
   for (const std::size_t number : { kConfigTable, kServersTable }) {
     TableSync& table = store_.Table(number);
-    table.passive_ = !membersKnown ||
-                     (!isWatcher_ && (joining || (hasFeed && table.complete_)));
+    table.passive_ =
+      !membersKnown ||
+      (!role_.isWatcher_ && (joining || (hasFeed && table.complete_)));
     // Changes that a feed applies meanwhile are missing in the watch's history.
     table.watching_ = table.watching_ && !table.passive_;
   }
-  MembershipSetLoad(membership_, GatewayCpuLoad(gateway_));
-  const std::size_t maxEntryDaemons = MaxEntryDaemons(gateway_);
-  const auto entryDaemons =
-    ChooseEntryDaemons(*members_, maxEntryDaemons, EntryScope::Ready);
-  // While the whole fleet starts, few members are known and ready, and each
-  // daemon would count itself as an entry daemon.
-  const bool settled = now >= memberJoinedAt_ + kMembershipSettleTime;
-  const bool isEntryDaemon =
-    now < startedAt_ + kStartupPeriod
-      ? settled && includesSelf(ChooseEntryDaemons(
-                     *members_, maxEntryDaemons, EntryScope::Alive))
-      : includesSelf(entryDaemons);
-  GatewaySetPreconnect(gateway_, isEntryDaemon);
-  entryDaemonCounts_[now] = static_cast<std::uint32_t>(entryDaemons.size());
-  const std::uint32_t daemons = LargestCount(daemonCounts_);
-  GatewaySetDaemons(
-    gateway_,
-    std::min(daemons, kEntryViewFactor * LargestCount(entryDaemonCounts_)));
 }
 
 } // namespace camphorfield
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -26,13 +26,6 @@
 /** Interval of the log line with the traffic counters. */
 constexpr Duration kTrafficLogInterval = std::chrono::seconds(10);
 constexpr Duration kHostMaintenanceInterval = std::chrono::milliseconds(250);
-/** Budgets and connections are divided by the largest fleet size seen in this
- * time: a daemon that is partitioned off or restarts must not take over the
- * shares of the others. */
-constexpr Duration kFleetSizeWindow = std::chrono::seconds(15);
-/** Fleet size assumed after the start, until the members are known. */
-constexpr std::uint32_t kInitialFleetSize = 8;
-constexpr Duration kInitialFleetSizePeriod = std::chrono::seconds(5);
 /** After a longer suspension of the VM the tables are read anew. */
 constexpr Duration kMinSuspension = std::chrono::milliseconds(500);
 
@@ -71,14 +64,10 @@
            })
   , timer_(aPool.At(0).Context())
   , members_(MembershipMembers(membership_))
-  , startedAt_(ReadClock().mono_)
-  , memberJoinedAt_(startedAt_)
+  , role_(MakeFleetRole(ReadClock().mono_))
   , totalSuspension_(ReadSuspension())
 {
-  daemonCounts_[startedAt_ + kInitialFleetSizePeriod - kFleetSizeWindow] =
-    kInitialFleetSize;
-  GatewaySetPreconnect(gateway_, false);
-  GatewaySetDaemons(gateway_, kInitialFleetSize);
+  GatewaySetRole(gateway_, role_);
   storeFallbackJitter_ = Duration(static_cast<std::int64_t>(
     rng_() %
     static_cast<std::uint64_t>(Duration(kStoreFallbackJitter).count())));
@@ -240,12 +229,7 @@
 void
 GatewayHost::OnMembers(const std::vector<MemberRecord>& aMembers)
 {
-  const TimePoint now = ReadClock().mono_;
-  if (aMembers.size() > memberCount_) {
-    memberJoinedAt_ = now;
-  }
-  memberCount_ = aMembers.size();
-  daemonCounts_[now] = static_cast<std::uint32_t>(aMembers.size());
+  RecordFleetSize(role_, aMembers.size(), ReadClock().mono_);
   for (const MemberRecord& member : aMembers) {
     newestKnownVersion_ =
       std::max(newestKnownVersion_, member.generation_.value_);
@@ -336,7 +320,7 @@
 EntriesAnswer
 GatewayHost::ListEntries() const
 {
-  return ListEntryDaemons(*members_, MaxEntryDaemons(gateway_));
+  return ListEntryDaemons(*members_, entryLimits_);
 }
 
 bool
@@ -392,11 +376,6 @@
     if (DropLapsed(store_.Table(kServersTable), now).changed_) {
       AdoptTables(kServersTable);
     }
-    for (auto* counts : { &daemonCounts_, &entryDaemonCounts_ }) {
-      std::erase_if(*counts, [counts, now](const auto& aItem) {
-        return aItem.first + kFleetSizeWindow < now && counts->size() > 1;
-      });
-    }
   }
   if (now >= MembershipNextWake(membership_)) {
     HandleMembershipEvent(Tick{});
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -3,6 +3,7 @@
 
 #include "discovery/table_feed.h"
 #include "discovery/table_sync.h"
+#include "gateway/fleet_role.h"
 #include "gateway/gateway_base.h"
 #include "machine/decision_type.h"
 #include "membership/membership_base.h"
@@ -167,8 +168,8 @@
   std::uint64_t newestKnownVersion_ = 0; ///< Configuration of any member.
   /** Decoded servers with their revision, by name; empty id: malformed. */
   std::map<std::string, std::pair<std::uint64_t, BackendEntry>> entries_;
-  std::map<TimePoint, std::uint32_t> daemonCounts_; ///< Recent fleet sizes.
-  std::map<TimePoint, std::uint32_t> entryDaemonCounts_; ///< Recent numbers.
+  FleetRole role_;
+  EntryLimits entryLimits_;
   TableFeed feed_; ///< Changes sent to followers.
   std::map<DaemonId, FeedFollower> followers_;
   std::string encodedFeed_; ///< Latest message, cached.
@@ -181,11 +182,7 @@
   TimePoint storeUnavailableAt_{}; ///< A source reported the store down.
   Duration storeFallbackJitter_{}; ///< Added to kStoreFallbackAfter.
   TimePoint lastFeedAt_{};         ///< Time of the latest feed message.
-  bool isWatcher_ = true;          ///< Reads the store; serves followers.
-  TimePoint startedAt_{};
-  TimePoint memberJoinedAt_{}; ///< Latest growth of the member list.
-  std::size_t memberCount_ = 0;
-  Duration totalSuspension_{}; ///< Total time that the VM was suspended.
+  Duration totalSuspension_{};     ///< Total time that the VM was suspended.
   bool stopping_ = false;
   PeerTraffic traffic_;
   TimePoint nextTrafficLogAt_{};
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -168,7 +168,7 @@
         CountFirst(budget, limits, now);
         ++first[step];
       }
-      while (TakeExtra(budget, limits, item.daemons_, now)) {
+      while (TakeExtra(budget, limits, 1.0 / item.daemons_, now)) {
         ++extra[step];
       }
     }
@@ -190,10 +190,10 @@
 {
   const BudgetLimits limits{ 0.2, 10.0, seconds(10) };
   RetryBudget budget;
-  while (TakeExtra(budget, limits, 1, TimePoint{ seconds(1) })) {
+  while (TakeExtra(budget, limits, 1.0, TimePoint{ seconds(1) })) {
   }
-  CHECK_FALSE(TakeExtra(budget, limits, 1, TimePoint{ seconds(10) }));
-  CHECK_TRUE(TakeExtra(budget, limits, 1, TimePoint{ seconds(12) }));
+  CHECK_FALSE(TakeExtra(budget, limits, 1.0, TimePoint{ seconds(10) }));
+  CHECK_TRUE(TakeExtra(budget, limits, 1.0, TimePoint{ seconds(12) }));
 }
 
 TEST_GROUP(Directory){};
@@ -220,7 +220,8 @@
     member.state_ = item.state_;
     member.ready_ = item.ready_;
     member.callerAddress_ = item.address_;
-    const EntriesAnswer answer = ListEntryDaemons({ member }, 8);
+    const EntriesAnswer answer =
+      ListEntryDaemons({ member }, EntryLimits{ 8, {} });
     LONGS_EQUAL_TEXT(item.listed_ ? 1 : 0, answer.entries_.size(), item.name_);
     CHECK_TEXT((answer.code_ == ResultCode::Ok) == item.listed_, item.name_);
   }
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -39,8 +39,11 @@
     settings.budget_.slack_ = 52.0;
     daemons_.push_back(
       ModelDaemon{ MakeGatewayState(settings), Rng(aSeed + i + 1) });
-    GatewaySetDaemons(daemons_.back().state_,
-                      static_cast<std::uint32_t>(aDaemons));
+    FleetRole role;
+    role.isEntryDaemon_ = true;
+    role.connectionShares_ = static_cast<std::uint32_t>(aDaemons);
+    role.slackFraction_ = 1.0 / static_cast<double>(aDaemons);
+    GatewaySetRole(daemons_.back().state_, role);
   }
   config_.version_ = 1;
 }
