Change: join records are sent three times, not 27, once 32 of them wait

Cause: a daemon of a starting fleet queued 128 full records for 27 sends each, about 380 KB at 7 KB/s: gossip used its whole budget for 40 s after all views were complete.

--- a/src/membership/payload.cpp
+++ b/src/membership/payload.cpp
@@ -19,7 +19,7 @@
 
 /** Above this queue length, as when a region comes back, sync pages and
  * rotation spread records at less cost than many sends of each. */
-constexpr std::size_t kLongQueue = 128;
+constexpr std::size_t kLongQueue = 32;
 constexpr std::uint8_t kLongQueueSends = 3;
 
 bool
