Fix: bytes that belong to no request, and answers that never end

Cause, from the operators' reports: a copy of an answer that arrived since the event loop last read was taken for the answer to the request written after it, and a copy without an id for that of the request in flight; interim answers were skipped without end, also on idle connections; an attempt of a non-idempotent request had no timer, so a server that never ends its answer kept connection and slot. Change: a connection with unrequested bytes is closed in place of used; where a server echoes ids, an answer without one is a copy; eight interim answers at most; unparsed bytes are bounded; such attempts are given up a second after the deadline that the server was told.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -16,6 +16,12 @@
 {
   BasicTimerHeap<GatewayTimer>& timers = aStep.state_.timers_;
   if (aRun.route_->kind_ == RequestKind::NonIdempotent) {
+    // It outlives its run, but not a server that never ends its answer.
+    AddTimer(timers,
+             { aRun.deadline_ + kAbandonGrace,
+               aAttempt.key_,
+               0,
+               GatewayTimer::Silence });
     return;
   }
   const Duration silence =
--- a/src/gateway/attempt_answer.cpp
+++ b/src/gateway/attempt_answer.cpp
@@ -234,13 +234,18 @@
   const std::uint64_t key = conn->attempt_;
   const Attempt* pending = FindSlot(aState.attempts_, key);
   const GatewayRun* current = FindSlot(aState.runs_, pending->run_);
-  if (current != nullptr && !aAnswer.requestId_.empty() &&
-      aAnswer.requestId_ != current->message_->requestId_) {
-    // A duplicate answer to an earlier request; the answer to this one is still
-    // to come.
+  // A duplicate answer to an earlier request; the answer to this one is still
+  // to come. A server that echoes ids does so in each answer.
+  const bool isOther =
+    aAnswer.requestId_.empty()
+      ? conn->echoesIds_
+      : current != nullptr &&
+          aAnswer.requestId_ != current->message_->requestId_;
+  if (isOther) {
     ++aState.stats_.garbled_;
     return;
   }
+  conn->echoesIds_ = !aAnswer.requestId_.empty();
   const AttemptEnd end = Classify(aAnswer);
   const Attempt attempt = Detach(step, key);
   Backend& backend = *FindSlot(aState.backends_, attempt.backend_);
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -65,7 +65,8 @@
   std::uint64_t key_ = 0; ///< Value of its ConnectionId.
   std::uint64_t backend_ = 0;
   BackendConnState state_ = BackendConnState::Opening;
-  bool used_ = false; ///< It has carried at least one answer.
+  bool used_ = false;      ///< It has carried at least one answer.
+  bool echoesIds_ = false; ///< An answer on it had the request's id.
   TimePoint usedAt_{};
   TimePoint expiresAt_ = kNever; ///< When to close it if still idle.
   std::uint64_t attempt_ = 0;    ///< Busy: the attempt in flight.
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -54,6 +54,10 @@
 /** The same as a multiple of the route's 99th percentile latency. */
 constexpr double kSilenceFactor = 4.0;
 
+/** An attempt that must not be cancelled is given up this long after the
+ * deadline that its server was told. */
+constexpr Duration kAbandonGrace = seconds(1);
+
 // Choice of a server.
 constexpr double kLatencyGain = 0.25; ///< Weight of a new sample.
 constexpr Duration kLatencyRatioHalfLife = seconds(3);
--- a/src/runtime/backend_link.cpp
+++ b/src/runtime/backend_link.cpp
@@ -28,6 +28,8 @@
 constexpr std::uint64_t kMaxAnswerBytes = 4ULL * 1024 * 1024;
 constexpr std::uint32_t kMaxHeaderBytes = 16U * 1024;
 constexpr std::uint32_t kFirstFinalStatus = 200;
+/** Interim answers (1xx) to one request; a server could send them forever. */
+constexpr std::uint32_t kMaxInterimAnswers = 8;
 
 BackendEnd
 ToConnectEnd(const boost::system::error_code& aError)
@@ -67,6 +69,7 @@
   void Fail(BackendEnd aEnd);
   void WriteRest(std::size_t aWritten);
   bool HasBegun() const { return parser_ && parser_->got_some(); }
+  bool HasUnrequestedBytes() const;
 
   BackendLinks& owner_;
   std::uint64_t id_;
@@ -75,6 +78,7 @@
   beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   std::string out_;
+  std::uint32_t interimAnswers_ = 0; ///< To the latest request.
   bool writing_ = false;
   bool isClosed_ = false;
 };
@@ -121,11 +125,28 @@
   owner_.sink_.opened_(BackendOpened{ ConnectionId{ id_ } });
 }
 
-// The socket's send buffer nearly always has room for the whole request, so a
-// synchronous write is tried first.
+/** Whether bytes have arrived that belong to no request. */
+bool
+BackendLink::HasUnrequestedBytes() const
+{
+  boost::system::error_code error;
+  return HasBegun() || buffer_.size() > 0 || socket_.available(error) > 0;
+}
+
+// A second copy of an earlier answer may have arrived since the event loop last
+// read; it would be taken for the answer to this request. The socket's send
+// buffer nearly always has room for the whole request, so a synchronous write
+// is tried first.
 void
 BackendLink::Send(std::string aText)
 {
+  if (HasUnrequestedBytes()) {
+    boost::asio::post(owner_.context_, [self = shared_from_this()]() {
+      self->Fail(BackendEnd::Malformed);
+    });
+    return;
+  }
+  interimAnswers_ = 0;
   out_ = std::move(aText);
   boost::system::error_code error;
   const std::size_t written =
@@ -214,6 +235,10 @@
     boost::system::error_code error;
     buffer_.consume(parser_->put(buffer_.data(), error));
     if (error == http::error::need_more) {
+      // The parser waits for the end of a line without a limit of its own.
+      if (buffer_.size() > kMaxHeaderBytes) {
+        Fail(BackendEnd::Malformed);
+      }
       return;
     }
     if (error) {
@@ -251,6 +276,9 @@
   http::response<http::string_body> message = parser_->release();
   parser_.reset();
   if (message.result_int() < kFirstFinalStatus) {
+    if (++interimAnswers_ > kMaxInterimAnswers) {
+      Fail(BackendEnd::Malformed);
+    }
     return;
   }
   HttpResponse response;
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -390,9 +390,12 @@
       Reply(job.connection_, std::move(answer));
       break;
     case ModelFault::Twice:
+    case ModelFault::Bare:
       if (!connection.lastId_.empty()) {
         BackendAnswer extra = answer;
-        extra.requestId_ = connection.lastId_;
+        extra.requestId_ =
+          server.fault_ == ModelFault::Twice ? connection.lastId_ : "";
+        extra.proof_ = server.id_ + "/" + connection.lastId_;
         Reply(job.connection_, std::move(extra));
       }
       connection.lastId_ = message.requestId_;
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -23,6 +23,7 @@
   Reset,  ///< Resets the connection after the work.
   Garble, ///< Answers without a proof.
   Twice,  ///< First sends an answer with the previous id.
+  Bare,   ///< First sends the previous answer without an id.
   Silent, ///< Neither answers nor accepts connections.
   Down,   ///< Refuses connections; open ones stay.
   End     ///< Number of faults.
--- a/tests/gateway/rules_test.cpp
+++ b/tests/gateway/rules_test.cpp
@@ -223,21 +223,41 @@
 // request, and there must be one per shard.
 TEST(Rules, ProofsBelongToTheRequestAndAreOnePerShard)
 {
-  OneDaemon fleet(6, QueryRoute(6, 0.5));
-  for (ModelServer& server : fleet.replay_.Servers()) {
-    server.fault_ = ModelFault::Twice;
+  for (const FaultCase& item :
+       std::vector<FaultCase>{ { "with an older id", ModelFault::Twice },
+                               { "without an id", ModelFault::Bare } }) {
+    OneDaemon fleet(6, QueryRoute(6, 0.5));
+    for (ModelServer& server : fleet.replay_.Servers()) {
+      server.fault_ = item.fault_;
+    }
+    for (int i = 1; i <= 20; ++i) {
+      const ProxyAnswer answer = fleet.SendRequest("/query/x");
+      LONGS_EQUAL_TEXT(ProxyCode::Merged, answer.code_, item.name_);
+      std::set<std::string> services;
+      for (const std::string& proof : answer.proofs_) {
+        const std::size_t slash = proof.find('/');
+        STRCMP_EQUAL_TEXT(("r" + std::to_string(i)).c_str(),
+                          proof.substr(slash + 1).c_str(),
+                          item.name_);
+        services.insert(fleet.replay_.Server(proof.substr(0, slash)).service_);
+      }
+      LONGS_EQUAL_TEXT(answer.proofs_.size(), services.size(), item.name_);
+    }
   }
-  for (int i = 1; i <= 20; ++i) {
-    const ProxyAnswer answer = fleet.SendRequest("/query/x");
-    LONGS_EQUAL(ProxyCode::Merged, answer.code_);
-    std::set<std::string> services;
-    for (const std::string& proof : answer.proofs_) {
-      const std::size_t slash = proof.find('/');
-      STRCMP_EQUAL(("r" + std::to_string(i)).c_str(),
-                   proof.substr(slash + 1).c_str());
-      services.insert(fleet.replay_.Server(proof.substr(0, slash)).service_);
+}
+
+// A server may accept a request and never end its answer. Its connection and
+// slot are given up soon after the deadline, also where nothing is cancelled.
+TEST(Rules, AttemptsWithoutAnEndAreGivenUp)
+{
+  for (const RequestKind kind :
+       { RequestKind::Idempotent, RequestKind::NonIdempotent }) {
+    OneDaemon fleet(1, PlainRoute(kind));
+    for (ModelServer& server : fleet.replay_.Servers()) {
+      server.fault_ = ModelFault::Silent;
     }
-    LONGS_EQUAL(answer.proofs_.size(), services.size());
+    fleet.SendRequest("/plain/x");
+    LONGS_EQUAL(0, fleet.replay_.Daemon(0).attempts_.Count());
   }
 }
 
