Fix: one exception ends no process, a planned stop answers its backlog

A planned stop closed the acceptor with connections in its backlog, which resets them, and ended without waiting for requests that were being read. Change: such an exception becomes one line of the log; the backlog is accepted before the acceptor closes, and the drain looks for requests in flight only after one interval. Result: tests/runtime Worker.ExceptionsEndNeitherTheWorkerNorOtherFibers and HttpServer.RequestsInTheBacklogAreAnsweredAtAStop; with the former sources the first aborts and the second fails.

--- a/src/app/gateway_cmd.cpp
+++ b/src/app/gateway_cmd.cpp
@@ -208,9 +208,10 @@
     boost::this_fiber::sleep_for(kDrainPollInterval);
   }
   callers_.StopAccepting();
-  while (ReadClock().mono_ < after(kExitGraceShare) && host_.InFlight() > 0) {
+  // The requests of connections accepted last are still to be read.
+  do {
     boost::this_fiber::sleep_for(kDrainPollInterval);
-  }
+  } while (ReadClock().mono_ < after(kExitGraceShare) && host_.InFlight() > 0);
   // Leave time to write the last answers.
   boost::this_fiber::sleep_for(kDrainPollInterval);
   WriteLog(LogLevel::Info,
--- a/src/runtime/fiber_scheduler.cpp
+++ b/src/runtime/fiber_scheduler.cpp
@@ -3,7 +3,10 @@
 // spinlock.
 #include "runtime/fiber_scheduler.h"
 
+#include "observe/log.h"
+
 #include <boost/asio/post.hpp>
+#include <exception>
 
 namespace camphorfield {
 
@@ -13,6 +16,21 @@
 // fibers that wake each other would starve the sockets otherwise.
 constexpr std::uint32_t kPicksBetweenPolls = 32;
 
+/** Runs a step of the event loop. An exception of one callback must not end the
+ * process, which serves many others. */
+template<typename Step>
+void
+RunStep(const Step& aStep)
+{
+  try {
+    aStep();
+  } catch (const std::exception& error) {
+    WriteLog(LogLevel::Error,
+             "unexpected error in a callback",
+             { { "reason", error.what() } });
+  }
+}
+
 // A suspending fiber holds the spinlock of what it waits for until the next
 // fiber runs. A handler that is polled in between and takes the same lock would
 // spin forever. The dispatcher fiber holds no lock and runs once a round.
@@ -47,7 +65,7 @@
   }
   if (++picks_ >= kPicksBetweenPolls && IsDispatcherActive()) {
     picks_ = 0;
-    context_->poll();
+    RunStep([this]() { context_->poll(); });
   }
   boost::fibers::context* next = &ready_.front();
   ready_.pop_front();
@@ -65,13 +83,15 @@
   const std::chrono::steady_clock::time_point& aUntil) noexcept
 {
   picks_ = 0;
-  if (aUntil == std::chrono::steady_clock::time_point::max()) {
-    context_->run_one();
-  } else {
-    context_->run_one_until(aUntil);
-  }
+  RunStep([this, &aUntil]() {
+    if (aUntil == std::chrono::steady_clock::time_point::max()) {
+      context_->run_one();
+    } else {
+      context_->run_one_until(aUntil);
+    }
+  });
   // Also run the other ready handlers, which saves further waits.
-  context_->poll();
+  RunStep([this]() { context_->poll(); });
 }
 
 void
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -292,9 +292,20 @@
   state_->limits_ = std::make_shared<const HttpServerLimits>(aLimits);
 }
 
+// Connections in the listen backlog are open for their callers, who may have
+// sent requests on them; closing the acceptor resets what it still holds.
 void
 HttpServer::StopAccepting()
 {
+  boost::system::error_code error;
+  state_->acceptor_->non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(state_->pool_.At(0).Context());
+    state_->acceptor_->accept(socket, error);
+    if (!error) {
+      StartSession(state_, std::move(socket), 0);
+    }
+  }
   boost::system::error_code ignored;
   state_->acceptor_->close(ignored);
 }
--- a/tests/runtime/http_server_test.cpp
+++ b/tests/runtime/http_server_test.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/write.hpp>
 #include <future>
 #include <random>
+#include <vector>
 
 using namespace camphorfield;
 using boost::asio::ip::tcp;
@@ -160,3 +161,33 @@
   });
   CHECK_TRUE(promise.get_future().get() == HttpEnd::Refused);
 }
+
+// While the process is busy, callers connect and send requests that wait in the
+// listen backlog. A planned stop answers them.
+TEST(HttpServer, RequestsInTheBacklogAreAnsweredAtAStop)
+{
+  constexpr std::size_t kCallers = 5;
+  std::promise<void> blocked;
+  std::promise<void> sent;
+  pool_.At(0).Post([&]() {
+    blocked.set_value();
+    sent.get_future().wait();
+    server_.StopAccepting();
+  });
+  blocked.get_future().wait();
+  boost::asio::io_context context;
+  std::vector<tcp::socket> callers;
+  const std::string request = "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi";
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    callers.emplace_back(context);
+    callers.back().connect(Endpoint());
+    boost::asio::write(callers.back(), boost::asio::buffer(request));
+  }
+  sent.set_value();
+  for (tcp::socket& caller : callers) {
+    std::string status(12, ' ');
+    boost::system::error_code error;
+    boost::asio::read(caller, boost::asio::buffer(status), error);
+    STRCMP_EQUAL("HTTP/1.1 200", status.c_str());
+  }
+}
--- a/tests/runtime/worker_test.cpp
+++ b/tests/runtime/worker_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/fiber/buffered_channel.hpp>
 #include <boost/fiber/operations.hpp>
 #include <future>
+#include <stdexcept>
 
 using namespace camphorfield;
 
@@ -76,3 +77,23 @@
   LONGS_EQUAL(1000, last.get_future().get());
   CHECK_TRUE(inOrder);
 }
+
+// A malformed message or an unexpected error in one place must not take the
+// process down, which serves many others.
+TEST(Worker, ExceptionsEndNeitherTheWorkerNorOtherFibers)
+{
+  Worker worker;
+  const auto fail = []() { throw std::runtime_error("unexpected"); };
+  worker.Post(fail);
+  worker.Spawn(fail);
+  worker.Spawn([&fail]() {
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(5));
+    fail();
+  });
+  std::promise<int> done;
+  worker.Spawn([&done]() {
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(20));
+    done.set_value(1);
+  });
+  LONGS_EQUAL(1, done.get_future().get());
+}
