--- a/src/gateway/fleet_role.cpp
+++ b/src/gateway/fleet_role.cpp
@@ -22,9 +22,13 @@
 /** Fleet size assumed after the start, until the members are known. */
 constexpr std::uint32_t kInitialFleetSize = 8;
 constexpr Duration kInitialFleetSizePeriod = std::chrono::seconds(5);
-/** A starting daemon opens connections once the member list hasn't grown for
- * this time: too many daemons would exceed the servers' connection limits. */
+/** A starting daemon opens connections once the member list has hardly grown
+ * for this time: too many daemons would exceed the servers' connection limits.
+ */
 constexpr Duration kMembershipSettleTime = std::chrono::milliseconds(400);
+/** Growth that counts. The last members of a large fleet become known one by
+ * one over seconds and change nothing in the choice of the strongest. */
+constexpr double kMinGrowth = 1.05;
 /** Until this time after its start, a daemon counts members that are alive but
  * not ready as entry daemons; afterwards only ready ones. */
 constexpr Duration kStartupPeriod = std::chrono::seconds(6);
@@ -97,7 +101,7 @@
 {
   FleetRole role;
   role.startedAt_ = aNow;
-  role.memberJoinedAt_ = aNow;
+  role.grownAt_ = aNow;
   role.connectionShares_ = kInitialFleetSize;
   role.daemonCounts_[aNow + kInitialFleetSizePeriod - kFleetSizeWindow] =
     kInitialFleetSize;
@@ -108,10 +112,10 @@
 RecordFleetSize(FleetRole& aRole, std::size_t aMembers, TimePoint aNow)
 {
   const auto count = static_cast<std::uint32_t>(aMembers);
-  if (count > aRole.memberCount_) {
-    aRole.memberJoinedAt_ = aNow;
+  if (count > kMinGrowth * aRole.grownTo_) {
+    aRole.grownAt_ = aNow;
+    aRole.grownTo_ = count;
   }
-  aRole.memberCount_ = count;
   aRole.largestFleet_ = std::max(aRole.largestFleet_, count);
   aRole.daemonCounts_[aNow] = count;
 }
@@ -133,7 +137,7 @@
   aRole.isEntryDaemon_ =
     aNow >= aRole.startedAt_ + kStartupPeriod
       ? isListed
-      : aNow >= aRole.memberJoinedAt_ + kMembershipSettleTime &&
+      : aNow >= aRole.grownAt_ + kMembershipSettleTime &&
           Includes(
             ChooseEntryDaemons(aMembers, aMaxEntryDaemons, EntryScope::Alive),
             aSelf);
--- a/src/gateway/fleet_role.h
+++ b/src/gateway/fleet_role.h
@@ -20,8 +20,8 @@
   double slackFraction_ = 0.0;
 
   TimePoint startedAt_{};
-  TimePoint memberJoinedAt_{}; ///< Latest growth of the member list.
-  std::uint32_t memberCount_ = 0;
+  TimePoint grownAt_{};       ///< Latest growth of the member list by a part.
+  std::uint32_t grownTo_ = 0; ///< Its size then.
   std::uint32_t largestFleet_ = 0; ///< Since the start of the process.
   /** Start of the present time as an entry daemon in a majority; kNever
    * otherwise. */
--- a/src/membership/join.cpp
+++ b/src/membership/join.cpp
@@ -142,7 +142,10 @@
   if (aAck.syncNext_ == kSyncEnd) {
     state.syncing_ = false;
     state.syncRetryAt_ = kNever;
-    state.nextSyncAt_ = aStep.now_.mono_ + state.syncInterval_;
+    const Duration least =
+      kSyncIntervalPerMember * static_cast<std::int64_t>(CountLive(state));
+    state.nextSyncAt_ =
+      aStep.now_.mono_ + std::max<Duration>(state.syncInterval_, least);
     state.syncInterval_ = std::min(2 * state.syncInterval_, kMaxSyncInterval);
     return;
   }
--- a/src/membership/membership_type.h
+++ b/src/membership/membership_type.h
@@ -48,7 +48,10 @@
 constexpr Duration kJoinInterval = 2s;         ///< Between attempts.
 constexpr Duration kJoinIntervalAlone = 400ms; ///< With no live member.
 constexpr Duration kMinSyncInterval = 500ms;   ///< First wait; then doubled.
-constexpr Duration kMaxSyncInterval = 60s;     ///< Longest wait.
+/** Least wait for each member: a sync reads all records, and in a large fleet
+ * gossip brings the few that were missing at less cost. */
+constexpr Duration kSyncIntervalPerMember = 8ms;
+constexpr Duration kMaxSyncInterval = 60s;  ///< Longest wait.
 constexpr Duration kSyncRetryDelay = 500ms; ///< Then another member is asked.
 constexpr Duration kTombstone = 1h;         ///< Dead members are kept.
 constexpr std::size_t kMaxMembers = 10'000; ///< Further ones are ignored.
--- a/src/runtime/store_reader.cpp
+++ b/src/runtime/store_reader.cpp
@@ -5,6 +5,7 @@
 #include "observe/log.h"
 #include "runtime/clock.h"
 
+#include <algorithm>
 #include <boost/fiber/operations.hpp>
 #include <random>
 
@@ -14,6 +15,8 @@
 
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
 constexpr Duration kMaxPollInterval = std::chrono::milliseconds(100);
+/** The same until the table has been read or received for the first time. */
+constexpr Duration kFirstPollInterval = std::chrono::milliseconds(20);
 
 /** One table and its connection to the store. */
 struct TableReader
@@ -74,9 +77,10 @@
     const auto call = NextStoreCall(reader.table_, now);
     if (!call) {
       const Duration left = reader.table_.nextCallAt_ - now;
-      const Duration nap = reader.table_.passive_ || left > kMaxPollInterval
-                             ? Duration(kMaxPollInterval)
-                             : left;
+      const Duration longest =
+        reader.table_.complete_ ? kMaxPollInterval : kFirstPollInterval;
+      const Duration nap =
+        reader.table_.passive_ ? longest : std::min(left, longest);
       boost::this_fiber::sleep_for(nap);
       continue;
     }
