--- a/src/membership/membership_func.h
+++ b/src/membership/membership_func.h
@@ -67,11 +67,6 @@
                   Rng& aRng,
                   Decisions& aDecisions);
 
-/** Whether all records of some member were read since the start or since the
- * end of an isolation; true while no other member is known. */
-bool
-MembershipIsSynced(const MembershipState& aState);
-
 /** Sets the own state to Leaving, which removes this daemon from entries, and
  * gossips it at once. */
 void
