Codechange: one guard for callbacks and fibers, a passed-on feed encoded once

Cause: the re-reading of the change found that a daemon which passes tables on read their age for each follower, so the cached message never matched and was encoded and compressed again for each; that the event loop and the fibers each had their own catch and log line; two constants of nearly one name (kStartPeriod, kStartupPeriod); and a comment that a later constant had overtaken. Change: the age is taken once a push; runtime/run_guarded.h serves both; the host's constants are named for what they hasten. Log lines, bounds and tests are unchanged. Ruled out: the bound on unparsed bytes in backend_link is not a twin of the parser's own: without it BackendLink 'size of a chunk' fails.

--- a/src/gateway/fleet_role.h
+++ b/src/gateway/fleet_role.h
@@ -4,7 +4,6 @@
 #include "gateway/directory.h"
 
 #include <map>
-#include <string>
 #include <vector>
 
 namespace camphorfield {
--- a/src/runtime/fiber_scheduler.cpp
+++ b/src/runtime/fiber_scheduler.cpp
@@ -3,10 +3,9 @@
 // spinlock.
 #include "runtime/fiber_scheduler.h"
 
-#include "observe/log.h"
+#include "runtime/run_guarded.h"
 
 #include <boost/asio/post.hpp>
-#include <exception>
 
 namespace camphorfield {
 
@@ -16,20 +15,7 @@
 // fibers that wake each other would starve the sockets otherwise.
 constexpr std::uint32_t kPicksBetweenPolls = 32;
 
-/** Runs a step of the event loop. An exception of one callback must not end the
- * process, which serves many others. */
-template<typename Step>
-void
-RunStep(const Step& aStep)
-{
-  try {
-    aStep();
-  } catch (const std::exception& error) {
-    WriteLog(LogLevel::Error,
-             "unexpected error in a callback",
-             { { "reason", error.what() } });
-  }
-}
+constexpr const char* kCallbackError = "unexpected error in a callback";
 
 // A suspending fiber holds the spinlock of what it waits for until the next
 // fiber runs. A handler that is polled in between and takes the same lock would
@@ -65,7 +51,7 @@
   }
   if (++picks_ >= kPicksBetweenPolls && IsDispatcherActive()) {
     picks_ = 0;
-    RunStep([this]() { context_->poll(); });
+    RunGuarded(kCallbackError, [this]() { context_->poll(); });
   }
   boost::fibers::context* next = &ready_.front();
   ready_.pop_front();
@@ -83,7 +69,7 @@
   const std::chrono::steady_clock::time_point& aUntil) noexcept
 {
   picks_ = 0;
-  RunStep([this, &aUntil]() {
+  RunGuarded(kCallbackError, [this, &aUntil]() {
     if (aUntil == std::chrono::steady_clock::time_point::max()) {
       context_->run_one();
     } else {
@@ -91,7 +77,7 @@
     }
   });
   // Also run the other ready handlers, which saves further waits.
-  RunStep([this]() { context_->poll(); });
+  RunGuarded(kCallbackError, [this]() { context_->poll(); });
 }
 
 void
--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -18,8 +18,7 @@
 
 /** Interval at which a follower renews its request for a feed. */
 constexpr Duration kFeedRequestInterval = std::chrono::milliseconds(500);
-/** Without a feed message for this time, a follower tries other sources and the
- * store. */
+/** Without a feed message for this time, a follower tries other sources. */
 constexpr Duration kFeedTimeout = std::chrono::milliseconds(1300);
 /** A follower reads the store itself after this time without a feed, in which
  * it has tried other sources. */
@@ -71,19 +70,19 @@
 void
 GatewayHost::SendFeed(const MemberRecord& aTo,
                       std::uint64_t aIncarnation,
-                      std::uint64_t aNumber)
+                      std::uint64_t aNumber,
+                      Duration aAge)
 {
   // Most followers need the same message, so the latest one is cached.
   const bool whole = NeedsWholeTables(feed_, aIncarnation, aNumber);
-  const Duration age = TableAge();
-  const std::tuple key(feed_.newest_, whole, whole ? 0 : aNumber, age);
+  const std::tuple key(feed_.newest_, whole, whole ? 0 : aNumber, aAge);
   if (encodedFeed_.empty() || encodedKey_ != key) {
     FeedMessage message = MakeFeedMessage(
       feed_,
       { &store_.Table(kConfigTable), &store_.Table(kServersTable) },
       aIncarnation,
       aNumber);
-    message.age_ = age;
+    message.age_ = aAge;
     encodedFeed_ = EncodeFeed(message);
     encodedKey_ = key;
   }
@@ -126,7 +125,7 @@
     return;
   }
   const auto& request = std::get<GenerationRequest>(aMessage.body_);
-  SendFeed(*sender, request.generation_.value_, request.base_.value_);
+  SendFeed(*sender, request.generation_.value_, request.base_.value_, age);
   followers_[aMessage.from_] = FeedFollower{ feed_.newest_, false, expiresAt };
 }
 
@@ -137,7 +136,9 @@
   std::erase_if(followers_, [now](const auto& aItem) {
     return aItem.second.expiresAt_ < now;
   });
-  if (TableAge() > kMaxFeedAge) {
+  // Taken once: the encoded message is cached by it.
+  const Duration age = TableAge();
+  if (age > kMaxFeedAge) {
     return;
   }
   for (auto& [id, follower] : followers_) {
@@ -146,7 +147,8 @@
         (follower.needsWhole_ || follower.number_ < feed_.newest_)) {
       SendFeed(*member,
                follower.needsWhole_ ? 0 : feed_.incarnation_,
-               follower.number_);
+               follower.number_,
+               age);
       follower.number_ = feed_.newest_;
       follower.needsWhole_ = false;
     }
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -28,8 +28,8 @@
 constexpr Duration kHostMaintenanceInterval = std::chrono::milliseconds(250);
 /** The same while a daemon starts: its first reads and connections are due as
  * soon as members and tables are known. */
-constexpr Duration kStartMaintenanceInterval = std::chrono::milliseconds(50);
-constexpr Duration kStartPeriod = std::chrono::seconds(3);
+constexpr Duration kFastMaintenanceInterval = std::chrono::milliseconds(50);
+constexpr Duration kFastMaintenancePeriod = std::chrono::seconds(3);
 /** After a longer suspension of the VM the tables are read anew. */
 constexpr Duration kMinSuspension = std::chrono::milliseconds(500);
 
@@ -372,9 +372,9 @@
   timerExpiry_ = kNever;
   const TimePoint now = ReadClock().mono_;
   if (now >= nextMaintenanceAt_) {
-    nextMaintenanceAt_ =
-      now + (now < role_.startedAt_ + kStartPeriod ? kStartMaintenanceInterval
-                                                   : kHostMaintenanceInterval);
+    nextMaintenanceAt_ = now + (now < role_.startedAt_ + kFastMaintenancePeriod
+                                  ? kFastMaintenanceInterval
+                                  : kHostMaintenanceInterval);
     CheckSuspension();
     LogTraffic();
     UpdateRole();
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -140,7 +140,8 @@
   const MemberRecord* ChooseFeedSource();
   void SendFeed(const MemberRecord& aTo,
                 std::uint64_t aIncarnation,
-                std::uint64_t aNumber);
+                std::uint64_t aNumber,
+                Duration aAge);
   void SendFeedText(const MemberRecord& aTo, const std::string& aText);
   void CheckSuspension();
   void Fulfil(CallerRequestId aId, ProxyAnswer&& aAnswer);
@@ -174,8 +175,8 @@
   TableFeed feed_; ///< Changes sent to followers.
   std::map<DaemonId, FeedFollower> followers_;
   std::string encodedFeed_; ///< Latest message, cached.
-  /** Key of encodedFeed_: newest change, whether it holds whole tables, and
-   * after which change it begins. */
+  /** Key of encodedFeed_: newest change, whether it holds whole tables, after
+   * which change it begins, and the tables' age. */
   std::tuple<std::uint64_t, bool, std::uint64_t, Duration> encodedKey_;
   DaemonId feedSource_; ///< Daemon whose feed this one follows; 0: none.
   std::uint64_t feedSourceIncarnation_ = 0;
--- a/src/runtime/worker.cpp
+++ b/src/runtime/worker.cpp
@@ -2,15 +2,14 @@
 // fiber scheduler runs the event loop whenever no fiber is ready.
 #include "runtime/worker.h"
 
-#include "observe/log.h"
 #include "runtime/fiber_scheduler.h"
+#include "runtime/run_guarded.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/mutex.hpp>
 #include <boost/fiber/operations.hpp>
-#include <exception>
 
 namespace camphorfield {
 
@@ -22,23 +21,6 @@
   bool requested_ = false;
 };
 
-namespace {
-
-/** An exception that leaves a fiber would end the process. */
-void
-RunFiber(const std::function<void()>& aFunction)
-{
-  try {
-    aFunction();
-  } catch (const std::exception& error) {
-    WriteLog(LogLevel::Error,
-             "unexpected error in a fiber",
-             { { "reason", error.what() } });
-  }
-}
-
-} // namespace
-
 Worker::Worker()
   : context_(std::make_shared<boost::asio::io_context>(1))
   , guard_(boost::asio::make_work_guard(*context_))
@@ -74,9 +56,10 @@
 Worker::Spawn(std::function<void()> aFunction)
 {
   Post([function = std::move(aFunction)]() mutable {
-    boost::fibers::fiber(
-      boost::fibers::launch::post,
-      [function = std::move(function)]() { RunFiber(function); })
+    boost::fibers::fiber(boost::fibers::launch::post,
+                         [function = std::move(function)]() {
+                           RunGuarded("unexpected error in a fiber", function);
+                         })
       .detach();
   });
 }
