Codechange: following a feed is part of the core

Cause: the follower's side of a feed stood in the runtime, where no test on the paused clock reaches it. Change: FollowedFeed and TakeFeedMessage in discovery, the host only logs and adopts; all tables of a message are collected before the feed is passed on, since it states the revisions of all of them.

--- /dev/null
+++ b/src/discovery/feed_follower.cpp
@@ -0,0 +1,63 @@
+// Applies the feed of another daemon. Messages may be lost, repeated or come
+// from a source that restarted or that this daemon has left.
+#include "discovery/feed_follower.h"
+
+namespace camphorfield {
+
+namespace {
+
+/** Changes apply only on top of what came from the same incarnation. */
+bool
+IsAcceptable(const FollowedFeed& aFeed,
+             DaemonId aFrom,
+             const FeedMessage& aMessage)
+{
+  return aFrom == aFeed.source_ && aMessage.age_ <= kMaxFeedAge &&
+         (aMessage.whole_ || aMessage.incarnation_ == aFeed.incarnation_);
+}
+
+} // namespace
+
+void
+FollowFeed(FollowedFeed& aFeed, DaemonId aSource)
+{
+  if (aSource == aFeed.source_) {
+    return;
+  }
+  aFeed.source_ = aSource;
+  aFeed.incarnation_ = 0;
+  aFeed.position_ = 0;
+}
+
+FeedEffect
+TakeFeedMessage(FollowedFeed& aFeed,
+                DaemonId aFrom,
+                const FeedMessage& aMessage,
+                const std::vector<TableSync*>& aTables,
+                TimePoint aNow)
+{
+  FeedEffect effect;
+  if (!IsAcceptable(aFeed, aFrom, aMessage)) {
+    return effect;
+  }
+  effect.taken_ = true;
+  aFeed.incarnation_ = aMessage.incarnation_;
+  aFeed.position_ = aMessage.number_;
+  aFeed.receivedAt_ = aNow;
+  aFeed.age_ = aMessage.age_;
+  for (std::size_t i = 0; i < aTables.size(); ++i) {
+    TableSync& table = *aTables[i];
+    if (!ShouldApplyFeed(aMessage, table)) {
+      continue;
+    }
+    if (IsTableFresh(table)) {
+      effect.stalled_.push_back(i);
+    }
+    if (ApplyFeed(aMessage, table)) {
+      effect.changed_.push_back(i);
+    }
+  }
+  return effect;
+}
+
+} // namespace camphorfield
--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -63,7 +63,7 @@
   }
   const bool complete = store_.Table(kConfigTable).complete_ &&
                         store_.Table(kServersTable).complete_;
-  return complete ? ReadClock().mono_ - lastFeedAt_ + feedAge_
+  return complete ? ReadClock().mono_ - followed_.receivedAt_ + followed_.age_
                   : Duration::max();
 }
 
@@ -170,28 +170,20 @@
     storeUnavailableAt_ = ReadClock().mono_;
     return;
   }
-  // Changes apply only on top of what came from the same incarnation.
-  if (aMessage.from_ != feedSource_ || message->age_ > kMaxFeedAge ||
-      (!message->whole_ && message->incarnation_ != feedSourceIncarnation_)) {
-    return;
+  const FeedEffect effect = TakeFeedMessage(
+    followed_,
+    aMessage.from_,
+    *message,
+    { &store_.Table(kConfigTable), &store_.Table(kServersTable) },
+    ReadClock().mono_);
+  AdoptTables(effect.changed_);
+  for (const std::size_t number : effect.stalled_) {
+    WriteLog(LogLevel::Warning,
+             "store watch stalled: a peer has newer revisions",
+             { { "kind", store_.Table(number).kind_ } });
   }
-  feedSourceIncarnation_ = message->incarnation_;
-  feedPosition_ = message->number_;
-  lastFeedAt_ = ReadClock().mono_;
-  feedAge_ = message->age_;
-  for (const std::size_t number : { kConfigTable, kServersTable }) {
-    TableSync& table = store_.Table(number);
-    const bool watchStalled =
-      IsTableFresh(table) && ShouldApplyFeed(*message, table);
-    if (ShouldApplyFeed(*message, table) && ApplyFeed(*message, table)) {
-      AdoptTables(number);
-    }
-    if (watchStalled) {
-      WriteLog(LogLevel::Warning,
-               "store watch stalled: a peer has newer revisions",
-               { { "kind", table.kind_ } });
-      store_.Restart();
-    }
+  if (!effect.stalled_.empty()) {
+    store_.Restart();
   }
 }
 
@@ -202,8 +194,8 @@
 GatewayHost::ChooseFeedSource()
 {
   const DaemonId self = membership_.self_.id_;
-  const bool recent = ReadClock().mono_ - lastFeedAt_ < kFeedTimeout;
-  const MemberRecord* current = FindMember(feedSource_);
+  const bool recent = ReadClock().mono_ - followed_.receivedAt_ < kFeedTimeout;
+  const MemberRecord* current = FindMember(followed_.source_);
   if (recent && current != nullptr && current->state_ == MemberState::Alive) {
     return current;
   }
@@ -221,7 +213,7 @@
   // After a timeout, or a report that the store is unavailable, watchers of
   // other failure domains are candidates too.
   const bool preferSameDomain =
-    feedSource_.value_ == 0 &&
+    followed_.source_.value_ == 0 &&
     ReadClock().mono_ - storeUnavailableAt_ >= kFeedTimeout;
   const std::vector<const MemberRecord*>& candidates =
     preferSameDomain && !sameDomain.empty() ? sameDomain : all;
@@ -250,17 +242,13 @@
   if (source == nullptr) {
     return;
   }
-  if (source->id_ != feedSource_) {
-    feedSource_ = source->id_;
-    feedSourceIncarnation_ = 0;
-    feedPosition_ = 0;
-  }
+  FollowFeed(followed_, source->id_);
   GenerationRequest request;
   request.call_ = PeerCallId{ 1 };
   // A watcher may have skipped earlier feed messages: it requests whole tables.
   request.generation_ =
-    Generation{ role_.isWatcher_ ? 0 : feedSourceIncarnation_ };
-  request.base_ = Generation{ feedPosition_ };
+    Generation{ role_.isWatcher_ ? 0 : followed_.incarnation_ };
+  request.base_ = Generation{ followed_.position_ };
   SendToPeer(
     SendPeer{ source->id_, source->peerAddress_, request, PeerCallId{} });
 }
@@ -282,8 +270,9 @@
   // store to the watchers, which notice its return, until the fallback time.
   const bool storeUnavailable =
     now - storeUnavailableAt_ < kFeedTimeout &&
-    now - lastFeedAt_ < kStoreFallbackAfter + storeFallbackJitter_;
-  const bool hasFeed = now - lastFeedAt_ < kStoreReadAfter || storeUnavailable;
+    now - followed_.receivedAt_ < kStoreFallbackAfter + storeFallbackJitter_;
+  const bool hasFeed =
+    now - followed_.receivedAt_ < kStoreReadAfter || storeUnavailable;
   const bool joining = now < role_.startedAt_ + kFirstFeedTimeout;
   // Before the first sync, few members are known.
   const bool membersKnown = MembershipIsSynced(membership_) || !joining;
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -380,7 +380,7 @@
     UpdateRole();
     RequestFeed();
     if (DropLapsed(store_.Table(kServersTable), now).changed_) {
-      AdoptTables(kServersTable);
+      AdoptTables({ kServersTable });
     }
   }
   if (now >= MembershipNextWake(membership_)) {
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -1,6 +1,7 @@
 /** Feeds events to a gateway's decision core and executes its decisions. */
 #pragma once
 
+#include "discovery/feed_follower.h"
 #include "discovery/table_feed.h"
 #include "discovery/table_sync.h"
 #include "gateway/fleet_role.h"
@@ -126,7 +127,7 @@
   void OnFrame(const std::string& aPayload);
   void OnMembers(const std::vector<MemberRecord>& aMembers);
   void OnTable(std::size_t aTable, const TableChange& aChange);
-  void AdoptTables(std::size_t aTable);
+  void AdoptTables(const std::vector<std::size_t>& aTables);
   void AdoptConfig();
   void AdoptServers();
   void HandleFeedRequest(const PeerMessage& aMessage);
@@ -178,13 +179,9 @@
   /** Key of encodedFeed_: newest change, whether it holds whole tables, after
    * which change it begins, and the tables' age. */
   std::tuple<std::uint64_t, bool, std::uint64_t, Duration> encodedKey_;
-  DaemonId feedSource_; ///< Daemon whose feed this one follows; 0: none.
-  std::uint64_t feedSourceIncarnation_ = 0;
-  std::uint64_t feedPosition_ = 0; ///< Newest change received from it.
+  FollowedFeed followed_;          ///< Feed that this daemon follows.
   TimePoint storeUnavailableAt_{}; ///< A source reported the store down.
   Duration storeFallbackJitter_{}; ///< Added to kStoreFallbackAfter.
-  TimePoint lastFeedAt_{};         ///< Time of the latest feed message.
-  Duration feedAge_{};             ///< Age of the tables in that message.
   Duration totalSuspension_{};     ///< Total time that the VM was suspended.
   bool stopping_ = false;
   PeerTraffic traffic_;
--- a/src/runtime/gateway_tables.cpp
+++ b/src/runtime/gateway_tables.cpp
@@ -22,24 +22,28 @@
     WriteLog(LogLevel::Info, "store available again", { { "kind", kind } });
   }
   if (aChange.changed_) {
-    AdoptTables(aTable);
+    AdoptTables({ aTable });
   }
   ArmTimer();
 }
 
+// The feed states the revisions of all tables, so the changes of all of them
+// are collected before it is sent.
 void
-GatewayHost::AdoptTables(std::size_t aTable)
+GatewayHost::AdoptTables(const std::vector<std::size_t>& aTables)
 {
-  if (!store_.Table(aTable).complete_) {
-    return;
-  }
-  if (aTable == kConfigTable) {
-    AdoptConfig();
-  } else {
-    AdoptServers();
+  for (const std::size_t number : aTables) {
+    if (!store_.Table(number).complete_) {
+      continue;
+    }
+    if (number == kConfigTable) {
+      AdoptConfig();
+    } else {
+      AdoptServers();
+    }
+    CollectChanges(feed_, store_.Table(number));
   }
   MembershipSetReady(membership_, IsReady());
-  CollectChanges(feed_, store_.Table(aTable));
   PushFeed();
 }
 
