Add: log lines and counters of the spread of tables

Change: a feed message says which change it follows, so a follower logs and counts what it missed; a complete read logs the revisions before and after; a configuration that stays behind another daemon's for a second is logged and counted. No decision uses any of it.

--- a/src/discovery/feed_follower.cpp
+++ b/src/discovery/feed_follower.cpp
@@ -41,6 +41,7 @@
     return effect;
   }
   effect.taken_ = true;
+  effect.missed_ = !aMessage.whole_ && aMessage.follows_ > aFeed.position_;
   aFeed.incarnation_ = aMessage.incarnation_;
   aFeed.position_ = aMessage.number_;
   aFeed.receivedAt_ = aNow;
--- a/src/discovery/feed_follower.h
+++ b/src/discovery/feed_follower.h
@@ -23,7 +23,8 @@
 /** Effect of a message on the tables, by their index. */
 struct FeedEffect
 {
-  bool taken_ = false;               ///< False: it was ignored.
+  bool taken_ = false;  ///< False: it was ignored.
+  bool missed_ = false; ///< Changes between the position and it are missing.
   std::vector<std::size_t> changed_; ///< Tables with other objects than before.
   /** Tables whose open watch of the store missed what the message contains. */
   std::vector<std::size_t> stalled_;
--- a/src/discovery/table_feed.cpp
+++ b/src/discovery/table_feed.cpp
@@ -171,6 +171,7 @@
     }
   }
   if (!message.whole_) {
+    message.follows_ = aNumber;
     for (const FeedChange& change : aFeed.changes_) {
       if (change.number_ > aNumber) {
         message.changes_.push_back(change);
@@ -231,6 +232,7 @@
   return Compress(
     json::serialize(json::object{ { "life", aMessage.incarnation_ },
                                   { "number", aMessage.number_ },
+                                  { "follows", aMessage.follows_ },
                                   { "whole", aMessage.whole_ },
                                   { "behind", aMessage.storeUnavailable_ },
                                   { "age", aMessage.age_.count() },
@@ -251,6 +253,7 @@
     const json::object& object = document.as_object();
     message.incarnation_ = object.at("life").to_number<std::uint64_t>();
     message.number_ = object.at("number").to_number<std::uint64_t>();
+    message.follows_ = object.at("follows").to_number<std::uint64_t>();
     message.whole_ = object.at("whole").as_bool();
     message.storeUnavailable_ = object.at("behind").as_bool();
     message.age_ = Duration(object.at("age").to_number<std::int64_t>());
--- a/src/discovery/table_feed.h
+++ b/src/discovery/table_feed.h
@@ -45,6 +45,7 @@
 {
   std::uint64_t incarnation_ = 0;
   std::uint64_t number_ = 0;      ///< Of the newest change included.
+  std::uint64_t follows_ = 0;     ///< Newest change that it doesn't repeat.
   bool whole_ = false;            ///< Contains whole tables, not changes.
   bool storeUnavailable_ = false; ///< The sender can't reach the store.
   Duration age_{}; ///< Since a watcher knew the tables to be up to date.
--- a/src/discovery/table_sync.cpp
+++ b/src/discovery/table_sync.cpp
@@ -166,6 +166,7 @@
   const bool watch = aReply.op_ == StoreOp::Watch;
   if (!watch) {
     change.changed_ = true;
+    change.read_ = !aReply.more_;
     ApplyPage(aTable, std::move(aReply), aNow);
   } else if (aTable.watching_) {
     change.changed_ = !aReply.changes_.empty();
--- a/src/discovery/table_sync.h
+++ b/src/discovery/table_sync.h
@@ -104,6 +104,7 @@
 struct TableChange
 {
   bool changed_ = false;  ///< objects_ or complete_ changed.
+  bool read_ = false;     ///< A complete read of the table has ended.
   bool lost_ = false;     ///< First failure after a success.
   bool regained_ = false; ///< First success after a failure.
 };
--- a/src/ops/gateway_metrics.cpp
+++ b/src/ops/gateway_metrics.cpp
@@ -42,12 +42,31 @@
   { "camphorfield_gateway_ejections_total",        "Servers set aside",                           &GatewayStats::ejections_ },
   { "camphorfield_gateway_garbled_total",          "Answers that belong to no request",           &GatewayStats::garbled_ },
 };
+
+/** Counter of the spread of tables. */
+struct SyncCounterRow
+{
+  const char* name_;
+  const char* help_;
+  std::uint64_t TableSyncStats::*value_;
+};
+
+constexpr SyncCounterRow kSyncCounters[] = {
+  { "camphorfield_gateway_feed_gaps_total",        "Feed messages after ones that were lost",     &TableSyncStats::feedGaps_ },
+  { "camphorfield_gateway_whole_tables_total",     "Whole tables taken from another gateway",     &TableSyncStats::wholeTables_ },
+  { "camphorfield_gateway_stalled_watches_total",  "Watches of the store that a peer was ahead of", &TableSyncStats::stalledWatches_ },
+  { "camphorfield_gateway_config_lags_total",      "Times that the configuration was behind",     &TableSyncStats::configLags_ },
+};
 // clang-format on
 
+/** Registers the counters of a table whose values are members of aStats. */
+template<typename Row, typename Stats, std::size_t N>
 void
-AddCounters(prometheus::Registry& aRegistry, const GatewayStats& aStats)
+AddCounterRows(prometheus::Registry& aRegistry,
+               const Row (&aRows)[N],
+               const Stats& aStats)
 {
-  for (const CounterRow& row : kCounters) {
+  for (const Row& row : aRows) {
     prometheus::BuildCounter()
       .Name(row.name_)
       .Help(row.help_)
@@ -55,6 +74,12 @@
       .Add({})
       .Increment(static_cast<double>(aStats.*row.value_));
   }
+}
+
+void
+AddCounters(prometheus::Registry& aRegistry, const GatewayStats& aStats)
+{
+  AddCounterRows(aRegistry, kCounters, aStats);
   auto& outcomes = prometheus::BuildCounter()
                      .Name("camphorfield_gateway_requests_total")
                      .Help("Requests by outcome")
@@ -120,6 +145,7 @@
   prometheus::Registry registry;
   const GatewayState& state = aHost.State();
   AddCounters(registry, state.stats_);
+  AddCounterRows(registry, kSyncCounters, aHost.SyncStats());
   AddGauges(registry, aHost);
   std::vector<prometheus::MetricFamily> families = registry.Collect();
   prometheus::MetricFamily latency;
--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -34,6 +34,8 @@
 constexpr Duration kFollowerTtl = std::chrono::seconds(3);
 /** A feed is requested once the store has been failing for this time. */
 constexpr Duration kPeerFallbackAfter = std::chrono::milliseconds(200);
+/** A configuration older than another daemon's for this time is logged. */
+constexpr Duration kConfigLagToLog = std::chrono::seconds(1);
 
 } // namespace
 
@@ -170,12 +172,22 @@
     storeUnavailableAt_ = ReadClock().mono_;
     return;
   }
+  const std::uint64_t position = followed_.position_;
   const FeedEffect effect = TakeFeedMessage(
     followed_,
     aMessage.from_,
     *message,
     { &store_.Table(kConfigTable), &store_.Table(kServersTable) },
     ReadClock().mono_);
+  if (effect.missed_) {
+    ++syncStats_.feedGaps_;
+    WriteLog(LogLevel::Warning,
+             "table changes missed",
+             { { "source", std::to_string(aMessage.from_.value_) },
+               { "position", std::to_string(position) },
+               { "follows", std::to_string(message->follows_) } });
+  }
+  syncStats_.wholeTables_ += effect.taken_ && message->whole_ ? 1 : 0;
   AdoptTables(effect.changed_);
   for (const std::size_t number : effect.stalled_) {
     WriteLog(LogLevel::Warning,
@@ -183,6 +195,7 @@
              { { "kind", store_.Table(number).kind_ } });
   }
   if (!effect.stalled_.empty()) {
+    ++syncStats_.stalledWatches_;
     store_.Restart();
   }
 }
@@ -253,6 +266,38 @@
     SendPeer{ source->id_, source->peerAddress_, request, PeerCallId{} });
 }
 
+// Another daemon's version is known by gossip before its tables arrive, so a
+// lag of some hundred milliseconds is usual.
+void
+GatewayHost::TrackConfigLag()
+{
+  const TimePoint now = ReadClock().mono_;
+  const std::uint64_t version =
+    gateway_.config_ == nullptr ? 0 : gateway_.config_->version_;
+  if (newestKnownVersion_ <= version) {
+    if (configLag_.logged_) {
+      WriteLog(LogLevel::Info,
+               "configuration no longer behind",
+               { { "version", std::to_string(version) } });
+    }
+    configLag_ = ConfigLag{};
+    return;
+  }
+  configLag_.since_ = std::min(configLag_.since_, now);
+  if (!configLag_.logged_ && now - configLag_.since_ > kConfigLagToLog) {
+    configLag_.logged_ = true;
+    ++syncStats_.configLags_;
+    WriteLog(
+      LogLevel::Warning,
+      "configuration behind another daemon's",
+      { { "version", std::to_string(version) },
+        { "newest", std::to_string(newestKnownVersion_) },
+        { "source", std::to_string(followed_.source_.value_) },
+        { "feed_millis",
+          std::to_string((now - followed_.receivedAt_).count() / 1000) } });
+  }
+}
+
 // A daemon that isn't a watcher reads the store only while it has no feed.
 void
 GatewayHost::UpdateRole()
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -377,6 +377,7 @@
                                   : kHostMaintenanceInterval);
     CheckSuspension();
     LogTraffic();
+    TrackConfigLag();
     UpdateRole();
     RequestFeed();
     if (DropLapsed(store_.Table(kServersTable), now).changed_) {
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -60,6 +60,22 @@
   std::uint64_t crossDomain_ = 0; ///< Share of both to other failure domains.
 };
 
+/** Counters of the spread of tables since the process started. */
+struct TableSyncStats
+{
+  std::uint64_t feedGaps_ = 0;       ///< Messages after ones that were lost.
+  std::uint64_t wholeTables_ = 0;    ///< Whole tables taken from a peer.
+  std::uint64_t stalledWatches_ = 0; ///< Watches that a peer was ahead of.
+  std::uint64_t configLags_ = 0;     ///< Times that the configuration lagged.
+};
+
+/** How long a newer configuration has been known to be in force elsewhere. */
+struct ConfigLag
+{
+  TimePoint since_ = kNever; ///< kNever: not behind.
+  bool logged_ = false;
+};
+
 /** Daemon that receives this daemon's table changes. */
 struct FeedFollower
 {
@@ -110,6 +126,7 @@
   std::size_t InFlight() const;
   const GatewayState& State() const { return gateway_; }
   std::uint64_t StoreCalls() const { return store_.Calls(); }
+  const TableSyncStats& SyncStats() const { return syncStats_; }
 
 private:
   using Promise = boost::fibers::promise<ProxyAnswer>;
@@ -135,6 +152,7 @@
   void PushFeed();
   void RequestFeed();
   void UpdateRole();
+  void TrackConfigLag();
   bool IsFresh();
   Duration TableAge();
   const MemberRecord* FindMember(DaemonId aId) const;
@@ -172,6 +190,8 @@
   std::uint64_t newestKnownVersion_ = 0; ///< Configuration of any member.
   /** Decoded servers with their revision, by name; empty id: malformed. */
   std::map<std::string, std::pair<std::uint64_t, BackendEntry>> entries_;
+  ConfigLag configLag_;
+  TableSyncStats syncStats_;
   FleetRole role_;
   TableFeed feed_; ///< Changes sent to followers.
   std::map<DaemonId, FeedFollower> followers_;
--- a/src/runtime/gateway_tables.cpp
+++ b/src/runtime/gateway_tables.cpp
@@ -21,6 +21,15 @@
   if (aChange.regained_) {
     WriteLog(LogLevel::Info, "store available again", { { "kind", kind } });
   }
+  if (aChange.read_) {
+    const TableSync& table = store_.Table(aTable);
+    WriteLog(LogLevel::Info,
+             "table read from the store",
+             { { "kind", kind },
+               { "objects", std::to_string(table.objects_.size()) },
+               { "read_revision", std::to_string(table.pageRevision_) },
+               { "revision", std::to_string(table.revision_) } });
+  }
   if (aChange.changed_) {
     AdoptTables({ aTable });
   }
