Fix: an older copy of the tables neither hides a removal nor undoes a change

Cause: whole tables were taken or refused as a whole by their revision, but a follower that refused them went on from the new source's position; entries kept for a while after an outage made the revision say more than the content. A removal carried no revision, so a source that is behind could remove what had been written since. Same class: a position or revision that the content does not have. Change: a copy is merged object by object, and a removal carries the revision as of which the object is gone.

--- a/src/discovery/table_feed.cpp
+++ b/src/discovery/table_feed.cpp
@@ -38,6 +38,19 @@
          ImportTable(aTable, std::move(objects), revision->second);
 }
 
+/** Removes an object unless it has been written after the removal. */
+bool
+RemoveUpTo(TableSync& aTable, const StoreObject& aRemoved)
+{
+  const auto known = aTable.objects_.find(aRemoved.name_);
+  if (known == aTable.objects_.end() ||
+      known->second.revision_ > aRemoved.revision_) {
+    return false;
+  }
+  aTable.objects_.erase(known);
+  return true;
+}
+
 constexpr std::size_t kLengthBytes = 4; ///< Prefix of the compressed text.
 
 /** Returns the length of the text in big-endian order and a zlib stream. */
@@ -92,12 +105,12 @@
 {
   const StoreChange& change = aChange.change_;
   json::object object{ { "kind", aChange.kind_ },
-                       { "name", change.object_.name_ } };
+                       { "name", change.object_.name_ },
+                       { "revision", change.object_.revision_ } };
   if (change.removed_) {
     object["removed"] = true;
     return object;
   }
-  object["revision"] = change.object_.revision_;
   object["text"] = change.object_.text_;
   return object;
 }
@@ -110,9 +123,9 @@
   change.kind_ = std::string(aObject.at("kind").as_string());
   change.change_.object_.name_ = std::string(aObject.at("name").as_string());
   change.change_.removed_ = aObject.contains("removed");
+  StoreObject& object = change.change_.object_;
+  object.revision_ = aObject.at("revision").to_number<std::uint64_t>();
   if (!change.change_.removed_) {
-    StoreObject& object = change.change_.object_;
-    object.revision_ = aObject.at("revision").to_number<std::uint64_t>();
     object.text_ = std::string(aObject.at("text").as_string());
   }
   return change;
@@ -130,7 +143,9 @@
       ++next;
       continue;
     }
-    AddChange(aFeed, aTable.kind_, { { next->first, 0, "" }, true });
+    // As of this revision the object is gone.
+    AddChange(
+      aFeed, aTable.kind_, { { next->first, aTable.revision_, "" }, true });
     next = published.erase(next);
   }
   for (const auto& [name, object] : aTable.objects_) {
@@ -202,12 +217,15 @@
     }
     const StoreObject& object = item.change_.object_;
     if (item.change_.removed_) {
-      changed = aTable.objects_.erase(object.name_) > 0 || changed;
+      changed = RemoveUpTo(aTable, object) || changed;
       continue;
     }
-    StoreObject& known = aTable.objects_[object.name_];
-    if (known.revision_ < object.revision_) {
-      known = object;
+    const auto known = aTable.objects_.find(object.name_);
+    const bool outdated = known == aTable.objects_.end()
+                            ? object.revision_ <= aTable.revision_
+                            : object.revision_ <= known->second.revision_;
+    if (!outdated) {
+      aTable.objects_[object.name_] = object;
       changed = true;
     }
   }
--- a/src/discovery/table_sync.cpp
+++ b/src/discovery/table_sync.cpp
@@ -3,6 +3,7 @@
 #include "discovery/table_sync.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace camphorfield {
@@ -230,22 +231,40 @@
          aTable.failures_ == 0;
 }
 
+// A copy holds all objects as of its revision, so an older object that it lacks
+// has been removed, even if the copy as a whole is behind this table.
 bool
 ImportTable(TableSync& aTable,
             std::vector<StoreObject>&& aObjects,
             std::uint64_t aRevision)
 {
-  if (aTable.complete_ && aRevision <= aTable.revision_) {
-    return false;
+  bool changed = !aTable.complete_;
+  std::set<std::string> names;
+  for (const StoreObject& object : aObjects) {
+    names.insert(object.name_);
   }
-  aTable.objects_.clear();
-  aTable.lapsed_.clear();
+  changed = std::erase_if(aTable.objects_,
+                          [&names, aRevision](const auto& aItem) {
+                            return aItem.second.revision_ <= aRevision &&
+                                   names.count(aItem.first) == 0;
+                          }) > 0 ||
+            changed;
   for (StoreObject& object : aObjects) {
-    aTable.objects_[object.name_] = std::move(object);
+    const auto known = aTable.objects_.find(object.name_);
+    const bool outdated = known == aTable.objects_.end()
+                            ? WasRemovedSince(aTable, object, aRevision)
+                            : known->second.revision_ >= object.revision_;
+    if (!outdated) {
+      aTable.objects_[object.name_] = std::move(object);
+      changed = true;
+    }
   }
-  aTable.revision_ = aRevision;
+  std::erase_if(aTable.lapsed_, [&aTable](const auto& aItem) {
+    return aTable.objects_.count(aItem.first) == 0;
+  });
+  aTable.revision_ = std::max(aTable.revision_, aRevision);
   aTable.complete_ = true;
-  return true;
+  return changed;
 }
 
 } // namespace camphorfield
--- a/src/discovery/table_sync.h
+++ b/src/discovery/table_sync.h
@@ -133,8 +133,9 @@
 IsTableFresh(const TableSync& aTable);
 
 /**
- * Replaces the table by the copy of another daemon.
- * @return False when the copy is not newer than the table.
+ * Merges the complete copy of another daemon into the table.
+ * @param aRevision Of the store, that the copy reflects.
+ * @return False when nothing changed.
  */
 bool
 ImportTable(TableSync& aTable,
--- a/tests/discovery/feed_follower_test.cpp
+++ b/tests/discovery/feed_follower_test.cpp
@@ -179,6 +179,59 @@
   }
 }
 
+// An entry that a source keeps for a while after an outage of the store is in
+// its tables although the revision is past the entry's removal.
+TEST(FeedFollower, ServerThatLeftStaysInUseAfterAChangeOfSource)
+{
+  for (const std::uint64_t revision : { 18, 20, 22 }) {
+    Store store;
+    store.Put(kConfig, "main");
+    store.Put(kServers, "a");
+    Source first(1);
+    Source second(2);
+    Follower follower;
+    first.Read(store);
+    first.tables_[kServers].objects_["left"] = { "left", 5, "{}" };
+    second.Read(store);
+    first.tables_[kServers].revision_ = 20;
+    second.tables_[kServers].revision_ = revision;
+    CollectChanges(first.feed_, first.tables_[kServers]);
+    follower.Request(first);
+    follower.Request(second);
+    CHECK_TEXT(follower == store, std::to_string(revision).c_str());
+  }
+}
+
+// A copy that is behind must not undo what is known already.
+TEST(FeedFollower, OlderTablesOfAnotherSourceUndoNothing)
+{
+  Store store;
+  store.Put(kConfig, "main");
+  store.Put(kServers, "a");
+  store.Put(kServers, "b");
+  Source behind(1);
+  Source ahead(2);
+  behind.Read(store);
+  store.Put(kConfig, "main");
+  store.Remove(kServers, "a");
+  store.Put(kServers, "c");
+  ahead.Read(store);
+  Follower follower;
+  follower.Request(ahead);
+  follower.Request(behind);
+  CHECK_TRUE(follower == store);
+  // Its change that lags removes what has been registered again since.
+  store.Put(kServers, "a");
+  ahead.Read(store);
+  follower.Request(ahead);
+  follower.Request(behind);
+  behind.tables_[kServers].objects_.erase("a");
+  ++behind.tables_[kServers].revision_;
+  CollectChanges(behind.feed_, behind.tables_[kServers]);
+  follower.Take(behind, behind.Push());
+  CHECK_TRUE(follower == store);
+}
+
 // Renewals are frequent, so the copy may differ only while they are lost.
 TEST(FeedFollower, CopiesDifferForGoodAfterLostMessages)
 {
