--- a/src/gateway/backend_health.cpp
+++ b/src/gateway/backend_health.cpp
@@ -3,6 +3,7 @@
 // good.
 #include "gateway/gateway_internal.h"
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <cmath>
 
@@ -110,6 +111,33 @@
   }
 }
 
+// An answer without a proof may come from anywhere, and says nothing.
+void
+RecordRequestLimit(GatewayStep& aStep,
+                   Backend& aBackend,
+                   const BackendAnswer& aAnswer)
+{
+  const bool known = aBackend.rateLimit_.perSecond_.has_value();
+  const bool named = aAnswer.requestLimit_.has_value();
+  if (!named && (!known || (aAnswer.proof_.empty() && !aAnswer.notRun_))) {
+    return;
+  }
+  if (named != known) {
+    aStep.state_.stats_.limits_ += named ? 1 : 0;
+    aStep.out_.emplace_back(BackendRecord{
+      aBackend.entry_.id_,
+      aBackend.entry_.service_,
+      named ? "limited" : "unlimited",
+      named ? absl::StrCat("takes ", *aAnswer.requestLimit_, " requests/s")
+            : "names no limit any more" });
+  }
+  UpdateRateLimit(aBackend.rateLimit_,
+                  aAnswer.requestLimit_,
+                  aStep.state_.limitShare_,
+                  aStep.Time(),
+                  aStep.rng_);
+}
+
 void
 RecordShed(GatewayStep& aStep, Backend& aBackend)
 {
--- a/src/gateway/fleet_role.h
+++ b/src/gateway/fleet_role.h
@@ -17,6 +17,8 @@
   std::uint32_t connectionShares_ = 1;
   /** Part of the retry budget's slack that this daemon may use, 0 to 1. */
   double slackFraction_ = 0.0;
+  /** Part of the servers' request limits that this daemon may use, 0 to 1. */
+  double limitShare_ = 1.0;
 
   TimePoint startedAt_{};
   TimePoint grownAt_{};       ///< Latest growth of the member list by a part.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -125,6 +125,7 @@
 {
   aState.daemons_ = std::max(aRole.connectionShares_, 1U);
   aState.slackFraction_ = aRole.slackFraction_;
+  aState.limitShare_ = aRole.limitShare_;
   aState.preconnect_ = aRole.isEntryDaemon_;
 }
 
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -7,6 +7,7 @@
 #include "core/timer_heap.h"
 #include "gateway/gateway_const.h"
 #include "gateway/gateway_type.h"
+#include "gateway/rate_limit.h"
 #include "gateway/retry_budget.h"
 
 #include <array>
@@ -98,6 +99,7 @@
   TimePoint connectAfter_{};
   ReportedLoad load_;
   TimePoint loadAt_{};
+  RateLimit rateLimit_;
 };
 
 /** Order of waiting parts: late requests last, then by priority, then by time;
@@ -246,6 +248,9 @@
   std::uint64_t shed_ = 0; ///< Answers that report "not run".
   std::uint64_t ejections_ = 0;
   std::uint64_t garbled_ = 0; ///< Invalid or unrequested answers.
+  std::uint64_t limits_ = 0;  ///< Times that a server began to name a limit.
+  /** Requests rejected because servers' limits left no room in time. */
+  std::uint64_t limitRejections_ = 0;
 };
 
 /** State of the gateway. */
@@ -270,6 +275,7 @@
   std::vector<BrokenConnection> broken_;
   std::uint32_t daemons_ = 1;  ///< Daemons sharing servers' connections.
   double slackFraction_ = 0.0; ///< Own part of the retry budget's slack.
+  double limitShare_ = 1.0;    ///< Own part of servers' request limits.
   double cpuLoad_ = 0.0;       ///< Estimated processor use, as a share.
   TimePoint cpuLoadAt_{};
   std::uint64_t sendsAtCpuLoad_ = 0; ///< Sends counted at cpuLoadAt_.
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -90,6 +90,12 @@
               Backend& aBackend,
               const std::string& aReason);
 
+/** Takes the request limit that an answer of a server names. */
+void
+RecordRequestLimit(GatewayStep& aStep,
+                   Backend& aBackend,
+                   const BackendAnswer& aAnswer);
+
 /** Records that a server rejected a request for lack of capacity. */
 void
 RecordShed(GatewayStep& aStep, Backend& aBackend);
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -180,6 +181,9 @@
   bool closing_ = false;  ///< The server closes the connection.
   Duration keepAlive_{};  ///< Idle timeout of the server; zero: not stated.
   ReportedLoad load_;
+  /** Requests a second that the server takes from all daemons together; none:
+   * as many as come. */
+  std::optional<double> requestLimit_;
   std::vector<MessageField> fields_; ///< End-to-end fields.
   std::string body_;
 };
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -42,6 +42,7 @@
     FleetRole role;
     role.isEntryDaemon_ = true;
     role.connectionShares_ = static_cast<std::uint32_t>(aDaemons);
+    role.limitShare_ = 1.0 / static_cast<double>(aDaemons);
     role.slackFraction_ = 1.0 / static_cast<double>(aDaemons);
     GatewaySetRole(daemons_.back().state_, role);
   }
@@ -268,6 +269,7 @@
     return;
   }
   ++server.arrivals_;
+  server.arrivalTimes_.push_back(now_);
   if (server.fault_ == ModelFault::Silent) {
     return;
   }
@@ -276,6 +278,7 @@
     BackendAnswer shed;
     shed.status_ = 503;
     shed.notRun_ = true;
+    shed.requestLimit_ = server.limit_;
     Reply(aConnection, std::move(shed));
     return;
   }
@@ -378,6 +381,7 @@
                   static_cast<std::uint32_t>(server.running_.size()),
                   static_cast<std::uint32_t>(server.waiting_.size()),
                   server.slots_ };
+  answer.requestLimit_ = server.limit_;
   answer.body_.assign(16, 'r');
   switch (server.fault_) {
     case ModelFault::Silent:
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -45,6 +45,8 @@
   /** Connections that were idle for longer are dropped silently: the next
    * request on them is reset. Zero: never. */
   Duration dropsIdle_{};
+  std::optional<double> limit_; ///< Requests a second, named in answers.
+  std::vector<TimePoint> arrivalTimes_;
   bool draining_ = false;
   bool crashesOn_ = false; ///< Crashes on paths with "poison".
   std::uint32_t connections_ = 0;
