Add: an answer that breaks off in its head is none, byte by byte

Looked at: a backend connection delivers only when the parser has seen the whole head; an end before it closes the attempt as broken, which a non-idempotent request is not sent again for. Not found here.

--- a/tests/runtime/backend_link_test.cpp
+++ b/tests/runtime/backend_link_test.cpp
@@ -197,6 +197,23 @@
   }
 }
 
+TEST(BackendLink, AnAnswerCutInItsHeadPassesForAWholeOne)
+{
+  const std::string head =
+    std::string(kOk) + "A: b\r\nContent-Length: 0\r\n\r\n";
+  const std::string open = std::string(kOk) + "Connection: close\r\n\r\n";
+  for (const std::string& text : { head, open }) {
+    for (const bool reset : { false, true }) {
+      for (std::size_t length = 0; length < text.size(); ++length) {
+        const Seen seen = Exchange({ "", text.substr(0, length), "", reset });
+        LONGS_EQUAL_TEXT(
+          0, seen.answers_.size(), text.substr(0, length).c_str());
+        CHECK_TRUE(seen.end_.has_value());
+      }
+    }
+  }
+}
+
 // Each is cut off after a bounded number of bytes, with no answer delivered.
 TEST(BackendLink, EndlessBytesAreCutOff)
 {
