Fix: a planned stop answers every request that it has taken

Cause: the process served until 62% of the grace and on open connections until its exit, which came at 90%, or 50 ms after nothing was in flight, whatever arrived in between. Change: from half of the grace on requests that may not be repeated, and others once less than twice their objective is left, get 503 stopping (not run); what is in flight at 87% is answered; before the last writes everything else is rejected. Evidence: Stop.LateRequestsAreCutWithoutAnAnswer fails without the stop in the core ('before, once' has no answer at 90%) and passes with it.

--- a/src/app/gateway_cmd.cpp
+++ b/src/app/gateway_cmd.cpp
@@ -31,6 +31,10 @@
 /** Share of the shutdown grace after which the process exits, even with
  * requests in flight. */
 constexpr double kExitGraceShare = 0.9;
+/** Share after which requests that may not be repeated are rejected. */
+constexpr double kUnrepeatableGraceShare = 0.5;
+/** Share after which no request is left without an answer. */
+constexpr double kAnswerGraceShare = 0.87;
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(50);
 constexpr Duration kMaxRequestTime = std::chrono::seconds(60);
 
@@ -65,6 +69,7 @@
   void Stop();
   void Drain();
   void Reload();
+  TimePoint AfterGraceShare(double aShare) const;
 
   platform::ProcessSettings settings_;
   WorkerPool& pool_;
@@ -75,6 +80,7 @@
   HttpServer metrics_;
   boost::asio::signal_set signals_;
   bool stopping_ = false;
+  TimePoint stopBegunAt_{};
   std::promise<int> ended_;
 };
 
@@ -182,13 +188,24 @@
     });
 }
 
+/** Time at which a share of the shutdown grace has passed. */
+TimePoint
+GatewayProcess::AfterGraceShare(double aShare) const
+{
+  return stopBegunAt_ +
+         Duration(static_cast<std::int64_t>(
+           static_cast<double>(settings_.stopGrace_.count()) * aShare));
+}
+
 void
 GatewayProcess::Stop()
 {
   WriteLog(LogLevel::Info,
            "graceful shutdown begins",
            { { "in_flight", std::to_string(host_.InFlight()) } });
-  host_.BeginStop();
+  stopBegunAt_ = ReadClock().mono_;
+  host_.BeginStop({ AfterGraceShare(kUnrepeatableGraceShare),
+                    AfterGraceShare(kAnswerGraceShare) });
   callers_.BeginClosing();
   pool_.At(0).Spawn([this]() { Drain(); });
 }
@@ -198,21 +215,18 @@
 void
 GatewayProcess::Drain()
 {
-  const TimePoint begun = ReadClock().mono_;
-  const auto after = [this, begun](double aShare) {
-    return begun +
-           Duration(static_cast<std::int64_t>(
-             static_cast<double>(settings_.stopGrace_.count()) * aShare));
-  };
-  while (ReadClock().mono_ < after(kAcceptGraceShare)) {
+  while (ReadClock().mono_ < AfterGraceShare(kAcceptGraceShare)) {
     boost::this_fiber::sleep_for(kDrainPollInterval);
   }
   callers_.StopAccepting();
   // The requests of connections accepted last are still to be read.
   do {
     boost::this_fiber::sleep_for(kDrainPollInterval);
-  } while (ReadClock().mono_ < after(kExitGraceShare) && host_.InFlight() > 0);
-  // Leave time to write the last answers.
+  } while (ReadClock().mono_ < AfterGraceShare(kExitGraceShare) &&
+           host_.InFlight() > 0);
+  // Leave time to write the last answers; a request that arrives meanwhile is
+  // no longer passed on.
+  host_.EndStop();
   boost::this_fiber::sleep_for(kDrainPollInterval);
   WriteLog(LogLevel::Info,
            "graceful shutdown ends",
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -231,6 +231,14 @@
   std::uint64_t fingerprint_ = 0;
 };
 
+/** Planned end of the process. */
+struct PlannedStop
+{
+  /** Until then requests that may not be repeated are taken. */
+  TimePoint unrepeatableUntil_ = kNever;
+  TimePoint answeredBy_ = kNever; ///< All requests are answered; kNever: none.
+};
+
 /** Counters since the start of the daemon. */
 struct GatewayStats
 {
@@ -281,7 +289,8 @@
   double cpuLoad_ = 0.0;       ///< Estimated processor use, as a share.
   TimePoint cpuLoadAt_{};
   std::uint64_t sendsAtCpuLoad_ = 0; ///< Sends counted at cpuLoadAt_.
-  bool preconnect_ = true;           ///< Open connections ahead of requests.
+  PlannedStop stop_;
+  bool preconnect_ = true; ///< Open connections ahead of requests.
   GatewayStats stats_;
 };
 
--- a/src/gateway/gateway_func.h
+++ b/src/gateway/gateway_func.h
@@ -103,6 +103,11 @@
 std::uint32_t
 GatewayCpuLoad(const GatewayState& aState);
 
+/** Answers all requests before the process ends, and rejects those that could
+ * hardly be answered by then. */
+void
+GatewayBeginStop(GatewayState& aState, const PlannedStop& aStop);
+
 /** Number of requests without an answer. */
 std::size_t
 GatewayInFlight(const GatewayState& aState);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -265,6 +265,17 @@
 Duration
 ChooseRetryAfter(const GatewayRoute& aRoute, Rng& aRng);
 
+// planned_stop.cpp
+
+/** Whether a request can be expected to be answered before the process ends.
+ * @param aTimeout Time until the request's deadline.
+ */
+bool
+CanFinishBeforeStop(const PlannedStop& aStop,
+                    const GatewayRoute& aRoute,
+                    Duration aTimeout,
+                    TimePoint aNow);
+
 // crash_guard.cpp
 
 /** Hash of host, target, caller and body, equal for repeated requests. */
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -129,6 +129,7 @@
   Overloaded,  ///< Rejected by admission; it did not run.
   NoServer,    ///< No server is available; it did not run.
   NotRun,      ///< Every server tried reports that it did not run.
+  Stopping,    ///< This daemon is about to end; it did not run.
   Quarantined, ///< Rejected: its content has crashed servers.
   Failed,      ///< Broken or invalid answer; it may have run.
   TimedOut,    ///< No answer in time; it may have run.
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -196,6 +196,10 @@
   answer.retryAfter_ = aRoute == nullptr
                          ? Duration(kRetryAfterNotReady)
                          : ChooseRetryAfter(*aRoute, aStep.rng_);
+  if (aCode == ProxyCode::Stopping) {
+    // Another daemon can take it at once.
+    answer.retryAfter_ = kRetryAfterFloor;
+  }
   ++aStep.state_.stats_.byCode_[static_cast<std::size_t>(aCode)];
   RequestRecord record;
   record.requestId_ = aRequest.message_->requestId_;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -106,7 +106,8 @@
   run.fingerprint_ = aFingerprint;
   run.arrivedAt_ = aStep.Time();
   run.waitedBefore_ = aWaited;
-  run.deadline_ = aStep.Time() + RequestTimeout(aRequest, aRoute);
+  run.deadline_ = std::min(aStep.Time() + RequestTimeout(aRequest, aRoute),
+                           state.stop_.answeredBy_);
   run.softAt_ = run.deadline_;
   run.needed_ = PartsNeeded(aRoute);
   if (aRoute.objective_.count() > 0 && state.settings_.policy_.partial_) {
@@ -205,6 +206,11 @@
     RejectRequest(step, aRequest, ProxyCode::NoRoute, nullptr);
     return;
   }
+  if (!CanFinishBeforeStop(
+        aState.stop_, *route, RequestTimeout(aRequest, *route), aNow.mono_)) {
+    RejectRequest(step, aRequest, ProxyCode::Stopping, route);
+    return;
+  }
   const std::uint64_t fingerprint = MakeContentFingerprint(aRequest);
   if (IsQuarantined(aState, fingerprint, aNow.mono_)) {
     RejectRequest(step, aRequest, ProxyCode::Quarantined, route);
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -335,13 +335,23 @@
 }
 
 void
-GatewayHost::BeginStop()
+GatewayHost::BeginStop(const PlannedStop& aStop)
 {
   stopping_ = true;
+  GatewayBeginStop(gateway_, aStop);
+  ArmTimer();
   MembershipSetReady(membership_, false);
   HandleMembershipEvent(StopRequested{ "signal" });
 }
 
+void
+GatewayHost::EndStop()
+{
+  const TimePoint now = ReadClock().mono_;
+  GatewayBeginStop(gateway_, { now, now });
+  HandleEvent(Tick{});
+}
+
 std::size_t
 GatewayHost::InFlight() const
 {
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -120,8 +120,12 @@
    * and isn't stopping. */
   bool IsReady() const;
 
-  /** Stops being ready and announces the shutdown to the other daemons. */
-  void BeginStop();
+  /** Stops being ready, announces the shutdown to the other daemons and answers
+   * all requests in time. */
+  void BeginStop(const PlannedStop& aStop);
+
+  /** Answers what is left and rejects all further requests. */
+  void EndStop();
 
   std::size_t InFlight() const;
   const GatewayState& State() const { return gateway_; }
--- a/src/table/proxy_table.h
+++ b/src/table/proxy_table.h
@@ -25,6 +25,7 @@
   { ProxyCode::Overloaded,  "overloaded" },
   { ProxyCode::NoServer,    "no_server" },
   { ProxyCode::NotRun,      "not_run" },
+  { ProxyCode::Stopping,    "stopping" },
   { ProxyCode::Quarantined, "quarantined" },
   { ProxyCode::Failed,      "failed" },
   { ProxyCode::TimedOut,    "timed_out" },
