Fix: servers that leave or ask for a pause in their answers are left alone

Change: RecordGuidance holds what a server says of itself beside its health, and every send asks it: a server that leaves is out for its incarnation, also if its entry comes back; one that asks for a pause gets nothing before, and daemons return over a tenth of the pause. Shards whose servers want nothing in time are left out at once. The model server's rejections now echo the request's id, as the platform says; without it they were taken for another request's answer.

--- a/src/gateway/attempt_answer.cpp
+++ b/src/gateway/attempt_answer.cpp
@@ -249,7 +249,7 @@
   const AttemptEnd end = Classify(aAnswer);
   const Attempt attempt = Detach(step, key);
   Backend& backend = *FindSlot(aState.backends_, attempt.backend_);
-  RecordRequestLimit(step, backend, aAnswer);
+  RecordGuidance(step, backend, aAnswer);
   Release(step, attempt, aAnswer);
   GatewayRun* run = FindSlot(aState.runs_, attempt.run_);
   if (end != AttemptEnd::End) {
--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -101,12 +101,23 @@
          aPart.tried_.end();
 }
 
+/** Time until a server wants a request that is sent after aAhead others. */
+Duration
+TimeUntilWanted(const GatewayState& aState,
+                const Backend& aBackend,
+                std::size_t aAhead,
+                TimePoint aNow)
+{
+  return std::max(
+    aBackend.pausedUntil_ - aNow,
+    TimeUntilAllowed(aBackend.rateLimit_, aState.limitShare_, aAhead, aNow));
+}
+
 bool
 HasRoom(GatewayState& aState, const Backend& aBackend, TimePoint aNow)
 {
   return aBackend.inFlight_ < static_cast<std::uint32_t>(aBackend.limit_) &&
-         TimeUntilAllowed(aBackend.rateLimit_, aState.limitShare_, 0, aNow) ==
-           Duration::zero() &&
+         TimeUntilWanted(aState, aBackend, 0, aNow) == Duration::zero() &&
          FindIdle(aState, aBackend, aNow) != nullptr;
 }
 
@@ -160,11 +171,9 @@
       const auto ahead = static_cast<double>(service.queue_.size() + 1);
       candidate.micros_ +=
         candidate.micros_ * ahead / std::max(backend.inFlight_, 1U) +
-        static_cast<double>(TimeUntilAllowed(backend.rateLimit_,
-                                             state.limitShare_,
-                                             service.queue_.size(),
-                                             aStep.Time())
-                              .count());
+        static_cast<double>(
+          TimeUntilWanted(state, backend, service.queue_.size(), aStep.Time())
+            .count());
       if (backend.connections_.empty()) {
         candidate.micros_ +=
           static_cast<double>(kBackendConnectTimeout.count());
@@ -189,7 +198,7 @@
 bool
 IsUsable(const Backend& aBackend)
 {
-  return aBackend.listed_ && !aBackend.entry_.draining_;
+  return aBackend.listed_ && !aBackend.entry_.draining_ && !aBackend.leaving_;
 }
 
 bool
@@ -210,21 +219,24 @@
                      });
 }
 
-// Requests that wait are counted against each server alone, although its peers
-// take some of them: a moment too late is better than a false promise.
 Duration
 TimeUntilRoom(const GatewayState& aState,
               const GatewayServiceState& aService,
               std::size_t aAhead,
               TimePoint aNow)
 {
+  const auto usable = static_cast<std::size_t>(
+    std::count_if(aService.backends_.begin(),
+                  aService.backends_.end(),
+                  [&aState](std::uint64_t aKey) {
+                    return IsUsable(aState.backends_.slots_[aKey & kSlotMask]);
+                  }));
   Duration least = Duration::max();
   for (const std::uint64_t key : aService.backends_) {
     const Backend& backend = aState.backends_.slots_[key & kSlotMask];
     if (IsUsable(backend)) {
-      least = std::min(
-        least,
-        TimeUntilAllowed(backend.rateLimit_, aState.limitShare_, aAhead, aNow));
+      least = std::min(least,
+                       TimeUntilWanted(aState, backend, aAhead / usable, aNow));
     }
   }
   return least;
--- a/src/gateway/backend_health.cpp
+++ b/src/gateway/backend_health.cpp
@@ -60,8 +60,85 @@
     aBackend.entry_.id_, aBackend.entry_.service_, "ejected", aReason });
 }
 
+// An answer without a proof may come from anywhere, and says nothing.
+void
+TakeRequestLimit(GatewayStep& aStep,
+                 Backend& aBackend,
+                 const BackendAnswer& aAnswer)
+{
+  const bool known = aBackend.rateLimit_.perSecond_.has_value();
+  const bool named = aAnswer.requestLimit_.has_value();
+  if (!named && (!known || (aAnswer.proof_.empty() && !aAnswer.notRun_))) {
+    return;
+  }
+  if (named != known) {
+    aStep.state_.stats_.limits_ += named ? 1 : 0;
+    aStep.out_.emplace_back(BackendRecord{
+      aBackend.entry_.id_,
+      aBackend.entry_.service_,
+      named ? "limited" : "unlimited",
+      named ? absl::StrCat("takes ", *aAnswer.requestLimit_, " requests/s")
+            : "names no limit any more" });
+  }
+  UpdateRateLimit(aBackend.rateLimit_,
+                  aAnswer.requestLimit_,
+                  aStep.state_.limitShare_,
+                  aStep.Time(),
+                  aStep.rng_);
+}
+
+void
+TakeLeaving(GatewayStep& aStep, Backend& aBackend)
+{
+  GatewayState& state = aStep.state_;
+  std::erase_if(state.leavingSince_, [&aStep](const auto& aItem) {
+    return aItem.second + kLeavingTtl < aStep.Time();
+  });
+  state.leavingSince_[{ aBackend.entry_.id_, aBackend.entry_.startedMillis_ }] =
+    aStep.Time();
+  aBackend.leaving_ = true;
+  ++state.stats_.leavings_;
+  aStep.out_.emplace_back(BackendRecord{ aBackend.entry_.id_,
+                                         aBackend.entry_.service_,
+                                         "draining",
+                                         "said in an answer" });
+  CloseIdle(aStep, aBackend);
+}
+
+// Daemons that were told together return one after the other.
+void
+TakePause(GatewayStep& aStep, Backend& aBackend, Duration aPause)
+{
+  const auto jitter = static_cast<std::uint64_t>(
+    static_cast<double>(aPause.count()) * kPauseJitterShare);
+  if (aStep.Time() >= aBackend.pausedUntil_) {
+    aStep.out_.emplace_back(
+      BackendRecord{ aBackend.entry_.id_,
+                     aBackend.entry_.service_,
+                     "paused",
+                     absl::StrCat("for ", aPause.count() / 1000, " ms") });
+  }
+  ++aStep.state_.stats_.pauses_;
+  aBackend.pausedUntil_ =
+    aStep.Time() + aPause + Duration(aStep.rng_() % (jitter + 1));
+}
+
 } // namespace
 
+void
+RecordGuidance(GatewayStep& aStep,
+               Backend& aBackend,
+               const BackendAnswer& aAnswer)
+{
+  TakeRequestLimit(aStep, aBackend, aAnswer);
+  if (aAnswer.leaving_ && !aBackend.leaving_) {
+    TakeLeaving(aStep, aBackend);
+  }
+  if (aAnswer.retryAfter_.count() > 0) {
+    TakePause(aStep, aBackend, aAnswer.retryAfter_);
+  }
+}
+
 void
 RecordSuccess(GatewayStep& aStep,
               Backend& aBackend,
@@ -111,33 +188,6 @@
   }
 }
 
-// An answer without a proof may come from anywhere, and says nothing.
-void
-RecordRequestLimit(GatewayStep& aStep,
-                   Backend& aBackend,
-                   const BackendAnswer& aAnswer)
-{
-  const bool known = aBackend.rateLimit_.perSecond_.has_value();
-  const bool named = aAnswer.requestLimit_.has_value();
-  if (!named && (!known || (aAnswer.proof_.empty() && !aAnswer.notRun_))) {
-    return;
-  }
-  if (named != known) {
-    aStep.state_.stats_.limits_ += named ? 1 : 0;
-    aStep.out_.emplace_back(BackendRecord{
-      aBackend.entry_.id_,
-      aBackend.entry_.service_,
-      named ? "limited" : "unlimited",
-      named ? absl::StrCat("takes ", *aAnswer.requestLimit_, " requests/s")
-            : "names no limit any more" });
-  }
-  UpdateRateLimit(aBackend.rateLimit_,
-                  aAnswer.requestLimit_,
-                  aStep.state_.limitShare_,
-                  aStep.Time(),
-                  aStep.rng_);
-}
-
 void
 RecordShed(GatewayStep& aStep, Backend& aBackend)
 {
--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -21,6 +21,8 @@
   backend.key_ = key;
   backend.entry_ = aEntry;
   backend.service_ = FindOrAddService(state, aEntry.service_);
+  backend.leaving_ =
+    state.leavingSince_.count({ aEntry.id_, aEntry.startedMillis_ }) > 0;
   state.services_[backend.service_].backends_.push_back(key);
   state.backendOf_[BackendKey(aEntry.id_, aEntry.startedMillis_)] = key;
   aStep.out_.emplace_back(BackendRecord{
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -101,6 +101,8 @@
   ReportedLoad load_;
   TimePoint loadAt_{};
   RateLimit rateLimit_;
+  bool leaving_ = false;    ///< It said so in an answer.
+  TimePoint pausedUntil_{}; ///< It wants no requests before.
 };
 
 /** Order of waiting parts: late requests last, then by priority, then by time;
@@ -258,7 +260,10 @@
   std::uint64_t shed_ = 0; ///< Answers that report "not run".
   std::uint64_t ejections_ = 0;
   std::uint64_t garbled_ = 0; ///< Invalid or unrequested answers.
-  std::uint64_t limits_ = 0;  ///< Times that a server began to name a limit.
+  std::uint64_t leavings_ =
+    0;                       ///< Servers that said in answers that they leave.
+  std::uint64_t pauses_ = 0; ///< Answers that asked for a pause.
+  std::uint64_t limits_ = 0; ///< Times that a server began to name a limit.
   /** Requests rejected because servers' limits left no room in time. */
   std::uint64_t limitRejections_ = 0;
 };
@@ -269,6 +274,9 @@
   GatewaySettings settings_;
   SharedGatewayConfig config_;
   std::vector<GatewayServiceState> services_;
+  /** When servers said that they leave, by id and start. The store may list
+   * them as ready again. */
+  std::map<std::pair<std::string, std::int64_t>, TimePoint> leavingSince_;
   std::unordered_map<std::string, ServiceNumber> serviceNumber_;
   std::map<std::string, RouteLoad> loads_; ///< By name of the route.
   Pool<Backend> backends_;
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -88,6 +88,12 @@
 /** Least time between decreases. */
 constexpr Duration kLimitPause = milliseconds(100);
 
+/** A server that said it leaves is remembered for this time; its entry in the
+ * store is gone long before. */
+constexpr Duration kLeavingTtl = seconds(600);
+/** Requests to a server return after its pause spread over this share of it. */
+constexpr double kPauseJitterShare = 0.1;
+
 // Hedges and retries.
 constexpr double kHedgeQuantile = 0.9;
 constexpr double kHedgeMedianFactor = 1.6; ///< Least delay, in medians.
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -49,7 +49,7 @@
 bool
 IsSameDomain(const GatewayState& aState, const Backend& aBackend);
 
-/** Whether a server is listed and not draining. */
+/** Whether a server is listed and neither draining nor leaving. */
 bool
 IsUsable(const Backend& aBackend);
 
@@ -60,8 +60,8 @@
               TimePoint aNow);
 
 /**
- * Time until the request limits of a service's servers leave room for a part;
- * zero if one of them names no limit, the maximum if none is usable.
+ * Time until a server of the service wants a part, by what the servers said of
+ * their limits and pauses; the maximum if none is usable.
  * @param aAhead Parts that are sent before it.
  */
 Duration
@@ -101,11 +101,12 @@
               Backend& aBackend,
               const std::string& aReason);
 
-/** Takes the request limit that an answer of a server names. */
+/** Takes what a server says of itself in an answer: its request limit, that it
+ * leaves, or how long it wants no requests. */
 void
-RecordRequestLimit(GatewayStep& aStep,
-                   Backend& aBackend,
-                   const BackendAnswer& aAnswer);
+RecordGuidance(GatewayStep& aStep,
+               Backend& aBackend,
+               const BackendAnswer& aAnswer);
 
 /** Records that a server rejected a request for lack of capacity. */
 void
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -185,6 +185,8 @@
   /** Requests a second that the server takes from all daemons together; none:
    * as many as come. */
   std::optional<double> requestLimit_;
+  bool leaving_ = false;  ///< The server is about to end.
+  Duration retryAfter_{}; ///< It wants nothing from this daemon for so long.
   std::vector<MessageField> fields_; ///< End-to-end fields.
   std::string body_;
 };
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -133,6 +133,17 @@
              { aRun.softAt_, aRun.key_, 0, GatewayTimer::RequestSoftDeadline });
   }
   for (std::uint32_t i = 0; i < aRun.parts_.size(); ++i) {
+    RequestPart& part = aRun.parts_[i];
+    const GatewayServiceState& service = aStep.state_.services_[part.service_];
+    // The others suffice, see TimeUntilEnoughRoom.
+    if (aRun.route_->IsQuery() &&
+        TimeUntilRoom(
+          aStep.state_, service, service.queue_.size(), aStep.Time()) >
+          aRun.softAt_ - aStep.Time()) {
+      part.phase_ = PartPhase::Failed;
+      ++aRun.failed_;
+      continue;
+    }
     EnqueuePart(aStep, aRun, i);
   }
 }
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -370,6 +370,48 @@
   LONGS_EQUAL(4, answer.fields_.size());
 }
 
+// What can't be read says nothing.
+TEST(HttpCodec, GuidanceOfServers)
+{
+  struct Case
+  {
+    const char* field_;
+    const char* text_;
+    std::uint32_t status_;
+    double limit_; ///< Requests a second; below 0: none.
+    bool leaving_;
+    Duration retryAfter_;
+  };
+  const Duration none = Duration::zero();
+  const std::vector<Case> cases{
+    { "Server-Limit", "21.5", 200, 21.5, false, none },
+    { "Server-Limit", "0", 503, 0.0, false, none },
+    { "Server-Limit", "-1", 200, -1.0, false, none },
+    { "Server-Limit", "nan", 200, -1.0, false, none },
+    { "Server-Limit", "inf", 200, -1.0, false, none },
+    { "Server-Limit", "", 200, -1.0, false, none },
+    { "Server-Limit", "12 a second", 200, -1.0, false, none },
+    { "Server-Leaving", "1", 200, -1.0, true, none },
+    { "server-leaving", "1", 500, -1.0, true, none },
+    { "Server-Leaving", "0", 200, -1.0, false, none },
+    { "Retry-After", "1.5", 503, -1.0, false, milliseconds(1500) },
+    { "Retry-After", "1.5", 200, -1.0, false, none },
+    { "Retry-After", "-3", 503, -1.0, false, none },
+    { "Retry-After", "1e9", 503, -1.0, false, none },
+    { "Retry-After", "Fri, 04 Dec 2026 20:00:00 GMT", 503, -1.0, false, none },
+  };
+  for (const Case& item : cases) {
+    HttpResponse response = ServerResponse({ { item.field_, item.text_ } });
+    response.status_ = item.status_;
+    const BackendAnswer answer =
+      GetGatewayCodec().decodeAnswer_(std::move(response));
+    DOUBLES_EQUAL_TEXT(
+      item.limit_, answer.requestLimit_.value_or(-1.0), 1e-9, item.text_);
+    CHECK_TEXT(answer.leaving_ == item.leaving_, item.text_);
+    CHECK_TEXT(answer.retryAfter_ == item.retryAfter_, item.text_);
+  }
+}
+
 TEST(HttpCodec, AnswersToCallers)
 {
   struct Case
--- /dev/null
+++ b/tests/gateway/guidance_test.cpp
@@ -0,0 +1,153 @@
+// What servers say of themselves in answers goes before what the store says of
+// them: that they leave, and how long they want no requests.
+#include "gateway/replay_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace camphorfield;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kTarget = "/query/a";
+constexpr std::size_t kShards = 6;
+
+void
+MakeShards(Replay& aReplay)
+{
+  aReplay.AddShards(kShards);
+  GatewayRoute route;
+  route.name_ = "query";
+  route.prefix_ = "/query/";
+  route.timeout_ = seconds(2);
+  route.objective_ = milliseconds(200);
+  route.maxAttempts_ = 2;
+  route.topRecords_ = 5;
+  route.minCoverage_ = 0.8;
+  for (std::size_t i = 0; i < kShards; ++i) {
+    route.shards_.push_back("shard" + std::to_string(i));
+  }
+  aReplay.SetRoute(route);
+  aReplay.Publish();
+}
+
+std::size_t
+CountArrivals(const ModelServer& aServer, TimePoint aFrom, TimePoint aTo)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aServer.arrivalTimes_.begin(),
+    aServer.arrivalTimes_.end(),
+    [aFrom, aTo](TimePoint aAt) { return aAt >= aFrom && aAt < aTo; }));
+}
+
+/** How a server leaves, and what the store says of it meanwhile. */
+struct LeavingCase
+{
+  const char* name_;
+  ModelFault fault_;    ///< Shed: it says so in a rejection.
+  bool unlisted_;       ///< Its entry disappears and comes back as ready.
+  bool newIncarnation_; ///< It comes back as a new one.
+  bool usedAgain_;
+};
+
+/** Servers that want no requests for a while. */
+struct PauseCase
+{
+  const char* name_;
+  std::size_t servers_; ///< First servers of the list; two are a shard.
+  Duration pause_;
+  double served_; ///< Share of the queries answered on time, at least.
+};
+
+} // namespace
+
+TEST_GROUP(Guidance){};
+
+TEST(Guidance, LeavingServersGetRequestsWhileTheStoreListsThem)
+{
+  const std::vector<LeavingCase> cases{
+    { "in a success", ModelFault::None, false, false, false },
+    { "in a rejection", ModelFault::Shed, false, false, false },
+    { "in a failure", ModelFault::Fail, false, false, false },
+    { "entry comes back", ModelFault::None, true, false, false },
+    { "new incarnation", ModelFault::None, true, true, true },
+  };
+  for (const LeavingCase& item : cases) {
+    Replay replay(6, 42);
+    MakeShards(replay);
+    ModelServer& server = replay.Servers()[0];
+    const TimePoint begun = replay.Clock();
+    replay.At(seconds(2), [&]() {
+      server.leaving_ = true;
+      server.fault_ = item.fault_;
+    });
+    replay.At(seconds(6), [&]() {
+      server.listed_ = !item.unlisted_;
+      server.leaving_ = !item.newIncarnation_;
+      server.incarnation_ += item.newIncarnation_ ? 1 : 0;
+      replay.Publish();
+    });
+    replay.At(seconds(8), [&]() {
+      server.listed_ = true;
+      replay.Publish();
+    });
+    const ReplayLoad load{ kTarget, 60, milliseconds(10), seconds(2), 1 };
+    const ReplayResult result = replay.Run({ load }, seconds(16))[kTarget];
+    LONGS_EQUAL_TEXT(0, server.unwantedWhileLeaving_, item.name_);
+    // Daemons that were not told may go on.
+    CHECK_TRUE_TEXT(
+      !item.usedAgain_ ||
+        CountArrivals(server, begun + seconds(9), replay.Clock()) > 0,
+      item.name_);
+    CHECK_TEXT(result.OnTimeShare() >= 0.97, item.name_);
+  }
+}
+
+TEST(Guidance, PausedServersGetRequestsBeforeTheTimeIsOver)
+{
+  const std::vector<PauseCase> cases{
+    { "one replica", 1, seconds(4), 0.97 },
+    { "both replicas of a shard", 2, seconds(4), 0.97 },
+    { "short", 2, milliseconds(300), 0.97 },
+    { "too many shards", 8, seconds(4), 0.6 },
+  };
+  for (const PauseCase& item : cases) {
+    Replay replay(6, 42);
+    MakeShards(replay);
+    const TimePoint begun = replay.Clock();
+    replay.At(seconds(2), [&]() {
+      for (std::size_t i = 0; i < item.servers_; ++i) {
+        replay.Servers()[i].fault_ = ModelFault::Shed;
+        replay.Servers()[i].retryAfter_ = item.pause_;
+      }
+    });
+    replay.At(seconds(3), [&]() {
+      for (std::size_t i = 0; i < item.servers_; ++i) {
+        replay.Servers()[i].fault_ = ModelFault::None;
+      }
+    });
+    const ReplayLoad load{ kTarget, 60, milliseconds(10), seconds(2), 1 };
+    const ReplayResult result = replay.Run({ load }, seconds(16))[kTarget];
+    for (std::size_t i = 0; i < item.servers_; ++i) {
+      const ModelServer& server = replay.Servers()[i];
+      LONGS_EQUAL_TEXT(0, server.unwantedWhilePaused_, item.name_);
+      CHECK_TRUE_TEXT(
+        CountArrivals(server, begun + seconds(8), replay.Clock()) > 0,
+        item.name_);
+    }
+    CHECK_TEXT(
+      result.OnTimeShare() >= item.served_,
+      (std::string(item.name_) + ": " + std::to_string(result.OnTimeShare()))
+        .c_str());
+    std::vector<Duration> rejected = result.rejectedAfter_;
+    std::sort(rejected.begin(), rejected.end());
+    CHECK_TRUE_TEXT(rejected.empty() ||
+                      rejected[rejected.size() / 2] <= milliseconds(5),
+                    item.name_);
+  }
+}
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -97,9 +97,12 @@
   ++config_.version_;
   std::vector<BackendEntry> entries;
   for (const ModelServer& server : servers_) {
+    if (!server.listed_) {
+      continue;
+    }
     BackendEntry entry;
     entry.id_ = server.id_;
-    entry.startedMillis_ = 1;
+    entry.startedMillis_ = server.incarnation_;
     entry.service_ = server.service_;
     entry.address_ = server.id_;
     entry.failureDomain_ = server.domain_;
@@ -255,6 +258,24 @@
   }
 }
 
+void
+Replay::CountUnwanted(std::size_t aDaemon, ModelServer& aServer)
+{
+  constexpr Duration kInFlight = std::chrono::milliseconds(100);
+  const auto told = aServer.told_.find(aDaemon);
+  if (told == aServer.told_.end()) {
+    return;
+  }
+  const ModelGuidance& guidance = told->second;
+  if (aServer.leaving_ && now_ - kInFlight > guidance.leavingSince_) {
+    ++aServer.unwantedWhileLeaving_;
+  }
+  if (now_ - kInFlight > guidance.pausedSince_ &&
+      now_ < guidance.pausedUntil_) {
+    ++aServer.unwantedWhilePaused_;
+  }
+}
+
 void
 Replay::Deliver(std::uint64_t aConnection, const BackendSend& aSend)
 {
@@ -270,6 +291,7 @@
   }
   ++server.arrivals_;
   server.arrivalTimes_.push_back(now_);
+  CountUnwanted(found->second.daemon_, server);
   if (server.fault_ == ModelFault::Silent) {
     return;
   }
@@ -278,7 +300,10 @@
     BackendAnswer shed;
     shed.status_ = 503;
     shed.notRun_ = true;
+    shed.requestId_ = aSend.message_->requestId_;
     shed.requestLimit_ = server.limit_;
+    shed.leaving_ = server.leaving_;
+    shed.retryAfter_ = server.retryAfter_;
     Reply(aConnection, std::move(shed));
     return;
   }
@@ -382,6 +407,7 @@
                   static_cast<std::uint32_t>(server.waiting_.size()),
                   server.slots_ };
   answer.requestLimit_ = server.limit_;
+  answer.leaving_ = server.leaving_;
   answer.body_.assign(16, 'r');
   switch (server.fault_) {
     case ModelFault::Silent:
@@ -423,6 +449,15 @@
     const ModelConnection connection = found->second;
     if (serialOf_.count({ connection.daemon_, connection.key_ }) > 0) {
       answer.connection_ = ConnectionId{ connection.key_ };
+      ModelGuidance& told =
+        servers_[connection.server_].told_[connection.daemon_];
+      if (answer.leaving_) {
+        told.leavingSince_ = std::min(told.leavingSince_, now_);
+      }
+      if (answer.retryAfter_.count() > 0) {
+        told.pausedSince_ = now_;
+        told.pausedUntil_ = now_ + answer.retryAfter_;
+      }
       HandleEvent(connection.daemon_, std::move(answer));
     }
   });
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -29,6 +29,14 @@
   End     ///< Number of faults.
 };
 
+/** What a model server has told one daemon of itself. */
+struct ModelGuidance
+{
+  TimePoint leavingSince_ = kNever;
+  TimePoint pausedSince_ = kNever;
+  TimePoint pausedUntil_{};
+};
+
 /** One model server. */
 struct ModelServer
 {
@@ -47,6 +55,14 @@
   Duration dropsIdle_{};
   std::optional<double> limit_; ///< Requests a second, named in answers.
   std::vector<TimePoint> arrivalTimes_;
+  bool leaving_ = false;         ///< Said in all its answers.
+  Duration retryAfter_{};        ///< Said in answers that it sheds.
+  std::int64_t incarnation_ = 1; ///< Start, in its entry.
+  bool listed_ = true;
+  std::map<std::size_t, ModelGuidance> told_; ///< By daemon.
+  /** Requests of daemons that knew better for 100 ms. */
+  std::uint32_t unwantedWhileLeaving_ = 0;
+  std::uint32_t unwantedWhilePaused_ = 0;
   bool draining_ = false;
   bool crashesOn_ = false; ///< Crashes on paths with "poison".
   std::uint32_t connections_ = 0;
@@ -161,6 +177,7 @@
   void HandleEvent(std::size_t aDaemon, Item&& aItem);
   void ApplyDecisions(std::size_t aDaemon, GatewayDecisions& aDecisions);
   void Connect(std::size_t aDaemon, const BackendConnect& aConnect);
+  void CountUnwanted(std::size_t aDaemon, ModelServer& aServer);
   void Deliver(std::uint64_t aConnection, const BackendSend& aSend);
   void Drop(std::uint64_t aConnection);
   void StartJobs(std::size_t aServer);
