Fix: a feed ends the grace of an entry that it brings back

Cause: an entry that was missing after an outage waits in lapsed_ for its removal; only the table's own read took it out of there, changes and whole tables of a feed did not. Change: one pair of functions puts and erases objects, whoever brings them. Evidence: ServerThatIsBackVanishesWhenTheGraceEnds fails before ('change of a feed') and passes.

--- a/src/discovery/table_feed.cpp
+++ b/src/discovery/table_feed.cpp
@@ -47,7 +47,7 @@
       known->second.revision_ > aRemoved.revision_) {
     return false;
   }
-  aTable.objects_.erase(known);
+  EraseObject(aTable, aRemoved.name_);
   return true;
 }
 
@@ -225,7 +225,7 @@
                             ? object.revision_ <= aTable.revision_
                             : object.revision_ <= known->second.revision_;
     if (!outdated) {
-      aTable.objects_[object.name_] = object;
+      PutObject(aTable, StoreObject(object));
       changed = true;
     }
   }
--- a/src/discovery/table_sync.cpp
+++ b/src/discovery/table_sync.cpp
@@ -35,8 +35,7 @@
 {
   const TimePoint keepUntil = KeepUntil(aTable, aNow);
   if (keepUntil <= aNow) {
-    aTable.objects_.erase(aName);
-    aTable.lapsed_.erase(aName);
+    EraseObject(aTable, aName);
     return;
   }
   if (aTable.objects_.count(aName) > 0) {
@@ -44,16 +43,6 @@
   }
 }
 
-void
-Store(TableSync& aTable, StoreObject&& aObject)
-{
-  aTable.lapsed_.erase(aObject.name_);
-  StoreObject& known = aTable.objects_[aObject.name_];
-  if (known.revision_ <= aObject.revision_) {
-    known = std::move(aObject);
-  }
-}
-
 /** Whether a table is known to have removed an object since an older copy of it
  * was made. */
 bool
@@ -96,7 +85,7 @@
   }
   for (auto& [name, object] : aTable.page_) {
     if (!WasRemovedSince(aTable, object, aTable.pageRevision_)) {
-      Store(aTable, std::move(object));
+      PutObject(aTable, std::move(object));
     }
   }
   aTable.page_.clear();
@@ -113,7 +102,7 @@
     if (change.removed_) {
       Remove(aTable, change.object_.name_, aNow);
     } else {
-      Store(aTable, std::move(change.object_));
+      PutObject(aTable, std::move(change.object_));
     }
   }
   aTable.revision_ = std::max(aTable.revision_, aReply.revision_);
@@ -196,6 +185,23 @@
   return change;
 }
 
+void
+PutObject(TableSync& aTable, StoreObject&& aObject)
+{
+  aTable.lapsed_.erase(aObject.name_);
+  StoreObject& known = aTable.objects_[aObject.name_];
+  if (known.revision_ <= aObject.revision_) {
+    known = std::move(aObject);
+  }
+}
+
+void
+EraseObject(TableSync& aTable, const std::string& aName)
+{
+  aTable.objects_.erase(aName);
+  aTable.lapsed_.erase(aName);
+}
+
 TableChange
 DropLapsed(TableSync& aTable, TimePoint aNow)
 {
@@ -255,7 +261,7 @@
                             ? WasRemovedSince(aTable, object, aRevision)
                             : known->second.revision_ >= object.revision_;
     if (!outdated) {
-      aTable.objects_[object.name_] = std::move(object);
+      PutObject(aTable, std::move(object));
       changed = true;
     }
   }
--- a/src/discovery/table_sync.h
+++ b/src/discovery/table_sync.h
@@ -120,6 +120,14 @@
                TimePoint aNow,
                Rng& aRng);
 
+/** Puts an object into the table unless a newer state of it is known. */
+void
+PutObject(TableSync& aTable, StoreObject&& aObject);
+
+/** Removes an object at once. */
+void
+EraseObject(TableSync& aTable, const std::string& aName);
+
 /** Removes entries that were not rewritten in time after an outage. */
 TableChange
 DropLapsed(TableSync& aTable, TimePoint aNow);
--- a/tests/discovery/table_sync_test.cpp
+++ b/tests/discovery/table_sync_test.cpp
@@ -300,3 +300,45 @@
     LONGS_EQUAL_TEXT(12, bench.NextCall().revision_, item.name_);
   }
 }
+
+// An entry that is written again must not be removed when the grace of its
+// earlier removal ends, whoever brings the news.
+TEST(TableSync, ServerThatIsBackVanishesWhenTheGraceEnds)
+{
+  struct Case
+  {
+    const char* name_;
+    bool whole_;   ///< A peer sends whole tables, not changes.
+    bool removed_; ///< It has seen the entry removed before.
+  };
+  const std::vector<Case> cases{
+    { "change of a feed", false, false },
+    { "removal and change of a feed", false, true },
+    { "whole tables", true, false },
+  };
+  for (const Case& item : cases) {
+    Bench bench;
+    bench.table_.kind_ = "servers";
+    bench.Take(ListReply({ "a", "b" }, 10));
+    bench.Take(FailedReply(StoreStatus::Lost));
+    bench.now_ += seconds(8);
+    bench.Take(ListReply({ "a" }, 20));
+    CHECK_TRUE_TEXT(bench.Has("b"), item.name_);
+    bench.table_.passive_ = true;
+    FeedMessage message;
+    message.whole_ = item.whole_;
+    message.revisions_["servers"] = 23;
+    if (item.whole_) {
+      message.changes_.push_back(
+        { 0, "servers", { { "a", 20, "{}" }, false } });
+    }
+    if (item.removed_) {
+      message.changes_.push_back({ 1, "servers", { { "b", 21, "" }, true } });
+    }
+    message.changes_.push_back({ 2, "servers", { { "b", 22, "{}" }, false } });
+    ApplyFeed(message, bench.table_);
+    bench.now_ += seconds(3);
+    DropLapsed(bench.table_, bench.now_);
+    CHECK_TRUE_TEXT(bench.Has("b"), item.name_);
+  }
+}
