Fix: an older removal in a watch doesn't undo what a feed has brought

Cause: a watch that the store refused is repeated from its own revision; when a feed brings newer objects before it answers, its removal was applied to an object that was written after the reply, and the next watch begins behind both. Change: a removal takes out what is no newer than the reply. Evidence: ServerThatIsBackIsHiddenByAnOlderRemoval fails before and passes now.

--- a/src/discovery/table_sync.cpp
+++ b/src/discovery/table_sync.cpp
@@ -100,7 +100,13 @@
 {
   for (StoreChange& change : aReply.changes_) {
     if (change.removed_) {
-      Remove(aTable, change.object_.name_, aNow);
+      // A feed may have brought what was written after this reply; the next
+      // watch begins behind it.
+      const auto known = aTable.objects_.find(change.object_.name_);
+      if (known != aTable.objects_.end() &&
+          known->second.revision_ <= aReply.revision_) {
+        Remove(aTable, change.object_.name_, aNow);
+      }
     } else {
       PutObject(aTable, std::move(change.object_));
     }
--- a/tests/discovery/table_sync_test.cpp
+++ b/tests/discovery/table_sync_test.cpp
@@ -342,3 +342,26 @@
     CHECK_TRUE_TEXT(bench.Has("b"), item.name_);
   }
 }
+
+// A watch that the store refused goes on from an older revision than a feed has
+// brought meanwhile, and the next one begins at the newer revision.
+TEST(TableSync, ServerThatIsBackIsHiddenByAnOlderRemoval)
+{
+  Bench bench;
+  bench.table_.kind_ = "servers";
+  bench.Take(ListReply({ "a" }, 10));
+  bench.Take(FailedReply(StoreStatus::Refused));
+  LONGS_EQUAL(StoreOp::Watch, bench.NextCall().op_);
+  FeedMessage message;
+  message.revisions_["servers"] = 15;
+  message.changes_.push_back({ 1, "servers", { { "a", 14, "{}" }, false } });
+  ApplyFeed(message, bench.table_);
+  bench.Take(ChangeReply("a", true, 12));
+  bench.now_ += seconds(3);
+  DropLapsed(bench.table_, bench.now_);
+  CHECK_TRUE(bench.Has("a"));
+  LONGS_EQUAL(15, bench.NextCall().revision_);
+  // A removal of what is known takes effect.
+  bench.Take(ChangeReply("a", true, 16));
+  CHECK_FALSE(bench.Has("a"));
+}
