Fix: one unreadable entry of another writer doesn't hide all servers

Cause: a reply of the store is one JSON document. Bytes that aren't UTF-8, or nesting beyond the parser's 32 levels, in one entry made the whole reply count as lost, with each read again; the feed's own text had the same bound on bytes.

--- a/src/discovery/table_feed.cpp
+++ b/src/discovery/table_feed.cpp
@@ -265,9 +265,12 @@
   if (!text.ok()) {
     return text.status();
   }
+  // Names and contents of objects are passed on as they are in the store.
+  json::parse_options options;
+  options.allow_invalid_utf8 = true;
   FeedMessage message;
   try {
-    const json::value document = json::parse(*text);
+    const json::value document = json::parse(*text, {}, options);
     const json::object& object = document.as_object();
     message.incarnation_ = object.at("life").to_number<std::uint64_t>();
     message.number_ = object.at("number").to_number<std::uint64_t>();
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -301,6 +301,60 @@
   }
 }
 
+// Entries may come from another writer; one that can't be read names no server,
+// and must not hide the others.
+TEST(StoreCodec, OneUnreadableEntryHidesAllServers)
+{
+  struct Case
+  {
+    const char* name_;
+    std::string entry_; ///< Between two sound ones.
+    std::size_t decoded_;
+  };
+  const std::string nested = std::string(100, '[') + std::string(100, ']');
+  const std::vector<Case> cases{
+    { "bytes that are no text",
+      "{\"meta\":{\"name\":\"x\",\"revision\":7},\"spec\":\"\xff\xfe\"}",
+      3 },
+    { "bytes that are no text in its name",
+      "{\"meta\":{\"name\":\"\xc3\x28\",\"revision\":7},\"spec\":{}}",
+      3 },
+    { "deeply nested",
+      R"({"meta":{"name":"x","revision":7},"spec":)" + nested + "}",
+      3 },
+    { "huge numbers",
+      R"({"meta":{"name":"x","revision":7},"spec":{"born":1e999}})",
+      3 },
+    { "nothing", "null", 2 },
+    { "other types", R"({"meta":{"name":7,"revision":"x"},"spec":[]})", 2 },
+  };
+  for (const Case& item : cases) {
+    for (const StoreOp op : { StoreOp::List, StoreOp::Watch }) {
+      const auto wrap = [op](const std::string& aObject) {
+        return op == StoreOp::List
+                 ? aObject
+                 : R"({"deleted":false,"object":)" + aObject + "}";
+      };
+      HttpExchange exchange;
+      exchange.end_ = HttpEnd::Ok;
+      exchange.response_.status_ = 200;
+      exchange.response_.body_ =
+        std::string(op == StoreOp::List ? R"({"items":[)" : R"({"events":[)") +
+        wrap(R"({"meta":{"name":"a","revision":5},"spec":{}})") + "," +
+        wrap(item.entry_) + "," +
+        wrap(R"({"meta":{"name":"b","revision":6},"spec":{}})") +
+        R"(],"as-of":9})";
+      StoreCall call;
+      call.op_ = op;
+      std::string fault;
+      const StoreReply reply = DecodeStoreReply(call, exchange, fault);
+      LONGS_EQUAL_TEXT(StoreStatus::Ok, reply.status_, item.name_);
+      LONGS_EQUAL_TEXT(
+        item.decoded_, reply.items_.size() + reply.changes_.size(), item.name_);
+    }
+  }
+}
+
 TEST_GROUP(HttpCodec){};
 
 TEST(HttpCodec, RequestsAreForwardedUnchanged)
--- a/tests/discovery/table_feed_test.cpp
+++ b/tests/discovery/table_feed_test.cpp
@@ -105,6 +105,19 @@
   CHECK_TRUE(AreSame(pair.source_, pair.copy_));
 }
 
+// Entries of other writers may hold bytes that are no text.
+TEST(TableFeed, OneUnreadableEntryHidesAllServers)
+{
+  Pair pair;
+  pair.feed_.incarnation_ = 7;
+  Put(pair.source_, "a", 1);
+  Put(pair.source_, "x\xc3\x28", 2);
+  pair.source_.objects_["x\xc3\x28"].text_ = "\"\xff\xfe\"";
+  Put(pair.source_, "b", 3);
+  CHECK_TRUE(pair.Exchange().whole_);
+  CHECK_TRUE(AreSame(pair.source_, pair.copy_));
+}
+
 // During an outage of the store the sender must say so. Without messages all
 // followers would call the store themselves.
 TEST(TableFeed, TransmitsThatTheStoreIsUnavailable)
