Codechange: the choice of a feed's source is part of the core

Cause: whom a daemon follows was decided in the runtime, where no test on the paused clock reaches it. Behaviour unchanged.

--- /dev/null
+++ b/src/gateway/feed_source.cpp
@@ -0,0 +1,60 @@
+// Chooses whose feed of the tables a daemon follows while watchers stop, lose
+// the store, or go on with a watch that tells them nothing.
+#include "gateway/feed_source.h"
+
+#include "gateway/directory.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+namespace {
+
+const MemberRecord*
+FindAlive(const std::vector<MemberRecord>& aMembers, DaemonId aId)
+{
+  const auto found = std::find_if(
+    aMembers.begin(), aMembers.end(), [aId](const MemberRecord& aMember) {
+      return aMember.id_ == aId && aMember.state_ == MemberState::Alive;
+    });
+  return found == aMembers.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+// Keeps the current source while its feed messages arrive; otherwise picks a
+// random watcher, at first one of the same failure domain. A watcher that the
+// store rejects so tries another source each time.
+const MemberRecord*
+ChooseFeedSource(const FollowedFeed& aFeed,
+                 const FeedSourceView& aView,
+                 const std::vector<MemberRecord>& aMembers,
+                 TimePoint aNow,
+                 Rng& aRng)
+{
+  const MemberRecord* current = FindAlive(aMembers, aFeed.source_);
+  if (current != nullptr && aNow - aFeed.receivedAt_ < kFeedTimeout) {
+    return current;
+  }
+  std::vector<const MemberRecord*> sameDomain;
+  std::vector<const MemberRecord*> all;
+  for (const MemberRecord* member : ChooseWatchers(aMembers)) {
+    if (member->id_ == aView.self_) {
+      continue;
+    }
+    all.push_back(member);
+    if (member->failureDomain_ == aView.failureDomain_) {
+      sameDomain.push_back(member);
+    }
+  }
+  // After a timeout, or a report that the store is unavailable, watchers of
+  // other failure domains are candidates too.
+  const bool preferSameDomain =
+    aFeed.source_.value_ == 0 &&
+    aNow - aView.storeUnavailableAt_ >= kFeedTimeout;
+  const std::vector<const MemberRecord*>& candidates =
+    preferSameDomain && !sameDomain.empty() ? sameDomain : all;
+  return candidates.empty() ? nullptr : candidates[aRng() % candidates.size()];
+}
+
+} // namespace camphorfield
--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -4,6 +4,7 @@
 #include "runtime/gateway_host.h"
 
 #include "gateway/directory.h"
+#include "gateway/feed_source.h"
 #include "gateway/gateway_func.h"
 #include "membership/membership_func.h"
 #include "observe/log.h"
@@ -20,8 +21,6 @@
 constexpr Duration kFeedRequestInterval = std::chrono::milliseconds(500);
 /** Least time between two requests, when messages after a lost one arrive. */
 constexpr Duration kMinFeedRequestInterval = std::chrono::milliseconds(100);
-/** Without a feed message for this time, a follower tries other sources. */
-constexpr Duration kFeedTimeout = std::chrono::milliseconds(1300);
 /** A follower reads the store itself after this time without a feed, in which
  * it has tried other sources. */
 constexpr Duration kStoreReadAfter = std::chrono::milliseconds(2500);
@@ -203,39 +202,6 @@
   }
 }
 
-// Keeps the current source while its feed messages arrive; otherwise picks a
-// random watcher, at first one of the same failure domain. A watcher that the
-// store rejects so tries another source each time.
-const MemberRecord*
-GatewayHost::ChooseFeedSource()
-{
-  const DaemonId self = membership_.self_.id_;
-  const bool recent = ReadClock().mono_ - followed_.receivedAt_ < kFeedTimeout;
-  const MemberRecord* current = FindMember(followed_.source_);
-  if (recent && current != nullptr && current->state_ == MemberState::Alive) {
-    return current;
-  }
-  std::vector<const MemberRecord*> sameDomain;
-  std::vector<const MemberRecord*> all;
-  for (const MemberRecord* member : ChooseWatchers(*members_)) {
-    if (member->id_ == self) {
-      continue;
-    }
-    all.push_back(member);
-    if (member->failureDomain_ == membership_.self_.failureDomain_) {
-      sameDomain.push_back(member);
-    }
-  }
-  // After a timeout, or a report that the store is unavailable, watchers of
-  // other failure domains are candidates too.
-  const bool preferSameDomain =
-    followed_.source_.value_ == 0 &&
-    ReadClock().mono_ - storeUnavailableAt_ >= kFeedTimeout;
-  const std::vector<const MemberRecord*>& candidates =
-    preferSameDomain && !sameDomain.empty() ? sameDomain : all;
-  return candidates.empty() ? nullptr : candidates[rng_() % candidates.size()];
-}
-
 void
 GatewayHost::RequestFeed()
 {
@@ -255,7 +221,14 @@
   }
   feedRequestedAt_ = now.mono_;
   nextFeedRequestAt_ = now.mono_ + kFeedRequestInterval;
-  const MemberRecord* source = ChooseFeedSource();
+  const MemberRecord* source =
+    ChooseFeedSource(followed_,
+                     { membership_.self_.id_,
+                       membership_.self_.failureDomain_,
+                       storeUnavailableAt_ },
+                     *members_,
+                     now.mono_,
+                     rng_);
   if (source == nullptr) {
     return;
   }
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -160,7 +160,6 @@
   bool IsFresh();
   Duration TableAge();
   const MemberRecord* FindMember(DaemonId aId) const;
-  const MemberRecord* ChooseFeedSource();
   void SendFeed(const MemberRecord& aTo,
                 std::uint64_t aIncarnation,
                 std::uint64_t aNumber,
