Fix: a follower leaves a source whose configuration is behind

Cause: the source was judged by its messages alone. A watch that dies silently is given up after 4.5 s of the 5 s that a change may take, and its daemon's tables count as fresh until then. Change: the lag of the oldest missing version is measured. After 0.7 s a daemon follows one that has the newest, and requests whole tables; after 2 s it reads the configuration from the store itself. Series of changes don't count as one lag. Evidence: SourcesWithAnOldConfigurationAreFollowed fails before ('some watchers have it') and passes; FollowersKeepAnOldConfigurationWhileTheirFeedRuns states the last resort.

--- a/src/gateway/feed_source.cpp
+++ b/src/gateway/feed_source.cpp
@@ -20,22 +20,18 @@
   return found == aMembers.end() ? nullptr : &*found;
 }
 
-} // namespace
+bool
+HasNewest(const FeedSourceView& aView, const MemberRecord& aMember)
+{
+  return aMember.generation_ >= aView.newestVersion_;
+}
 
-// Keeps the current source while its feed messages arrive; otherwise picks a
-// random watcher, at first one of the same failure domain. A watcher that the
-// store rejects so tries another source each time.
-const MemberRecord*
-ChooseFeedSource(const FollowedFeed& aFeed,
-                 const FeedSourceView& aView,
-                 const std::vector<MemberRecord>& aMembers,
-                 TimePoint aNow,
-                 Rng& aRng)
+std::vector<const MemberRecord*>
+FindWatchers(const FollowedFeed& aFeed,
+             const FeedSourceView& aView,
+             const std::vector<MemberRecord>& aMembers,
+             TimePoint aNow)
 {
-  const MemberRecord* current = FindAlive(aMembers, aFeed.source_);
-  if (current != nullptr && aNow - aFeed.receivedAt_ < kFeedTimeout) {
-    return current;
-  }
   std::vector<const MemberRecord*> sameDomain;
   std::vector<const MemberRecord*> all;
   for (const MemberRecord* member : ChooseWatchers(aMembers)) {
@@ -52,8 +48,70 @@
   const bool preferSameDomain =
     aFeed.source_.value_ == 0 &&
     aNow - aView.storeUnavailableAt_ >= kFeedTimeout;
-  const std::vector<const MemberRecord*>& candidates =
-    preferSameDomain && !sameDomain.empty() ? sameDomain : all;
+  return preferSameDomain && !sameDomain.empty() ? sameDomain : all;
+}
+
+/** Watchers with the newest configuration; if there are none, any daemons that
+ * have it. */
+std::vector<const MemberRecord*>
+FindNewest(const FeedSourceView& aView,
+           const std::vector<MemberRecord>& aMembers)
+{
+  std::vector<const MemberRecord*> found;
+  for (const MemberRecord* member : ChooseWatchers(aMembers)) {
+    if (member->id_ != aView.self_ && HasNewest(aView, *member)) {
+      found.push_back(member);
+    }
+  }
+  if (!found.empty()) {
+    return found;
+  }
+  for (const MemberRecord& member : aMembers) {
+    if (member.id_ != aView.self_ && member.state_ == MemberState::Alive &&
+        HasNewest(aView, member)) {
+      found.push_back(&member);
+    }
+  }
+  return found;
+}
+
+} // namespace
+
+bool
+IsReadByOthers(const StoreReadView& aView)
+{
+  if (!aView.complete_ && !aView.mayReadFirst_) {
+    return true;
+  }
+  return !aView.isWatcher_ &&
+         (aView.awaitsFirst_ || (aView.hasFeed_ && aView.complete_ &&
+                                 aView.configLag_ <= kConfigReadAfter));
+}
+
+// Keeps the current source while its feed messages arrive and its configuration
+// isn't behind; otherwise picks a random watcher, at first one of the same
+// failure domain. A watcher that the store rejects so tries another source each
+// time.
+const MemberRecord*
+ChooseFeedSource(const FollowedFeed& aFeed,
+                 const FeedSourceView& aView,
+                 const std::vector<MemberRecord>& aMembers,
+                 TimePoint aNow,
+                 Rng& aRng)
+{
+  const bool isBehind = aView.configLag_ > kMaxSourceLag;
+  const MemberRecord* current = FindAlive(aMembers, aFeed.source_);
+  if (current != nullptr && aNow - aFeed.receivedAt_ < kFeedTimeout &&
+      (!isBehind || HasNewest(aView, *current))) {
+    return current;
+  }
+  std::vector<const MemberRecord*> candidates;
+  if (isBehind) {
+    candidates = FindNewest(aView, aMembers);
+  }
+  if (candidates.empty()) {
+    candidates = FindWatchers(aFeed, aView, aMembers, aNow);
+  }
   return candidates.empty() ? nullptr : candidates[aRng() % candidates.size()];
 }
 
--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -225,7 +225,9 @@
     ChooseFeedSource(followed_,
                      { membership_.self_.id_,
                        membership_.self_.failureDomain_,
-                       storeUnavailableAt_ },
+                       storeUnavailableAt_,
+                       Generation{ newestKnownVersion_ },
+                       configLagTime_ },
                      *members_,
                      now.mono_,
                      rng_);
@@ -235,47 +237,48 @@
   FollowFeed(followed_, source->id_);
   GenerationRequest request;
   request.call_ = PeerCallId{ 1 };
-  // A watcher may have skipped earlier feed messages: it requests whole tables.
-  request.generation_ =
-    Generation{ role_.isWatcher_ ? 0 : followed_.incarnation_ };
+  // A watcher may have skipped earlier feed messages, and a configuration that
+  // stays behind shows that something has been lost: whole tables are
+  // requested.
+  const bool needsWhole = role_.isWatcher_ || configLagTime_ > kMaxSourceLag;
+  request.generation_ = Generation{ needsWhole ? 0 : followed_.incarnation_ };
   request.base_ = Generation{ followed_.position_ };
   SendToPeer(
     SendPeer{ source->id_, source->peerAddress_, request, PeerCallId{} });
 }
 
-// Another daemon's version is known by gossip before its tables arrive, so a
-// lag of some hundred milliseconds is usual.
 void
 GatewayHost::TrackConfigLag()
 {
   const TimePoint now = ReadClock().mono_;
   const std::uint64_t version =
     gateway_.config_ == nullptr ? 0 : gateway_.config_->version_;
-  if (newestKnownVersion_ <= version) {
-    if (configLag_.logged_) {
-      WriteLog(LogLevel::Info,
-               "configuration no longer behind",
-               { { "version", std::to_string(version) } });
-    }
-    configLag_ = ConfigLag{};
+  configLagTime_ =
+    UpdateConfigLag(configLag_, version, newestKnownVersion_, now);
+  const bool isLagging = configLagTime_ > kConfigLagToLog;
+  if (isLagging == configLag_.logged_) {
     return;
   }
-  configLag_.since_ = std::min(configLag_.since_, now);
-  if (!configLag_.logged_ && now - configLag_.since_ > kConfigLagToLog) {
-    configLag_.logged_ = true;
-    ++syncStats_.configLags_;
-    WriteLog(
-      LogLevel::Warning,
-      "configuration behind another daemon's",
-      { { "version", std::to_string(version) },
-        { "newest", std::to_string(newestKnownVersion_) },
-        { "source", std::to_string(followed_.source_.value_) },
-        { "feed_millis",
-          std::to_string((now - followed_.receivedAt_).count() / 1000) } });
+  configLag_.logged_ = isLagging;
+  if (!isLagging) {
+    WriteLog(LogLevel::Info,
+             "configuration no longer behind",
+             { { "version", std::to_string(version) } });
+    return;
   }
+  ++syncStats_.configLags_;
+  WriteLog(
+    LogLevel::Warning,
+    "configuration behind another daemon's",
+    { { "version", std::to_string(version) },
+      { "newest", std::to_string(newestKnownVersion_) },
+      { "source", std::to_string(followed_.source_.value_) },
+      { "feed_millis",
+        std::to_string((now - followed_.receivedAt_).count() / 1000) } });
 }
 
-// A daemon that isn't a watcher reads the store only while it has no feed.
+// A daemon that isn't a watcher reads the store only while it has no feed, or
+// none that keeps its configuration up to date.
 void
 GatewayHost::UpdateRole()
 {
@@ -304,8 +307,12 @@
   for (const std::size_t number : { kConfigTable, kServersTable }) {
     TableSync& table = store_.Table(number);
     table.passive_ =
-      (!table.complete_ && (now < firstReadAt || !membersKnown)) ||
-      (!role_.isWatcher_ && (joining || (hasFeed && table.complete_)));
+      IsReadByOthers({ role_.isWatcher_,
+                       table.complete_,
+                       now >= firstReadAt && membersKnown,
+                       joining,
+                       hasFeed,
+                       number == kConfigTable ? configLagTime_ : Duration() });
     // Changes that a feed applies meanwhile are missing in the watch's history.
     table.watching_ = table.watching_ && !table.passive_;
   }
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -4,6 +4,7 @@
 #include "discovery/feed_follower.h"
 #include "discovery/table_feed.h"
 #include "discovery/table_sync.h"
+#include "gateway/config_lag.h"
 #include "gateway/fleet_role.h"
 #include "gateway/gateway_base.h"
 #include "machine/decision_type.h"
@@ -69,13 +70,6 @@
   std::uint64_t configLags_ = 0;     ///< Times that the configuration lagged.
 };
 
-/** How long a newer configuration has been known to be in force elsewhere. */
-struct ConfigLag
-{
-  TimePoint since_ = kNever; ///< kNever: not behind.
-  bool logged_ = false;
-};
-
 /** Daemon that receives this daemon's table changes. */
 struct FeedFollower
 {
@@ -195,6 +189,7 @@
   /** Decoded servers with their revision, by name; empty id: malformed. */
   std::map<std::string, std::pair<std::uint64_t, BackendEntry>> entries_;
   ConfigLag configLag_;
+  Duration configLagTime_{}; ///< See UpdateConfigLag.
   TableSyncStats syncStats_;
   FleetRole role_;
   TableFeed feed_; ///< Changes sent to followers.
--- a/tests/gateway/feed_source_test.cpp
+++ b/tests/gateway/feed_source_test.cpp
@@ -1,4 +1,5 @@
 // Choice of the daemon whose feed of table changes is followed.
+#include "gateway/config_lag.h"
 #include "gateway/directory.h"
 #include "gateway/feed_source.h"
 
@@ -144,3 +145,103 @@
       IsWatcher },
   });
 }
+
+// A source whose watch of the store tells it nothing goes on sending messages.
+TEST(FeedSource, SourcesWithAnOldConfigurationAreFollowed)
+{
+  const auto isNewest = [](Bench&, const MemberRecord& aMember) {
+    return aMember.generation_.value_ == 5;
+  };
+  const auto lag = [](Bench& aBench, Duration aLag) {
+    FollowFirstWatcher(aBench, milliseconds(100));
+    aBench.view_.newestVersion_ = Generation{ 5 };
+    aBench.view_.configLag_ = aLag;
+  };
+  CheckChoices({
+    { "the change may be on its way",
+      [lag](Bench& aBench) { lag(aBench, milliseconds(400)); },
+      IsFirstWatcher },
+    { "some watchers have it",
+      [lag](Bench& aBench) {
+        lag(aBench, seconds(1));
+        aBench.Member(*std::next(aBench.watchers_.begin())).generation_ =
+          Generation{ 5 };
+        aBench.Member(*std::next(aBench.watchers_.begin(), 3)).generation_ =
+          Generation{ 5 };
+      },
+      isNewest },
+    { "the source has it, too",
+      [lag](Bench& aBench) {
+        lag(aBench, seconds(1));
+        for (const DaemonId watcher : aBench.watchers_) {
+          aBench.Member(watcher).generation_ = Generation{ 5 };
+        }
+      },
+      IsFirstWatcher },
+    { "no watcher has it",
+      [lag](Bench& aBench) {
+        lag(aBench, seconds(1));
+        for (MemberRecord& member : aBench.members_) {
+          const bool hasIt = aBench.watchers_.count(member.id_) == 0 &&
+                             member.id_ != aBench.view_.self_;
+          member.generation_ = Generation{ hasIt ? 5U : 4U };
+        }
+      },
+      isNewest },
+    { "who has it has stopped",
+      [lag](Bench& aBench) {
+        lag(aBench, seconds(1));
+        for (MemberRecord& member : aBench.members_) {
+          if (aBench.watchers_.count(member.id_) == 0) {
+            member.generation_ = Generation{ 5 };
+            member.state_ = MemberState::Suspect;
+          }
+        }
+      },
+      [](Bench& aBench, const MemberRecord& aMember) {
+        return IsWatcher(aBench, aMember) && aMember.generation_.value_ == 4;
+      } },
+  });
+}
+
+// The store is the last resort of a follower whose sources are all behind.
+TEST(FeedSource, FollowersKeepAnOldConfigurationWhileTheirFeedRuns)
+{
+  struct Case
+  {
+    const char* name_;
+    StoreReadView view_;
+    bool readByOthers_;
+  };
+  const std::vector<Case> cases{
+    { "watcher", { true, true, true, false, true, {} }, false },
+    { "watcher, before its turn",
+      { true, false, false, true, false, {} },
+      true },
+    { "follower", { false, true, true, false, true, {} }, true },
+    { "follower, no feed", { false, true, true, false, false, {} }, false },
+    { "follower, incomplete", { false, false, true, false, true, {} }, false },
+    { "just started", { false, false, true, true, false, {} }, true },
+    { "behind for a moment",
+      { false, true, true, false, true, milliseconds(1900) },
+      true },
+    { "behind", { false, true, true, false, true, milliseconds(2100) }, false },
+  };
+  for (const Case& item : cases) {
+    CHECK_TEXT(IsReadByOthers(item.view_) == item.readByOthers_, item.name_);
+  }
+}
+
+// In a series of changes there is always a newer one on its way.
+TEST(FeedSource, LagIsThatOfTheOldestMissingVersion)
+{
+  ConfigLag lag;
+  const auto at = [](int aMillis) { return kNow + milliseconds(aMillis); };
+  CHECK_TRUE(UpdateConfigLag(lag, 4, 4, at(0)) == Duration::zero());
+  CHECK_TRUE(UpdateConfigLag(lag, 4, 5, at(100)) == Duration::zero());
+  CHECK_TRUE(UpdateConfigLag(lag, 4, 6, at(300)) == milliseconds(200));
+  CHECK_TRUE(UpdateConfigLag(lag, 5, 6, at(500)) == milliseconds(200));
+  CHECK_TRUE(UpdateConfigLag(lag, 5, 6, at(3500)) == milliseconds(3200));
+  // A version that was skipped is no longer missing.
+  CHECK_TRUE(UpdateConfigLag(lag, 7, 6, at(3600)) == Duration::zero());
+}
