Add: servers of the soak say that they leave, ask for pauses and name limits

Change: the stand-in sends the three headers, and the soak checks from what servers saw that gateways which had been told stay away.

--- a/tests/soak/book.py
+++ b/tests/soak/book.py
@@ -4,6 +4,7 @@
 """
 
 import wire
+from guidance import Guidance
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 TOP_RECORDS = 5
@@ -22,6 +23,8 @@
         self.allowed = {}   # Kind: services that any version allows.
         self.statuses = {}  # (kind, status): count.
         self.violations = []
+        self.guidance = Guidance(self.fail)
+        self.said = {}      # Proof: (server, what it said of itself).
 
     def fail(self, text):
         """Add a violation."""
@@ -38,6 +41,7 @@
         """Record that a server completed a request; returns its proof."""
         proof = f"{server.name}.{len(self.proofs)}"
         self.proofs[proof] = (request, server.service, body, failed)
+        self.said[proof] = (server, server.says)
         return proof
 
     def note_run(self, server, request, line, body):
@@ -63,6 +67,9 @@
         kind = self.sent[request][3]
         key = (kind, status)
         self.statuses[key] = self.statuses.get(key, 0) + 1
+        for proof in wire.proofs_of(fields) + [fields.get(wire.PROOF)]:
+            if proof in self.said:
+                self.guidance.note_passed_on(request, *self.said[proof])
         if status in NOT_RUN_STATUSES:
             self.not_run[request] = status
             if request in self.runs:
--- a/tests/soak/book_test.py
+++ b/tests/soak/book_test.py
@@ -2,17 +2,21 @@
 
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 import wire
 from book import Book
+from standins import Says
 
 RECORD = b"0123456789abcdef"
 SHARDS = ["s0", "s1", "s2"]
 
 
-def make_server(service):
+def make_server(service, **says):
     """A server with the fields that Book reads."""
-    return SimpleNamespace(name=f"i-{service}", service=service)
+    name = f"i-{service}"
+    return SimpleNamespace(name=name, service=service, says=Says(**says),
+                           life=lambda: name, links=lambda: 0)
 
 
 def make_book():
@@ -125,6 +129,40 @@
     book.note_answer("plain", 404, {}, b"")
 
 
+def arrivals(book, server, told, times, says_pause=None):
+    """A gateway is told at a time; requests reach the server at others."""
+    with mock.patch("guidance.time.monotonic") as clock:
+        clock.return_value = told
+        book.guidance.note_sent("first", lambda: "gateway")
+        book.guidance.note_passed_on("first", server, server.says)
+        if says_pause is not None:
+            book.guidance.note_pause("first", server, says_pause)
+        for number, clock.return_value in enumerate(times):
+            book.guidance.note_sent(f"r{number}", lambda: "gateway")
+            book.guidance.note_arrival(f"r{number}", server)
+
+
+class GuidanceTest(unittest.TestCase):
+    """Requests that servers want, and those that they don't."""
+
+    def test_requests_after_guidance(self):
+        steady = [105 + i * 0.1 for i in range(40)]
+        for name, says, times, pause, allowed in (
+                ("leaving, just told", {"leaving": True}, [100.9], None, True),
+                ("leaving", {"leaving": True}, [101.1], None, False),
+                ("pause, two on their way", {}, [100.6, 100.7], 3, True),
+                ("pause", {}, [100.6, 100.7, 100.8], 3, False),
+                ("pause is over", {}, [103.1, 103.2, 103.3], 3, True),
+                ("limit kept", {"limit": 6, "since": 100}, steady, None, True),
+                ("limit", {"limit": 5, "since": 100}, steady, None, False),
+                ("limit is new", {"limit": 5, "since": 104}, steady[:25],
+                 None, True)):
+            with self.subTest(name):
+                book = Book()
+                arrivals(book, make_server("s0", **says), 100, times, pause)
+                self.assertEqual(not book.violations, allowed)
+
+
 class BookTest(unittest.TestCase):
     """A valid book and one violation of each rule."""
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,7 +19,7 @@
 
 import wire
 from book import Book
-from standins import Proxy, Server, Store, reset
+from standins import Proxy, Says, Server, Store, reset
 
 HOST_NAME = "soak.example"
 ZONES = ("a", "b", "c")
@@ -49,6 +49,7 @@
         self.log = None
         self.should_run = True
         self.version = 0  # Newest shown by the current process.
+        self.pauses = 0  # Times that the process was stopped by a signal.
 
     async def start(self):
         """Start a process with a new settings file."""
@@ -71,6 +72,10 @@
         """Whether the process runs."""
         return self.process is not None and self.process.returncode is None
 
+    def life(self):
+        """Changes with each process and each pause of it."""
+        return f"{self.endpoints.name}/{self.process.pid}/{self.pauses}"
+
     def signal(self, number):
         """Send a signal to the current process, if it runs."""
         if self.is_running():
@@ -123,6 +128,7 @@
         link = Proxy(f"127.0.0.1:{server.port}")
         await link.start()
         server.address = link.address
+        server.link = link
         self.servers.append(server)
         self.server_links.append(link)
         self.list_server(server)
@@ -228,6 +234,7 @@
                     host, port = gateway.caller_link.address.rsplit(":", 1)
                     connection = await asyncio.wait_for(
                         asyncio.open_connection(host, int(port)), 1)
+                    connection += (gateway,)
                 if not await self.send_request(connection, rng):
                     connection[1].close()
                     connection = None
@@ -239,8 +246,9 @@
 
     async def send_request(self, connection, rng):
         """Send one request; returns whether the connection is reusable."""
-        reader, writer = connection
+        reader, writer, gateway = connection
         request, text = self.make_request()
+        self.book.guidance.note_sent(request, gateway.life)
         if rng.random() < 0.03:
             writer.write(text[:rng.randint(1, len(text))])
             await asyncio.sleep(rng.uniform(0, 0.05))
@@ -287,6 +295,7 @@
         elif what == "pause":
             gateway.signal(signal.SIGSTOP)
             await asyncio.sleep(self.rng.uniform(0.2, 4))
+            gateway.pauses += 1
             gateway.signal(signal.SIGCONT)
         elif what == "stop":
             gateway.signal(signal.SIGTERM)
@@ -302,6 +311,7 @@
 
     async def inject_link_fault(self, link):
         """Delay, silence, refuse or reset a link's connections for a while."""
+        link.disturbances += 1
         link.mode = self.rng.choice(
             ("delay", "silent", "one_way", "refuse", "ok"))
         link.delay_s = self.rng.uniform(0.01, 0.4)
@@ -309,6 +319,7 @@
             link.cut()
         await asyncio.sleep(self.rng.uniform(0.2, 4))
         link.mode = "ok"
+        link.disturbances += 1
         if self.rng.random() < 0.5:
             link.cut()
 
@@ -336,6 +347,44 @@
         await asyncio.sleep(self.rng.uniform(0.5, 4))
         server.fault = "none"
 
+    async def inject_guidance(self):
+        """Some servers name a limit, ask for a pause, or leave for good."""
+        what = self.rng.choice(("limit", "pause", "leave"))
+        self.faults[what] += 1
+        servers = self.rng.sample(self.servers, self.rng.randint(1, 6))
+        if what == "limit":
+            limit = self.rng.choice((0, 0.5, 2, 6, 20))
+            for server in servers:
+                server.says = Says(
+                    server.says.leaving, limit, time.monotonic())
+            await asyncio.sleep(self.rng.uniform(4, 9))
+            for server in servers:
+                server.says = Says(server.says.leaving)
+        elif what == "pause":
+            for server in servers:
+                server.pause_s = self.rng.uniform(0.1, 3)
+            await asyncio.sleep(self.rng.uniform(0.1, 1))
+            for server in servers:
+                server.pause_s = None
+        else:
+            await self.replace_server(servers[0])
+
+    async def replace_server(self, server):
+        """A server leaves, whatever the store says; a new one starts later."""
+        server.says = Says(True)
+        if self.rng.random() < 0.5:
+            await asyncio.sleep(self.rng.uniform(0.5, 3))
+            self.store.put("servers", server.name, None)
+            await asyncio.sleep(self.rng.uniform(0.1, 2))
+            self.list_server(server)
+        await asyncio.sleep(self.rng.uniform(2, 4))
+        if server.listener.is_serving():
+            server.crash()
+            server.started_ms = int(time.time() * 1000)
+            await server.start()
+        server.says = Says()
+        self.list_server(server)
+
     async def inject_server_link_fault(self):
         """Disturb the link to a server for a while."""
         self.faults["server link"] += 1
@@ -383,6 +432,7 @@
                  self.kill_several_gateways, self.inject_store_fault,
                  self.inject_server_fault, self.inject_server_fault,
                  self.inject_server_link_fault, self.crash_server,
+                 self.inject_guidance, self.inject_guidance,
                  self.replace_entry, self.change_config)
         while not self.is_over:
             await asyncio.sleep(self.rng.uniform(0.1, 1.5))
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import collections
 import random
 import time
 
@@ -14,6 +15,12 @@
 MAX_CHANGES = 400  # Kept for watches; older revisions get 410.
 
 
+# What a server says of itself in all its answers; limit: requests a second,
+# None for none; since: when it began to name it.
+Says = collections.namedtuple("Says", "leaving limit since",
+                              defaults=(False, None, 0.0))
+
+
 def reset(writer):
     """Close a connection with a TCP reset."""
     writer.transport.abort()
@@ -43,6 +50,7 @@
     def __init__(self, target):
         self.target = target
         self.mode = "ok"  # ok, delay, silent, one_way, refuse
+        self.disturbances = 0  # Times that the mode was another one.
         self.delay_s = 0.0
         self.address = ""
         self.connections = set()
@@ -202,6 +210,9 @@
         self.state = "ready"
         self.started_ms = int(time.time() * 1000)
         self.fault = "none"  # none, slow, errors, lost, extra, hang, full
+        self.says = Says()
+        self.pause_s = None  # Rejects requests and asks for so long a pause.
+        self.link = None
         self.running = 0
         self.listener = None
         self.port = 0
@@ -213,6 +224,23 @@
         self.listener = await asyncio.start_server(self.serve, HOST, self.port)
         self.port = self.listener.sockets[0].getsockname()[1]
 
+    def life(self):
+        """Name of this incarnation."""
+        return f"{self.name}/{self.started_ms}"
+
+    def links(self):
+        """Changes whenever the link to it is disturbed."""
+        return self.link.disturbances
+
+    def guidance_fields(self):
+        """Header fields with what it says of itself."""
+        fields = {}
+        if self.says.leaving:
+            fields[wire.LEAVING] = "1"
+        if self.says.limit is not None:
+            fields[wire.LIMIT] = f"{self.says.limit:g}"
+        return fields
+
     def crash(self):
         """Stop listening and reset all connections."""
         self.listener.close()
@@ -231,8 +259,15 @@
             return wire.make_response(200, {"instance-id": self.name})
         if fields.get(wire.EXPECTED_SERVER, self.name) != self.name:
             return wire.make_response(421, {wire.NOT_RUN: "1"})
+        said = {wire.REQUEST_ID: request, **self.guidance_fields()}
+        self.book.guidance.note_arrival(request, self)
+        if self.pause_s is not None:
+            self.book.guidance.note_pause(request, self, self.pause_s)
+            return wire.make_response(
+                503, {wire.NOT_RUN: "1",
+                      wire.RETRY_AFTER: f"{self.pause_s:.3f}", **said})
         if self.fault == "full" or self.running >= 3 * self.slots:
-            return wire.make_response(503, {wire.NOT_RUN: "1"})
+            return wire.make_response(503, {wire.NOT_RUN: "1", **said})
         self.book.note_run(self, request, line, body)
         self.running += 1
         try:
@@ -249,7 +284,8 @@
         proof = self.book.add_proof(self, request, content, failed)
         answer = wire.make_response(
             500 if failed else 200,
-            {wire.PROOF: proof, wire.REQUEST_ID: request}, content)
+            {wire.PROOF: proof, wire.REQUEST_ID: request,
+             **self.guidance_fields()}, content)
         if self.fault == "extra" and self.rng.random() < 0.3:
             answer += wire.make_response(
                 200, {wire.PROOF: "late", wire.REQUEST_ID: "another"}, b"late")
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -9,6 +9,9 @@
 MISSING_PARTS = "missing-parts"
 EXPECTED_SERVER = "expect-instance"
 NOT_RUN = "not-executed"
+LEAVING = "server-leaving"
+LIMIT = "server-limit"
+RETRY_AFTER = "retry-after"
 RECORD_BYTES = 16
 
 
