Fix: what another server at the address says doesn't bind the expected one

Cause: RecordGuidance took the headers of every answer with the request's id for those of the incarnation it was sent to; a 421 comes from another one. Change: a 421 says nothing of the expected server. Evidence: ServersAreLeftAloneForWhatAnotherOneSaid, 0 arrivals in 8 s before, over 60 now.

--- a/src/gateway/attempt_answer.cpp
+++ b/src/gateway/attempt_answer.cpp
@@ -13,7 +13,6 @@
 
 constexpr std::uint32_t kStatusOk = 200;
 constexpr std::uint32_t kStatusMultiple = 300;
-constexpr std::uint32_t kStatusMisdirected = 421;
 /** Samples between updates of the quantiles. */
 constexpr std::uint32_t kRefreshEvery = 32;
 
--- a/src/gateway/backend_health.cpp
+++ b/src/gateway/backend_health.cpp
@@ -130,6 +130,9 @@
                Backend& aBackend,
                const BackendAnswer& aAnswer)
 {
+  if (aAnswer.status_ == kStatusMisdirected) {
+    return; // Another server has the address and speaks of itself.
+  }
   TakeRequestLimit(aStep, aBackend, aAnswer);
   if (aAnswer.leaving_ && !aBackend.leaving_) {
     TakeLeaving(aStep, aBackend);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -101,6 +101,9 @@
               Backend& aBackend,
               const std::string& aReason);
 
+/** The server isn't the one that the request expects. */
+constexpr std::uint32_t kStatusMisdirected = 421;
+
 /** Takes what a server says of itself in an answer: its request limit, that it
  * leaves, or how long it wants no requests. */
 void
--- a/tests/gateway/guidance_test.cpp
+++ b/tests/gateway/guidance_test.cpp
@@ -151,3 +151,20 @@
                     item.name_);
   }
 }
+
+// What another server at the address says doesn't bind the one that has it.
+TEST(Guidance, ServersAreLeftAloneForWhatAnotherOneSaid)
+{
+  Replay replay(6, 42);
+  MakeShards(replay);
+  ModelServer& server = replay.Servers()[0];
+  const TimePoint begun = replay.Clock();
+  replay.At(seconds(2), [&]() { server.fault_ = ModelFault::Moved; });
+  replay.At(seconds(3), [&]() { server.fault_ = ModelFault::None; });
+  const ReplayLoad load{ kTarget, 60, milliseconds(10), seconds(2), 1 };
+  replay.Run({ load }, seconds(16));
+  // Setting it aside takes up to 4 s.
+  const std::size_t arrivals =
+    CountArrivals(server, begun + seconds(8), replay.Clock());
+  CHECK_TEXT(arrivals > 60, std::to_string(arrivals).c_str());
+}
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -295,6 +295,17 @@
   if (server.fault_ == ModelFault::Silent) {
     return;
   }
+  if (server.fault_ == ModelFault::Moved) {
+    BackendAnswer other;
+    other.status_ = 421;
+    other.notRun_ = true;
+    other.requestId_ = aSend.message_->requestId_;
+    other.requestLimit_ = 0.0;
+    other.leaving_ = true;
+    other.retryAfter_ = std::chrono::seconds(60);
+    Reply(aConnection, std::move(other));
+    return;
+  }
   if (server.fault_ == ModelFault::Shed ||
       server.waiting_.size() >= server.queue_) {
     BackendAnswer shed;
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -26,6 +26,8 @@
   Bare,   ///< First sends the previous answer without an id.
   Silent, ///< Neither answers nor accepts connections.
   Down,   ///< Refuses connections; open ones stay.
+  Moved,  ///< Another server has its address: it answers 421, says that it
+          ///< leaves, asks for a pause and names a limit.
   End     ///< Number of faults.
 };
 
