Change: what servers say of themselves is counted and logged when it can't be read

Cause: a malformed value was ignored without a trace, and a limit that could no longer be read counted as the end of the limit.

--- a/src/gateway/backend_health.cpp
+++ b/src/gateway/backend_health.cpp
@@ -68,7 +68,9 @@
 {
   const bool known = aBackend.rateLimit_.perSecond_.has_value();
   const bool named = aAnswer.requestLimit_.has_value();
-  if (!named && (!known || (aAnswer.proof_.empty() && !aAnswer.notRun_))) {
+  const bool saysNone =
+    (!aAnswer.proof_.empty() || aAnswer.notRun_) && !aAnswer.malformedGuidance_;
+  if (!named && !(known && saysNone)) {
     return;
   }
   if (named != known) {
@@ -123,6 +125,22 @@
     aStep.Time() + aPause + Duration(aStep.rng_() % (jitter + 1));
 }
 
+void
+CountMalformed(GatewayStep& aStep, const Backend& aBackend)
+{
+  GatewayState& state = aStep.state_;
+  ++state.stats_.malformedGuidance_;
+  if (aStep.Time() < state.malformedGuidanceLogAt_) {
+    return;
+  }
+  state.malformedGuidanceLogAt_ = aStep.Time() + kMalformedGuidanceLogInterval;
+  aStep.out_.emplace_back(
+    BackendRecord{ aBackend.entry_.id_,
+                   aBackend.entry_.service_,
+                   "malformed",
+                   "what it says of itself can't be read" });
+}
+
 } // namespace
 
 void
@@ -133,6 +151,9 @@
   if (aAnswer.status_ == kStatusMisdirected) {
     return; // Another server has the address and speaks of itself.
   }
+  if (aAnswer.malformedGuidance_) {
+    CountMalformed(aStep, aBackend);
+  }
   TakeRequestLimit(aStep, aBackend, aAnswer);
   if (aAnswer.leaving_ && !aBackend.leaving_) {
     TakeLeaving(aStep, aBackend);
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -263,6 +263,8 @@
   std::uint64_t leavings_ =
     0;                       ///< Servers that said in answers that they leave.
   std::uint64_t pauses_ = 0; ///< Answers that asked for a pause.
+  /** Answers in which a server says something of itself that can't be read. */
+  std::uint64_t malformedGuidance_ = 0;
   std::uint64_t limits_ = 0; ///< Times that a server began to name a limit.
   /** Requests rejected because servers' limits left no room in time. */
   std::uint64_t limitRejections_ = 0;
@@ -277,6 +279,7 @@
   /** When servers said that they leave, by id and start. The store may list
    * them as ready again. */
   std::map<std::pair<std::string, std::int64_t>, TimePoint> leavingSince_;
+  TimePoint malformedGuidanceLogAt_{}; ///< Earliest time of the next line.
   std::unordered_map<std::string, ServiceNumber> serviceNumber_;
   std::map<std::string, RouteLoad> loads_; ///< By name of the route.
   Pool<Backend> backends_;
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -91,6 +91,9 @@
 /** A server that said it leaves is remembered for this time; its entry in the
  * store is gone long before. */
 constexpr Duration kLeavingTtl = seconds(600);
+/** Least time between log lines on what servers say of themselves and can't be
+ * read. */
+constexpr Duration kMalformedGuidanceLogInterval = seconds(5);
 /** Requests to a server return after its pause spread over this share of it. */
 constexpr double kPauseJitterShare = 0.1;
 
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -185,7 +185,9 @@
   /** Requests a second that the server takes from all daemons together; none:
    * as many as come. */
   std::optional<double> requestLimit_;
-  bool leaving_ = false;  ///< The server is about to end.
+  bool leaving_ = false; ///< The server is about to end.
+  /** Some of what it says of itself can't be read, and isn't included here. */
+  bool malformedGuidance_ = false;
   Duration retryAfter_{}; ///< It wants nothing from this daemon for so long.
   std::vector<MessageField> fields_; ///< End-to-end fields.
   std::string body_;
--- a/src/ops/gateway_metrics.cpp
+++ b/src/ops/gateway_metrics.cpp
@@ -43,6 +43,7 @@
   { "camphorfield_gateway_garbled_total",          "Answers that belong to no request",           &GatewayStats::garbled_ },
   { "camphorfield_gateway_leavings_total",         "Servers that said in answers that they leave", &GatewayStats::leavings_ },
   { "camphorfield_gateway_pauses_total",           "Answers of servers that asked for a pause",   &GatewayStats::pauses_ },
+  { "camphorfield_gateway_malformed_guidance_total", "Answers of servers with unreadable guidance", &GatewayStats::malformedGuidance_ },
   { "camphorfield_gateway_limits_total",           "Times that a server began to name a limit",   &GatewayStats::limits_ },
   { "camphorfield_gateway_limit_rejections_total", "Requests rejected for limits of servers",     &GatewayStats::limitRejections_ },
 };
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -435,24 +435,31 @@
     double limit_; ///< Requests a second; below 0: none.
     bool leaving_;
     Duration retryAfter_;
+    bool malformed_ = false;
   };
   const Duration none = Duration::zero();
   const std::vector<Case> cases{
     { "Server-Limit", "21.5", 200, 21.5, false, none },
     { "Server-Limit", "0", 503, 0.0, false, none },
-    { "Server-Limit", "-1", 200, -1.0, false, none },
-    { "Server-Limit", "nan", 200, -1.0, false, none },
-    { "Server-Limit", "inf", 200, -1.0, false, none },
-    { "Server-Limit", "", 200, -1.0, false, none },
-    { "Server-Limit", "12 a second", 200, -1.0, false, none },
+    { "Server-Limit", "-1", 200, -1.0, false, none, true },
+    { "Server-Limit", "nan", 200, -1.0, false, none, true },
+    { "Server-Limit", "inf", 200, -1.0, false, none, true },
+    { "Server-Limit", "", 200, -1.0, false, none, true },
+    { "Server-Limit", "12 a second", 200, -1.0, false, none, true },
     { "Server-Leaving", "1", 200, -1.0, true, none },
     { "server-leaving", "1", 500, -1.0, true, none },
     { "Server-Leaving", "0", 200, -1.0, false, none },
     { "Retry-After", "1.5", 503, -1.0, false, milliseconds(1500) },
     { "Retry-After", "1.5", 200, -1.0, false, none },
-    { "Retry-After", "-3", 503, -1.0, false, none },
-    { "Retry-After", "1e9", 503, -1.0, false, none },
-    { "Retry-After", "Fri, 04 Dec 2026 20:00:00 GMT", 503, -1.0, false, none },
+    { "Retry-After", "-3", 503, -1.0, false, none, true },
+    { "Retry-After", "1e9", 503, -1.0, false, none, true },
+    { "Retry-After",
+      "Fri, 04 Dec 2026 20:00:00 GMT",
+      503,
+      -1.0,
+      false,
+      none,
+      true },
   };
   for (const Case& item : cases) {
     HttpResponse response = ServerResponse({ { item.field_, item.text_ } });
@@ -463,6 +470,18 @@
       item.limit_, answer.requestLimit_.value_or(-1.0), 1e-9, item.text_);
     CHECK_TEXT(answer.leaving_ == item.leaving_, item.text_);
     CHECK_TEXT(answer.retryAfter_ == item.retryAfter_, item.text_);
+    CHECK_TEXT(answer.malformedGuidance_ == item.malformed_, item.text_);
+  }
+  // A field that is there twice says nothing.
+  for (const char* field :
+       { "Server-Limit", "Server-Leaving", "Retry-After" }) {
+    HttpResponse response = ServerResponse({ { field, "1" }, { field, "1" } });
+    response.status_ = 503;
+    const BackendAnswer answer =
+      GetGatewayCodec().decodeAnswer_(std::move(response));
+    CHECK_TEXT(answer.malformedGuidance_, field);
+    CHECK_TEXT(!answer.requestLimit_ && !answer.leaving_, field);
+    CHECK_TEXT(answer.retryAfter_ == none, field);
   }
 }
 
--- a/tests/gateway/guidance_test.cpp
+++ b/tests/gateway/guidance_test.cpp
@@ -168,3 +168,27 @@
     CountArrivals(server, begun + seconds(8), replay.Clock());
   CHECK_TEXT(arrivals > 60, std::to_string(arrivals).c_str());
 }
+
+// An unreadable field neither begins nor ends anything, and is logged at times.
+TEST(Guidance, AnUnreadableFieldEndsALimit)
+{
+  Replay replay(1, 42);
+  MakeShards(replay);
+  ModelServer& server = replay.Servers()[0];
+  replay.At(seconds(1), [&]() { server.limit_ = 20.0; });
+  replay.At(seconds(3), [&]() {
+    server.limit_ = std::nullopt;
+    server.malformedGuidance_ = true;
+  });
+  const ReplayLoad load{ kTarget, 60, milliseconds(10), seconds(2), 1 };
+  replay.Run({ load }, seconds(9));
+  const GatewayState& state = replay.Daemon(0);
+  const auto limited = std::count_if(
+    state.backends_.slots_.begin(),
+    state.backends_.slots_.end(),
+    [](const Backend& aBackend) { return aBackend.rateLimit_.perSecond_; });
+  LONGS_EQUAL(1, limited);
+  CHECK_TRUE(state.stats_.malformedGuidance_ > 10);
+  const std::uint64_t lines = replay.RecordsSeen("malformed");
+  CHECK_TRUE(lines == 1 || lines == 2);
+}
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -180,6 +180,8 @@
         ++servers_[connections_.at(serial).server_].closedByDaemons_;
         At(kTrip, [this, serial]() { Drop(serial); });
       }
+    } else if (const auto* record = std::get_if<BackendRecord>(&decision)) {
+      ++recordsSeen_[record->change_];
     }
   }
   Arm(aDaemon);
@@ -314,6 +316,7 @@
     shed.requestId_ = aSend.message_->requestId_;
     shed.requestLimit_ = server.limit_;
     shed.leaving_ = server.leaving_;
+    shed.malformedGuidance_ = server.malformedGuidance_;
     shed.retryAfter_ = server.retryAfter_;
     Reply(aConnection, std::move(shed));
     return;
@@ -419,6 +422,7 @@
                   server.slots_ };
   answer.requestLimit_ = server.limit_;
   answer.leaving_ = server.leaving_;
+  answer.malformedGuidance_ = server.malformedGuidance_;
   answer.body_.assign(16, 'r');
   switch (server.fault_) {
     case ModelFault::Silent:
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -57,9 +57,10 @@
   Duration dropsIdle_{};
   std::optional<double> limit_; ///< Requests a second, named in answers.
   std::vector<TimePoint> arrivalTimes_;
-  bool leaving_ = false;         ///< Said in all its answers.
-  Duration retryAfter_{};        ///< Said in answers that it sheds.
-  std::int64_t incarnation_ = 1; ///< Start, in its entry.
+  bool leaving_ = false;           ///< Said in all its answers.
+  bool malformedGuidance_ = false; ///< What it says can't be read.
+  Duration retryAfter_{};          ///< Said in answers that it sheds.
+  std::int64_t incarnation_ = 1;   ///< Start, in its entry.
   bool listed_ = true;
   std::map<std::size_t, ModelGuidance> told_; ///< By daemon.
   /** Requests of daemons that knew better for 100 ms. */
@@ -137,6 +138,11 @@
   Duration Work(Duration aMean);
   std::uint64_t Sends() const;
   const std::vector<BackendSend>& SendsSeen() const { return sendsSeen_; }
+  /** Number of log records of a change in the state of a server. */
+  std::uint64_t RecordsSeen(const std::string& aChange)
+  {
+    return recordsSeen_[aChange];
+  }
   TimePoint Clock() const { return now_; }
 
 private:
@@ -211,6 +217,7 @@
   std::map<std::uint64_t, ProxyAnswer> answers_;
   std::map<std::string, Duration> workOf_; ///< By target.
   std::vector<BackendSend> sendsSeen_;
+  std::map<std::string, std::uint64_t> recordsSeen_; ///< By change.
 };
 
 } // namespace camphorfield
