Add: guidance in the last part of a query, on hedges and with 64 daemons

Measured: Guidance passes; with the two lines of RecordGuidance taken out the groups fail as a whole.

--- a/tests/gateway/guidance_test.cpp
+++ b/tests/gateway/guidance_test.cpp
@@ -53,6 +53,8 @@
   bool unlisted_;       ///< Its entry disappears and comes back as ready.
   bool newIncarnation_; ///< It comes back as a new one.
   bool usedAgain_;
+  std::size_t daemons_ = 6;
+  double speed_ = 1.0; ///< Of its work; above 1 its part is the last one.
 };
 
 /** Servers that want no requests for a while. */
@@ -62,6 +64,8 @@
   std::size_t servers_; ///< First servers of the list; two are a shard.
   Duration pause_;
   double served_; ///< Share of the queries answered on time, at least.
+  std::size_t daemons_ = 6;
+  Duration siblingPauses_{}; ///< The other replica stops each second.
 };
 
 } // namespace
@@ -76,11 +80,20 @@
     { "in a failure", ModelFault::Fail, false, false, false },
     { "entry comes back", ModelFault::None, true, false, false },
     { "new incarnation", ModelFault::None, true, true, true },
+    { "in the last part of a query",
+      ModelFault::None,
+      false,
+      false,
+      false,
+      6,
+      3.0 },
+    { "64 daemons", ModelFault::None, true, false, false, 64 },
   };
   for (const LeavingCase& item : cases) {
-    Replay replay(6, 42);
+    Replay replay(item.daemons_, 42);
     MakeShards(replay);
     ModelServer& server = replay.Servers()[0];
+    server.speed_ *= item.speed_;
     const TimePoint begun = replay.Clock();
     replay.At(seconds(2), [&]() {
       server.leaving_ = true;
@@ -115,10 +128,16 @@
     { "both replicas of a shard", 2, seconds(4), 0.97 },
     { "short", 2, milliseconds(300), 0.97 },
     { "too many shards", 8, seconds(4), 0.6 },
+    { "as a hedge", 1, seconds(4), 0.97, 6, milliseconds(200) },
+    { "64 daemons", 2, seconds(4), 0.97, 64 },
   };
   for (const PauseCase& item : cases) {
-    Replay replay(6, 42);
+    Replay replay(item.daemons_, 42);
     MakeShards(replay);
+    if (item.siblingPauses_.count() > 0) {
+      replay.Servers()[1].pauseEvery_ = seconds(1);
+      replay.Servers()[1].pauseFor_ = item.siblingPauses_;
+    }
     const TimePoint begun = replay.Clock();
     replay.At(seconds(2), [&]() {
       for (std::size_t i = 0; i < item.servers_; ++i) {
