--- a/src/runtime/peer_link.cpp
+++ b/src/runtime/peer_link.cpp
@@ -13,8 +13,10 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/fiber/buffered_channel.hpp>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
 #include <boost/fiber/operations.hpp>
+#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -60,13 +62,14 @@
   PeerLink(std::string aAddress, boost::asio::io_context& aContext)
     : address_(std::move(aAddress))
     , socket_(aContext)
-    , frames_(kQueuedFrames)
   {
   }
 
   std::string address_;
   tcp::socket socket_;
-  boost::fibers::buffered_channel<PeerFrame> frames_;
+  std::deque<PeerFrame> frames_; ///< At most kQueuedFrames.
+  boost::fibers::mutex mutex_;   ///< For arrived_; one thread uses frames_.
+  boost::fibers::condition_variable arrived_;
   bool connected_ = false;
 };
 
@@ -179,9 +182,11 @@
         const std::shared_ptr<PeerLink>& aLink,
         std::uint64_t aWorker)
 {
-  PeerFrame frame;
-  while (aLink->frames_.pop_wait_for(frame, kIdleLinkTimeout) ==
-         boost::fibers::channel_op_status::success) {
+  std::unique_lock lock(aLink->mutex_);
+  while (aLink->arrived_.wait_for(
+    lock, kIdleLinkTimeout, [&aLink]() { return !aLink->frames_.empty(); })) {
+    const PeerFrame frame = std::move(aLink->frames_.front());
+    aLink->frames_.pop_front();
     Deliver(*aState, *aLink, frame);
   }
   aState->links_[aWorker].erase(aLink->address_);
@@ -278,13 +283,12 @@
     [state = state_, worker, frame = std::move(aFrame)]() mutable {
       const std::shared_ptr<PeerLink> link =
         FindOrStart(state, frame.address_, worker);
-      const PeerFrame unsent{
-        frame.to_, frame.address_, frame.call_, std::string()
-      };
-      if (link->frames_.try_push(std::move(frame)) !=
-          boost::fibers::channel_op_status::success) {
-        ReportUnreachable(*state, unsent);
+      if (link->frames_.size() >= kQueuedFrames) {
+        ReportUnreachable(*state, frame);
+        return;
       }
+      link->frames_.push_back(std::move(frame));
+      link->arrived_.notify_one();
     });
 }
 
