Fix: a pause that arrives for a cancelled request is respected

The gateway never knew of the pause. Change: a connection that is closed while it awaits an answer reads once what has arrived; a whole answer is used for what the server says of itself, nothing else. Idle connections are closed as before, without a further call. Evidence: GuidanceToACancelledRequestIsLost fails without that read and passes with it.

--- a/src/gateway/attempt_answer.cpp
+++ b/src/gateway/attempt_answer.cpp
@@ -265,4 +265,18 @@
   DispatchMarked(step);
 }
 
+void
+GatewayOnEvent(GatewayState& aState,
+               const UnreadAnswer& aUnread,
+               const Now& aNow,
+               Rng& aRng,
+               GatewayDecisions& aOut)
+{
+  GatewayStep step{ aState, aNow, aRng, aOut };
+  Backend* backend = FindSlot(aState.backends_, aUnread.backend_);
+  if (backend != nullptr) {
+    RecordGuidance(step, *backend, aUnread.answer_);
+  }
+}
+
 } // namespace camphorfield
--- a/src/gateway/backend_conn.cpp
+++ b/src/gateway/backend_conn.cpp
@@ -179,7 +179,8 @@
 {
   BackendConn* conn = FindSlot(aStep.state_.connections_, aConnection);
   if (conn != nullptr) {
-    aStep.out_.emplace_back(BackendDisconnect{ ConnectionId{ aConnection } });
+    aStep.out_.emplace_back(
+      BackendDisconnect{ ConnectionId{ aConnection }, conn->backend_ });
     RemoveConnection(aStep.state_, *conn);
   }
 }
--- a/src/gateway/gateway_func.h
+++ b/src/gateway/gateway_func.h
@@ -80,6 +80,14 @@
                Rng& aRng,
                GatewayDecisions& aOut);
 
+/** Takes what the server says of itself. */
+void
+GatewayOnEvent(GatewayState& aState,
+               const UnreadAnswer& aUnread,
+               const Now& aNow,
+               Rng& aRng,
+               GatewayDecisions& aOut);
+
 void
 GatewayOnEvent(GatewayState& aState,
                const BackendClosed& aClosed,
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -227,10 +227,19 @@
   Duration timeout_{};
 };
 
-/** Command: close a connection; no further events are sent for it. */
+/** Command: close a connection; no further events are sent for it, but an
+ * answer that has arrived is reported as UnreadAnswer. */
 struct BackendDisconnect
 {
   ConnectionId connection_;
+  std::uint64_t backend_ = 0; ///< Key of its server.
+};
+
+/** Event: answer to a request that was cancelled. */
+struct UnreadAnswer
+{
+  std::uint64_t backend_ = 0; ///< Key of the server.
+  BackendAnswer answer_;
 };
 
 /** Log record of a finished request. */
--- a/src/runtime/backend_link.cpp
+++ b/src/runtime/backend_link.cpp
@@ -56,6 +56,8 @@
   void Connect(const BackendConnect& aConnect);
   void Send(std::string aText);
   void CloseSocket();
+  /** The answer that has arrived but was not read, if it is whole. */
+  std::optional<BackendAnswer> TakeUnread();
 
 private:
   using Parser = http::response_parser<http::string_body>;
@@ -66,6 +68,8 @@
   void Parse();
   void HandleReadError(const boost::system::error_code& aError);
   void Deliver(bool aEnded);
+  void MakeParser();
+  std::optional<BackendAnswer> ReleaseAnswer(bool aEnded);
   void Fail(BackendEnd aEnd);
   void WriteRest(std::size_t aWritten);
   bool HasBegun() const { return parser_ && parser_->got_some(); }
@@ -80,6 +84,7 @@
   std::string out_;
   std::uint32_t interimAnswers_ = 0; ///< To the latest request.
   bool writing_ = false;
+  bool awaitsAnswer_ = false;
   bool isClosed_ = false;
 };
 
@@ -147,6 +152,7 @@
     return;
   }
   interimAnswers_ = 0;
+  awaitsAnswer_ = true;
   out_ = std::move(aText);
   boost::system::error_code error;
   const std::size_t written =
@@ -220,18 +226,44 @@
   }
 }
 
+void
+BackendLink::MakeParser()
+{
+  if (!parser_) {
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->body_limit(kMaxAnswerBytes);
+    parser_->header_limit(kMaxHeaderBytes);
+  }
+}
+
+// A busy event loop may cancel a request whose answer is waiting in the socket.
+std::optional<BackendAnswer>
+BackendLink::TakeUnread()
+{
+  if (isClosed_ || !awaitsAnswer_) {
+    return std::nullopt;
+  }
+  boost::system::error_code error;
+  buffer_.commit(socket_.read_some(buffer_.prepare(kReadBytes), error));
+  if (error) {
+    return std::nullopt;
+  }
+  MakeParser();
+  buffer_.consume(parser_->put(buffer_.data(), error));
+  if (error || !parser_->is_done()) {
+    return std::nullopt;
+  }
+  return ReleaseAnswer(false);
+}
+
 // Bytes after a complete answer are parsed as a further answer; a duplicate is
 // recognized by its request id.
 void
 BackendLink::Parse()
 {
   while (buffer_.size() > 0 && !isClosed_) {
-    if (!parser_) {
-      parser_.emplace();
-      parser_->eager(true);
-      parser_->body_limit(kMaxAnswerBytes);
-      parser_->header_limit(kMaxHeaderBytes);
-    }
+    MakeParser();
     boost::system::error_code error;
     buffer_.consume(parser_->put(buffer_.data(), error));
     if (error == http::error::need_more) {
@@ -270,17 +302,16 @@
   Fail(inOrder ? BackendEnd::Closed : BackendEnd::Reset);
 }
 
-void
-BackendLink::Deliver(bool aEnded)
+/** Decodes what the parser holds; none for an interim answer. */
+std::optional<BackendAnswer>
+BackendLink::ReleaseAnswer(bool aEnded)
 {
   http::response<http::string_body> message = parser_->release();
   parser_.reset();
   if (message.result_int() < kFirstFinalStatus) {
-    if (++interimAnswers_ > kMaxInterimAnswers) {
-      Fail(BackendEnd::Malformed);
-    }
-    return;
+    return std::nullopt;
   }
+  awaitsAnswer_ = false;
   HttpResponse response;
   response.status_ = message.result_int();
   // A server that answers before it has read the whole request would read the
@@ -290,7 +321,20 @@
   response.body_ = std::move(message.body());
   BackendAnswer answer = owner_.codec_.decodeAnswer_(std::move(response));
   answer.connection_ = ConnectionId{ id_ };
-  owner_.sink_.answered_(std::move(answer));
+  return answer;
+}
+
+void
+BackendLink::Deliver(bool aEnded)
+{
+  std::optional<BackendAnswer> answer = ReleaseAnswer(aEnded);
+  if (!answer) {
+    if (++interimAnswers_ > kMaxInterimAnswers) {
+      Fail(BackendEnd::Malformed);
+    }
+    return;
+  }
+  owner_.sink_.answered_(*std::move(answer));
   if (aEnded) {
     Fail(BackendEnd::Closed);
   }
@@ -332,6 +376,14 @@
   if (found != links_.end()) {
     const std::shared_ptr<BackendLink> link = found->second;
     links_.erase(found);
+    if (std::optional<BackendAnswer> unread = link->TakeUnread()) {
+      boost::asio::post(
+        context_,
+        [this,
+         item = UnreadAnswer{ aDisconnect.backend_, *std::move(unread) }]() {
+          sink_.unread_(item);
+        });
+    }
     link->CloseSocket();
   }
 }
--- a/src/runtime/backend_link.h
+++ b/src/runtime/backend_link.h
@@ -17,6 +17,7 @@
   std::function<void(const BackendOpened&)> opened_;
   std::function<void(BackendAnswer&&)> answered_;
   std::function<void(const BackendClosed&)> closed_;
+  std::function<void(const UnreadAnswer&)> unread_;
 };
 
 /**
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -50,7 +50,8 @@
       BackendSink{
         [this](const BackendOpened& aItem) { HandleEvent(aItem); },
         [this](BackendAnswer&& aItem) { HandleEvent(std::move(aItem)); },
-        [this](const BackendClosed& aItem) { HandleEvent(aItem); } })
+        [this](const BackendClosed& aItem) { HandleEvent(aItem); },
+        [this](const UnreadAnswer& aItem) { HandleEvent(aItem); } })
   , peers_(
       aPool,
       [this](const Event& aEvent) {
--- a/tests/gateway/guidance_test.cpp
+++ b/tests/gateway/guidance_test.cpp
@@ -188,6 +188,28 @@
   CHECK_TEXT(arrivals > 60, std::to_string(arrivals).c_str());
 }
 
+// A request may be cancelled while the rejection is on its way.
+TEST(Guidance, PausesAreMissedInAnswersToCancelledRequests)
+{
+  Replay replay(1, 42);
+  MakeShards(replay);
+  GatewayState& state = replay.Daemon(0);
+  const Backend& backend = state.backends_.slots_.front();
+  BackendAnswer answer;
+  answer.status_ = 503;
+  answer.notRun_ = true;
+  answer.retryAfter_ = seconds(3);
+  Rng rng(1);
+  GatewayDecisions decisions;
+  const Now now{ replay.Clock(), 0 };
+  GatewayOnEvent(
+    state, UnreadAnswer{ backend.key_, answer }, now, rng, decisions);
+  CHECK_TRUE(backend.pausedUntil_ >= replay.Clock() + seconds(3));
+  // A server that is no longer known.
+  GatewayOnEvent(
+    state, UnreadAnswer{ backend.key_ + 1, answer }, now, rng, decisions);
+}
+
 // An unreadable field neither begins nor ends anything, and is logged at times.
 TEST(Guidance, AnUnreadableFieldEndsALimit)
 {
--- a/tests/runtime/backend_link_test.cpp
+++ b/tests/runtime/backend_link_test.cpp
@@ -120,7 +120,8 @@
       [&](const BackendClosed& aClosed) {
         seen.end_ = aClosed.end_;
         context.stop();
-      } });
+      },
+      [](const UnreadAnswer&) {} });
   sender = &links;
   links.Connect(BackendConnect{
     id,
@@ -139,10 +140,75 @@
   BackendEnd end_;
 };
 
+/** Cancels a request while its answer waits in the socket. */
+std::vector<UnreadAnswer>
+Cancel(const std::string& aAnswer)
+{
+  boost::asio::io_context context;
+  tcp::acceptor acceptor(context,
+                         { boost::asio::ip::address_v4::loopback(), 0 });
+  std::thread server([&]() { Serve(acceptor, { "", aAnswer, "", false }); });
+  GatewayCodec codec{};
+  codec.encodeSend_ = EncodePlain;
+  codec.decodeAnswer_ = DecodePlain;
+  const ConnectionId id{ 1 };
+  std::vector<UnreadAnswer> unread;
+  BackendLinks* sender = nullptr;
+  BackendLinks links(
+    context,
+    codec,
+    BackendSink{ [&](const BackendOpened&) {
+                  BackendSend send;
+                  send.connection_ = id;
+                  sender->Send(send);
+                  // The event loop is busy until the answer is there.
+                  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+                  sender->Disconnect({ id, 7 });
+                },
+                 [](BackendAnswer&&) { FAIL("delivered"); },
+                 [](const BackendClosed&) { FAIL("closed"); },
+                 [&](const UnreadAnswer& aItem) { unread.push_back(aItem); } });
+  sender = &links;
+  links.Connect(BackendConnect{
+    id,
+    "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+    std::chrono::seconds(1) });
+  context.run();
+  server.join();
+  return unread;
+}
+
 } // namespace
 
 TEST_GROUP(BackendLink){};
 
+// A server that rejects a request doesn't know that it has been cancelled.
+TEST(BackendLink, GuidanceToACancelledRequestIsLost)
+{
+  struct Case
+  {
+    const char* name_;
+    std::string answer_;
+    std::size_t reported_;
+  };
+  const std::string whole = std::string(kOk) + "Content-Length: 2\r\n\r\nhi";
+  const std::vector<Case> cases{
+    { "whole", whole, 1 },
+    { "cut in its body", whole.substr(0, whole.size() - 1), 0 },
+    { "cut in its head", whole.substr(0, 20), 0 },
+    { "interim", "HTTP/1.1 100 Continue\r\n\r\n", 0 },
+    { "none", "", 0 },
+  };
+  for (const Case& item : cases) {
+    const std::vector<UnreadAnswer> unread = Cancel(item.answer_);
+    LONGS_EQUAL_TEXT(item.reported_, unread.size(), item.name_);
+    for (const UnreadAnswer& seen : unread) {
+      LONGS_EQUAL(7, seen.backend_);
+      LONGS_EQUAL(200, seen.answer_.status_);
+    }
+  }
+}
+
 TEST(BackendLink, OnlyWholeAnswersAreDelivered)
 {
   const std::string ok = kOk;
