--- a/src/gateway/config_lag.cpp
+++ b/src/gateway/config_lag.cpp
@@ -15,9 +15,8 @@
   if (aNewestVersion > aOwnVersion) {
     aLag.knownSince_.try_emplace(aNewestVersion, aNow);
   }
-  return aLag.knownSince_.empty()
-           ? Duration::zero()
-           : aNow - aLag.knownSince_.begin()->second;
+  return aLag.knownSince_.empty() ? Duration::zero()
+                                  : aNow - aLag.knownSince_.begin()->second;
 }
 
 } // namespace camphorfield
