--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -243,6 +243,8 @@
                 if connection is not None:
                     reset(connection[1])
                 connection = None
+        if connection is not None:
+            connection[1].close()
 
     async def send_request(self, connection, rng):
         """Send one request; returns whether the connection is reusable."""
