--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -225,18 +225,21 @@
               std::size_t aAhead,
               TimePoint aNow)
 {
-  const auto usable = static_cast<std::size_t>(
+  const auto usable =
     std::count_if(aService.backends_.begin(),
                   aService.backends_.end(),
                   [&aState](std::uint64_t aKey) {
                     return IsUsable(aState.backends_.slots_[aKey & kSlotMask]);
-                  }));
+                  });
   Duration least = Duration::max();
+  if (usable == 0) {
+    return least;
+  }
+  const std::size_t ahead = aAhead / static_cast<std::size_t>(usable);
   for (const std::uint64_t key : aService.backends_) {
     const Backend& backend = aState.backends_.slots_[key & kSlotMask];
     if (IsUsable(backend)) {
-      least = std::min(least,
-                       TimeUntilWanted(aState, backend, aAhead / usable, aNow));
+      least = std::min(least, TimeUntilWanted(aState, backend, ahead, aNow));
     }
   }
   return least;
