Change: the soak accepts an end by SIGTERM before the gateway has started

By its log the process got SIGTERM before its line 'gateway started'; signals are taken before it listens, so no request had been read. The check holds unchanged for every process that has logged that line.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -47,6 +47,7 @@
         self.caller_link = Proxy(self.endpoints.front)
         self.process = None
         self.log = None
+        self.log_begin = 0  # Length of the log when the process started.
         self.should_run = True
         self.version = 0  # Newest shown by the current process.
         self.pauses = 0  # Times that the process was stopped by a signal.
@@ -64,10 +65,17 @@
             self.log = open(os.path.join(
                 self.soak.directory, self.endpoints.name + ".log"), "ab")
         self.version = 0
+        self.log_begin = os.path.getsize(self.log.name)
         self.process = await asyncio.create_subprocess_exec(
             self.soak.binary, "gateway", stdout=self.log, stderr=self.log,
             env={**os.environ, "CAMPHORFIELD_SETTINGS": path})
 
+    def has_started(self):
+        """Whether the latest process got as far as to take signals."""
+        with open(self.log.name, "rb") as log:
+            log.seek(self.log_begin)
+            return b'"gateway started"' in log.read()
+
     def is_running(self):
         """Whether the process runs."""
         return self.process is not None and self.process.returncode is None
@@ -87,7 +95,10 @@
             status = await self.process.wait()
             if not self.should_run:
                 return
-            if status not in (0, -signal.SIGKILL):
+            # A signal may come before the process is there to handle it; it
+            # has taken no request by then.
+            is_early = status == -signal.SIGTERM and not self.has_started()
+            if status not in (0, -signal.SIGKILL) and not is_early:
                 self.soak.book.fail(
                     f"{self.endpoints.name} ended with {status}")
             await asyncio.sleep(0.3)
