Fix: a server of the soak keeps its port while it is down

Its port came from the kernel's range for outgoing connections, one of which took it meanwhile; shown by a script that binds such a port for an outgoing connection. Change: ports below that range, and a restart tries again while its port is taken. Checks unchanged.

--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -5,6 +5,8 @@
 
 import asyncio
 import collections
+import errno
+import itertools
 import random
 import time
 
@@ -13,6 +15,10 @@
 HOST = "127.0.0.1"
 PAGE_OBJECTS = 50
 MAX_CHANGES = 400  # Kept for watches; older revisions get 410.
+# Below the ports that the kernel gives to outgoing connections: while a server
+# is down, one of these could take its port.
+SERVER_PORTS = itertools.cycle(range(20000, 32000))
+PORT_TRIES = 200
 
 
 # What a server says of itself in all its answers; limit: requests a second,
@@ -221,8 +227,19 @@
 
     async def start(self):
         """Listen; a restart uses the same port again."""
-        self.listener = await asyncio.start_server(self.serve, HOST, self.port)
-        self.port = self.listener.sockets[0].getsockname()[1]
+        for _ in range(PORT_TRIES):
+            port = self.port or next(SERVER_PORTS)
+            try:
+                self.listener = await asyncio.start_server(
+                    self.serve, HOST, port)
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise
+                await asyncio.sleep(0.05 if self.port else 0)
+                continue
+            self.port = port
+            return
+        raise OSError(errno.EADDRINUSE, f"no port for {self.name}")
 
     def life(self):
         """Name of this incarnation."""
