Fix: the soak binds the incarnation that spoke, not its successor

Cause: what a server said was keyed by its incarnation when the caller got the answer; after a restart in between, the next incarnation would have counted as leaving. Seen when re-reading the diff, not in a run. Change: the incarnation is recorded with the proof.

--- a/tests/soak/book.py
+++ b/tests/soak/book.py
@@ -24,7 +24,7 @@
         self.statuses = {}  # (kind, status): count.
         self.violations = []
         self.guidance = Guidance(self.fail)
-        self.said = {}      # Proof: (server, what it said of itself).
+        self.said = {}      # Proof: (server's life, what it said of itself).
 
     def fail(self, text):
         """Add a violation."""
@@ -41,7 +41,7 @@
         """Record that a server completed a request; returns its proof."""
         proof = f"{server.name}.{len(self.proofs)}"
         self.proofs[proof] = (request, server.service, body, failed)
-        self.said[proof] = (server, server.says)
+        self.said[proof] = (server.life(), server.says)
         return proof
 
     def note_run(self, server, request, line, body):
--- a/tests/soak/book_test.py
+++ b/tests/soak/book_test.py
@@ -134,7 +134,7 @@
     with mock.patch("guidance.time.monotonic") as clock:
         clock.return_value = told
         book.guidance.note_sent("first", lambda: "gateway")
-        book.guidance.note_passed_on("first", server, server.says)
+        book.guidance.note_passed_on("first", server.life(), server.says)
         if says_pause is not None:
             book.guidance.note_pause("first", server, says_pause)
         for number, clock.return_value in enumerate(times):
--- a/tests/soak/guidance.py
+++ b/tests/soak/guidance.py
@@ -2,7 +2,7 @@
 
 A server that leaves, asks for a pause or names a request limit says so in its
 answers. Each rule binds a gateway that was told, until it restarts or is
-paused; `Told` names that time by the gateway's life.
+paused. Lives tell processes between such events, and incarnations, apart.
 """
 
 import collections
@@ -38,11 +38,11 @@
         """A caller sends a request to the gateway whose life this returns."""
         self.sent[request] = Sent(life, time.monotonic())
 
-    def note_passed_on(self, request, server, says):
-        """A caller got an answer that a server gave."""
+    def note_passed_on(self, request, server_life, says):
+        """A caller got an answer that this incarnation of a server gave."""
         if request not in self.sent:
             return
-        key = (self.sent[request].life(), server.life())
+        key = (self.sent[request].life(), server_life)
         if says.leaving:
             self.leaving.setdefault(key, time.monotonic())
         if says.limit is not None:
