Codechange: one query route for the replays of gateways

Cause: guidance, limit, rules and load each built the same route over shards. Behaviour unchanged: same values, assertions untouched.

--- a/tests/gateway/guidance_test.cpp
+++ b/tests/gateway/guidance_test.cpp
@@ -21,18 +21,7 @@
 MakeShards(Replay& aReplay)
 {
   aReplay.AddShards(kShards);
-  GatewayRoute route;
-  route.name_ = "query";
-  route.prefix_ = "/query/";
-  route.timeout_ = seconds(2);
-  route.objective_ = milliseconds(200);
-  route.maxAttempts_ = 2;
-  route.topRecords_ = 5;
-  route.minCoverage_ = 0.8;
-  for (std::size_t i = 0; i < kShards; ++i) {
-    route.shards_.push_back("shard" + std::to_string(i));
-  }
-  aReplay.SetRoute(route);
+  aReplay.SetRoute(MakeQueryRoute(kShards, 0.8, 5));
   aReplay.Publish();
 }
 
--- a/tests/gateway/limit_test.cpp
+++ b/tests/gateway/limit_test.cpp
@@ -23,23 +23,6 @@
 constexpr double kAllowedFactor = 1.5;
 constexpr double kAllowedExtra = 5.0;
 
-GatewayRoute
-QueryRoute()
-{
-  GatewayRoute route;
-  route.name_ = "query";
-  route.prefix_ = "/query/";
-  route.timeout_ = seconds(2);
-  route.objective_ = milliseconds(200);
-  route.maxAttempts_ = 2;
-  route.topRecords_ = 20;
-  route.minCoverage_ = 0.89;
-  for (std::size_t i = 0; i < kShards; ++i) {
-    route.shards_.push_back("shard" + std::to_string(i));
-  }
-  return route;
-}
-
 /** Most requests that a server got in a window after aFrom. */
 std::size_t
 LargestWindow(const ModelServer& aServer, TimePoint aFrom, TimePoint aTo)
@@ -85,7 +68,7 @@
   for (const LimitCase& item : cases) {
     Replay replay(item.daemons_, 42);
     replay.AddShards(kShards);
-    replay.SetRoute(QueryRoute());
+    replay.SetRoute(MakeQueryRoute(kShards, 0.89, 20));
     replay.Publish();
     const TimePoint begun = replay.Clock();
     const Duration limitedFrom = seconds(3);
--- a/tests/gateway/load_test.cpp
+++ b/tests/gateway/load_test.cpp
@@ -23,18 +23,10 @@
 GatewayRoute
 WideRoute()
 {
-  GatewayRoute route;
+  GatewayRoute route = MakeQueryRoute(kShards, 0.89, 20);
   route.name_ = "wide";
   route.prefix_ = "/wide/";
-  route.timeout_ = seconds(2);
-  route.objective_ = milliseconds(200);
   route.priority_ = 1;
-  route.maxAttempts_ = 2;
-  route.topRecords_ = 20;
-  route.minCoverage_ = 0.89;
-  for (std::size_t i = 0; i < kShards; ++i) {
-    route.shards_.push_back("shard" + std::to_string(i));
-  }
   return route;
 }
 
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -30,6 +30,25 @@
   return asked_ == 0 ? 1.0 : quality_ / asked_;
 }
 
+GatewayRoute
+MakeQueryRoute(std::size_t aShards,
+               double aMinCoverage,
+               std::uint32_t aTopRecords)
+{
+  GatewayRoute route;
+  route.name_ = "query";
+  route.prefix_ = "/query/";
+  route.timeout_ = std::chrono::seconds(2);
+  route.objective_ = std::chrono::milliseconds(200);
+  route.maxAttempts_ = 2;
+  route.topRecords_ = aTopRecords;
+  route.minCoverage_ = aMinCoverage;
+  for (std::size_t i = 0; i < aShards; ++i) {
+    route.shards_.push_back("shard" + std::to_string(i));
+  }
+  return route;
+}
+
 Replay::Replay(std::size_t aDaemons, std::uint64_t aSeed)
   : rng_(aSeed)
 {
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -105,6 +105,12 @@
   std::uint32_t retries_ = 1; ///< Of a caller after a rejection.
 };
 
+/** Route "query" under /query/ over services shard0, shard1, ... */
+GatewayRoute
+MakeQueryRoute(std::size_t aShards,
+               double aMinCoverage,
+               std::uint32_t aTopRecords);
+
 /** The simulation. Its random numbers depend on the seed alone. */
 class Replay
 {
--- a/tests/gateway/rules_test.cpp
+++ b/tests/gateway/rules_test.cpp
@@ -31,18 +31,7 @@
 GatewayRoute
 QueryRoute(std::size_t aShards, double aCoverage)
 {
-  GatewayRoute route;
-  route.name_ = "query";
-  route.prefix_ = "/query/";
-  route.timeout_ = seconds(2);
-  route.objective_ = milliseconds(200);
-  route.maxAttempts_ = 2;
-  route.topRecords_ = 5;
-  route.minCoverage_ = aCoverage;
-  for (std::size_t i = 0; i < aShards; ++i) {
-    route.shards_.push_back("shard" + std::to_string(i));
-  }
-  return route;
+  return MakeQueryRoute(aShards, aCoverage, 5);
 }
 
 /** A simulation of one daemon and some shards. */
