Add: log of requests whose connection breaks and of suspected content

Change: one line when a connection breaks under a request, when its server turns out to have crashed, and when content is quarantined, with fingerprint, caller and target; a counter of suspected crashes. No decision changes.

--- a/src/gateway/backend_conn.cpp
+++ b/src/gateway/backend_conn.cpp
@@ -127,7 +127,7 @@
   const Attempt& attempt = *FindSlot(state.attempts_, attemptKey);
   const GatewayRun* run = FindSlot(state.runs_, attempt.run_);
   if (run != nullptr && !aClosed.answerBegun_) {
-    RecordBrokenConnection(aStep, aConn.backend_, run->fingerprint_);
+    RecordBrokenConnection(aStep, aConn.backend_, *run, aClosed.end_);
   }
   EndAttempt(aStep,
              attemptKey,
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -188,6 +188,7 @@
   const GatewayRoute* route_ = nullptr; ///< In config_.
   RouteLoad* load_ = nullptr;
   SharedMessage message_;
+  std::string caller_;
   std::uint64_t fingerprint_ = 0;
   TimePoint arrivedAt_{};
   Duration waitedBefore_{}; ///< Since the caller's first attempt.
@@ -231,6 +232,9 @@
   TimePoint at_{};
   std::uint64_t backend_ = 0;
   std::uint64_t fingerprint_ = 0;
+  std::string requestId_;
+  std::string caller_;
+  std::string target_; ///< Host, path and query.
 };
 
 /** Planned end of the process. */
@@ -268,6 +272,7 @@
   std::uint64_t limits_ = 0; ///< Times that a server began to name a limit.
   /** Requests rejected because servers' limits left no room in time. */
   std::uint64_t limitRejections_ = 0;
+  std::uint64_t crashesSuspected_ = 0; ///< Requests in flight at a crash.
 };
 
 /** State of the gateway. */
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -296,7 +296,8 @@
 void
 RecordBrokenConnection(GatewayStep& aStep,
                        std::uint64_t aBackend,
-                       std::uint64_t aFingerprint);
+                       const GatewayRun& aRun,
+                       BackendEnd aEnd);
 
 /** Treats a refused connect as a crash: suspects what broke there before. */
 void
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -272,6 +272,27 @@
   std::string reason_;
 };
 
+/** What has happened to the server of a suspected request. */
+enum class SuspicionEvent : std::uint8_t
+{
+  Broke,       ///< Its connection broke with the request in flight.
+  Crashed,     ///< It turned out to have crashed.
+  Quarantined, ///< The content is rejected from now on.
+  End          ///< Number of events.
+};
+
+/** Log record of a request that may have crashed its server. */
+struct SuspicionRecord
+{
+  SuspicionEvent event_ = SuspicionEvent::Broke;
+  std::string server_;
+  std::string requestId_;
+  std::string caller_;
+  std::string target_; ///< Host, path and query.
+  std::uint64_t fingerprint_ = 0;
+  std::string reason_;
+};
+
 /** Command: report suspected crash content to all daemons. */
 struct SuspectFound
 {
@@ -285,7 +306,8 @@
                                      BackendDisconnect,
                                      SuspectFound,
                                      RequestRecord,
-                                     BackendRecord>;
+                                     BackendRecord,
+                                     SuspicionRecord>;
 
 using GatewayDecisions = std::vector<GatewayDecision>;
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -103,6 +103,7 @@
   run.route_ = &aRoute;
   run.load_ = &state.loads_[aRoute.name_];
   run.message_ = aRequest.message_;
+  run.caller_ = aRequest.caller_;
   run.fingerprint_ = aFingerprint;
   run.arrivedAt_ = aStep.Time();
   run.waitedBefore_ = aWaited;
--- a/src/observe/request_log.cpp
+++ b/src/observe/request_log.cpp
@@ -5,8 +5,10 @@
 
 #include "observe/log.h"
 #include "table/proxy_table.h"
+#include "table/suspicion_table.h"
 #include "table/timeline_table.h"
 
+#include <absl/strings/str_cat.h>
 #include <string>
 
 namespace camphorfield {
@@ -46,6 +48,19 @@
              { "reason", aRecord.reason_ } });
 }
 
+void
+LogSuspicion(const SuspicionRecord& aRecord)
+{
+  WriteLog(LogLevel::Warning,
+           kSuspicionMessages[static_cast<std::size_t>(aRecord.event_)],
+           { { "server", aRecord.server_ },
+             { "request", aRecord.requestId_ },
+             { "content", absl::StrCat(absl::Hex(aRecord.fingerprint_)) },
+             { "caller", aRecord.caller_ },
+             { "target", aRecord.target_ },
+             { "reason", aRecord.reason_ } });
+}
+
 void
 LogMembershipChange(const TimelineRecord& aRecord)
 {
--- a/src/observe/request_log.h
+++ b/src/observe/request_log.h
@@ -14,6 +14,10 @@
 void
 LogBackendChange(const BackendRecord& aRecord);
 
+/** Logs a request that may have crashed its server. */
+void
+LogSuspicion(const SuspicionRecord& aRecord);
+
 /** Logs a change of another daemon's membership state. */
 void
 LogMembershipChange(const TimelineRecord& aRecord);
--- a/src/ops/gateway_metrics.cpp
+++ b/src/ops/gateway_metrics.cpp
@@ -46,6 +46,7 @@
   { "camphorfield_gateway_malformed_guidance_total", "Answers of servers with unreadable guidance", &GatewayStats::malformedGuidance_ },
   { "camphorfield_gateway_limits_total",           "Times that a server began to name a limit",   &GatewayStats::limits_ },
   { "camphorfield_gateway_limit_rejections_total", "Requests rejected for limits of servers",     &GatewayStats::limitRejections_ },
+  { "camphorfield_gateway_crashes_suspected_total", "Requests in flight when their server crashed",   &GatewayStats::crashesSuspected_ },
 };
 
 /** Counter of the spread of tables. */
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -163,6 +163,8 @@
         LogRequest(aItem);
       } else if constexpr (std::is_same_v<Item, BackendRecord>) {
         LogBackendChange(aItem);
+      } else if constexpr (std::is_same_v<Item, SuspicionRecord>) {
+        LogSuspicion(aItem);
       }
     },
     aDecision);
