--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -36,6 +36,9 @@
   1: optional i64 fingerprint
   2: optional i32 crashes
   3: optional i64 untilUnixMicros
+  4: optional i32 epoch
+  5: optional list<i64> servers
+  6: optional list<i64> requests
 }
 
 /** Exactly one field is set. */
--- /dev/null
+++ b/src/core/crash_evidence.h
@@ -0,0 +1,54 @@
+/** Evidence that content crashes servers, collected by several daemons. */
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace camphorfield {
+
+/** Crashed servers and requests that suffice as evidence. */
+constexpr std::size_t kCrashesToConvict = 3;
+/** More than one, because one query is in flight on many servers, which may
+ * crash together for another reason. */
+constexpr std::size_t kRequestsToConvict = 2;
+
+/**
+ * What is known of one content. Daemons exchange and join their evidence; the
+ * result doesn't depend on the order, on repetition, or on which daemon has
+ * seen what. A server that several daemons saw crash counts once.
+ */
+struct CrashEvidence
+{
+  /** Raised when an answer refutes the evidence; lower ones are obsolete. */
+  std::uint32_t epoch_ = 0;
+  /** Hashes of server incarnations that crashed: the smallest
+   * kCrashesToConvict, ascending. */
+  std::vector<std::uint64_t> servers_;
+  /** Hashes of ids of requests that they ran: the smallest kRequestsToConvict,
+   * ascending. */
+  std::vector<std::uint64_t> requests_;
+
+  bool operator==(const CrashEvidence& aOther) const = default;
+};
+
+/** Adds one crash. */
+void
+AddCrash(CrashEvidence& aEvidence,
+         std::uint64_t aServer,
+         std::uint64_t aRequest);
+
+/** Drops the evidence, also on daemons that receive this.
+ * @return False when there was none. */
+bool
+RefuteEvidence(CrashEvidence& aEvidence);
+
+/** Joins another daemon's evidence. @return False when nothing changed. */
+bool
+JoinEvidence(CrashEvidence& aInto, const CrashEvidence& aFrom);
+
+/** Whether the content may be rejected. */
+bool
+IsConclusive(const CrashEvidence& aEvidence);
+
+} // namespace camphorfield
--- a/src/gateway/backend_conn.cpp
+++ b/src/gateway/backend_conn.cpp
@@ -85,16 +85,13 @@
     return;
   }
   DelayReconnect(aStep, *backend);
-  if (aEnd == BackendEnd::Refused) {
-    RecordRefusedConnect(aStep, key);
-  }
   // If another connection is open, the server is up but at its limit.
   LearnConnectionLimit(aStep, *backend);
+  const char* reason = aEnd == BackendEnd::Refused ? "connections refused"
+                                                   : "connections not accepted";
   if (backend->connections_.size() == backend->opening_) {
-    RecordFailure(aStep,
-                  *backend,
-                  aEnd == BackendEnd::Refused ? "connections refused"
-                                              : "connections not accepted");
+    RecordFailure(aStep, *backend, reason);
+    RecordCrash(aStep, key, reason);
   }
   MarkService(aStep.state_, backend->service_);
 }
@@ -127,7 +124,11 @@
   const Attempt& attempt = *FindSlot(state.attempts_, attemptKey);
   const GatewayRun* run = FindSlot(state.runs_, attempt.run_);
   if (run != nullptr && !aClosed.answerBegun_) {
-    RecordBrokenConnection(aStep, aConn.backend_, *run, aClosed.end_);
+    RecordBrokenConnection(aStep,
+                           *FindSlot(state.backends_, aConn.backend_),
+                           *run,
+                           attempt.part_,
+                           aClosed.end_);
   }
   EndAttempt(aStep,
              attemptKey,
@@ -247,6 +248,8 @@
   conn->usedAt_ = aNow.mono_;
   conn->expiresAt_ = aNow.mono_ + kDefaultKeepAlive;
   --backend.opening_;
+  backend.restarts_ += backend.crashed_ ? 1 : 0;
+  backend.crashed_ = false;
   if (!IsUsable(backend)) {
     CloseConnection(step, aOpened.connection_.value_);
     return;
--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -4,6 +4,7 @@
 #include "gateway/gateway_internal.h"
 
 #include <algorithm>
+#include <set>
 
 namespace camphorfield {
 
@@ -11,10 +12,29 @@
 
 using BackendKey = std::pair<std::string, std::int64_t>;
 
+/** A server at another one's address shows that the other one has ended. */
+void
+RecordReplaced(GatewayStep& aStep, const BackendEntry& aEntry)
+{
+  const std::deque<BrokenConnection>& broken = aStep.state_.broken_;
+  std::set<std::uint64_t> replaced;
+  for (const BrokenConnection& one : broken) {
+    const Backend* backend = FindSlot(aStep.state_.backends_, one.backend_);
+    if (!one.crashed_ && backend != nullptr &&
+        backend->entry_.address_ == aEntry.address_) {
+      replaced.insert(one.backend_);
+    }
+  }
+  for (const std::uint64_t key : replaced) {
+    RecordCrash(aStep, key, "another server has its address");
+  }
+}
+
 Backend&
 AddBackend(GatewayStep& aStep, const BackendEntry& aEntry)
 {
   GatewayState& state = aStep.state_;
+  RecordReplaced(aStep, aEntry);
   Backend& backend = AllocateSlot(state.backends_);
   const std::uint64_t key = backend.key_;
   backend = Backend{};
@@ -34,6 +54,9 @@
 RemoveBackend(GatewayStep& aStep, Backend& aBackend)
 {
   GatewayState& state = aStep.state_;
+  if (IsUsable(aBackend)) {
+    RecordCrash(aStep, aBackend.key_, "no longer listed");
+  }
   aBackend.listed_ = false;
   std::vector<std::uint64_t>& listed =
     state.services_[aBackend.service_].backends_;
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -1,6 +1,7 @@
 // Protects servers from a request that crashes each server that runs it and is
-// retried by its caller. Content that was in flight on several servers when
-// they crashed is quarantined; an answer to it clears the suspicion.
+// retried by its caller. Evidence against content is a server that crashed
+// while it ran a request which then got no answer; an answer refutes it. The
+// daemons join their evidence, since retries reach different ones.
 #include "gateway/gateway_func.h"
 #include "gateway/gateway_internal.h"
 
@@ -20,15 +21,64 @@
        const BrokenConnection& aBroken,
        std::string aReason)
 {
-  const Backend* backend = FindSlot(aStep.state_.backends_, aBroken.backend_);
+  aStep.out_.emplace_back(SuspicionRecord{ aEvent,
+                                           aBroken.server_,
+                                           aBroken.requestId_,
+                                           aBroken.caller_,
+                                           aBroken.target_,
+                                           aBroken.fingerprint_,
+                                           std::move(aReason) });
+}
+
+std::uint64_t
+HashIncarnation(const Backend& aBackend)
+{
+  const BackendEntry& entry = aBackend.entry_;
+  return HashPair(
+    HashText(entry.id_, static_cast<std::uint64_t>(entry.startedMillis_)),
+    aBackend.restarts_);
+}
+
+/** Returns the record of a content; a full table drops the one with the least
+ * evidence. */
+SuspectContent&
+FindOrAddSuspect(GatewayState& aState,
+                 std::uint64_t aFingerprint,
+                 TimePoint aNow)
+{
+  std::erase_if(aState.suspects_, [aNow](const auto& aItem) {
+    return aItem.second.until_ <= aNow;
+  });
+  if (aState.suspects_.size() >= kMaxSuspects &&
+      aState.suspects_.count(aFingerprint) == 0) {
+    aState.suspects_.erase(std::min_element(
+      aState.suspects_.begin(),
+      aState.suspects_.end(),
+      [](const auto& aLeft, const auto& aRight) {
+        return std::pair(aLeft.second.evidence_.servers_.size(),
+                         aLeft.second.until_) <
+               std::pair(aRight.second.evidence_.servers_.size(),
+                         aRight.second.until_);
+      }));
+  }
+  SuspectContent& suspect = aState.suspects_[aFingerprint];
+  suspect.until_ = aNow + kSuspectTtl;
+  return suspect;
+}
+
+void
+AddEvidence(GatewayStep& aStep, const BrokenConnection& aBroken)
+{
+  SuspectContent& suspect =
+    FindOrAddSuspect(aStep.state_, aBroken.fingerprint_, aStep.Time());
+  const bool before = IsConclusive(suspect.evidence_);
+  AddCrash(
+    suspect.evidence_, aBroken.serverHash_, HashText(aBroken.requestId_));
   aStep.out_.emplace_back(
-    SuspicionRecord{ aEvent,
-                     backend == nullptr ? "gone" : backend->entry_.id_,
-                     aBroken.requestId_,
-                     aBroken.caller_,
-                     aBroken.target_,
-                     aBroken.fingerprint_,
-                     std::move(aReason) });
+    SuspectFound{ aBroken.fingerprint_, suspect.evidence_ });
+  if (!before && IsConclusive(suspect.evidence_)) {
+    Report(aStep, SuspicionEvent::Quarantined, aBroken, "crashed servers");
+  }
 }
 
 } // namespace
@@ -50,23 +100,32 @@
 {
   const auto found = aState.suspects_.find(aFingerprint);
   return found != aState.suspects_.end() && aNow < found->second.until_ &&
-         found->second.crashes_ >= kCrashesToQuarantine;
+         IsConclusive(found->second.evidence_);
 }
 
 void
 RecordBrokenConnection(GatewayStep& aStep,
-                       std::uint64_t aBackend,
+                       const Backend& aBackend,
                        const GatewayRun& aRun,
+                       std::uint32_t aPart,
                        BackendEnd aEnd)
 {
-  std::vector<BrokenConnection>& broken = aStep.state_.broken_;
-  std::erase_if(broken, [&aStep](const BrokenConnection& aOne) {
-    return aOne.at_ + kCrashWindow < aStep.Time();
-  });
+  std::deque<BrokenConnection>& broken = aStep.state_.broken_;
+  while (!broken.empty() &&
+         (broken.size() >= kMaxBroken ||
+          broken.front().at_ + kCrashWindow < aStep.Time())) {
+    broken.pop_front();
+  }
   const ProxyMessage& message = *aRun.message_;
+  const BackendEntry& entry = aBackend.entry_;
   broken.push_back({ aStep.Time(),
-                     aBackend,
+                     aBackend.key_,
+                     entry.id_,
+                     HashIncarnation(aBackend),
+                     aRun.key_,
+                     aPart,
                      aRun.fingerprint_,
+                     false,
                      message.requestId_,
                      aRun.caller_,
                      message.host_ + message.target_ });
@@ -74,64 +133,78 @@
          SuspicionEvent::Broke,
          broken.back(),
          kBackendEndNames[static_cast<std::size_t>(aEnd)]);
+  // Its entry went first: nobody connects to it again.
+  if (!aBackend.listed_ && !entry.draining_ && !aBackend.leaving_) {
+    RecordCrash(aStep, aBackend.key_, "no longer listed");
+  }
 }
 
 void
-RecordRefusedConnect(GatewayStep& aStep, std::uint64_t aBackend)
+RecordCrash(GatewayStep& aStep,
+            std::uint64_t aBackend,
+            const std::string& aReason)
 {
-  GatewayState& state = aStep.state_;
-  std::vector<BrokenConnection> suspects;
-  std::erase_if(state.broken_, [&](const BrokenConnection& aOne) {
-    const bool here = aOne.backend_ == aBackend;
-    if (here && aOne.at_ + kCrashWindow >= aStep.Time()) {
-      suspects.push_back(aOne);
+  if (Backend* backend = FindSlot(aStep.state_.backends_, aBackend)) {
+    backend->crashed_ = true;
+  }
+  for (BrokenConnection& broken : aStep.state_.broken_) {
+    if (broken.backend_ != aBackend || broken.crashed_ ||
+        broken.at_ + kCrashWindow < aStep.Time()) {
+      continue;
     }
-    return here;
-  });
-  for (const BrokenConnection& one : suspects) {
-    const std::uint64_t fingerprint = one.fingerprint_;
-    const auto known = state.suspects_.find(fingerprint);
-    const std::uint32_t before =
-      known == state.suspects_.end() ? 0 : known->second.crashes_;
-    GatewayAdoptSuspect(state, fingerprint, before + 1, aStep.now_);
-    aStep.out_.emplace_back(SuspectFound{ fingerprint, before + 1 });
-    ++state.stats_.crashesSuspected_;
-    Report(aStep,
-           SuspicionEvent::Crashed,
-           one,
-           absl::StrCat("connection refused; crash ", before + 1));
-    if (before + 1 == kCrashesToQuarantine) {
-      Report(aStep, SuspicionEvent::Quarantined, one, "crashed servers");
+    broken.crashed_ = true;
+    ++aStep.state_.stats_.crashesSuspected_;
+    Report(aStep, SuspicionEvent::Crashed, broken, aReason);
+    if (broken.run_ == 0) {
+      AddEvidence(aStep, broken);
     }
   }
 }
 
-void
+bool
 GatewayAdoptSuspect(GatewayState& aState,
                     std::uint64_t aFingerprint,
-                    std::uint32_t aCrashes,
+                    const CrashEvidence& aEvidence,
                     const Now& aNow)
 {
-  std::erase_if(aState.suspects_, [&aNow](const auto& aItem) {
-    return aItem.second.until_ <= aNow.mono_;
+  SuspectContent& suspect = FindOrAddSuspect(aState, aFingerprint, aNow.mono_);
+  const bool before = IsConclusive(suspect.evidence_);
+  JoinEvidence(suspect.evidence_, aEvidence);
+  return !before && IsConclusive(suspect.evidence_);
+}
+
+void
+RefuteSuspicion(GatewayStep& aStep, const GatewayRun& aRun)
+{
+  GatewayState& state = aStep.state_;
+  std::erase_if(state.broken_, [&aRun](const BrokenConnection& aOne) {
+    return aOne.fingerprint_ == aRun.fingerprint_;
   });
-  if (aState.suspects_.size() >= kMaxSuspects) {
-    return;
+  const auto found = state.suspects_.find(aRun.fingerprint_);
+  if (found != state.suspects_.end() &&
+      RefuteEvidence(found->second.evidence_)) {
+    aStep.out_.emplace_back(
+      SuspectFound{ aRun.fingerprint_, found->second.evidence_ });
   }
-  SuspectContent& suspect = aState.suspects_[aFingerprint];
-  suspect.crashes_ = std::max(suspect.crashes_, aCrashes);
-  suspect.until_ = aNow.mono_ + kSuspectTtl;
 }
 
 void
-ClearSuspect(GatewayState& aState, std::uint64_t aFingerprint)
+SettleSuspicion(GatewayStep& aStep, const GatewayRun& aRun)
 {
-  if (!aState.suspects_.empty()) {
-    aState.suspects_.erase(aFingerprint);
-  }
-  std::erase_if(aState.broken_, [aFingerprint](const BrokenConnection& aOne) {
-    return aOne.fingerprint_ == aFingerprint;
+  std::deque<BrokenConnection>& all = aStep.state_.broken_;
+  std::erase_if(all, [&aRun](const BrokenConnection& aOne) {
+    return aOne.run_ == aRun.key_ &&
+           aRun.parts_[aOne.part_].phase_ == PartPhase::Done;
   });
+  for (BrokenConnection& broken : all) {
+    if (broken.run_ != aRun.key_) {
+      continue;
+    }
+    broken.run_ = 0;
+    if (broken.crashed_) {
+      AddEvidence(aStep, broken);
+    }
+  }
 }
 
 } // namespace camphorfield
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -11,6 +11,7 @@
 #include "gateway/retry_budget.h"
 
 #include <array>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -102,6 +103,10 @@
   TimePoint loadAt_{};
   RateLimit rateLimit_;
   bool leaving_ = false;    ///< It said so in an answer.
+  bool crashed_ = false;    ///< Cleared when a connection opens again.
+  /** Ends after which it accepted connections again, before its next entry was
+   * known. */
+  std::uint64_t restarts_ = 0;
   TimePoint pausedUntil_{}; ///< It wants no requests before.
 };
 
@@ -221,17 +226,22 @@
 /** Content that was in flight when servers crashed. */
 struct SuspectContent
 {
-  std::uint32_t crashes_ = 0;
+  CrashEvidence evidence_;
   TimePoint until_{};
 };
 
-/** A connection that broke with a request in flight. Counted as a crash if the
- * server then refuses connections. */
+/** A connection that broke with a request in flight. It is evidence against the
+ * content if the server has crashed and the request ends without an answer. */
 struct BrokenConnection
 {
   TimePoint at_{};
   std::uint64_t backend_ = 0;
+  std::string server_;           ///< Its id.
+  std::uint64_t serverHash_ = 0; ///< Hash of its incarnation.
+  std::uint64_t run_ = 0;        ///< Zero once the request has ended.
+  std::uint32_t part_ = 0;
   std::uint64_t fingerprint_ = 0;
+  bool crashed_ = false; ///< The server turned out to have crashed.
   std::string requestId_;
   std::string caller_;
   std::string target_; ///< Host, path and query.
@@ -298,7 +308,7 @@
   std::vector<ServiceNumber> marked_;
   BasicTimerHeap<GatewayTimer> timers_;
   std::map<std::uint64_t, SuspectContent> suspects_; ///< By fingerprint.
-  std::vector<BrokenConnection> broken_;
+  std::deque<BrokenConnection> broken_;
   std::uint32_t daemons_ = 1;  ///< Daemons sharing servers' connections.
   double slackFraction_ = 0.0; ///< Own part of the retry budget's slack.
   double limitShare_ = 1.0;    ///< Own part of servers' request limits.
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -126,8 +126,11 @@
 constexpr Duration kRetryAfterNotReady = milliseconds(300);
 
 // Content that crashes servers.
-constexpr std::uint32_t kCrashesToQuarantine = 3; ///< Over all daemons.
-constexpr Duration kCrashWindow = milliseconds(600);
+/** Time after a broken connection in which it may turn out that its server has
+ * crashed: the platform drops a silent server's entry after some seconds. */
+constexpr Duration kCrashWindow = seconds(6);
+/** Broken connections that are remembered for as long. */
+constexpr std::size_t kMaxBroken = 1024;
 constexpr Duration kSuspectTtl = seconds(300);
 constexpr std::size_t kMaxSuspects = 1024;
 
--- a/src/gateway/gateway_func.h
+++ b/src/gateway/gateway_func.h
@@ -39,14 +39,14 @@
 GatewaySetRole(GatewayState& aState, const FleetRole& aRole);
 
 /**
- * Merges another daemon's report of content that crashes servers.
+ * Joins another daemon's evidence on content that crashes servers.
  * @param aFingerprint Hash of the content.
- * @param aCrashes Servers that it has crashed so far.
+ * @return Whether the content is quarantined from now on.
  */
-void
+bool
 GatewayAdoptSuspect(GatewayState& aState,
                     std::uint64_t aFingerprint,
-                    std::uint32_t aCrashes,
+                    const CrashEvidence& aEvidence,
                     const Now& aNow);
 
 /** Rejects or forwards a request. Each gets exactly one ProxyAnswer, unless its
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -295,16 +295,23 @@
 /** Records a connection that broke with a request in flight. */
 void
 RecordBrokenConnection(GatewayStep& aStep,
-                       std::uint64_t aBackend,
+                       const Backend& aBackend,
                        const GatewayRun& aRun,
+                       std::uint32_t aPart,
                        BackendEnd aEnd);
 
-/** Treats a refused connect as a crash: suspects what broke there before. */
+/** Records that a server has crashed: its connections broke because of that. */
 void
-RecordRefusedConnect(GatewayStep& aStep, std::uint64_t aBackend);
+RecordCrash(GatewayStep& aStep,
+            std::uint64_t aBackend,
+            const std::string& aReason);
 
-/** Clears suspicion of content that was answered without a crash. */
+/** Drops the evidence against content that has been answered. */
 void
-ClearSuspect(GatewayState& aState, std::uint64_t aFingerprint);
+RefuteSuspicion(GatewayStep& aStep, const GatewayRun& aRun);
+
+/** Keeps the evidence of a run that ends: of its parts without an answer. */
+void
+SettleSuspicion(GatewayStep& aStep, const GatewayRun& aRun);
 
 } // namespace camphorfield
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -1,6 +1,7 @@
 /** Configuration, requests and backend messages of the gateway. */
 #pragma once
 
+#include "core/crash_evidence.h"
 #include "core/id_type.h"
 #include "core/time_type.h"
 
@@ -293,11 +294,11 @@
   std::string reason_;
 };
 
-/** Command: report suspected crash content to all daemons. */
+/** Command: report evidence on content to all daemons. */
 struct SuspectFound
 {
   std::uint64_t fingerprint_ = 0;
-  std::uint32_t crashes_ = 0; ///< Servers that crashed with it in flight.
+  CrashEvidence evidence_;
 };
 
 using GatewayDecision = std::variant<ProxyAnswer,
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -89,8 +89,13 @@
 Finish(GatewayStep& aStep, GatewayRun& aRun, ProxyAnswer&& aAnswer)
 {
   aAnswer.id_ = aRun.id_;
+  const bool whole =
+    aAnswer.code_ == ProxyCode::Forwarded ||
+    (aAnswer.code_ == ProxyCode::Merged && aAnswer.missing_ == 0);
+  if (whole) {
+    RefuteSuspicion(aStep, aRun);
+  }
   if (aAnswer.code_ <= ProxyCode::Merged) {
-    ClearSuspect(aStep.state_, aRun.fingerprint_);
     CountAnswerTime(*aRun.load_, aStep.Time() - aRun.arrivedAt_);
   }
   CountAnswer(aStep.state_, aRun, aAnswer.code_);
@@ -121,6 +126,7 @@
 {
   GatewayState& state = aStep.state_;
   const bool stop = aRun.route_->kind_ == RequestKind::Idempotent;
+  SettleSuspicion(aStep, aRun);
   for (RequestPart& part : aRun.parts_) {
     if (part.phase_ == PartPhase::Waiting) {
       DequeuePart(state, part);
--- a/src/machine/peer_type.h
+++ b/src/machine/peer_type.h
@@ -1,6 +1,7 @@
 /** Messages between daemons; src/peer encodes them with Thrift. */
 #pragma once
 
+#include "core/crash_evidence.h"
 #include "core/id_type.h"
 #include "core/result_type.h"
 #include "core/time_type.h"
@@ -59,8 +60,10 @@
 struct QuarantineRumor
 {
   Fingerprint fingerprint_;
-  std::uint32_t crashes_ = 0; ///< Number of distinct servers that crashed.
+  /** Number of distinct servers that crashed; not used by gateways. */
+  std::uint32_t crashes_ = 0;
   std::int64_t untilUnixMicros_ = 0; ///< Expiry.
+  CrashEvidence evidence_;           ///< Of gateways.
 };
 
 using Rumor = std::variant<LeavingRumor, QuarantineRumor>;
--- a/src/membership/rumor.cpp
+++ b/src/membership/rumor.cpp
@@ -13,7 +13,8 @@
 
 constexpr std::uint64_t kLeavingSeed = 1;
 constexpr std::uint64_t kQuarantineSeed = 2;
-constexpr std::size_t kRumorBytes = 26; ///< Without the server's name.
+constexpr std::size_t kRumorBytes = 26; ///< Without names and hashes.
+constexpr std::size_t kHashBytes = 10;  ///< Hash in a message.
 
 /** Reports of the same leaving server within this time count as one rumor:
  * several daemons detect it independently. */
@@ -48,8 +49,8 @@
 }
 
 /** Merges a rumor into the known one; true if that has changed. A later leaving
- * rumor replaces an earlier one. Crash count and expiry of a quarantine only
- * grow, so the order of arrival does not matter. */
+ * rumor replaces an earlier one. Crash count, evidence and expiry of a
+ * quarantine are joined, so the order of arrival does not matter. */
 bool
 MergeRumor(const Rumor& aNew, Rumor& aOld)
 {
@@ -63,7 +64,8 @@
   }
   const auto& fresh = std::get<QuarantineRumor>(aNew);
   auto& old = std::get<QuarantineRumor>(aOld);
-  if (fresh.crashes_ <= old.crashes_ &&
+  const bool joined = JoinEvidence(old.evidence_, fresh.evidence_);
+  if (!joined && fresh.crashes_ <= old.crashes_ &&
       fresh.untilUnixMicros_ <= old.untilUnixMicros_) {
     return false;
   }
@@ -75,8 +77,12 @@
 std::size_t
 RumorBytes(const Rumor& aRumor)
 {
-  const auto* leaving = std::get_if<LeavingRumor>(&aRumor);
-  return kRumorBytes + (leaving != nullptr ? leaving->server_.size() : 0);
+  if (const auto* leaving = std::get_if<LeavingRumor>(&aRumor)) {
+    return kRumorBytes + leaving->server_.size();
+  }
+  const CrashEvidence& evidence = std::get<QuarantineRumor>(aRumor).evidence_;
+  return kRumorBytes +
+         kHashBytes * (evidence.servers_.size() + evidence.requests_.size());
 }
 
 bool
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -550,6 +550,21 @@
   this->untilUnixMicros = val;
 __isset.untilUnixMicros = true;
 }
+
+void QuarantineRumor::__set_epoch(const int32_t val) {
+  this->epoch = val;
+__isset.epoch = true;
+}
+
+void QuarantineRumor::__set_servers(const std::vector<int64_t> & val) {
+  this->servers = val;
+__isset.servers = true;
+}
+
+void QuarantineRumor::__set_requests(const std::vector<int64_t> & val) {
+  this->requests = val;
+__isset.requests = true;
+}
 std::ostream& operator<<(std::ostream& out, const QuarantineRumor& obj)
 {
   obj.printTo(out);
@@ -602,6 +617,54 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servers.clear();
+            uint32_t _size4;
+            ::apache::thrift::protocol::TType _etype7;
+            xfer += iprot->readListBegin(_etype7, _size4);
+            this->servers.resize(_size4);
+            uint32_t _i8;
+            for (_i8 = 0; _i8 < _size4; ++_i8)
+            {
+              xfer += iprot->readI64(this->servers[_i8]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->requests.clear();
+            uint32_t _size9;
+            ::apache::thrift::protocol::TType _etype12;
+            xfer += iprot->readListBegin(_etype12, _size9);
+            this->requests.resize(_size9);
+            uint32_t _i13;
+            for (_i13 = 0; _i13 < _size9; ++_i13)
+            {
+              xfer += iprot->readI64(this->requests[_i13]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -634,6 +697,37 @@
     xfer += oprot->writeI64(this->untilUnixMicros);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.epoch) {
+    xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->epoch);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.servers) {
+    xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->servers.size()));
+      std::vector<int64_t> ::const_iterator _iter14;
+      for (_iter14 = this->servers.begin(); _iter14 != this->servers.end(); ++_iter14)
+      {
+        xfer += oprot->writeI64((*_iter14));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.requests) {
+    xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 6);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->requests.size()));
+      std::vector<int64_t> ::const_iterator _iter15;
+      for (_iter15 = this->requests.begin(); _iter15 != this->requests.end(); ++_iter15)
+      {
+        xfer += oprot->writeI64((*_iter15));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -644,20 +738,29 @@
   swap(a.fingerprint, b.fingerprint);
   swap(a.crashes, b.crashes);
   swap(a.untilUnixMicros, b.untilUnixMicros);
+  swap(a.epoch, b.epoch);
+  swap(a.servers, b.servers);
+  swap(a.requests, b.requests);
   swap(a.__isset, b.__isset);
 }
 
-QuarantineRumor::QuarantineRumor(const QuarantineRumor& other4) noexcept {
-  fingerprint = other4.fingerprint;
-  crashes = other4.crashes;
-  untilUnixMicros = other4.untilUnixMicros;
-  __isset = other4.__isset;
-}
-QuarantineRumor& QuarantineRumor::operator=(const QuarantineRumor& other5) noexcept {
-  fingerprint = other5.fingerprint;
-  crashes = other5.crashes;
-  untilUnixMicros = other5.untilUnixMicros;
-  __isset = other5.__isset;
+QuarantineRumor::QuarantineRumor(const QuarantineRumor& other16) {
+  fingerprint = other16.fingerprint;
+  crashes = other16.crashes;
+  untilUnixMicros = other16.untilUnixMicros;
+  epoch = other16.epoch;
+  servers = other16.servers;
+  requests = other16.requests;
+  __isset = other16.__isset;
+}
+QuarantineRumor& QuarantineRumor::operator=(const QuarantineRumor& other17) {
+  fingerprint = other17.fingerprint;
+  crashes = other17.crashes;
+  untilUnixMicros = other17.untilUnixMicros;
+  epoch = other17.epoch;
+  servers = other17.servers;
+  requests = other17.requests;
+  __isset = other17.__isset;
   return *this;
 }
 void QuarantineRumor::printTo(std::ostream& out) const {
@@ -666,6 +769,9 @@
   out << "fingerprint="; (__isset.fingerprint ? (out << to_string(fingerprint)) : (out << "<null>"));
   out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
   out << ", " << "untilUnixMicros="; (__isset.untilUnixMicros ? (out << to_string(untilUnixMicros)) : (out << "<null>"));
+  out << ", " << "epoch="; (__isset.epoch ? (out << to_string(epoch)) : (out << "<null>"));
+  out << ", " << "servers="; (__isset.servers ? (out << to_string(servers)) : (out << "<null>"));
+  out << ", " << "requests="; (__isset.requests ? (out << to_string(requests)) : (out << "<null>"));
   out << ")";
 }
 
@@ -766,15 +872,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Rumor::Rumor(const Rumor& other6) {
-  leaving = other6.leaving;
-  quarantine = other6.quarantine;
-  __isset = other6.__isset;
+Rumor::Rumor(const Rumor& other18) {
+  leaving = other18.leaving;
+  quarantine = other18.quarantine;
+  __isset = other18.__isset;
 }
-Rumor& Rumor::operator=(const Rumor& other7) {
-  leaving = other7.leaving;
-  quarantine = other7.quarantine;
-  __isset = other7.__isset;
+Rumor& Rumor::operator=(const Rumor& other19) {
+  leaving = other19.leaving;
+  quarantine = other19.quarantine;
+  __isset = other19.__isset;
   return *this;
 }
 void Rumor::printTo(std::ostream& out) const {
@@ -901,17 +1007,17 @@
   swap(a.__isset, b.__isset);
 }
 
-AdoptedSet::AdoptedSet(const AdoptedSet& other8) {
-  generation = other8.generation;
-  rosterHash = other8.rosterHash;
-  members = other8.members;
-  __isset = other8.__isset;
+AdoptedSet::AdoptedSet(const AdoptedSet& other20) {
+  generation = other20.generation;
+  rosterHash = other20.rosterHash;
+  members = other20.members;
+  __isset = other20.__isset;
 }
-AdoptedSet& AdoptedSet::operator=(const AdoptedSet& other9) {
-  generation = other9.generation;
-  rosterHash = other9.rosterHash;
-  members = other9.members;
-  __isset = other9.__isset;
+AdoptedSet& AdoptedSet::operator=(const AdoptedSet& other21) {
+  generation = other21.generation;
+  rosterHash = other21.rosterHash;
+  members = other21.members;
+  __isset = other21.__isset;
   return *this;
 }
 void AdoptedSet::printTo(std::ostream& out) const {
@@ -1007,14 +1113,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size10;
-            ::apache::thrift::protocol::TType _etype13;
-            xfer += iprot->readListBegin(_etype13, _size10);
-            this->members.resize(_size10);
-            uint32_t _i14;
-            for (_i14 = 0; _i14 < _size10; ++_i14)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->members.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += this->members[_i14].read(iprot);
+              xfer += this->members[_i26].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1027,14 +1133,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rumors.clear();
-            uint32_t _size15;
-            ::apache::thrift::protocol::TType _etype18;
-            xfer += iprot->readListBegin(_etype18, _size15);
-            this->rumors.resize(_size15);
-            uint32_t _i19;
-            for (_i19 = 0; _i19 < _size15; ++_i19)
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->rumors.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
             {
-              xfer += this->rumors[_i19].read(iprot);
+              xfer += this->rumors[_i31].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1109,10 +1215,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<Member> ::const_iterator _iter20;
-      for (_iter20 = this->members.begin(); _iter20 != this->members.end(); ++_iter20)
+      std::vector<Member> ::const_iterator _iter32;
+      for (_iter32 = this->members.begin(); _iter32 != this->members.end(); ++_iter32)
       {
-        xfer += (*_iter20).write(oprot);
+        xfer += (*_iter32).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1122,10 +1228,10 @@
     xfer += oprot->writeFieldBegin("rumors", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rumors.size()));
-      std::vector<Rumor> ::const_iterator _iter21;
-      for (_iter21 = this->rumors.begin(); _iter21 != this->rumors.end(); ++_iter21)
+      std::vector<Rumor> ::const_iterator _iter33;
+      for (_iter33 = this->rumors.begin(); _iter33 != this->rumors.end(); ++_iter33)
       {
-        xfer += (*_iter21).write(oprot);
+        xfer += (*_iter33).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1174,27 +1280,27 @@
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other22) {
-  sequence = other22.sequence;
-  members = other22.members;
-  rumors = other22.rumors;
-  viewHash = other22.viewHash;
-  sync = other22.sync;
-  syncAfter = other22.syncAfter;
-  syncNext = other22.syncNext;
-  adopted = other22.adopted;
-  __isset = other22.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other23) {
-  sequence = other23.sequence;
-  members = other23.members;
-  rumors = other23.rumors;
-  viewHash = other23.viewHash;
-  sync = other23.sync;
-  syncAfter = other23.syncAfter;
-  syncNext = other23.syncNext;
-  adopted = other23.adopted;
-  __isset = other23.__isset;
+Gossip::Gossip(const Gossip& other34) {
+  sequence = other34.sequence;
+  members = other34.members;
+  rumors = other34.rumors;
+  viewHash = other34.viewHash;
+  sync = other34.sync;
+  syncAfter = other34.syncAfter;
+  syncNext = other34.syncNext;
+  adopted = other34.adopted;
+  __isset = other34.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other35) {
+  sequence = other35.sequence;
+  members = other35.members;
+  rumors = other35.rumors;
+  viewHash = other35.viewHash;
+  sync = other35.sync;
+  syncAfter = other35.syncAfter;
+  syncNext = other35.syncNext;
+  adopted = other35.adopted;
+  __isset = other35.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -1308,15 +1414,15 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipProbe::GossipProbe(const GossipProbe& other24) {
-  sequence = other24.sequence;
-  target = other24.target;
-  __isset = other24.__isset;
+GossipProbe::GossipProbe(const GossipProbe& other36) {
+  sequence = other36.sequence;
+  target = other36.target;
+  __isset = other36.__isset;
 }
-GossipProbe& GossipProbe::operator=(const GossipProbe& other25) {
-  sequence = other25.sequence;
-  target = other25.target;
-  __isset = other25.__isset;
+GossipProbe& GossipProbe::operator=(const GossipProbe& other37) {
+  sequence = other37.sequence;
+  target = other37.target;
+  __isset = other37.__isset;
   return *this;
 }
 void GossipProbe::printTo(std::ostream& out) const {
@@ -1443,17 +1549,17 @@
   swap(a.__isset, b.__isset);
 }
 
-GenerationAsk::GenerationAsk(const GenerationAsk& other26) noexcept {
-  call = other26.call;
-  generation = other26.generation;
-  base = other26.base;
-  __isset = other26.__isset;
+GenerationAsk::GenerationAsk(const GenerationAsk& other38) noexcept {
+  call = other38.call;
+  generation = other38.generation;
+  base = other38.base;
+  __isset = other38.__isset;
 }
-GenerationAsk& GenerationAsk::operator=(const GenerationAsk& other27) noexcept {
-  call = other27.call;
-  generation = other27.generation;
-  base = other27.base;
-  __isset = other27.__isset;
+GenerationAsk& GenerationAsk::operator=(const GenerationAsk& other39) noexcept {
+  call = other39.call;
+  generation = other39.generation;
+  base = other39.base;
+  __isset = other39.__isset;
   return *this;
 }
 void GenerationAsk::printTo(std::ostream& out) const {
@@ -1619,21 +1725,21 @@
   swap(a.__isset, b.__isset);
 }
 
-GenerationContent::GenerationContent(const GenerationContent& other28) {
-  call = other28.call;
-  generation = other28.generation;
-  changeId = other28.changeId;
-  digest = other28.digest;
-  content = other28.content;
-  __isset = other28.__isset;
-}
-GenerationContent& GenerationContent::operator=(const GenerationContent& other29) {
-  call = other29.call;
-  generation = other29.generation;
-  changeId = other29.changeId;
-  digest = other29.digest;
-  content = other29.content;
-  __isset = other29.__isset;
+GenerationContent::GenerationContent(const GenerationContent& other40) {
+  call = other40.call;
+  generation = other40.generation;
+  changeId = other40.changeId;
+  digest = other40.digest;
+  content = other40.content;
+  __isset = other40.__isset;
+}
+GenerationContent& GenerationContent::operator=(const GenerationContent& other41) {
+  call = other41.call;
+  generation = other41.generation;
+  changeId = other41.changeId;
+  digest = other41.digest;
+  content = other41.content;
+  __isset = other41.__isset;
   return *this;
 }
 void GenerationContent::printTo(std::ostream& out) const {
@@ -1839,25 +1945,25 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderForward::OrderForward(const OrderForward& other30) {
-  call = other30.call;
-  caller = other30.caller;
-  route = other30.route;
-  key = other30.key;
-  body = other30.body;
-  remainingMicros = other30.remainingMicros;
-  generation = other30.generation;
-  __isset = other30.__isset;
-}
-OrderForward& OrderForward::operator=(const OrderForward& other31) {
-  call = other31.call;
-  caller = other31.caller;
-  route = other31.route;
-  key = other31.key;
-  body = other31.body;
-  remainingMicros = other31.remainingMicros;
-  generation = other31.generation;
-  __isset = other31.__isset;
+OrderForward::OrderForward(const OrderForward& other42) {
+  call = other42.call;
+  caller = other42.caller;
+  route = other42.route;
+  key = other42.key;
+  body = other42.body;
+  remainingMicros = other42.remainingMicros;
+  generation = other42.generation;
+  __isset = other42.__isset;
+}
+OrderForward& OrderForward::operator=(const OrderForward& other43) {
+  call = other43.call;
+  caller = other43.caller;
+  route = other43.route;
+  key = other43.key;
+  body = other43.body;
+  remainingMicros = other43.remainingMicros;
+  generation = other43.generation;
+  __isset = other43.__isset;
   return *this;
 }
 void OrderForward::printTo(std::ostream& out) const {
@@ -2027,21 +2133,21 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderForwarded::OrderForwarded(const OrderForwarded& other32) {
-  call = other32.call;
-  code = other32.code;
-  accepted = other32.accepted;
-  replayed = other32.replayed;
-  body = other32.body;
-  __isset = other32.__isset;
-}
-OrderForwarded& OrderForwarded::operator=(const OrderForwarded& other33) {
-  call = other33.call;
-  code = other33.code;
-  accepted = other33.accepted;
-  replayed = other33.replayed;
-  body = other33.body;
-  __isset = other33.__isset;
+OrderForwarded::OrderForwarded(const OrderForwarded& other44) {
+  call = other44.call;
+  code = other44.code;
+  accepted = other44.accepted;
+  replayed = other44.replayed;
+  body = other44.body;
+  __isset = other44.__isset;
+}
+OrderForwarded& OrderForwarded::operator=(const OrderForwarded& other45) {
+  call = other45.call;
+  code = other45.code;
+  accepted = other45.accepted;
+  replayed = other45.replayed;
+  body = other45.body;
+  __isset = other45.__isset;
   return *this;
 }
 void OrderForwarded::printTo(std::ostream& out) const {
@@ -2228,23 +2334,23 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderOutcomeCopy::OrderOutcomeCopy(const OrderOutcomeCopy& other34) {
-  caller = other34.caller;
-  key = other34.key;
-  fingerprint = other34.fingerprint;
-  code = other34.code;
-  answer = other34.answer;
-  unixMicros = other34.unixMicros;
-  __isset = other34.__isset;
-}
-OrderOutcomeCopy& OrderOutcomeCopy::operator=(const OrderOutcomeCopy& other35) {
-  caller = other35.caller;
-  key = other35.key;
-  fingerprint = other35.fingerprint;
-  code = other35.code;
-  answer = other35.answer;
-  unixMicros = other35.unixMicros;
-  __isset = other35.__isset;
+OrderOutcomeCopy::OrderOutcomeCopy(const OrderOutcomeCopy& other46) {
+  caller = other46.caller;
+  key = other46.key;
+  fingerprint = other46.fingerprint;
+  code = other46.code;
+  answer = other46.answer;
+  unixMicros = other46.unixMicros;
+  __isset = other46.__isset;
+}
+OrderOutcomeCopy& OrderOutcomeCopy::operator=(const OrderOutcomeCopy& other47) {
+  caller = other47.caller;
+  key = other47.key;
+  fingerprint = other47.fingerprint;
+  code = other47.code;
+  answer = other47.answer;
+  unixMicros = other47.unixMicros;
+  __isset = other47.__isset;
   return *this;
 }
 void OrderOutcomeCopy::printTo(std::ostream& out) const {
@@ -2546,35 +2652,35 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedSub::RelayedSub(const RelayedSub& other36) {
-  id = other36.id;
-  connection = other36.connection;
-  kind = other36.kind;
-  serviceName = other36.serviceName;
-  shard = other36.shard;
-  version = other36.version;
-  key = other36.key;
-  cancels = other36.cancels;
-  body = other36.body;
-  server = other36.server;
-  remainingMicros = other36.remainingMicros;
-  fingerprint = other36.fingerprint;
-  __isset = other36.__isset;
-}
-RelayedSub& RelayedSub::operator=(const RelayedSub& other37) {
-  id = other37.id;
-  connection = other37.connection;
-  kind = other37.kind;
-  serviceName = other37.serviceName;
-  shard = other37.shard;
-  version = other37.version;
-  key = other37.key;
-  cancels = other37.cancels;
-  body = other37.body;
-  server = other37.server;
-  remainingMicros = other37.remainingMicros;
-  fingerprint = other37.fingerprint;
-  __isset = other37.__isset;
+RelayedSub::RelayedSub(const RelayedSub& other48) {
+  id = other48.id;
+  connection = other48.connection;
+  kind = other48.kind;
+  serviceName = other48.serviceName;
+  shard = other48.shard;
+  version = other48.version;
+  key = other48.key;
+  cancels = other48.cancels;
+  body = other48.body;
+  server = other48.server;
+  remainingMicros = other48.remainingMicros;
+  fingerprint = other48.fingerprint;
+  __isset = other48.__isset;
+}
+RelayedSub& RelayedSub::operator=(const RelayedSub& other49) {
+  id = other49.id;
+  connection = other49.connection;
+  kind = other49.kind;
+  serviceName = other49.serviceName;
+  shard = other49.shard;
+  version = other49.version;
+  key = other49.key;
+  cancels = other49.cancels;
+  body = other49.body;
+  server = other49.server;
+  remainingMicros = other49.remainingMicros;
+  fingerprint = other49.fingerprint;
+  __isset = other49.__isset;
   return *this;
 }
 void RelayedSub::printTo(std::ostream& out) const {
@@ -2649,14 +2755,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->subs.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->subs.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->subs.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
             {
-              xfer += this->subs[_i42].read(iprot);
+              xfer += this->subs[_i54].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2691,10 +2797,10 @@
     xfer += oprot->writeFieldBegin("subs", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->subs.size()));
-      std::vector<RelayedSub> ::const_iterator _iter43;
-      for (_iter43 = this->subs.begin(); _iter43 != this->subs.end(); ++_iter43)
+      std::vector<RelayedSub> ::const_iterator _iter55;
+      for (_iter55 = this->subs.begin(); _iter55 != this->subs.end(); ++_iter55)
       {
-        xfer += (*_iter43).write(oprot);
+        xfer += (*_iter55).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2712,15 +2818,15 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayBatch::RelayBatch(const RelayBatch& other44) {
-  call = other44.call;
-  subs = other44.subs;
-  __isset = other44.__isset;
+RelayBatch::RelayBatch(const RelayBatch& other56) {
+  call = other56.call;
+  subs = other56.subs;
+  __isset = other56.__isset;
 }
-RelayBatch& RelayBatch::operator=(const RelayBatch& other45) {
-  call = other45.call;
-  subs = other45.subs;
-  __isset = other45.__isset;
+RelayBatch& RelayBatch::operator=(const RelayBatch& other57) {
+  call = other57.call;
+  subs = other57.subs;
+  __isset = other57.__isset;
   return *this;
 }
 void RelayBatch::printTo(std::ostream& out) const {
@@ -2894,14 +3000,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->versions.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->versions.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += iprot->readI64(this->versions[_i50]);
+              xfer += iprot->readI64(this->versions[_i62]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2984,10 +3090,10 @@
     xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->versions.size()));
-      std::vector<int64_t> ::const_iterator _iter51;
-      for (_iter51 = this->versions.begin(); _iter51 != this->versions.end(); ++_iter51)
+      std::vector<int64_t> ::const_iterator _iter63;
+      for (_iter63 = this->versions.begin(); _iter63 != this->versions.end(); ++_iter63)
       {
-        xfer += oprot->writeI64((*_iter51));
+        xfer += oprot->writeI64((*_iter63));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3019,33 +3125,33 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedAnswer::RelayedAnswer(const RelayedAnswer& other52) {
-  id = other52.id;
-  connection = other52.connection;
-  status = other52.status;
-  statedId = other52.statedId;
-  statedShard = other52.statedShard;
-  statedVersion = other52.statedVersion;
-  draining = other52.draining;
-  closing = other52.closing;
-  load = other52.load;
-  versions = other52.versions;
-  body = other52.body;
-  __isset = other52.__isset;
-}
-RelayedAnswer& RelayedAnswer::operator=(const RelayedAnswer& other53) {
-  id = other53.id;
-  connection = other53.connection;
-  status = other53.status;
-  statedId = other53.statedId;
-  statedShard = other53.statedShard;
-  statedVersion = other53.statedVersion;
-  draining = other53.draining;
-  closing = other53.closing;
-  load = other53.load;
-  versions = other53.versions;
-  body = other53.body;
-  __isset = other53.__isset;
+RelayedAnswer::RelayedAnswer(const RelayedAnswer& other64) {
+  id = other64.id;
+  connection = other64.connection;
+  status = other64.status;
+  statedId = other64.statedId;
+  statedShard = other64.statedShard;
+  statedVersion = other64.statedVersion;
+  draining = other64.draining;
+  closing = other64.closing;
+  load = other64.load;
+  versions = other64.versions;
+  body = other64.body;
+  __isset = other64.__isset;
+}
+RelayedAnswer& RelayedAnswer::operator=(const RelayedAnswer& other65) {
+  id = other65.id;
+  connection = other65.connection;
+  status = other65.status;
+  statedId = other65.statedId;
+  statedShard = other65.statedShard;
+  statedVersion = other65.statedVersion;
+  draining = other65.draining;
+  closing = other65.closing;
+  load = other65.load;
+  versions = other65.versions;
+  body = other65.body;
+  __isset = other65.__isset;
   return *this;
 }
 void RelayedAnswer::printTo(std::ostream& out) const {
@@ -3119,14 +3225,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->answers.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->answers.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->answers[_i58].read(iprot);
+              xfer += this->answers[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3161,10 +3267,10 @@
     xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-      std::vector<RelayedAnswer> ::const_iterator _iter59;
-      for (_iter59 = this->answers.begin(); _iter59 != this->answers.end(); ++_iter59)
+      std::vector<RelayedAnswer> ::const_iterator _iter71;
+      for (_iter71 = this->answers.begin(); _iter71 != this->answers.end(); ++_iter71)
       {
-        xfer += (*_iter59).write(oprot);
+        xfer += (*_iter71).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3182,15 +3288,15 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayAnswers::RelayAnswers(const RelayAnswers& other60) {
-  call = other60.call;
-  answers = other60.answers;
-  __isset = other60.__isset;
+RelayAnswers::RelayAnswers(const RelayAnswers& other72) {
+  call = other72.call;
+  answers = other72.answers;
+  __isset = other72.__isset;
 }
-RelayAnswers& RelayAnswers::operator=(const RelayAnswers& other61) {
-  call = other61.call;
-  answers = other61.answers;
-  __isset = other61.__isset;
+RelayAnswers& RelayAnswers::operator=(const RelayAnswers& other73) {
+  call = other73.call;
+  answers = other73.answers;
+  __isset = other73.__isset;
   return *this;
 }
 void RelayAnswers::printTo(std::ostream& out) const {
@@ -3545,41 +3651,41 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerFrame::PeerFrame(const PeerFrame& other62) {
-  protocolVersion = other62.protocolVersion;
-  sender = other62.sender;
-  senderIncarnation = other62.senderIncarnation;
-  sentUnixMicros = other62.sentUnixMicros;
-  sentLogical = other62.sentLogical;
-  ping = other62.ping;
-  ack = other62.ack;
-  probe = other62.probe;
-  generationAsk = other62.generationAsk;
-  generationContent = other62.generationContent;
-  orderForward = other62.orderForward;
-  orderForwarded = other62.orderForwarded;
-  orderOutcomeCopy = other62.orderOutcomeCopy;
-  relayBatch = other62.relayBatch;
-  relayAnswers = other62.relayAnswers;
-  __isset = other62.__isset;
-}
-PeerFrame& PeerFrame::operator=(const PeerFrame& other63) {
-  protocolVersion = other63.protocolVersion;
-  sender = other63.sender;
-  senderIncarnation = other63.senderIncarnation;
-  sentUnixMicros = other63.sentUnixMicros;
-  sentLogical = other63.sentLogical;
-  ping = other63.ping;
-  ack = other63.ack;
-  probe = other63.probe;
-  generationAsk = other63.generationAsk;
-  generationContent = other63.generationContent;
-  orderForward = other63.orderForward;
-  orderForwarded = other63.orderForwarded;
-  orderOutcomeCopy = other63.orderOutcomeCopy;
-  relayBatch = other63.relayBatch;
-  relayAnswers = other63.relayAnswers;
-  __isset = other63.__isset;
+PeerFrame::PeerFrame(const PeerFrame& other74) {
+  protocolVersion = other74.protocolVersion;
+  sender = other74.sender;
+  senderIncarnation = other74.senderIncarnation;
+  sentUnixMicros = other74.sentUnixMicros;
+  sentLogical = other74.sentLogical;
+  ping = other74.ping;
+  ack = other74.ack;
+  probe = other74.probe;
+  generationAsk = other74.generationAsk;
+  generationContent = other74.generationContent;
+  orderForward = other74.orderForward;
+  orderForwarded = other74.orderForwarded;
+  orderOutcomeCopy = other74.orderOutcomeCopy;
+  relayBatch = other74.relayBatch;
+  relayAnswers = other74.relayAnswers;
+  __isset = other74.__isset;
+}
+PeerFrame& PeerFrame::operator=(const PeerFrame& other75) {
+  protocolVersion = other75.protocolVersion;
+  sender = other75.sender;
+  senderIncarnation = other75.senderIncarnation;
+  sentUnixMicros = other75.sentUnixMicros;
+  sentLogical = other75.sentLogical;
+  ping = other75.ping;
+  ack = other75.ack;
+  probe = other75.probe;
+  generationAsk = other75.generationAsk;
+  generationContent = other75.generationContent;
+  orderForward = other75.orderForward;
+  orderForwarded = other75.orderForwarded;
+  orderOutcomeCopy = other75.orderOutcomeCopy;
+  relayBatch = other75.relayBatch;
+  relayAnswers = other75.relayAnswers;
+  __isset = other75.__isset;
   return *this;
 }
 void PeerFrame::printTo(std::ostream& out) const {
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -284,27 +284,34 @@
 std::ostream& operator<<(std::ostream& out, const LeavingRumor& obj);
 
 typedef struct _QuarantineRumor__isset {
-  _QuarantineRumor__isset() : fingerprint(false), crashes(false), untilUnixMicros(false) {}
+  _QuarantineRumor__isset() : fingerprint(false), crashes(false), untilUnixMicros(false), epoch(false), servers(false), requests(false) {}
   bool fingerprint :1;
   bool crashes :1;
   bool untilUnixMicros :1;
+  bool epoch :1;
+  bool servers :1;
+  bool requests :1;
 } _QuarantineRumor__isset;
 
 class QuarantineRumor : public virtual ::apache::thrift::TBase {
  public:
 
-  QuarantineRumor(const QuarantineRumor&) noexcept;
-  QuarantineRumor& operator=(const QuarantineRumor&) noexcept;
+  QuarantineRumor(const QuarantineRumor&);
+  QuarantineRumor& operator=(const QuarantineRumor&);
   QuarantineRumor() noexcept
                   : fingerprint(0),
                     crashes(0),
-                    untilUnixMicros(0) {
+                    untilUnixMicros(0),
+                    epoch(0) {
   }
 
   virtual ~QuarantineRumor() noexcept;
   int64_t fingerprint;
   int32_t crashes;
   int64_t untilUnixMicros;
+  int32_t epoch;
+  std::vector<int64_t>  servers;
+  std::vector<int64_t>  requests;
 
   _QuarantineRumor__isset __isset;
 
@@ -314,6 +321,12 @@
 
   void __set_untilUnixMicros(const int64_t val);
 
+  void __set_epoch(const int32_t val);
+
+  void __set_servers(const std::vector<int64_t> & val);
+
+  void __set_requests(const std::vector<int64_t> & val);
+
   bool operator == (const QuarantineRumor & rhs) const
   {
     if (__isset.fingerprint != rhs.__isset.fingerprint)
@@ -328,6 +341,18 @@
       return false;
     else if (__isset.untilUnixMicros && !(untilUnixMicros == rhs.untilUnixMicros))
       return false;
+    if (__isset.epoch != rhs.__isset.epoch)
+      return false;
+    else if (__isset.epoch && !(epoch == rhs.epoch))
+      return false;
+    if (__isset.servers != rhs.__isset.servers)
+      return false;
+    else if (__isset.servers && !(servers == rhs.servers))
+      return false;
+    if (__isset.requests != rhs.__isset.requests)
+      return false;
+    else if (__isset.requests && !(requests == rhs.requests))
+      return false;
     return true;
   }
   bool operator != (const QuarantineRumor &rhs) const {
--- a/src/peer/gossip_wire.cpp
+++ b/src/peer/gossip_wire.cpp
@@ -27,6 +27,14 @@
   wireQuarantine.__set_fingerprint(IdToWire(quarantine.fingerprint_));
   wireQuarantine.__set_crashes(static_cast<std::int32_t>(quarantine.crashes_));
   wireQuarantine.__set_untilUnixMicros(quarantine.untilUnixMicros_);
+  const CrashEvidence& evidence = quarantine.evidence_;
+  if (evidence != CrashEvidence{}) {
+    wireQuarantine.__set_epoch(static_cast<std::int32_t>(evidence.epoch_));
+    wireQuarantine.__set_servers(
+      { evidence.servers_.begin(), evidence.servers_.end() });
+    wireQuarantine.__set_requests(
+      { evidence.requests_.begin(), evidence.requests_.end() });
+  }
   out.__set_quarantine(wireQuarantine);
   return out;
 }
@@ -47,6 +55,12 @@
   IdFromWire(aWire.quarantine.fingerprint, quarantine.fingerprint_);
   quarantine.crashes_ = static_cast<std::uint32_t>(aWire.quarantine.crashes);
   quarantine.untilUnixMicros_ = aWire.quarantine.untilUnixMicros;
+  // Joined, not copied: a peer's lists may be out of order or too long.
+  JoinEvidence(
+    quarantine.evidence_,
+    { static_cast<std::uint32_t>(aWire.quarantine.epoch),
+      { aWire.quarantine.servers.begin(), aWire.quarantine.servers.end() },
+      { aWire.quarantine.requests.begin(), aWire.quarantine.requests.end() } });
   return quarantine;
 }
 
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -155,7 +155,7 @@
       } else if constexpr (std::is_same_v<Item, SuspectFound>) {
         QuarantineRumor rumor;
         rumor.fingerprint_ = Fingerprint{ aItem.fingerprint_ };
-        rumor.crashes_ = aItem.crashes_;
+        rumor.evidence_ = aItem.evidence_;
         rumor.untilUnixMicros_ =
           ReadClock().unixMicros_ + Duration(kSuspectTtl).count();
         HandleMembershipEvent(SpreadRumor{ rumor });
@@ -183,8 +183,7 @@
     } else if (const auto* heard = std::get_if<RumorReceived>(&decision)) {
       const auto* rumor = std::get_if<QuarantineRumor>(&heard->rumor_);
       if (rumor != nullptr) {
-        GatewayAdoptSuspect(
-          gateway_, rumor->fingerprint_.value_, rumor->crashes_, ReadClock());
+        AdoptEvidence(*rumor);
       }
     } else if (const auto* event = std::get_if<TimelineRecord>(&decision)) {
       LogMembershipChange(*event);
@@ -192,6 +191,20 @@
   }
 }
 
+void
+GatewayHost::AdoptEvidence(const QuarantineRumor& aRumor)
+{
+  const std::uint64_t fingerprint = aRumor.fingerprint_.value_;
+  if (GatewayAdoptSuspect(
+        gateway_, fingerprint, aRumor.evidence_, ReadClock())) {
+    SuspicionRecord record;
+    record.event_ = SuspicionEvent::Quarantined;
+    record.fingerprint_ = fingerprint;
+    record.reason_ = "evidence of another daemon";
+    LogSuspicion(record);
+  }
+}
+
 void
 GatewayHost::SendToPeer(const SendPeer& aSend)
 {
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -137,6 +137,7 @@
   void ApplyDecisions();
   void ApplyDecision(GatewayDecision& aDecision);
   void ApplyMembershipDecisions();
+  void AdoptEvidence(const QuarantineRumor& aRumor);
   void SendToPeer(const SendPeer& aSend);
   void LogTraffic();
   void OnFrame(const std::string& aPayload);
--- /dev/null
+++ b/tests/core/crash_evidence_test.cpp
@@ -0,0 +1,72 @@
+// Evidence joined by several daemons must not depend on the order of reports.
+#include "core/crash_evidence.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <random>
+#include <vector>
+
+using namespace camphorfield;
+
+TEST_GROUP(CrashEvidence){};
+
+TEST(CrashEvidence, OrderAndRepetitionOfReportsChangeTheResult)
+{
+  std::mt19937_64 rng(3);
+  for (int round = 0; round < 300; ++round) {
+    std::vector<CrashEvidence> reports;
+    for (int i = 0; i < 6; ++i) {
+      CrashEvidence report;
+      AddCrash(report, 1 + rng() % 9, 1 + rng() % 5);
+      AddCrash(report, 1 + rng() % 9, 1 + rng() % 5);
+      if (rng() % 5 == 0) {
+        RefuteEvidence(report);
+        AddCrash(report, 1 + rng() % 9, 1 + rng() % 5);
+      }
+      reports.push_back(report);
+    }
+    CrashEvidence first;
+    CrashEvidence second;
+    for (const CrashEvidence& report : reports) {
+      JoinEvidence(first, report);
+    }
+    std::shuffle(reports.begin(), reports.end(), rng);
+    for (const CrashEvidence& report : reports) {
+      CrashEvidence pair = report;
+      JoinEvidence(pair, reports[rng() % reports.size()]);
+      JoinEvidence(second, pair);
+    }
+    CHECK_TRUE(first == second);
+    CHECK_FALSE(JoinEvidence(first, second));
+  }
+}
+
+TEST(CrashEvidence, ConclusiveWithoutThreeServersAndTwoRequests)
+{
+  struct Case
+  {
+    const char* name_;
+    std::vector<std::uint64_t> servers_;
+    std::vector<std::uint64_t> requests_;
+    bool conclusive_;
+  };
+  const std::vector<Case> cases{
+    { "nothing", {}, {}, false },
+    { "one query on servers that crash together",
+      { 1, 2, 3 },
+      { 9, 9, 9 },
+      false },
+    { "one server seen by three daemons", { 1, 1, 1 }, { 7, 8, 9 }, false },
+    { "two servers", { 1, 2, 2 }, { 7, 8, 9 }, false },
+    { "three servers, two requests", { 1, 2, 3 }, { 7, 8, 8 }, true },
+  };
+  for (const Case& item : cases) {
+    CrashEvidence evidence;
+    for (std::size_t i = 0; i < item.servers_.size(); ++i) {
+      AddCrash(evidence, item.servers_[i], item.requests_[i]);
+    }
+    CHECK_TEXT(IsConclusive(evidence) == item.conclusive_, item.name_);
+    CHECK_TEXT(RefuteEvidence(evidence) != item.servers_.empty(), item.name_);
+    CHECK_FALSE_TEXT(IsConclusive(evidence), item.name_);
+  }
+}
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -229,7 +229,7 @@
       }
       At(std::chrono::milliseconds(50 + rng_() % 400), [this, i, aFound]() {
         GatewayAdoptSuspect(
-          daemons_[i].state_, aFound.fingerprint_, aFound.crashes_, NowOf());
+          daemons_[i].state_, aFound.fingerprint_, aFound.evidence_, NowOf());
       });
     }
   }
--- a/tests/membership/spread_test.cpp
+++ b/tests/membership/spread_test.cpp
@@ -158,6 +158,30 @@
   }
 }
 
+// A count merged by its maximum stays at one when each daemon has seen another
+// crash.
+TEST(Spread, CrashesSeenByDifferentDaemonsAddUp)
+{
+  Fleet fleet(6, 3, 25);
+  Converge(fleet);
+  const std::int64_t until = fleet.GetNow().unixMicros_ + Duration(60s).count();
+  CrashEvidence all;
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    CrashEvidence seen;
+    AddCrash(seen, 100 + i, 200 + i);
+    JoinEvidence(all, seen);
+    fleet.Spread(i, QuarantineRumor{ Fingerprint{ 7 }, 0, until, seen });
+  }
+  fleet.Run(3s);
+  CHECK_TRUE(IsConclusive(all));
+  for (const FleetNode& node : fleet.nodes_) {
+    CHECK_EQUAL(1U, node.state_.rumors_.size());
+    const auto& known =
+      std::get<QuarantineRumor>(node.state_.rumors_.begin()->second.rumor_);
+    CHECK_TRUE(known.evidence_ == all);
+  }
+}
+
 TEST(Spread, DaemonThatJoinsLaterLearnsRumors)
 {
   Fleet fleet(20, 4, 24);
