Fix: a request that was admitted before its content's conviction is not sent again

Cause: quarantine was asked only on arrival; retries, queued parts and hedges of requests admitted before went on. Change: retries and queued parts ask it again and fail their part, truthfully as may-have-run if it was sent; content with any evidence against it is not hedged, since a hedge spends a second server on it.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -108,12 +108,18 @@
 {
   GatewayState& state = aStep.state_;
   std::size_t blocked = 0;
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> convicted;
   auto next = state.services_[aService].queue_.begin();
   while (next != state.services_[aService].queue_.end() &&
          blocked < kMaxBlockedParts) {
     const QueueKey key = *next++;
     GatewayRun& run = *FindSlot(state.runs_, std::get<3>(key));
     const std::uint32_t index = std::get<4>(key);
+    if (IsQuarantined(state, run.content_, aStep.Time())) {
+      convicted.emplace_back(run.key_, index);
+      ++blocked;
+      continue;
+    }
     const std::uint64_t backend =
       ChooseBackend(aStep, run, run.parts_[index], false);
     if (backend == 0) {
@@ -123,6 +129,13 @@
     state.services_[aService].queue_.erase(key);
     Send(aStep, run, index, backend, false);
   }
+  for (const auto& [key, index] : convicted) {
+    // The failure of an earlier part may have ended the run.
+    if (GatewayRun* run = FindSlot(state.runs_, key)) {
+      DequeuePart(state, run->parts_[index]);
+      FailPart(aStep, *run, index);
+    }
+  }
   if (!state.services_[aService].queue_.empty()) {
     WakeWhenAllowed(aStep, aService);
     const std::vector<std::uint64_t> backends =
@@ -200,7 +213,8 @@
   if (part.attempts_[0] != 0 && part.attempts_[1] != 0) {
     return;
   }
-  if (part.mayHaveRun_ + 1U >= kMaxRuns || part.sends_ >= kMaxSends) {
+  if (part.mayHaveRun_ + 1U >= kMaxRuns || part.sends_ >= kMaxSends ||
+      IsSuspected(state, run->content_)) {
     return;
   }
   const std::uint64_t backend = ChooseBackend(aStep, *run, part, true);
--- a/src/gateway/attempt_answer.cpp
+++ b/src/gateway/attempt_answer.cpp
@@ -110,7 +110,9 @@
 RetryOrFail(GatewayStep& aStep, GatewayRun& aRun, std::uint32_t aPart)
 {
   const RequestPart& part = aRun.parts_[aPart];
-  if (!CanRetry(aRun, part) || !TakeExtraSend(aStep, part)) {
+  if (!CanRetry(aRun, part) ||
+      IsQuarantined(aStep.state_, aRun.content_, aStep.Time()) ||
+      !TakeExtraSend(aStep, part)) {
     FailPart(aStep, aRun, aPart);
     return;
   }
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -118,6 +118,17 @@
     });
 }
 
+bool
+IsSuspected(const GatewayState& aState, const ContentKeys& aContent)
+{
+  return std::any_of(
+    aContent.begin(), aContent.end(), [&aState](std::uint64_t aKey) {
+      const auto found = aState.suspects_.find(aKey);
+      return found != aState.suspects_.end() &&
+             !found->second.evidence_.servers_.empty();
+    });
+}
+
 void
 RecordBrokenConnection(GatewayStep& aStep,
                        const Backend& aBackend,
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -292,6 +292,10 @@
               const ContentKeys& aContent,
               TimePoint aNow);
 
+/** Whether there is evidence against content. */
+bool
+IsSuspected(const GatewayState& aState, const ContentKeys& aContent);
+
 /** Records a connection that broke with a request in flight. */
 void
 RecordBrokenConnection(GatewayStep& aStep,
--- a/tests/gateway/crash_test.cpp
+++ b/tests/gateway/crash_test.cpp
@@ -1,5 +1,6 @@
 // Requests that crash the servers that run them: all daemons together must stop
 // sending such content, and must go on serving all other content.
+#include "gateway/gateway_internal.h"
 #include "gateway/replay_fixture.h"
 
 #include <CppUTest/TestHarness.h>
@@ -218,3 +219,41 @@
   }
   STRCMP_EQUAL("", failures.c_str());
 }
+
+// Content that is convicted while a request with it is being served.
+TEST(Crash, AdmittedRequestIsSentOnceMoreAfterItsConviction)
+{
+  Replay replay(1, 7);
+  replay.AddServer("shard0", 1.0);
+  replay.AddServer("shard0", 1.0);
+  GatewayRoute route = MakePlainRoute();
+  route.to_.resize(1);
+  replay.SetRoute(route);
+  replay.Publish();
+  for (ModelServer& server : replay.Servers()) {
+    server.crashesOn_ = true;
+  }
+  replay.OnCrash([&replay](std::size_t aServer) {
+    // Another daemon has seen enough.
+    ProxyRequest request;
+    request.caller_ = "caller";
+    ProxyMessage message;
+    message.host_ = "host";
+    message.path_ = message.target_ = "/plain/poison";
+    request.message_ = std::make_shared<const ProxyMessage>(message);
+    for (const std::uint64_t key : MakeContentKeys(request)) {
+      GatewayAdoptSuspect(replay.Daemon(0),
+                          key,
+                          { 0, { 1, 2, 3 }, { 4, 5 } },
+                          Now{ replay.Clock(), 0 });
+    }
+    replay.Crash(aServer);
+  });
+  const std::uint64_t id = replay.SendRequest(0, "/plain/poison", seconds(2));
+  replay.Advance(seconds(3));
+  LONGS_EQUAL(1, replay.Sends());
+  const ProxyAnswer* answer = replay.AnswerOf(id);
+  CHECK_TRUE(answer != nullptr);
+  // It may have run.
+  LONGS_EQUAL(ProxyCode::Failed, answer->code_);
+}
