Add: era of the store in replies and in the log

Change: Store-Era is decoded from every reply; a later era is logged once for each kind, and reads name their era. The tables don't use it yet: no decision changes.

--- a/src/discovery/table_sync.cpp
+++ b/src/discovery/table_sync.cpp
@@ -165,10 +165,15 @@
                TimePoint aNow,
                Rng& aRng)
 {
+  TableChange change;
+  change.restored_ = aTable.era_ != 0 && aReply.era_ > aTable.era_;
+  aTable.era_ = std::max(aTable.era_, aReply.era_);
   if (aReply.status_ != StoreStatus::Ok) {
-    return HandleFailure(aTable, aReply.status_, aNow, aRng);
+    const bool restored = change.restored_;
+    change = HandleFailure(aTable, aReply.status_, aNow, aRng);
+    change.restored_ = restored;
+    return change;
   }
-  TableChange change;
   change.regained_ = aTable.failures_ > 0;
   if (change.regained_) {
     aTable.hadOutage_ = true;
--- a/src/discovery/table_sync.h
+++ b/src/discovery/table_sync.h
@@ -78,6 +78,9 @@
   bool more_ = false;                ///< List: there is another page.
   std::vector<StoreChange> changes_; ///< Watch only.
   std::uint64_t revision_ = 0;       ///< Of the store at the time of the reply.
+  /** Number of times that the store was restored from an older copy, after
+   * which it gives revisions out again; zero: not stated. */
+  std::uint64_t era_ = 0;
 };
 
 /** A table and the state of its synchronization. */
@@ -86,6 +89,7 @@
   std::string kind_;
   std::map<std::string, StoreObject> objects_;
   bool complete_ = false;      ///< Read completely since the start.
+  std::uint64_t era_ = 0;      ///< Of the store, newest seen; zero: none.
   std::uint64_t revision_ = 0; ///< Of the store, that objects_ reflects.
   bool watching_ = false;      ///< False: the next call is a List.
   bool passive_ = false;       ///< Updated by a feed; makes no calls.
@@ -107,6 +111,7 @@
   bool read_ = false;     ///< A complete read of the table has ended.
   bool lost_ = false;     ///< First failure after a success.
   bool regained_ = false; ///< First success after a failure.
+  bool restored_ = false; ///< The store has been restored from an older copy.
 };
 
 /** Returns the call that is due, if any. */
--- a/src/runtime/gateway_tables.cpp
+++ b/src/runtime/gateway_tables.cpp
@@ -21,12 +21,20 @@
   if (aChange.regained_) {
     WriteLog(LogLevel::Info, "store available again", { { "kind", kind } });
   }
+  const TableSync& table = store_.Table(aTable);
+  if (aChange.restored_) {
+    WriteLog(LogLevel::Warning,
+             "store restored from an older copy",
+             { { "kind", kind },
+               { "era", std::to_string(table.era_) },
+               { "revision", std::to_string(table.revision_) } });
+  }
   if (aChange.read_) {
-    const TableSync& table = store_.Table(aTable);
     WriteLog(LogLevel::Info,
              "table read from the store",
              { { "kind", kind },
                { "objects", std::to_string(table.objects_.size()) },
+               { "era", std::to_string(table.era_) },
                { "read_revision", std::to_string(table.pageRevision_) },
                { "revision", std::to_string(table.revision_) } });
   }
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -301,6 +301,38 @@
   }
 }
 
+TEST(StoreCodec, RepliesNameTheEraOfTheStore)
+{
+  struct Case
+  {
+    const char* name_;
+    std::uint32_t status_;
+    const char* header_; ///< Null: none.
+    std::uint64_t era_;
+  };
+  const std::vector<Case> cases{
+    { "answer", 200, "3", 3 },
+    { "history gone", 410, "4", 4 },
+    { "rejection", 503, "5", 5 },
+    { "no header", 200, nullptr, 0 },
+    { "not a number", 200, "x", 0 },
+    { "negative", 200, "-1", 0 },
+    { "too large", 200, "99999999999999999999", 0 },
+  };
+  for (const Case& item : cases) {
+    HttpExchange exchange;
+    exchange.end_ = HttpEnd::Ok;
+    exchange.response_.status_ = item.status_;
+    exchange.response_.body_ = R"({"items":[],"as-of":9})";
+    if (item.header_ != nullptr) {
+      exchange.response_.fields_.push_back({ "Store-Era", item.header_ });
+    }
+    std::string fault;
+    const StoreReply reply = DecodeStoreReply(StoreCall{}, exchange, fault);
+    LONGS_EQUAL_TEXT(item.era_, reply.era_, item.name_);
+  }
+}
+
 // Entries may come from another writer; one that can't be read names no server,
 // and must not hide the others.
 TEST(StoreCodec, OneUnreadableEntryHidesAllServers)
