--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -39,6 +39,7 @@
   4: optional i32 epoch
   5: optional list<i64> servers
   6: optional list<i64> requests
+  7: optional list<i64> moments
 }
 
 /** Exactly one field is set. */
--- a/src/core/crash_evidence.cpp
+++ b/src/core/crash_evidence.cpp
@@ -24,12 +24,13 @@
 } // namespace
 
 void
-AddCrash(CrashEvidence& aEvidence,
-         std::uint64_t aServer,
-         std::uint64_t aRequest)
+AddCrash(CrashEvidence& aEvidence, const ServerCrash& aCrash)
 {
-  Insert(aEvidence.servers_, aServer, kCrashesToConvict);
-  Insert(aEvidence.requests_, aRequest, kRequestsToConvict);
+  Insert(aEvidence.servers_, aCrash.server_, kCrashesToConvict);
+  Insert(aEvidence.requests_, aCrash.request_, kRequestsToConvict);
+  if (aCrash.moment_ != 0) {
+    Insert(aEvidence.moments_, aCrash.moment_, kMomentsToConvict);
+  }
 }
 
 bool
@@ -38,9 +39,7 @@
   if (aEvidence.servers_.empty()) {
     return false;
   }
-  ++aEvidence.epoch_;
-  aEvidence.servers_.clear();
-  aEvidence.requests_.clear();
+  aEvidence = CrashEvidence{ aEvidence.epoch_ + 1, {}, {}, {} };
   return true;
 }
 
@@ -52,7 +51,7 @@
   }
   const CrashEvidence before = aInto;
   if (aFrom.epoch_ > aInto.epoch_) {
-    aInto = CrashEvidence{ aFrom.epoch_, {}, {} };
+    aInto = CrashEvidence{ aFrom.epoch_, {}, {}, {} };
   }
   for (const std::uint64_t server : aFrom.servers_) {
     Insert(aInto.servers_, server, kCrashesToConvict);
@@ -60,6 +59,9 @@
   for (const std::uint64_t request : aFrom.requests_) {
     Insert(aInto.requests_, request, kRequestsToConvict);
   }
+  for (const std::uint64_t moment : aFrom.moments_) {
+    Insert(aInto.moments_, moment, kMomentsToConvict);
+  }
   return aInto != before;
 }
 
@@ -67,7 +69,9 @@
 IsConclusive(const CrashEvidence& aEvidence)
 {
   return aEvidence.servers_.size() >= kCrashesToConvict &&
-         aEvidence.requests_.size() >= kRequestsToConvict;
+         aEvidence.requests_.size() >= kRequestsToConvict &&
+         (aEvidence.moments_.empty() ||
+          aEvidence.moments_.size() >= kMomentsToConvict);
 }
 
 } // namespace camphorfield
--- a/src/core/crash_evidence.h
+++ b/src/core/crash_evidence.h
@@ -12,6 +12,18 @@
 /** More than one, because one query is in flight on many servers, which may
  * crash together for another reason. */
 constexpr std::size_t kRequestsToConvict = 2;
+/** Moments at which servers crashed, for content that many requests share:
+ * those in flight when servers crash together have one or two in common. */
+constexpr std::size_t kMomentsToConvict = 3;
+
+/** One crash of a server. */
+struct ServerCrash
+{
+  std::uint64_t server_ = 0;  ///< Hash of its incarnation.
+  std::uint64_t request_ = 0; ///< Hash of the id of the request that it ran.
+  /** Unix time in units of a moment; zero: not required. */
+  std::uint64_t moment_ = 0;
+};
 
 /**
  * What is known of one content. Daemons exchange and join their evidence; the
@@ -28,15 +40,16 @@
   /** Hashes of ids of requests that they ran: the smallest kRequestsToConvict,
    * ascending. */
   std::vector<std::uint64_t> requests_;
+  /** Times of crashes: the smallest kMomentsToConvict, ascending; empty: not
+   * required. */
+  std::vector<std::uint64_t> moments_;
 
   bool operator==(const CrashEvidence& aOther) const = default;
 };
 
 /** Adds one crash. */
 void
-AddCrash(CrashEvidence& aEvidence,
-         std::uint64_t aServer,
-         std::uint64_t aRequest);
+AddCrash(CrashEvidence& aEvidence, const ServerCrash& aCrash);
 
 /** Drops the evidence, also on daemons that receive this.
  * @return False when there was none. */
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -9,12 +9,16 @@
 #include "table/suspicion_table.h"
 
 #include <algorithm>
-#include <set>
+#include <array>
 
 namespace camphorfield {
 
 namespace {
 
+constexpr std::uint64_t kPathSeed = 1;
+/** Crashes within this time may have one cause, such as a loss of power. */
+constexpr Duration kMomentLength = milliseconds(500);
+
 void
 Report(GatewayStep& aStep,
        SuspicionEvent aEvent,
@@ -26,7 +30,7 @@
                                            aBroken.requestId_,
                                            aBroken.caller_,
                                            aBroken.target_,
-                                           aBroken.content_[1],
+                                           aBroken.content_.exact_,
                                            std::move(aReason) });
 }
 
@@ -39,11 +43,19 @@
     aBackend.restarts_);
 }
 
-/** Without a query string both keys are the same. */
-std::set<std::uint64_t>
-DistinctKeys(const ContentKeys& aContent)
+std::array<std::uint64_t, 4>
+AllKeys(const ContentKeys& aContent)
 {
-  return { aContent.begin(), aContent.end() };
+  return { aContent.exact_,
+           aContent.shared_[0],
+           aContent.shared_[1],
+           aContent.shared_[2] };
+}
+
+Duration
+TimeToLive(const CrashEvidence& aEvidence)
+{
+  return aEvidence.moments_.empty() ? kSuspectTtl : kSharedSuspectTtl;
 }
 
 /** Returns the record of a content; a full table drops the one with the least
@@ -68,22 +80,24 @@
                          aRight.second.until_);
       }));
   }
-  SuspectContent& suspect = aState.suspects_[aFingerprint];
-  suspect.until_ = aNow + kSuspectTtl;
-  return suspect;
+  return aState.suspects_[aFingerprint];
 }
 
 void
 AddEvidence(GatewayStep& aStep, const BrokenConnection& aBroken)
 {
   bool convicted = false;
-  for (const std::uint64_t key : DistinctKeys(aBroken.content_)) {
-    CrashEvidence& evidence =
-      FindOrAddSuspect(aStep.state_, key, aStep.Time()).evidence_;
-    const bool before = IsConclusive(evidence);
-    AddCrash(evidence, aBroken.serverHash_, HashText(aBroken.requestId_));
-    aStep.out_.emplace_back(SuspectFound{ key, evidence });
-    convicted = convicted || (!before && IsConclusive(evidence));
+  for (const std::uint64_t key : AllKeys(aBroken.content_)) {
+    const bool shared = key != aBroken.content_.exact_;
+    SuspectContent& suspect = FindOrAddSuspect(aStep.state_, key, aStep.Time());
+    const bool before = IsConclusive(suspect.evidence_);
+    AddCrash(suspect.evidence_,
+             { aBroken.serverHash_,
+               HashText(aBroken.requestId_),
+               shared ? aBroken.moment_ : 0 });
+    suspect.until_ = aStep.Time() + TimeToLive(suspect.evidence_);
+    aStep.out_.emplace_back(SuspectFound{ key, suspect.evidence_ });
+    convicted = convicted || (!before && IsConclusive(suspect.evidence_));
   }
   if (convicted) {
     Report(aStep, SuspicionEvent::Quarantined, aBroken, "crashed servers");
@@ -92,17 +106,22 @@
 
 } // namespace
 
-// A retry may have another query string, such as the number of a page. Content
-// is known by its path, too, and any answer to that path refutes it.
+// The same content may come again with another query string, such as the number
+// of a page, and from another address.
 ContentKeys
 MakeContentKeys(const ProxyRequest& aRequest)
 {
   const ProxyMessage& message = *aRequest.message_;
-  const std::uint64_t rest =
-    HashPair(HashText(aRequest.caller_), HashText(message.body_));
-  const std::uint64_t host = HashText(message.host_);
-  return { HashPair(HashPair(host, HashText(message.target_)), rest),
-           HashPair(HashPair(host, HashText(message.path_)), rest) };
+  const std::uint64_t base =
+    HashPair(HashText(message.host_), HashText(message.body_));
+  const std::uint64_t caller = HashText(aRequest.caller_);
+  const std::uint64_t target = HashText(message.target_);
+  // Seeded: equal to the target where there is no query string.
+  const std::uint64_t path = HashText(message.path_, kPathSeed);
+  return { HashPair(HashPair(base, target), caller),
+           { HashPair(HashPair(base, path), caller),
+             HashPair(base, target),
+             HashPair(base, path) } };
 }
 
 bool
@@ -110,8 +129,12 @@
               const ContentKeys& aContent,
               TimePoint aNow)
 {
+  if (aState.suspects_.empty()) {
+    return false;
+  }
+  const auto keys = AllKeys(aContent);
   return std::any_of(
-    aContent.begin(), aContent.end(), [&aState, aNow](std::uint64_t aKey) {
+    keys.begin(), keys.end(), [&aState, aNow](std::uint64_t aKey) {
       const auto found = aState.suspects_.find(aKey);
       return found != aState.suspects_.end() && aNow < found->second.until_ &&
              IsConclusive(found->second.evidence_);
@@ -121,12 +144,12 @@
 bool
 IsSuspected(const GatewayState& aState, const ContentKeys& aContent)
 {
-  return std::any_of(
-    aContent.begin(), aContent.end(), [&aState](std::uint64_t aKey) {
-      const auto found = aState.suspects_.find(aKey);
-      return found != aState.suspects_.end() &&
-             !found->second.evidence_.servers_.empty();
-    });
+  const auto keys = AllKeys(aContent);
+  return std::any_of(keys.begin(), keys.end(), [&aState](std::uint64_t aKey) {
+    const auto found = aState.suspects_.find(aKey);
+    return found != aState.suspects_.end() &&
+           !found->second.evidence_.servers_.empty();
+  });
 }
 
 void
@@ -144,20 +167,22 @@
   }
   const ProxyMessage& message = *aRun.message_;
   const BackendEntry& entry = aBackend.entry_;
-  broken.push_back({ aStep.Time(),
-                     aBackend.key_,
-                     entry.id_,
-                     HashIncarnation(aBackend),
-                     aRun.key_,
-                     aPart,
-                     aRun.content_,
-                     false,
-                     message.requestId_,
-                     aRun.caller_,
-                     message.host_ + message.target_ });
+  BrokenConnection& one = broken.emplace_back();
+  one.at_ = aStep.Time();
+  one.backend_ = aBackend.key_;
+  one.server_ = entry.id_;
+  one.serverHash_ = HashIncarnation(aBackend);
+  one.run_ = aRun.key_;
+  one.part_ = aPart;
+  one.content_ = aRun.content_;
+  one.moment_ =
+    static_cast<std::uint64_t>(aStep.now_.unixMicros_ / kMomentLength.count());
+  one.requestId_ = message.requestId_;
+  one.caller_ = aRun.caller_;
+  one.target_ = message.host_ + message.target_;
   Report(aStep,
          SuspicionEvent::Broke,
-         broken.back(),
+         one,
          kBackendEndNames[static_cast<std::size_t>(aEnd)]);
   // Its entry went first: nobody connects to it again.
   if (!aBackend.listed_ && !entry.draining_ && !aBackend.leaving_) {
@@ -196,6 +221,7 @@
   SuspectContent& suspect = FindOrAddSuspect(aState, aFingerprint, aNow.mono_);
   const bool before = IsConclusive(suspect.evidence_);
   JoinEvidence(suspect.evidence_, aEvidence);
+  suspect.until_ = aNow.mono_ + TimeToLive(suspect.evidence_);
   return !before && IsConclusive(suspect.evidence_);
 }
 
@@ -206,7 +232,7 @@
   std::erase_if(state.broken_, [&aRun](const BrokenConnection& aOne) {
     return aOne.content_ == aRun.content_;
   });
-  for (const std::uint64_t key : DistinctKeys(aRun.content_)) {
+  for (const std::uint64_t key : AllKeys(aRun.content_)) {
     const auto found = state.suspects_.find(key);
     if (found != state.suspects_.end() &&
         RefuteEvidence(found->second.evidence_)) {
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -184,9 +184,16 @@
   std::string body_;
 };
 
-/** Fingerprints under which evidence on a request is kept: of its content with
- * and without the query string. */
-using ContentKeys = std::array<std::uint64_t, 2>;
+/** Fingerprints under which evidence on a request is kept. */
+struct ContentKeys
+{
+  std::uint64_t exact_ = 0; ///< Host, target, caller and body.
+  /** The same without the query string, the caller, or both: requests may come
+   * again with others. Shared by more requests. */
+  std::array<std::uint64_t, 3> shared_{};
+
+  bool operator==(const ContentKeys& aOther) const = default;
+};
 
 /** One request of a caller while it is being served. */
 struct GatewayRun
@@ -245,7 +252,8 @@
   std::uint64_t run_ = 0;        ///< Zero once the request has ended.
   std::uint32_t part_ = 0;
   ContentKeys content_{};
-  bool crashed_ = false; ///< The server turned out to have crashed.
+  std::uint64_t moment_ = 0; ///< Of the break, see ServerCrash.
+  bool crashed_ = false;     ///< The server turned out to have crashed.
   std::string requestId_;
   std::string caller_;
   std::string target_; ///< Host, path and query.
--- a/src/membership/rumor.cpp
+++ b/src/membership/rumor.cpp
@@ -82,7 +82,8 @@
   }
   const CrashEvidence& evidence = std::get<QuarantineRumor>(aRumor).evidence_;
   return kRumorBytes +
-         kHashBytes * (evidence.servers_.size() + evidence.requests_.size());
+         kHashBytes * (evidence.servers_.size() + evidence.requests_.size() +
+                       evidence.moments_.size());
 }
 
 bool
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -565,6 +565,11 @@
   this->requests = val;
 __isset.requests = true;
 }
+
+void QuarantineRumor::__set_moments(const std::vector<int64_t> & val) {
+  this->moments = val;
+__isset.moments = true;
+}
 std::ostream& operator<<(std::ostream& out, const QuarantineRumor& obj)
 {
   obj.printTo(out);
@@ -665,6 +670,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->moments.clear();
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->moments.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
+            {
+              xfer += iprot->readI64(this->moments[_i18]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.moments = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -706,10 +731,10 @@
     xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->servers.size()));
-      std::vector<int64_t> ::const_iterator _iter14;
-      for (_iter14 = this->servers.begin(); _iter14 != this->servers.end(); ++_iter14)
+      std::vector<int64_t> ::const_iterator _iter19;
+      for (_iter19 = this->servers.begin(); _iter19 != this->servers.end(); ++_iter19)
       {
-        xfer += oprot->writeI64((*_iter14));
+        xfer += oprot->writeI64((*_iter19));
       }
       xfer += oprot->writeListEnd();
     }
@@ -719,10 +744,23 @@
     xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->requests.size()));
-      std::vector<int64_t> ::const_iterator _iter15;
-      for (_iter15 = this->requests.begin(); _iter15 != this->requests.end(); ++_iter15)
+      std::vector<int64_t> ::const_iterator _iter20;
+      for (_iter20 = this->requests.begin(); _iter20 != this->requests.end(); ++_iter20)
+      {
+        xfer += oprot->writeI64((*_iter20));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.moments) {
+    xfer += oprot->writeFieldBegin("moments", ::apache::thrift::protocol::T_LIST, 7);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->moments.size()));
+      std::vector<int64_t> ::const_iterator _iter21;
+      for (_iter21 = this->moments.begin(); _iter21 != this->moments.end(); ++_iter21)
       {
-        xfer += oprot->writeI64((*_iter15));
+        xfer += oprot->writeI64((*_iter21));
       }
       xfer += oprot->writeListEnd();
     }
@@ -741,26 +779,29 @@
   swap(a.epoch, b.epoch);
   swap(a.servers, b.servers);
   swap(a.requests, b.requests);
+  swap(a.moments, b.moments);
   swap(a.__isset, b.__isset);
 }
 
-QuarantineRumor::QuarantineRumor(const QuarantineRumor& other16) {
-  fingerprint = other16.fingerprint;
-  crashes = other16.crashes;
-  untilUnixMicros = other16.untilUnixMicros;
-  epoch = other16.epoch;
-  servers = other16.servers;
-  requests = other16.requests;
-  __isset = other16.__isset;
-}
-QuarantineRumor& QuarantineRumor::operator=(const QuarantineRumor& other17) {
-  fingerprint = other17.fingerprint;
-  crashes = other17.crashes;
-  untilUnixMicros = other17.untilUnixMicros;
-  epoch = other17.epoch;
-  servers = other17.servers;
-  requests = other17.requests;
-  __isset = other17.__isset;
+QuarantineRumor::QuarantineRumor(const QuarantineRumor& other22) {
+  fingerprint = other22.fingerprint;
+  crashes = other22.crashes;
+  untilUnixMicros = other22.untilUnixMicros;
+  epoch = other22.epoch;
+  servers = other22.servers;
+  requests = other22.requests;
+  moments = other22.moments;
+  __isset = other22.__isset;
+}
+QuarantineRumor& QuarantineRumor::operator=(const QuarantineRumor& other23) {
+  fingerprint = other23.fingerprint;
+  crashes = other23.crashes;
+  untilUnixMicros = other23.untilUnixMicros;
+  epoch = other23.epoch;
+  servers = other23.servers;
+  requests = other23.requests;
+  moments = other23.moments;
+  __isset = other23.__isset;
   return *this;
 }
 void QuarantineRumor::printTo(std::ostream& out) const {
@@ -772,6 +813,7 @@
   out << ", " << "epoch="; (__isset.epoch ? (out << to_string(epoch)) : (out << "<null>"));
   out << ", " << "servers="; (__isset.servers ? (out << to_string(servers)) : (out << "<null>"));
   out << ", " << "requests="; (__isset.requests ? (out << to_string(requests)) : (out << "<null>"));
+  out << ", " << "moments="; (__isset.moments ? (out << to_string(moments)) : (out << "<null>"));
   out << ")";
 }
 
@@ -872,15 +914,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Rumor::Rumor(const Rumor& other18) {
-  leaving = other18.leaving;
-  quarantine = other18.quarantine;
-  __isset = other18.__isset;
+Rumor::Rumor(const Rumor& other24) {
+  leaving = other24.leaving;
+  quarantine = other24.quarantine;
+  __isset = other24.__isset;
 }
-Rumor& Rumor::operator=(const Rumor& other19) {
-  leaving = other19.leaving;
-  quarantine = other19.quarantine;
-  __isset = other19.__isset;
+Rumor& Rumor::operator=(const Rumor& other25) {
+  leaving = other25.leaving;
+  quarantine = other25.quarantine;
+  __isset = other25.__isset;
   return *this;
 }
 void Rumor::printTo(std::ostream& out) const {
@@ -1007,17 +1049,17 @@
   swap(a.__isset, b.__isset);
 }
 
-AdoptedSet::AdoptedSet(const AdoptedSet& other20) {
-  generation = other20.generation;
-  rosterHash = other20.rosterHash;
-  members = other20.members;
-  __isset = other20.__isset;
+AdoptedSet::AdoptedSet(const AdoptedSet& other26) {
+  generation = other26.generation;
+  rosterHash = other26.rosterHash;
+  members = other26.members;
+  __isset = other26.__isset;
 }
-AdoptedSet& AdoptedSet::operator=(const AdoptedSet& other21) {
-  generation = other21.generation;
-  rosterHash = other21.rosterHash;
-  members = other21.members;
-  __isset = other21.__isset;
+AdoptedSet& AdoptedSet::operator=(const AdoptedSet& other27) {
+  generation = other27.generation;
+  rosterHash = other27.rosterHash;
+  members = other27.members;
+  __isset = other27.__isset;
   return *this;
 }
 void AdoptedSet::printTo(std::ostream& out) const {
@@ -1113,14 +1155,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->members.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->members.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += this->members[_i26].read(iprot);
+              xfer += this->members[_i32].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1133,14 +1175,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rumors.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _etype30;
-            xfer += iprot->readListBegin(_etype30, _size27);
-            this->rumors.resize(_size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->rumors.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
             {
-              xfer += this->rumors[_i31].read(iprot);
+              xfer += this->rumors[_i37].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1215,10 +1257,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<Member> ::const_iterator _iter32;
-      for (_iter32 = this->members.begin(); _iter32 != this->members.end(); ++_iter32)
+      std::vector<Member> ::const_iterator _iter38;
+      for (_iter38 = this->members.begin(); _iter38 != this->members.end(); ++_iter38)
       {
-        xfer += (*_iter32).write(oprot);
+        xfer += (*_iter38).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1228,10 +1270,10 @@
     xfer += oprot->writeFieldBegin("rumors", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rumors.size()));
-      std::vector<Rumor> ::const_iterator _iter33;
-      for (_iter33 = this->rumors.begin(); _iter33 != this->rumors.end(); ++_iter33)
+      std::vector<Rumor> ::const_iterator _iter39;
+      for (_iter39 = this->rumors.begin(); _iter39 != this->rumors.end(); ++_iter39)
       {
-        xfer += (*_iter33).write(oprot);
+        xfer += (*_iter39).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1280,27 +1322,27 @@
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other34) {
-  sequence = other34.sequence;
-  members = other34.members;
-  rumors = other34.rumors;
-  viewHash = other34.viewHash;
-  sync = other34.sync;
-  syncAfter = other34.syncAfter;
-  syncNext = other34.syncNext;
-  adopted = other34.adopted;
-  __isset = other34.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other35) {
-  sequence = other35.sequence;
-  members = other35.members;
-  rumors = other35.rumors;
-  viewHash = other35.viewHash;
-  sync = other35.sync;
-  syncAfter = other35.syncAfter;
-  syncNext = other35.syncNext;
-  adopted = other35.adopted;
-  __isset = other35.__isset;
+Gossip::Gossip(const Gossip& other40) {
+  sequence = other40.sequence;
+  members = other40.members;
+  rumors = other40.rumors;
+  viewHash = other40.viewHash;
+  sync = other40.sync;
+  syncAfter = other40.syncAfter;
+  syncNext = other40.syncNext;
+  adopted = other40.adopted;
+  __isset = other40.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other41) {
+  sequence = other41.sequence;
+  members = other41.members;
+  rumors = other41.rumors;
+  viewHash = other41.viewHash;
+  sync = other41.sync;
+  syncAfter = other41.syncAfter;
+  syncNext = other41.syncNext;
+  adopted = other41.adopted;
+  __isset = other41.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -1414,15 +1456,15 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipProbe::GossipProbe(const GossipProbe& other36) {
-  sequence = other36.sequence;
-  target = other36.target;
-  __isset = other36.__isset;
+GossipProbe::GossipProbe(const GossipProbe& other42) {
+  sequence = other42.sequence;
+  target = other42.target;
+  __isset = other42.__isset;
 }
-GossipProbe& GossipProbe::operator=(const GossipProbe& other37) {
-  sequence = other37.sequence;
-  target = other37.target;
-  __isset = other37.__isset;
+GossipProbe& GossipProbe::operator=(const GossipProbe& other43) {
+  sequence = other43.sequence;
+  target = other43.target;
+  __isset = other43.__isset;
   return *this;
 }
 void GossipProbe::printTo(std::ostream& out) const {
@@ -1549,17 +1591,17 @@
   swap(a.__isset, b.__isset);
 }
 
-GenerationAsk::GenerationAsk(const GenerationAsk& other38) noexcept {
-  call = other38.call;
-  generation = other38.generation;
-  base = other38.base;
-  __isset = other38.__isset;
+GenerationAsk::GenerationAsk(const GenerationAsk& other44) noexcept {
+  call = other44.call;
+  generation = other44.generation;
+  base = other44.base;
+  __isset = other44.__isset;
 }
-GenerationAsk& GenerationAsk::operator=(const GenerationAsk& other39) noexcept {
-  call = other39.call;
-  generation = other39.generation;
-  base = other39.base;
-  __isset = other39.__isset;
+GenerationAsk& GenerationAsk::operator=(const GenerationAsk& other45) noexcept {
+  call = other45.call;
+  generation = other45.generation;
+  base = other45.base;
+  __isset = other45.__isset;
   return *this;
 }
 void GenerationAsk::printTo(std::ostream& out) const {
@@ -1725,21 +1767,21 @@
   swap(a.__isset, b.__isset);
 }
 
-GenerationContent::GenerationContent(const GenerationContent& other40) {
-  call = other40.call;
-  generation = other40.generation;
-  changeId = other40.changeId;
-  digest = other40.digest;
-  content = other40.content;
-  __isset = other40.__isset;
+GenerationContent::GenerationContent(const GenerationContent& other46) {
+  call = other46.call;
+  generation = other46.generation;
+  changeId = other46.changeId;
+  digest = other46.digest;
+  content = other46.content;
+  __isset = other46.__isset;
 }
-GenerationContent& GenerationContent::operator=(const GenerationContent& other41) {
-  call = other41.call;
-  generation = other41.generation;
-  changeId = other41.changeId;
-  digest = other41.digest;
-  content = other41.content;
-  __isset = other41.__isset;
+GenerationContent& GenerationContent::operator=(const GenerationContent& other47) {
+  call = other47.call;
+  generation = other47.generation;
+  changeId = other47.changeId;
+  digest = other47.digest;
+  content = other47.content;
+  __isset = other47.__isset;
   return *this;
 }
 void GenerationContent::printTo(std::ostream& out) const {
@@ -1945,25 +1987,25 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderForward::OrderForward(const OrderForward& other42) {
-  call = other42.call;
-  caller = other42.caller;
-  route = other42.route;
-  key = other42.key;
-  body = other42.body;
-  remainingMicros = other42.remainingMicros;
-  generation = other42.generation;
-  __isset = other42.__isset;
+OrderForward::OrderForward(const OrderForward& other48) {
+  call = other48.call;
+  caller = other48.caller;
+  route = other48.route;
+  key = other48.key;
+  body = other48.body;
+  remainingMicros = other48.remainingMicros;
+  generation = other48.generation;
+  __isset = other48.__isset;
 }
-OrderForward& OrderForward::operator=(const OrderForward& other43) {
-  call = other43.call;
-  caller = other43.caller;
-  route = other43.route;
-  key = other43.key;
-  body = other43.body;
-  remainingMicros = other43.remainingMicros;
-  generation = other43.generation;
-  __isset = other43.__isset;
+OrderForward& OrderForward::operator=(const OrderForward& other49) {
+  call = other49.call;
+  caller = other49.caller;
+  route = other49.route;
+  key = other49.key;
+  body = other49.body;
+  remainingMicros = other49.remainingMicros;
+  generation = other49.generation;
+  __isset = other49.__isset;
   return *this;
 }
 void OrderForward::printTo(std::ostream& out) const {
@@ -2133,21 +2175,21 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderForwarded::OrderForwarded(const OrderForwarded& other44) {
-  call = other44.call;
-  code = other44.code;
-  accepted = other44.accepted;
-  replayed = other44.replayed;
-  body = other44.body;
-  __isset = other44.__isset;
-}
-OrderForwarded& OrderForwarded::operator=(const OrderForwarded& other45) {
-  call = other45.call;
-  code = other45.code;
-  accepted = other45.accepted;
-  replayed = other45.replayed;
-  body = other45.body;
-  __isset = other45.__isset;
+OrderForwarded::OrderForwarded(const OrderForwarded& other50) {
+  call = other50.call;
+  code = other50.code;
+  accepted = other50.accepted;
+  replayed = other50.replayed;
+  body = other50.body;
+  __isset = other50.__isset;
+}
+OrderForwarded& OrderForwarded::operator=(const OrderForwarded& other51) {
+  call = other51.call;
+  code = other51.code;
+  accepted = other51.accepted;
+  replayed = other51.replayed;
+  body = other51.body;
+  __isset = other51.__isset;
   return *this;
 }
 void OrderForwarded::printTo(std::ostream& out) const {
@@ -2334,23 +2376,23 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderOutcomeCopy::OrderOutcomeCopy(const OrderOutcomeCopy& other46) {
-  caller = other46.caller;
-  key = other46.key;
-  fingerprint = other46.fingerprint;
-  code = other46.code;
-  answer = other46.answer;
-  unixMicros = other46.unixMicros;
-  __isset = other46.__isset;
-}
-OrderOutcomeCopy& OrderOutcomeCopy::operator=(const OrderOutcomeCopy& other47) {
-  caller = other47.caller;
-  key = other47.key;
-  fingerprint = other47.fingerprint;
-  code = other47.code;
-  answer = other47.answer;
-  unixMicros = other47.unixMicros;
-  __isset = other47.__isset;
+OrderOutcomeCopy::OrderOutcomeCopy(const OrderOutcomeCopy& other52) {
+  caller = other52.caller;
+  key = other52.key;
+  fingerprint = other52.fingerprint;
+  code = other52.code;
+  answer = other52.answer;
+  unixMicros = other52.unixMicros;
+  __isset = other52.__isset;
+}
+OrderOutcomeCopy& OrderOutcomeCopy::operator=(const OrderOutcomeCopy& other53) {
+  caller = other53.caller;
+  key = other53.key;
+  fingerprint = other53.fingerprint;
+  code = other53.code;
+  answer = other53.answer;
+  unixMicros = other53.unixMicros;
+  __isset = other53.__isset;
   return *this;
 }
 void OrderOutcomeCopy::printTo(std::ostream& out) const {
@@ -2652,35 +2694,35 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedSub::RelayedSub(const RelayedSub& other48) {
-  id = other48.id;
-  connection = other48.connection;
-  kind = other48.kind;
-  serviceName = other48.serviceName;
-  shard = other48.shard;
-  version = other48.version;
-  key = other48.key;
-  cancels = other48.cancels;
-  body = other48.body;
-  server = other48.server;
-  remainingMicros = other48.remainingMicros;
-  fingerprint = other48.fingerprint;
-  __isset = other48.__isset;
-}
-RelayedSub& RelayedSub::operator=(const RelayedSub& other49) {
-  id = other49.id;
-  connection = other49.connection;
-  kind = other49.kind;
-  serviceName = other49.serviceName;
-  shard = other49.shard;
-  version = other49.version;
-  key = other49.key;
-  cancels = other49.cancels;
-  body = other49.body;
-  server = other49.server;
-  remainingMicros = other49.remainingMicros;
-  fingerprint = other49.fingerprint;
-  __isset = other49.__isset;
+RelayedSub::RelayedSub(const RelayedSub& other54) {
+  id = other54.id;
+  connection = other54.connection;
+  kind = other54.kind;
+  serviceName = other54.serviceName;
+  shard = other54.shard;
+  version = other54.version;
+  key = other54.key;
+  cancels = other54.cancels;
+  body = other54.body;
+  server = other54.server;
+  remainingMicros = other54.remainingMicros;
+  fingerprint = other54.fingerprint;
+  __isset = other54.__isset;
+}
+RelayedSub& RelayedSub::operator=(const RelayedSub& other55) {
+  id = other55.id;
+  connection = other55.connection;
+  kind = other55.kind;
+  serviceName = other55.serviceName;
+  shard = other55.shard;
+  version = other55.version;
+  key = other55.key;
+  cancels = other55.cancels;
+  body = other55.body;
+  server = other55.server;
+  remainingMicros = other55.remainingMicros;
+  fingerprint = other55.fingerprint;
+  __isset = other55.__isset;
   return *this;
 }
 void RelayedSub::printTo(std::ostream& out) const {
@@ -2755,14 +2797,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->subs.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->subs.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->subs.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->subs[_i54].read(iprot);
+              xfer += this->subs[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2797,10 +2839,10 @@
     xfer += oprot->writeFieldBegin("subs", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->subs.size()));
-      std::vector<RelayedSub> ::const_iterator _iter55;
-      for (_iter55 = this->subs.begin(); _iter55 != this->subs.end(); ++_iter55)
+      std::vector<RelayedSub> ::const_iterator _iter61;
+      for (_iter61 = this->subs.begin(); _iter61 != this->subs.end(); ++_iter61)
       {
-        xfer += (*_iter55).write(oprot);
+        xfer += (*_iter61).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2818,15 +2860,15 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayBatch::RelayBatch(const RelayBatch& other56) {
-  call = other56.call;
-  subs = other56.subs;
-  __isset = other56.__isset;
+RelayBatch::RelayBatch(const RelayBatch& other62) {
+  call = other62.call;
+  subs = other62.subs;
+  __isset = other62.__isset;
 }
-RelayBatch& RelayBatch::operator=(const RelayBatch& other57) {
-  call = other57.call;
-  subs = other57.subs;
-  __isset = other57.__isset;
+RelayBatch& RelayBatch::operator=(const RelayBatch& other63) {
+  call = other63.call;
+  subs = other63.subs;
+  __isset = other63.__isset;
   return *this;
 }
 void RelayBatch::printTo(std::ostream& out) const {
@@ -3000,14 +3042,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->versions.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->versions.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->versions.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += iprot->readI64(this->versions[_i62]);
+              xfer += iprot->readI64(this->versions[_i68]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3090,10 +3132,10 @@
     xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->versions.size()));
-      std::vector<int64_t> ::const_iterator _iter63;
-      for (_iter63 = this->versions.begin(); _iter63 != this->versions.end(); ++_iter63)
+      std::vector<int64_t> ::const_iterator _iter69;
+      for (_iter69 = this->versions.begin(); _iter69 != this->versions.end(); ++_iter69)
       {
-        xfer += oprot->writeI64((*_iter63));
+        xfer += oprot->writeI64((*_iter69));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3125,33 +3167,33 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedAnswer::RelayedAnswer(const RelayedAnswer& other64) {
-  id = other64.id;
-  connection = other64.connection;
-  status = other64.status;
-  statedId = other64.statedId;
-  statedShard = other64.statedShard;
-  statedVersion = other64.statedVersion;
-  draining = other64.draining;
-  closing = other64.closing;
-  load = other64.load;
-  versions = other64.versions;
-  body = other64.body;
-  __isset = other64.__isset;
-}
-RelayedAnswer& RelayedAnswer::operator=(const RelayedAnswer& other65) {
-  id = other65.id;
-  connection = other65.connection;
-  status = other65.status;
-  statedId = other65.statedId;
-  statedShard = other65.statedShard;
-  statedVersion = other65.statedVersion;
-  draining = other65.draining;
-  closing = other65.closing;
-  load = other65.load;
-  versions = other65.versions;
-  body = other65.body;
-  __isset = other65.__isset;
+RelayedAnswer::RelayedAnswer(const RelayedAnswer& other70) {
+  id = other70.id;
+  connection = other70.connection;
+  status = other70.status;
+  statedId = other70.statedId;
+  statedShard = other70.statedShard;
+  statedVersion = other70.statedVersion;
+  draining = other70.draining;
+  closing = other70.closing;
+  load = other70.load;
+  versions = other70.versions;
+  body = other70.body;
+  __isset = other70.__isset;
+}
+RelayedAnswer& RelayedAnswer::operator=(const RelayedAnswer& other71) {
+  id = other71.id;
+  connection = other71.connection;
+  status = other71.status;
+  statedId = other71.statedId;
+  statedShard = other71.statedShard;
+  statedVersion = other71.statedVersion;
+  draining = other71.draining;
+  closing = other71.closing;
+  load = other71.load;
+  versions = other71.versions;
+  body = other71.body;
+  __isset = other71.__isset;
   return *this;
 }
 void RelayedAnswer::printTo(std::ostream& out) const {
@@ -3225,14 +3267,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->answers.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->answers.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->answers[_i70].read(iprot);
+              xfer += this->answers[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3267,10 +3309,10 @@
     xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-      std::vector<RelayedAnswer> ::const_iterator _iter71;
-      for (_iter71 = this->answers.begin(); _iter71 != this->answers.end(); ++_iter71)
+      std::vector<RelayedAnswer> ::const_iterator _iter77;
+      for (_iter77 = this->answers.begin(); _iter77 != this->answers.end(); ++_iter77)
       {
-        xfer += (*_iter71).write(oprot);
+        xfer += (*_iter77).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3288,15 +3330,15 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayAnswers::RelayAnswers(const RelayAnswers& other72) {
-  call = other72.call;
-  answers = other72.answers;
-  __isset = other72.__isset;
+RelayAnswers::RelayAnswers(const RelayAnswers& other78) {
+  call = other78.call;
+  answers = other78.answers;
+  __isset = other78.__isset;
 }
-RelayAnswers& RelayAnswers::operator=(const RelayAnswers& other73) {
-  call = other73.call;
-  answers = other73.answers;
-  __isset = other73.__isset;
+RelayAnswers& RelayAnswers::operator=(const RelayAnswers& other79) {
+  call = other79.call;
+  answers = other79.answers;
+  __isset = other79.__isset;
   return *this;
 }
 void RelayAnswers::printTo(std::ostream& out) const {
@@ -3651,41 +3693,41 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerFrame::PeerFrame(const PeerFrame& other74) {
-  protocolVersion = other74.protocolVersion;
-  sender = other74.sender;
-  senderIncarnation = other74.senderIncarnation;
-  sentUnixMicros = other74.sentUnixMicros;
-  sentLogical = other74.sentLogical;
-  ping = other74.ping;
-  ack = other74.ack;
-  probe = other74.probe;
-  generationAsk = other74.generationAsk;
-  generationContent = other74.generationContent;
-  orderForward = other74.orderForward;
-  orderForwarded = other74.orderForwarded;
-  orderOutcomeCopy = other74.orderOutcomeCopy;
-  relayBatch = other74.relayBatch;
-  relayAnswers = other74.relayAnswers;
-  __isset = other74.__isset;
-}
-PeerFrame& PeerFrame::operator=(const PeerFrame& other75) {
-  protocolVersion = other75.protocolVersion;
-  sender = other75.sender;
-  senderIncarnation = other75.senderIncarnation;
-  sentUnixMicros = other75.sentUnixMicros;
-  sentLogical = other75.sentLogical;
-  ping = other75.ping;
-  ack = other75.ack;
-  probe = other75.probe;
-  generationAsk = other75.generationAsk;
-  generationContent = other75.generationContent;
-  orderForward = other75.orderForward;
-  orderForwarded = other75.orderForwarded;
-  orderOutcomeCopy = other75.orderOutcomeCopy;
-  relayBatch = other75.relayBatch;
-  relayAnswers = other75.relayAnswers;
-  __isset = other75.__isset;
+PeerFrame::PeerFrame(const PeerFrame& other80) {
+  protocolVersion = other80.protocolVersion;
+  sender = other80.sender;
+  senderIncarnation = other80.senderIncarnation;
+  sentUnixMicros = other80.sentUnixMicros;
+  sentLogical = other80.sentLogical;
+  ping = other80.ping;
+  ack = other80.ack;
+  probe = other80.probe;
+  generationAsk = other80.generationAsk;
+  generationContent = other80.generationContent;
+  orderForward = other80.orderForward;
+  orderForwarded = other80.orderForwarded;
+  orderOutcomeCopy = other80.orderOutcomeCopy;
+  relayBatch = other80.relayBatch;
+  relayAnswers = other80.relayAnswers;
+  __isset = other80.__isset;
+}
+PeerFrame& PeerFrame::operator=(const PeerFrame& other81) {
+  protocolVersion = other81.protocolVersion;
+  sender = other81.sender;
+  senderIncarnation = other81.senderIncarnation;
+  sentUnixMicros = other81.sentUnixMicros;
+  sentLogical = other81.sentLogical;
+  ping = other81.ping;
+  ack = other81.ack;
+  probe = other81.probe;
+  generationAsk = other81.generationAsk;
+  generationContent = other81.generationContent;
+  orderForward = other81.orderForward;
+  orderForwarded = other81.orderForwarded;
+  orderOutcomeCopy = other81.orderOutcomeCopy;
+  relayBatch = other81.relayBatch;
+  relayAnswers = other81.relayAnswers;
+  __isset = other81.__isset;
   return *this;
 }
 void PeerFrame::printTo(std::ostream& out) const {
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -284,13 +284,14 @@
 std::ostream& operator<<(std::ostream& out, const LeavingRumor& obj);
 
 typedef struct _QuarantineRumor__isset {
-  _QuarantineRumor__isset() : fingerprint(false), crashes(false), untilUnixMicros(false), epoch(false), servers(false), requests(false) {}
+  _QuarantineRumor__isset() : fingerprint(false), crashes(false), untilUnixMicros(false), epoch(false), servers(false), requests(false), moments(false) {}
   bool fingerprint :1;
   bool crashes :1;
   bool untilUnixMicros :1;
   bool epoch :1;
   bool servers :1;
   bool requests :1;
+  bool moments :1;
 } _QuarantineRumor__isset;
 
 class QuarantineRumor : public virtual ::apache::thrift::TBase {
@@ -312,6 +313,7 @@
   int32_t epoch;
   std::vector<int64_t>  servers;
   std::vector<int64_t>  requests;
+  std::vector<int64_t>  moments;
 
   _QuarantineRumor__isset __isset;
 
@@ -327,6 +329,8 @@
 
   void __set_requests(const std::vector<int64_t> & val);
 
+  void __set_moments(const std::vector<int64_t> & val);
+
   bool operator == (const QuarantineRumor & rhs) const
   {
     if (__isset.fingerprint != rhs.__isset.fingerprint)
@@ -353,6 +357,10 @@
       return false;
     else if (__isset.requests && !(requests == rhs.requests))
       return false;
+    if (__isset.moments != rhs.__isset.moments)
+      return false;
+    else if (__isset.moments && !(moments == rhs.moments))
+      return false;
     return true;
   }
   bool operator != (const QuarantineRumor &rhs) const {
--- a/src/peer/gossip_wire.cpp
+++ b/src/peer/gossip_wire.cpp
@@ -34,6 +34,8 @@
       { evidence.servers_.begin(), evidence.servers_.end() });
     wireQuarantine.__set_requests(
       { evidence.requests_.begin(), evidence.requests_.end() });
+    wireQuarantine.__set_moments(
+      { evidence.moments_.begin(), evidence.moments_.end() });
   }
   out.__set_quarantine(wireQuarantine);
   return out;
@@ -60,7 +62,8 @@
     quarantine.evidence_,
     { static_cast<std::uint32_t>(aWire.quarantine.epoch),
       { aWire.quarantine.servers.begin(), aWire.quarantine.servers.end() },
-      { aWire.quarantine.requests.begin(), aWire.quarantine.requests.end() } });
+      { aWire.quarantine.requests.begin(), aWire.quarantine.requests.end() },
+      { aWire.quarantine.moments.begin(), aWire.quarantine.moments.end() } });
   return quarantine;
 }
 
--- a/tests/core/crash_evidence_test.cpp
+++ b/tests/core/crash_evidence_test.cpp
@@ -17,11 +17,11 @@
     std::vector<CrashEvidence> reports;
     for (int i = 0; i < 6; ++i) {
       CrashEvidence report;
-      AddCrash(report, 1 + rng() % 9, 1 + rng() % 5);
-      AddCrash(report, 1 + rng() % 9, 1 + rng() % 5);
+      AddCrash(report, { 1 + rng() % 9, 1 + rng() % 5, rng() % 6 });
+      AddCrash(report, { 1 + rng() % 9, 1 + rng() % 5, rng() % 6 });
       if (rng() % 5 == 0) {
         RefuteEvidence(report);
-        AddCrash(report, 1 + rng() % 9, 1 + rng() % 5);
+        AddCrash(report, { 1 + rng() % 9, 1 + rng() % 5, rng() % 6 });
       }
       reports.push_back(report);
     }
@@ -49,6 +49,7 @@
     std::vector<std::uint64_t> servers_;
     std::vector<std::uint64_t> requests_;
     bool conclusive_;
+    std::vector<std::uint64_t> moments_ = {};
   };
   const std::vector<Case> cases{
     { "nothing", {}, {}, false },
@@ -59,11 +60,24 @@
     { "one server seen by three daemons", { 1, 1, 1 }, { 7, 8, 9 }, false },
     { "two servers", { 1, 2, 2 }, { 7, 8, 9 }, false },
     { "three servers, two requests", { 1, 2, 3 }, { 7, 8, 8 }, true },
+    { "shared content, two moments",
+      { 1, 2, 3 },
+      { 7, 8, 9 },
+      false,
+      { 5, 6, 6 } },
+    { "shared content, three moments",
+      { 1, 2, 3 },
+      { 7, 8, 9 },
+      true,
+      { 5, 6, 7 } },
   };
   for (const Case& item : cases) {
     CrashEvidence evidence;
     for (std::size_t i = 0; i < item.servers_.size(); ++i) {
-      AddCrash(evidence, item.servers_[i], item.requests_[i]);
+      AddCrash(evidence,
+               { item.servers_[i],
+                 item.requests_[i],
+                 item.moments_.empty() ? 0 : item.moments_[i] });
     }
     CHECK_TEXT(IsConclusive(evidence) == item.conclusive_, item.name_);
     CHECK_TEXT(RefuteEvidence(evidence) != item.servers_.empty(), item.name_);
--- a/tests/gateway/crash_test.cpp
+++ b/tests/gateway/crash_test.cpp
@@ -37,6 +37,7 @@
   double lostReports_ = 0.0;
   std::size_t shards_ = 0;         ///< Zero: a plain route.
   std::size_t crashingShards_ = 0; ///< The first ones; zero: all servers.
+  bool variesCaller_ = false;      ///< Tries come from many addresses.
   bool resets_ = false; ///< Other servers lose a part of their answers.
 };
 
@@ -126,8 +127,11 @@
   void Send(Duration aAt, const std::string& aTarget)
   {
     replay_.At(aAt, [this, aTarget]() {
-      const std::uint64_t id =
-        replay_.SendRequest(rng_() % case_.daemons_, aTarget, seconds(2));
+      const std::uint64_t id = replay_.SendRequest(
+        rng_() % case_.daemons_,
+        aTarget,
+        seconds(2),
+        case_.variesCaller_ ? "c" + std::to_string(rng_() % 60) : "c");
       if (aTarget.find("good") != std::string::npos) {
         good_.push_back(id);
       }
@@ -165,14 +169,17 @@
     { "servers refuse connections", 1 },
     { "servers refuse connections, six daemons", 6 },
     { "the query string varies", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), true },
+    { "the caller's address varies", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), false, 0.0, 0, 0, true },
+    { "query string and address vary", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), true, 0.0, 0, 0, true },
     { "servers are silent", 6, ModelFault::Silent },
     { "servers start again at once", 6, ModelFault::None, milliseconds(1200), milliseconds(1200) },
     { "entries go at once", 6, ModelFault::Down, milliseconds(0), milliseconds(2500) },
     { "half of the reports are lost", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), true, 0.5 },
-    { "answers are lost, too", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), true, 0.0, 0, 0, true },
-    { "a query, all shards", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), true, 0.0, 8 },
+    { "the same, and the address varies", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), true, 0.5, 0, 0, true },
+    { "answers are lost, too", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), true, 0.0, 0, 0, true, true },
+    { "a query, all shards", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), true, 0.0, 8, 0, true },
     { "a query, one shard of eight", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), true, 0.0, 8, 1 },
-    { "twenty daemons", 20, ModelFault::Silent, milliseconds(3600), milliseconds(4500), true },
+    { "twenty daemons", 20, ModelFault::Silent, milliseconds(3600), milliseconds(4500), true, 0.0, 0, 0, true },
   };
   // clang-format on
   return cases;
@@ -241,12 +248,10 @@
     message.host_ = "host";
     message.path_ = message.target_ = "/plain/poison";
     request.message_ = std::make_shared<const ProxyMessage>(message);
-    for (const std::uint64_t key : MakeContentKeys(request)) {
-      GatewayAdoptSuspect(replay.Daemon(0),
-                          key,
-                          { 0, { 1, 2, 3 }, { 4, 5 } },
-                          Now{ replay.Clock(), 0 });
-    }
+    GatewayAdoptSuspect(replay.Daemon(0),
+                        MakeContentKeys(request).exact_,
+                        { 0, { 1, 2, 3 }, { 4, 5 }, {} },
+                        Now{ replay.Clock(), 0 });
     replay.Crash(aServer);
   });
   const std::uint64_t id = replay.SendRequest(0, "/plain/poison", seconds(2));
@@ -257,3 +262,49 @@
   // It may have run.
   LONGS_EQUAL(ProxyCode::Failed, answer->code_);
 }
+
+// All servers of a service crash together while a popular path is in use.
+TEST(Crash, PopularPathIsQuarantinedAfterServersCrashedTogether)
+{
+  for (const std::uint64_t seed : { 1, 2, 3 }) {
+    Replay replay(6, seed);
+    replay.AddShards(2);
+    for (int i = 0; i < 5; ++i) {
+      replay.AddServer("shard0", 1.0);
+    }
+    replay.SetRoute(MakePlainRoute());
+    replay.Publish();
+    Rng rng(seed);
+    std::vector<std::uint64_t> sent;
+    for (Duration at{}; at < seconds(20); at += milliseconds(10)) {
+      replay.At(at, [&]() {
+        sent.push_back(
+          replay.SendRequest(rng() % 6,
+                             "/plain/search?q=" + std::to_string(rng() % 50),
+                             seconds(2),
+                             "c" + std::to_string(rng() % 20)));
+      });
+    }
+    // Twice, so that some requests fail at two moments.
+    for (const Duration at : { seconds(5), seconds(6) }) {
+      replay.At(at, [&replay]() {
+        for (std::size_t i = 0; i < replay.Servers().size(); ++i) {
+          replay.Crash(i);
+        }
+      });
+    }
+    replay.At(seconds(9), [&replay]() {
+      for (ModelServer& server : replay.Servers()) {
+        server.fault_ = ModelFault::None;
+        ++server.incarnation_;
+      }
+      replay.Announce();
+    });
+    replay.Advance(seconds(25));
+    LONGS_EQUAL(0, std::count_if(sent.begin(), sent.end(), [&](auto aId) {
+                  const ProxyAnswer* answer = replay.AnswerOf(aId);
+                  return answer != nullptr &&
+                         answer->code_ == ProxyCode::Quarantined;
+                }));
+  }
+}
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -563,7 +563,8 @@
 std::uint64_t
 Replay::SendRequest(std::size_t aDaemon,
                     const std::string& aTarget,
-                    Duration aCallerTimeout)
+                    Duration aCallerTimeout,
+                    const std::string& aCaller)
 {
   const std::uint64_t id = nextRequest_++;
   auto message = std::make_shared<ProxyMessage>();
@@ -574,7 +575,7 @@
   message->requestId_ = "r" + std::to_string(id);
   ProxyRequest request;
   request.id_ = CallerRequestId{ id };
-  request.caller_ = "caller";
+  request.caller_ = aCaller;
   request.message_ = std::move(message);
   request.callerTimeout_ = aCallerTimeout;
   HandleEvent(aDaemon, request);
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -138,7 +138,8 @@
   /** Sends one request to a daemon; returns its id. */
   std::uint64_t SendRequest(std::size_t aDaemon,
                             const std::string& aTarget,
-                            Duration aCallerTimeout);
+                            Duration aCallerTimeout,
+                            const std::string& aCaller = "caller");
   void CancelRequest(std::size_t aDaemon, std::uint64_t aRequest);
   void Advance(Duration aTime);
   void At(Duration aAfter, std::function<void()> aAction);
--- a/tests/membership/spread_test.cpp
+++ b/tests/membership/spread_test.cpp
@@ -168,7 +168,7 @@
   CrashEvidence all;
   for (std::uint64_t i = 0; i < 3; ++i) {
     CrashEvidence seen;
-    AddCrash(seen, 100 + i, 200 + i);
+    AddCrash(seen, { 100 + i, 200 + i, 300 + i });
     JoinEvidence(all, seen);
     fleet.Spread(i, QuarantineRumor{ Fingerprint{ 7 }, 0, until, seen });
   }
