Fix: what is written after the store came back from an older copy comes into force

Cause: objects, tables and feeds were ordered by the store's revision alone, and the larger one kept. A restored store gives lower revisions out again; its watch answered 410 to the larger one, and the read after it followed without a pause. Change: the order is (era, revision) everywhere. A new era keeps what is known in use, reads the table again, and drops replies of before. What objects say of themselves goes before the store while it is behind: a newer version is kept and passed on; a removed server that is listed again is unused for 5 s unless it writes; a lost one has the grace of an outage. Repeated 410 back off. A follower that was ahead of its source, or that learns of a new era by changes, asks for whole tables once more. Decoded entries are cached by content, since revisions come again.

--- a/src/discovery/feed_follower.cpp
+++ b/src/discovery/feed_follower.cpp
@@ -29,6 +29,7 @@
   aFeed.source_ = aSource;
   aFeed.incarnation_ = 0;
   aFeed.position_ = 0;
+  aFeed.needsWhole_ = false;
 }
 
 FeedEffect
@@ -55,15 +56,29 @@
   aFeed.incarnation_ = aMessage.incarnation_;
   aFeed.receivedAt_ = aNow;
   aFeed.age_ = aMessage.age_;
+  if (aMessage.whole_) {
+    aFeed.needsWhole_ =
+      std::any_of(aTables.begin(), aTables.end(), [&](const TableSync* aTable) {
+        return PositionOf(*aTable) > PositionOf(aMessage, aTable->kind_);
+      });
+  }
   for (std::size_t i = 0; i < aTables.size(); ++i) {
     TableSync& table = *aTables[i];
     if (!ShouldApplyFeed(aMessage, table)) {
       continue;
     }
-    if (IsTableFresh(table)) {
+    const StorePosition sent = PositionOf(aMessage, table.kind_);
+    const bool fresh = IsTableFresh(table);
+    const bool behind = sent > PositionOf(table);
+    if (fresh && behind) {
       effect.stalled_.push_back(i);
     }
-    if (ApplyFeed(aMessage, table)) {
+    if (sent.era_ > table.era_) {
+      BeginEra(table, sent.era_, aNow);
+      aFeed.needsWhole_ = aFeed.needsWhole_ || !aMessage.whole_;
+    }
+    if (fresh && !behind ? TakeLostContent(aMessage, table)
+                         : ApplyFeed(aMessage, table)) {
       effect.changed_.push_back(i);
     }
   }
--- a/src/discovery/feed_follower.h
+++ b/src/discovery/feed_follower.h
@@ -18,6 +18,9 @@
   std::uint64_t position_ = 0;    ///< Newest change received.
   TimePoint receivedAt_{};        ///< Time of the latest message.
   Duration age_{};                ///< Age of the tables in that message.
+  /** Whole tables are needed once more: these were ahead of the source's, or a
+   * new era has begun. Changes may lack removals of what a source never had. */
+  bool needsWhole_ = false;
 };
 
 /** Effect of a message on the tables, by their index. */
--- a/src/discovery/table_feed.cpp
+++ b/src/discovery/table_feed.cpp
@@ -3,6 +3,7 @@
 // daemon.
 #include "discovery/table_feed.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/json.hpp>
 #include <utility>
@@ -24,6 +25,14 @@
   }
 }
 
+StoreObject
+ObjectToSend(const TableSync& aTable, const StoreObject& aObject)
+{
+  StoreObject object = aObject;
+  object.revived_ = !IsInUse(aTable, aObject.name_);
+  return object;
+}
+
 bool
 ReplaceWhole(const FeedMessage& aMessage, TableSync& aTable)
 {
@@ -35,7 +44,8 @@
   }
   const auto revision = aMessage.revisions_.find(aTable.kind_);
   return revision != aMessage.revisions_.end() &&
-         ImportTable(aTable, std::move(objects), revision->second);
+         ImportTable(
+           aTable, std::move(objects), PositionOf(aMessage, aTable.kind_));
 }
 
 /** Removes an object unless it has been written after the removal. */
@@ -44,13 +54,26 @@
 {
   const auto known = aTable.objects_.find(aRemoved.name_);
   if (known == aTable.objects_.end() ||
-      known->second.revision_ > aRemoved.revision_) {
+      PositionOf(known->second) > PositionOf(aRemoved)) {
     return false;
   }
   EraseObject(aTable, aRemoved.name_);
   return true;
 }
 
+/** Whether an object holds content that the restored store has lost, and that a
+ * table lacks. */
+bool
+IsLostContent(const FeedChange& aItem, const TableSync& aTable)
+{
+  const StoreObject& object = aItem.change_.object_;
+  const auto known = aTable.objects_.find(object.name_);
+  return object.ahead_ && aItem.kind_ == aTable.kind_ &&
+         known != aTable.objects_.end() &&
+         PositionOf(object) == PositionOf(known->second) &&
+         ShouldReplace(aTable, known->second, object);
+}
+
 constexpr std::size_t kLengthBytes = 4; ///< Prefix of the compressed text.
 
 /** Returns the length of the text in big-endian order and a zlib stream. */
@@ -107,11 +130,22 @@
   json::object object{ { "kind", aChange.kind_ },
                        { "name", change.object_.name_ },
                        { "revision", change.object_.revision_ } };
+  if (change.object_.era_ != 0) {
+    object["era"] = change.object_.era_;
+  }
   if (change.removed_) {
     object["removed"] = true;
     return object;
   }
   object["text"] = change.object_.text_;
+  object["order"] = { change.object_.order_.first,
+                      change.object_.order_.second };
+  if (change.object_.ahead_) {
+    object["ahead"] = true;
+  }
+  if (change.object_.revived_) {
+    object["revived"] = true;
+  }
   return object;
 }
 
@@ -127,6 +161,15 @@
   object.revision_ = aObject.at("revision").to_number<std::uint64_t>();
   if (!change.change_.removed_) {
     object.text_ = std::string(aObject.at("text").as_string());
+    object.ahead_ = aObject.contains("ahead");
+    object.revived_ = aObject.contains("revived");
+  }
+  if (const json::value* era = aObject.if_contains("era")) {
+    object.era_ = era->to_number<std::uint64_t>();
+  }
+  if (const json::value* order = aObject.if_contains("order")) {
+    object.order_ = { order->as_array().at(0).to_number<std::uint64_t>(),
+                      order->as_array().at(1).to_number<std::uint64_t>() };
   }
   return change;
 }
@@ -136,23 +179,24 @@
 void
 CollectChanges(TableFeed& aFeed, const TableSync& aTable)
 {
-  std::map<std::string, std::uint64_t>& published =
-    aFeed.published_[aTable.kind_];
+  auto& published = aFeed.published_[aTable.kind_];
   for (auto next = published.begin(); next != published.end();) {
     if (aTable.objects_.count(next->first) > 0) {
       ++next;
       continue;
     }
-    // As of this revision the object is gone.
-    AddChange(
-      aFeed, aTable.kind_, { { next->first, aTable.revision_, "" }, true });
+    // As of this position the object is gone.
+    StoreObject removed{ next->first, aTable.revision_, "" };
+    removed.era_ = aTable.era_;
+    AddChange(aFeed, aTable.kind_, { std::move(removed), true });
     next = published.erase(next);
   }
   for (const auto& [name, object] : aTable.objects_) {
-    std::uint64_t& revision = published[name];
-    if (revision != object.revision_) {
-      revision = object.revision_;
-      AddChange(aFeed, aTable.kind_, { object, false });
+    const std::pair state(PositionOf(object), object.order_);
+    const auto known = published.find(name);
+    if (known == published.end() || known->second != state) {
+      published[name] = state;
+      AddChange(aFeed, aTable.kind_, { ObjectToSend(aTable, object), false });
     }
   }
 }
@@ -178,11 +222,13 @@
   message.whole_ = NeedsWholeTables(aFeed, aIncarnation, aNumber);
   for (const TableSync* table : aTables) {
     message.revisions_[table->kind_] = table->revision_;
-    if (message.whole_) {
-      for (const auto& [name, object] : table->objects_) {
-        message.changes_.push_back(
-          FeedChange{ 0, table->kind_, { object, false } });
-      }
+    message.eras_[table->kind_] = table->era_;
+    if (!message.whole_) {
+      continue;
+    }
+    for (const auto& [name, object] : table->objects_) {
+      message.changes_.push_back(
+        FeedChange{ 0, table->kind_, { ObjectToSend(*table, object), false } });
     }
   }
   if (!message.whole_) {
@@ -196,12 +242,27 @@
   return message;
 }
 
+StorePosition
+PositionOf(const FeedMessage& aMessage, const std::string& aKind)
+{
+  const auto revision = aMessage.revisions_.find(aKind);
+  if (revision == aMessage.revisions_.end()) {
+    return {};
+  }
+  const auto era = aMessage.eras_.find(aKind);
+  return { era == aMessage.eras_.end() ? 0 : era->second, revision->second };
+}
+
 bool
 ShouldApplyFeed(const FeedMessage& aMessage, const TableSync& aTable)
 {
-  const auto revision = aMessage.revisions_.find(aTable.kind_);
-  return !IsTableFresh(aTable) || (revision != aMessage.revisions_.end() &&
-                                   revision->second > aTable.revision_);
+  return !IsTableFresh(aTable) ||
+         PositionOf(aMessage, aTable.kind_) > PositionOf(aTable) ||
+         std::any_of(aMessage.changes_.begin(),
+                     aMessage.changes_.end(),
+                     [&aTable](const FeedChange& aItem) {
+                       return IsLostContent(aItem, aTable);
+                     });
 }
 
 bool
@@ -222,16 +283,26 @@
     }
     const auto known = aTable.objects_.find(object.name_);
     const bool outdated = known == aTable.objects_.end()
-                            ? object.revision_ <= aTable.revision_
-                            : object.revision_ <= known->second.revision_;
+                            ? PositionOf(object) <= PositionOf(aTable)
+                            : !ShouldReplace(aTable, known->second, object);
     if (!outdated) {
       PutObject(aTable, StoreObject(object));
       changed = true;
     }
   }
-  const auto revision = aMessage.revisions_.find(aTable.kind_);
-  if (revision != aMessage.revisions_.end()) {
-    aTable.revision_ = std::max(aTable.revision_, revision->second);
+  AdvanceTo(aTable, PositionOf(aMessage, aTable.kind_));
+  return changed;
+}
+
+bool
+TakeLostContent(const FeedMessage& aMessage, TableSync& aTable)
+{
+  bool changed = false;
+  for (const FeedChange& item : aMessage.changes_) {
+    if (IsLostContent(item, aTable)) {
+      PutObject(aTable, StoreObject(item.change_.object_));
+      changed = true;
+    }
   }
   return changed;
 }
@@ -243,6 +314,10 @@
   for (const auto& [kind, revision] : aMessage.revisions_) {
     revisions[kind] = revision;
   }
+  json::object eras;
+  for (const auto& [kind, era] : aMessage.eras_) {
+    eras[kind] = era;
+  }
   json::array changes;
   for (const FeedChange& change : aMessage.changes_) {
     changes.push_back(EncodeChange(change));
@@ -255,6 +330,7 @@
                                   { "behind", aMessage.storeUnavailable_ },
                                   { "age", aMessage.age_.count() },
                                   { "revisions", std::move(revisions) },
+                                  { "eras", std::move(eras) },
                                   { "changes", std::move(changes) } }));
 }
 
@@ -282,6 +358,12 @@
       message.revisions_[std::string(item.key())] =
         item.value().to_number<std::uint64_t>();
     }
+    if (const json::value* eras = object.if_contains("eras")) {
+      for (const auto& item : eras->as_object()) {
+        message.eras_[std::string(item.key())] =
+          item.value().to_number<std::uint64_t>();
+      }
+    }
     for (const json::value& item : object.at("changes").as_array()) {
       message.changes_.push_back(DecodeChange(item.as_object()));
     }
--- a/src/discovery/table_feed.h
+++ b/src/discovery/table_feed.h
@@ -36,8 +36,10 @@
   std::uint64_t incarnation_ = 0; ///< Of the daemon; numbers restart with it.
   std::uint64_t newest_ = 0;
   std::deque<FeedChange> changes_;
-  /** Newest revision in the feed, by kind and name. */
-  std::map<std::string, std::map<std::string, std::uint64_t>> published_;
+  /** Newest state in the feed, by kind and name. */
+  std::map<std::string,
+           std::map<std::string, std::pair<StorePosition, ContentOrder>>>
+    published_;
 };
 
 /** Content of a message of a feed. */
@@ -50,7 +52,8 @@
   bool storeUnavailable_ = false; ///< The sender can't reach the store.
   Duration age_{}; ///< Since a watcher knew the tables to be up to date.
   std::map<std::string, std::uint64_t> revisions_; ///< Of the tables, by kind.
-  std::vector<FeedChange> changes_; ///< If whole_: one per object.
+  std::map<std::string, std::uint64_t> eras_; ///< Of the tables; none: zero.
+  std::vector<FeedChange> changes_;           ///< If whole_: one per object.
 };
 
 /** Adds the changes of a table since the last call to the feed. */
@@ -74,6 +77,10 @@
                 std::uint64_t aIncarnation,
                 std::uint64_t aNumber);
 
+/** Position of the sender's table, or the lowest one if it has none. */
+StorePosition
+PositionOf(const FeedMessage& aMessage, const std::string& aKind);
+
 /**
  * Whether a message should be applied to a table: the table isn't kept up to
  * date by the store, or the sender has a newer revision despite an open watch.
@@ -88,6 +95,13 @@
 bool
 ApplyFeed(const FeedMessage& aMessage, TableSync& aTable);
 
+/**
+ * Takes over only content that the restored store has lost.
+ * @return False when the table did not change.
+ */
+bool
+TakeLostContent(const FeedMessage& aMessage, TableSync& aTable);
+
 /** Encodes a message as compressed JSON. */
 std::string
 EncodeFeed(const FeedMessage& aMessage);
--- a/src/discovery/table_sync.cpp
+++ b/src/discovery/table_sync.cpp
@@ -48,13 +48,41 @@
 bool
 WasRemovedSince(const TableSync& aTable,
                 const StoreObject& aObject,
-                std::uint64_t aCopyRevision)
+                const StorePosition& aCopy)
 {
-  return aTable.complete_ && aCopyRevision < aTable.revision_ &&
-         aObject.revision_ <= aTable.revision_ &&
+  return aTable.complete_ && aCopy < PositionOf(aTable) &&
+         PositionOf(aObject) <= PositionOf(aTable) &&
          aTable.objects_.count(aObject.name_) == 0;
 }
 
+void
+RecordRemoval(TableSync& aTable, const StoreObject& aObject)
+{
+  if (aTable.removals_.size() >= kMaxRemovals) {
+    aTable.removals_.erase(aTable.removals_.begin());
+  }
+  aTable.removals_[aObject.name_] = { aTable.era_, aObject.order_ };
+}
+
+void
+AddObject(TableSync& aTable, StoreObject&& aObject)
+{
+  const auto removal = aTable.removals_.find(aObject.name_);
+  if (removal != aTable.removals_.end()) {
+    const auto& [era, order] = removal->second;
+    if (aObject.era_ > era && aObject.order_ <= order) {
+      aObject.revived_ = true;
+    } else {
+      aTable.removals_.erase(removal);
+    }
+  }
+  if (aObject.revived_) {
+    aObject.revived_ = false;
+    aTable.revived_[aObject.name_] = aTable.eraBegunAt_ + kRevivedDelay;
+  }
+  aTable.objects_[aObject.name_] = std::move(aObject);
+}
+
 void
 ApplyPage(TableSync& aTable, StoreReply&& aReply, TimePoint aNow)
 {
@@ -66,6 +94,7 @@
   }
   for (StoreObject& item : aReply.items_) {
     aTable.after_ = std::max(aTable.after_, item.name_);
+    item.era_ = aTable.era_;
     aTable.page_[item.name_] = std::move(item);
   }
   if (aReply.more_) {
@@ -73,10 +102,10 @@
   }
   // A feed may have brought changes after the first page was read. What it
   // added is newer than the page; what it removed is still on the page.
+  const StorePosition page{ aTable.era_, aTable.pageRevision_ };
   std::vector<std::string> missing;
   for (const auto& [name, object] : aTable.objects_) {
-    if (aTable.page_.count(name) == 0 &&
-        object.revision_ <= aTable.pageRevision_) {
+    if (aTable.page_.count(name) == 0 && PositionOf(object) <= page) {
       missing.push_back(name);
     }
   }
@@ -84,7 +113,7 @@
     Remove(aTable, name, aNow);
   }
   for (auto& [name, object] : aTable.page_) {
-    if (!WasRemovedSince(aTable, object, aTable.pageRevision_)) {
+    if (!WasRemovedSince(aTable, object, page)) {
       PutObject(aTable, std::move(object));
     }
   }
@@ -99,12 +128,14 @@
 ApplyChanges(TableSync& aTable, StoreReply&& aReply, TimePoint aNow)
 {
   for (StoreChange& change : aReply.changes_) {
+    change.object_.era_ = aTable.era_;
     if (change.removed_) {
       // A feed may have brought what was written after this reply; the next
       // watch begins behind it.
       const auto known = aTable.objects_.find(change.object_.name_);
       if (known != aTable.objects_.end() &&
-          known->second.revision_ <= aReply.revision_) {
+          PositionOf(known->second) <=
+            StorePosition{ aTable.era_, aReply.revision_ }) {
         Remove(aTable, change.object_.name_, aNow);
       }
     } else {
@@ -120,6 +151,10 @@
   TableChange change;
   if (aStatus == StoreStatus::HistoryGone) {
     RestartTable(aTable, aNow);
+    // A read that doesn't help must not be repeated at once.
+    if (++aTable.historyGoneInRow_ > 1) {
+      aTable.nextCallAt_ = aNow + Backoff(aTable.historyGoneInRow_ - 1, aRng);
+    }
     return change;
   }
   change.lost_ = aTable.failures_ == 0;
@@ -139,6 +174,72 @@
 
 } // namespace
 
+StorePosition
+PositionOf(const StoreObject& aObject)
+{
+  return { aObject.era_, aObject.revision_ };
+}
+
+StorePosition
+PositionOf(const TableSync& aTable)
+{
+  return { aTable.era_, aTable.revision_ };
+}
+
+bool
+IsNewer(const StoreObject& aObject, const StoreObject& aKnown)
+{
+  const StorePosition object = PositionOf(aObject);
+  const StorePosition known = PositionOf(aKnown);
+  return object > known || (object == known && aObject.order_ > aKnown.order_);
+}
+
+// A lapsed entry is known to be missing as of the table's position.
+bool
+ShouldReplace(const TableSync& aTable,
+              const StoreObject& aKnown,
+              const StoreObject& aObject)
+{
+  const bool missing = aTable.lapsed_.count(aObject.name_) > 0 &&
+                       PositionOf(aObject) <= PositionOf(aTable);
+  return !missing && IsNewer(aObject, aKnown);
+}
+
+void
+AdvanceTo(TableSync& aTable, const StorePosition& aPosition)
+{
+  const StorePosition position = std::max(PositionOf(aTable), aPosition);
+  aTable.era_ = position.era_;
+  aTable.revision_ = position.revision_;
+}
+
+void
+BeginEra(TableSync& aTable, std::uint64_t aEra, TimePoint aNow)
+{
+  aTable.era_ = aEra;
+  aTable.eraBegunAt_ = aNow;
+  aTable.revision_ = 0;
+  aTable.watching_ = false;
+  aTable.after_.clear();
+  aTable.page_.clear();
+  aTable.historyGoneInRow_ = 0;
+  if (aTable.complete_) {
+    // Entries that are missing get the same grace as after an outage.
+    aTable.hadOutage_ = true;
+    aTable.outageEndedAt_ = aNow;
+  }
+  aTable.lapsed_.clear();
+  for (auto& [name, until] : aTable.revived_) {
+    until = aNow + kRevivedDelay;
+  }
+}
+
+bool
+IsInUse(const TableSync& aTable, const std::string& aName)
+{
+  return aTable.revived_.count(aName) == 0;
+}
+
 std::optional<StoreCall>
 NextStoreCall(const TableSync& aTable, TimePoint aNow)
 {
@@ -166,8 +267,16 @@
                Rng& aRng)
 {
   TableChange change;
-  change.restored_ = aTable.era_ != 0 && aReply.era_ > aTable.era_;
-  aTable.era_ = std::max(aTable.era_, aReply.era_);
+  const bool watch = aReply.op_ == StoreOp::Watch;
+  bool usable = true;
+  if (aReply.era_ != 0 && aReply.era_ < aTable.era_) {
+    // Sent before a restore that is known by now.
+    aReply.status_ = StoreStatus::Lost;
+  } else if (aReply.era_ > aTable.era_) {
+    change.restored_ = aTable.era_ != 0;
+    usable = !watch && aTable.after_.empty();
+    BeginEra(aTable, aReply.era_, aNow);
+  }
   if (aReply.status_ != StoreStatus::Ok) {
     const bool restored = change.restored_;
     change = HandleFailure(aTable, aReply.status_, aNow, aRng);
@@ -181,12 +290,17 @@
     aTable.failures_ = 0;
     aTable.failingSince_ = kNever;
   }
-  const bool watch = aReply.op_ == StoreOp::Watch;
+  if (!usable) {
+    // Changes and pages that follow what the store has lost.
+    aTable.nextCallAt_ = aNow;
+    return change;
+  }
   if (!watch) {
     change.changed_ = true;
     change.read_ = !aReply.more_;
     ApplyPage(aTable, std::move(aReply), aNow);
   } else if (aTable.watching_) {
+    aTable.historyGoneInRow_ = 0;
     change.changed_ = !aReply.changes_.empty();
     ApplyChanges(aTable, std::move(aReply), aNow);
   }
@@ -196,21 +310,45 @@
   return change;
 }
 
+// Over a restore an object's own order decides: the store may hold an older
+// state of it until it is written again.
 void
 PutObject(TableSync& aTable, StoreObject&& aObject)
 {
   aTable.lapsed_.erase(aObject.name_);
-  StoreObject& known = aTable.objects_[aObject.name_];
-  if (known.revision_ <= aObject.revision_) {
-    known = std::move(aObject);
+  const auto found = aTable.objects_.find(aObject.name_);
+  if (found == aTable.objects_.end()) {
+    AddObject(aTable, std::move(aObject));
+    return;
+  }
+  StoreObject& known = found->second;
+  if (!IsNewer(aObject, known)) {
+    return;
+  }
+  if ((aObject.era_ > known.era_ || known.ahead_) &&
+      aObject.order_ < known.order_) {
+    known.era_ = aObject.era_;
+    known.revision_ = aObject.revision_;
+    known.ahead_ = true;
+    return;
   }
+  if (aObject.order_ > known.order_) {
+    aTable.revived_.erase(aObject.name_);
+  }
+  known = std::move(aObject);
+  known.revived_ = false;
 }
 
 void
 EraseObject(TableSync& aTable, const std::string& aName)
 {
-  aTable.objects_.erase(aName);
+  const auto found = aTable.objects_.find(aName);
+  if (found != aTable.objects_.end()) {
+    RecordRemoval(aTable, found->second);
+    aTable.objects_.erase(found);
+  }
   aTable.lapsed_.erase(aName);
+  aTable.revived_.erase(aName);
 }
 
 TableChange
@@ -221,15 +359,19 @@
   if (aTable.failures_ > 0) {
     return change;
   }
-  for (auto next = aTable.lapsed_.begin(); next != aTable.lapsed_.end();) {
-    if (next->second > aNow) {
-      ++next;
-      continue;
+  std::vector<std::string> ended;
+  for (const auto& [name, until] : aTable.lapsed_) {
+    if (until <= aNow) {
+      ended.push_back(name);
     }
-    aTable.objects_.erase(next->first);
-    next = aTable.lapsed_.erase(next);
-    change.changed_ = true;
   }
+  for (const std::string& name : ended) {
+    EraseObject(aTable, name);
+  }
+  const std::size_t revived =
+    std::erase_if(aTable.revived_,
+                  [aNow](const auto& aItem) { return aItem.second <= aNow; });
+  change.changed_ = !ended.empty() || revived > 0;
   return change;
 }
 
@@ -248,29 +390,39 @@
          aTable.failures_ == 0;
 }
 
-// A copy holds all objects as of its revision, so an older object that it lacks
-// has been removed, even if the copy as a whole is behind this table.
+// A copy holds all objects as of its position, so an older object that it lacks
+// has been removed, even if the copy as a whole is behind this table. Lacking
+// an object of an earlier era, it may only have been lost by the store.
 bool
 ImportTable(TableSync& aTable,
             std::vector<StoreObject>&& aObjects,
-            std::uint64_t aRevision)
+            const StorePosition& aPosition)
 {
   bool changed = !aTable.complete_;
   std::set<std::string> names;
   for (const StoreObject& object : aObjects) {
     names.insert(object.name_);
   }
-  changed = std::erase_if(aTable.objects_,
-                          [&names, aRevision](const auto& aItem) {
-                            return aItem.second.revision_ <= aRevision &&
-                                   names.count(aItem.first) == 0;
-                          }) > 0 ||
-            changed;
+  std::vector<std::string> removed;
+  for (const auto& [name, object] : aTable.objects_) {
+    if (PositionOf(object) > aPosition || names.count(name) > 0) {
+      continue;
+    }
+    if (object.era_ < aPosition.era_) {
+      aTable.lapsed_.try_emplace(name, aTable.eraBegunAt_ + kLapseGrace);
+    } else {
+      removed.push_back(name);
+    }
+  }
+  for (const std::string& name : removed) {
+    EraseObject(aTable, name);
+    changed = true;
+  }
   for (StoreObject& object : aObjects) {
     const auto known = aTable.objects_.find(object.name_);
     const bool outdated = known == aTable.objects_.end()
-                            ? WasRemovedSince(aTable, object, aRevision)
-                            : known->second.revision_ >= object.revision_;
+                            ? WasRemovedSince(aTable, object, aPosition)
+                            : !ShouldReplace(aTable, known->second, object);
     if (!outdated) {
       PutObject(aTable, std::move(object));
       changed = true;
@@ -279,7 +431,7 @@
   std::erase_if(aTable.lapsed_, [&aTable](const auto& aItem) {
     return aTable.objects_.count(aItem.first) == 0;
   });
-  aTable.revision_ = std::max(aTable.revision_, aRevision);
+  AdvanceTo(aTable, aPosition);
   aTable.complete_ = true;
   return changed;
 }
--- a/src/discovery/table_sync.h
+++ b/src/discovery/table_sync.h
@@ -4,10 +4,13 @@
 #include "core/rng_type.h"
 #include "core/time_type.h"
 
+#include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace camphorfield {
@@ -27,14 +30,44 @@
  * after it by the platform's contract, including a margin for the network. */
 constexpr Duration kLapseGrace = std::chrono::milliseconds(2200);
 
+/** An entry that was removed before the store came back from an older copy, and
+ * is listed again, is not used for this time unless it is written anew: the
+ * platform drops it again when its server is silent. */
+constexpr Duration kRevivedDelay = std::chrono::seconds(5);
+/** Removals that are remembered for it. */
+constexpr std::size_t kMaxRemovals = 2048;
+
+/** Place in the store's sequence of changes. A store that comes back from an
+ * older copy begins a new era and gives revisions out again. */
+struct StorePosition
+{
+  std::uint64_t era_ = 0;
+  std::uint64_t revision_ = 0;
+
+  auto operator<=>(const StorePosition& aOther) const = default;
+};
+
+/** What an object says of its own age, comparable over eras: a configuration's
+ * version; a server's start and number of writes. Zeros: nothing. */
+using ContentOrder = std::pair<std::uint64_t, std::uint64_t>;
+
 /** One object with its unparsed content. */
 struct StoreObject
 {
   std::string name_;
   std::uint64_t revision_ = 0; ///< Of its last change.
   std::string text_;           ///< Content as JSON.
+  std::uint64_t era_ = 0;      ///< Of its last change.
+  ContentOrder order_;
+  /** The content is newer than that in the store, which has lost it. */
+  bool ahead_ = false;
+  /** Sent by a daemon that knows that it was removed before a restore. */
+  bool revived_ = false;
 };
 
+StorePosition
+PositionOf(const StoreObject& aObject);
+
 /** One change of an object. */
 struct StoreChange
 {
@@ -90,6 +123,7 @@
   std::map<std::string, StoreObject> objects_;
   bool complete_ = false;      ///< Read completely since the start.
   std::uint64_t era_ = 0;      ///< Of the store, newest seen; zero: none.
+  TimePoint eraBegunAt_{};     ///< When it was seen.
   std::uint64_t revision_ = 0; ///< Of the store, that objects_ reflects.
   bool watching_ = false;      ///< False: the next call is a List.
   bool passive_ = false;       ///< Updated by a feed; makes no calls.
@@ -102,8 +136,39 @@
   TimePoint outageEndedAt_{};               ///< End of the latest outage.
   bool hadOutage_ = false;                  ///< There has been an outage.
   std::map<std::string, TimePoint> lapsed_; ///< Removed then, unless rewritten.
+  std::uint32_t historyGoneInRow_ = 0; ///< Watches without history since one.
+  /** Era and order of objects at their removal. */
+  std::map<std::string, std::pair<std::uint64_t, ContentOrder>> removals_;
+  /** Removed objects that a restored store lists again: not used until then. */
+  std::map<std::string, TimePoint> revived_;
 };
 
+StorePosition
+PositionOf(const TableSync& aTable);
+
+/** Whether an object replaces a known one of its name. */
+bool
+IsNewer(const StoreObject& aObject, const StoreObject& aKnown);
+
+/** Whether an object of another daemon replaces the known one of a table. */
+bool
+ShouldReplace(const TableSync& aTable,
+              const StoreObject& aKnown,
+              const StoreObject& aObject);
+
+/** Raises the position that a table reflects. */
+void
+AdvanceTo(TableSync& aTable, const StorePosition& aPosition);
+
+/** Begins a new era of the store: what is known stays in use until it is known
+ * what the store still has. */
+void
+BeginEra(TableSync& aTable, std::uint64_t aEra, TimePoint aNow);
+
+/** Whether an object may be used. */
+bool
+IsInUse(const TableSync& aTable, const std::string& aName);
+
 /** Effect of a reply or a timer. */
 struct TableChange
 {
@@ -133,7 +198,8 @@
 void
 EraseObject(TableSync& aTable, const std::string& aName);
 
-/** Removes entries that were not rewritten in time after an outage. */
+/** Removes entries that were not rewritten in time after an outage, and takes
+ * those into use that a restored store has kept for long enough. */
 TableChange
 DropLapsed(TableSync& aTable, TimePoint aNow);
 
@@ -147,12 +213,12 @@
 
 /**
  * Merges the complete copy of another daemon into the table.
- * @param aRevision Of the store, that the copy reflects.
+ * @param aPosition Of the store, that the copy reflects.
  * @return False when nothing changed.
  */
 bool
 ImportTable(TableSync& aTable,
             std::vector<StoreObject>&& aObjects,
-            std::uint64_t aRevision);
+            const StorePosition& aPosition);
 
 } // namespace camphorfield
--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -240,7 +240,8 @@
   // A watcher may have skipped earlier feed messages, and a configuration that
   // stays behind shows that something has been lost: whole tables are
   // requested.
-  const bool needsWhole = role_.isWatcher_ || configLagTime_ > kMaxSourceLag;
+  const bool needsWhole =
+    role_.isWatcher_ || followed_.needsWhole_ || configLagTime_ > kMaxSourceLag;
   request.generation_ = Generation{ needsWhole ? 0 : followed_.incarnation_ };
   request.base_ = Generation{ followed_.position_ };
   SendToPeer(
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -187,7 +187,8 @@
   Decisions membershipDecisions_;
   std::shared_ptr<const std::vector<MemberRecord>> members_;
   std::uint64_t newestKnownVersion_ = 0; ///< Configuration of any member.
-  /** Decoded servers with their revision, by name; empty id: malformed. */
+  /** Decoded servers with the hash of their text, by name; empty id: malformed.
+   */
   std::map<std::string, std::pair<std::uint64_t, BackendEntry>> entries_;
   ConfigLag configLag_;
   Duration configLagTime_{}; ///< See UpdateConfigLag.
--- a/src/runtime/gateway_tables.cpp
+++ b/src/runtime/gateway_tables.cpp
@@ -2,6 +2,7 @@
 // is rejected and the former one stays; malformed server entries are left out.
 #include "runtime/gateway_host.h"
 
+#include "core/hash_func.h"
 #include "gateway/gateway_func.h"
 #include "membership/membership_func.h"
 #include "observe/log.h"
@@ -107,10 +108,14 @@
   });
   std::vector<BackendEntry> servers;
   for (const auto& [name, object] : table.objects_) {
-    auto& [revision, entry] = entries_[name];
-    if (revision != object.revision_) {
+    if (!IsInUse(table, name)) {
+      continue;
+    }
+    auto& [hash, entry] = entries_[name];
+    const std::uint64_t textHash = HashText(object.text_);
+    if (hash != textHash) {
       auto decoded = adapter_.decodeServer_(name, object.text_);
-      revision = object.revision_;
+      hash = textHash;
       if (!decoded.ok()) {
         entry = BackendEntry{};
         WriteLog(LogLevel::Warning,
--- a/tests/discovery/table_sync_test.cpp
+++ b/tests/discovery/table_sync_test.cpp
@@ -237,23 +237,23 @@
 TEST(TableSync, ImportsOnlyNewerTablesFromPeers)
 {
   Bench bench;
-  CHECK_TRUE(ImportTable(bench.table_, { { "b", 3, "{}" } }, 30));
+  CHECK_TRUE(ImportTable(bench.table_, { { "b", 3, "{}" } }, { 0, 30 }));
   CHECK_TRUE(bench.Has("b"));
   CHECK_TRUE(bench.table_.complete_);
   // The own read is still required.
   LONGS_EQUAL(StoreOp::List, bench.NextCall().op_);
   // Copies from before the object was written, and the same copy again.
-  CHECK_FALSE(ImportTable(bench.table_, {}, 2));
-  CHECK_FALSE(ImportTable(bench.table_, { { "b", 2, "old" } }, 29));
-  CHECK_FALSE(ImportTable(bench.table_, { { "b", 3, "{}" } }, 30));
+  CHECK_FALSE(ImportTable(bench.table_, {}, { 0, 2 }));
+  CHECK_FALSE(ImportTable(bench.table_, { { "b", 2, "old" } }, { 0, 29 }));
+  CHECK_FALSE(ImportTable(bench.table_, { { "b", 3, "{}" } }, { 0, 30 }));
   CHECK_TRUE(bench.Has("b"));
   STRCMP_EQUAL("{}", bench.table_.objects_["b"].text_.c_str());
   // What an older copy still has is not brought back.
-  CHECK_FALSE(
-    ImportTable(bench.table_, { { "a", 1, "{}" }, { "b", 3, "{}" } }, 29));
+  CHECK_FALSE(ImportTable(
+    bench.table_, { { "a", 1, "{}" }, { "b", 3, "{}" } }, { 0, 29 }));
   CHECK_FALSE(bench.Has("a"));
   // A copy that lacks an object of its time shows that it has left.
-  CHECK_TRUE(ImportTable(bench.table_, {}, 30));
+  CHECK_TRUE(ImportTable(bench.table_, {}, { 0, 30 }));
   CHECK_FALSE(bench.Has("b"));
   LONGS_EQUAL(30, bench.table_.revision_);
 }
