--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -161,6 +161,13 @@
     { "start is a fraction", "1700000000000", "1700000000000.5" },
     { "start is a text", "1700000000000", "\"1700000000000\"" },
     { "no JSON", "{", "" },
+    { "port out of range", "10.0.0.9:8080", "10.0.0.9:88080" },
+    { "port zero", "10.0.0.9:8080", "10.0.0.9:0" },
+    { "negative port", "10.0.0.9:8080", "10.0.0.9:-1" },
+    { "warm-up too long", ":1500", ":1e300" },
+    { "warm-up beyond all numbers", ":1500", ":1e999" },
+    { "start too large", "1700000000000", "18446744073709551615" },
+    { "too many slots", "\"concurrency\":2", "\"concurrency\":4294967296" },
   };
   for (const ForgedCase& item : cases) {
     const std::string text = Replace(kServerText, item.from_, item.to_);
@@ -344,6 +351,12 @@
     std::size_t decoded_;
   };
   const std::string nested = std::string(100, '[') + std::string(100, ']');
+  const std::string abyss = std::string(200000, '[') + std::string(200000, ']');
+  std::string objects;
+  for (int i = 0; i < 5000; ++i) {
+    objects += R"({"a":)";
+  }
+  objects += "1" + std::string(5000, '}');
   const std::vector<Case> cases{
     { "bytes that are no text",
       "{\"meta\":{\"name\":\"x\",\"revision\":7},\"spec\":\"\xff\xfe\"}",
@@ -357,6 +370,22 @@
     { "huge numbers",
       R"({"meta":{"name":"x","revision":7},"spec":{"born":1e999}})",
       3 },
+    { "very deeply nested lists",
+      R"({"meta":{"name":"x","revision":7},"spec":)" + abyss + "}",
+      3 },
+    { "very deeply nested objects",
+      R"({"meta":{"name":"x","revision":7},"spec":{"born":)" + objects + "}}",
+      3 },
+    { "an exponent too large for any number",
+      R"({"meta":{"name":"x","revision":7},"spec":{"seq":1e99999999999}})",
+      3 },
+    { "a number of very many digits",
+      R"({"meta":{"name":"x","revision":7},"spec":{"seq":)" +
+        std::string(5000, '9') + "}}",
+      3 },
+    { "brackets and numbers in a text",
+      R"({"meta":{"name":"x","revision":7},"spec":{"a":"[[\"1e99999999999"}})",
+      3 },
     { "nothing", "null", 2 },
     { "other types", R"({"meta":{"name":7,"revision":"x"},"spec":[]})", 2 },
   };
--- a/tests/discovery/restore_test.cpp
+++ b/tests/discovery/restore_test.cpp
@@ -137,11 +137,11 @@
   void Follow(const Reader& aSource)
   {
     FollowFeed(followed_, aSource.id_);
-    const auto message = DecodeFeed(
-      EncodeFeed(MakeFeedMessage(aSource.feed_,
-                                 { &aSource.table_ },
-                                 followed_.needsWhole_ ? 0 : followed_.incarnation_,
-                                 followed_.position_)));
+    const auto message = DecodeFeed(EncodeFeed(
+      MakeFeedMessage(aSource.feed_,
+                      { &aSource.table_ },
+                      followed_.needsWhole_ ? 0 : followed_.incarnation_,
+                      followed_.position_)));
     CHECK_TRUE(message.ok());
     const FeedEffect effect =
       TakeFeedMessage(followed_, aSource.id_, *message, { &table_ }, now_);
