Add: the soak's store comes back from older copies

Change: Store-Era in all replies of the soak's store; a fault that saves a copy, lets servers and the operator write on, is away, comes back from the copy, and has everything written again a moment later.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -351,6 +351,24 @@
         await asyncio.sleep(self.rng.uniform(0.3, 4))
         self.store.mode = "ok"
 
+    async def restore_store(self):
+        """The store loses the latest changes; they are written again."""
+        self.faults["restore"] += 1
+        self.store.save()
+        for _ in range(self.rng.randint(0, 4)):
+            self.list_server(self.rng.choice(self.servers))
+            self.publish()
+            await asyncio.sleep(self.rng.uniform(0.05, 0.8))
+        self.store.mode = "down"
+        self.store.cut()
+        await asyncio.sleep(self.rng.uniform(0.05, 2))
+        self.store.restore()
+        self.store.mode = "ok"
+        await asyncio.sleep(self.rng.uniform(0.05, 2))
+        for server in self.servers:
+            self.list_server(server)
+        self.publish()
+
     async def inject_server_fault(self):
         """Give a server one of the faults of standins.Server for a while."""
         self.faults["server"] += 1
@@ -443,6 +461,7 @@
         """Inject random faults, one after another, until the end."""
         kinds = (self.inject_gateway_fault, self.inject_gateway_fault,
                  self.kill_several_gateways, self.inject_store_fault,
+                 self.restore_store,
                  self.inject_server_fault, self.inject_server_fault,
                  self.inject_server_link_fault, self.crash_server,
                  self.inject_guidance, self.inject_guidance,
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -123,6 +123,8 @@
         self.changes = []  # (revision, kind, object, deleted)
         self.revision = 100
         self.compacted_revision = 100  # Changes up to here were dropped.
+        self.era = 1
+        self.copy = None  # Objects and revision, to come back from.
         self.mode = "ok"  # ok, down, busy, slow
         self.changed = asyncio.Event()
         self.address = ""
@@ -153,6 +155,19 @@
         self.changes.clear()
         self.compacted_revision = self.revision
 
+    def save(self):
+        """Make a copy to come back from."""
+        self.copy = ({kind: dict(objects)
+                      for kind, objects in self.objects.items()},
+                     self.revision)
+
+    def restore(self):
+        """Come back from the copy: revisions are given out again."""
+        self.objects, self.revision = self.copy
+        self.era += 1
+        self.forget()
+        self.cut()
+
     def cut(self):
         """Reset all connections, as an outage does."""
         for writer in list(self.connections):
@@ -169,7 +184,7 @@
         if self.mode == "slow":
             await asyncio.sleep(0.3)
         if self.mode == "busy":
-            return wire.make_response(503, {})
+            return wire.store_reply(self.era, 503)
         path, _, text = message[0].split(" ")[1].partition("?")
         kind = path.rsplit("/", 1)[1]
         query = dict(item.split("=", 1) for item in text.split("&") if item)
@@ -178,7 +193,7 @@
                                     int(query.get("wait-ms", 0)) / 1000)
         after = query.get("after", "")
         names = sorted(name for name in self.objects[kind] if name > after)
-        return wire.store_reply({
+        return wire.store_reply(self.era, 200, {
             "items": [self.objects[kind][name]
                       for name in names[:PAGE_OBJECTS]],
             "more": len(names) > PAGE_OBJECTS, "as-of": self.revision})
@@ -187,15 +202,16 @@
         """Wait for changes after a revision and return them."""
         end = time.monotonic() + wait_s
         while True:
-            if since < self.compacted_revision:
-                return wire.make_response(410, {})
+            if not self.compacted_revision <= since <= self.revision:
+                return wire.store_reply(self.era, 410)
             events = [{"object": entry, "deleted": deleted}
                       for revision, of, entry, deleted in self.changes
                       if of == kind and revision > since]
             left = end - time.monotonic()
             if events or left <= 0:
-                return wire.store_reply({"events": events,
-                                         "as-of": self.revision})
+                return wire.store_reply(
+                    self.era, 200,
+                    {"events": events, "as-of": self.revision})
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -12,6 +12,7 @@
 LEAVING = "server-leaving"
 LIMIT = "server-limit"
 RETRY_AFTER = "retry-after"
+STORE_ERA = "store-era"
 RECORD_BYTES = 16
 
 
@@ -110,10 +111,11 @@
             "spec": content, "status": {}}
 
 
-def store_reply(document):
-    """Encode a reply of the store."""
-    return make_response(200, {"content-type": "application/json"},
-                         json.dumps(document).encode())
+def store_reply(era, status, document=None):
+    """Encode a reply of the store; without a document its body is empty."""
+    body = b"" if document is None else json.dumps(document).encode()
+    return make_response(status, {"content-type": "application/json",
+                                  STORE_ERA: era}, body)
 
 
 def proofs_of(fields):
