Add: the soak checks that content which crashes servers is rejected by all gateways

Change: after the faults one path is requested each 150 ms for 10 s, with varying query string, source address and gateway; servers that run it crash and come back as another incarnation. At most three requests of it may run later than 4 s after the third crash.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -28,6 +28,9 @@
 GRACE_S = 3
 CALLER_TIMEOUT_S = 2.0
 RECOVERY_TIMEOUT_S = 20.0  # To serve all routes again after the faults.
+CRASH_TEST_S = 10.0  # Requests of one content that crashes servers.
+CRASH_SETTLE_S = 4.0  # After the third crash all gateways reject it, ...
+MAX_LATE_CRASHES = 3  # ... but for as many requests.
 
 Endpoints = collections.namedtuple(
     "Endpoints", "name ip front ready control directory metrics")
@@ -140,6 +143,7 @@
         await link.start()
         server.address = link.address
         server.link = link
+        server.listed = self.list_server
         self.servers.append(server)
         self.server_links.append(link)
         self.list_server(server)
@@ -501,6 +505,43 @@
         self.book.note_answer(request, status, fields, body)
         return status == 200
 
+    async def check_crashing_content(self):
+        """Check that all gateways stop sending content that crashes servers,
+        though its query string, caller and gateway vary."""
+        rng = random.Random(f"{self.seed}/crash")
+        end = time.monotonic() + CRASH_TEST_S
+        while time.monotonic() < end:
+            await asyncio.sleep(0.15)
+            self.requests += 1
+            request = f"r{self.requests:08x}"
+            target = f"{wire.CRASH_PATH}?page={rng.randint(1, 40)}"
+            self.book.sent[request] = ("GET", target, b"", "plain")
+            host, port = rng.choice(self.gateways).endpoints.front.split(":")
+            try:
+                reader, writer = await asyncio.open_connection(
+                    host, int(port),
+                    local_addr=(f"127.0.0.{rng.randint(1, 60)}", 0))
+                writer.write(wire.make_request(
+                    "GET", target,
+                    {"host": HOST_NAME, wire.REQUEST_ID: request,
+                     wire.REMAINING_MS: 2000}))
+                line, fields, body = await asyncio.wait_for(
+                    wire.read_message(reader), CALLER_TIMEOUT_S + 1)
+                self.book.note_answer(
+                    request, int(line.split(" ")[1]), fields, body)
+                writer.close()
+            except (OSError, asyncio.IncompleteReadError,
+                    asyncio.TimeoutError):
+                pass
+        crashes = sorted(crash for server in self.servers
+                         for crash in server.crashes)
+        late = {request for at, request in crashes[3:]
+                if at > crashes[2][0] + CRASH_SETTLE_S}
+        self.faults["content crash"] += len(crashes)
+        if len(crashes) < 3 or len(late) > MAX_LATE_CRASHES:
+            self.book.fail(f"content crashed {len(crashes)} servers, {len(late)} "
+                           "requests of it ran when all should know better")
+
     async def run(self):
         """Run callers and faults, then check recovery and graceful stops."""
         await self.start()
@@ -518,6 +559,7 @@
         await asyncio.gather(*fault_tasks)
         await asyncio.gather(*callers)
         await self.check_recovery()
+        await self.check_crashing_content()
         for gateway in self.gateways:
             gateway.should_run = False
             gateway.signal(signal.SIGTERM)
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -235,6 +235,8 @@
         self.says = Says()
         self.pause_s = None  # Rejects requests and asks for so long a pause.
         self.link = None
+        self.crashes = []  # (time, request), by content that crashes it.
+        self.listed = None  # Called when it has started again.
         self.running = 0
         self.listener = None
         self.port = 0
@@ -280,6 +282,16 @@
         for writer in list(self.connections):
             reset(writer)
 
+    async def restart(self):
+        """Crash, and start again after a while as another incarnation."""
+        if not self.listener.is_serving():
+            return
+        self.crash()
+        await asyncio.sleep(self.rng.uniform(0.5, 1.5))
+        self.started_ms = int(time.time() * 1000)
+        await self.start()
+        self.listed(self)
+
     async def serve(self, reader, writer):
         """Answer requests on one connection."""
         await serve_messages(reader, writer, self.connections, self.answer)
@@ -302,6 +314,10 @@
         if self.fault == "full" or self.running >= 3 * self.slots:
             return wire.make_response(503, {wire.NOT_RUN: "1", **said})
         self.book.note_run(self, request, line, body)
+        if line.split(" ")[1].startswith(wire.CRASH_PATH):
+            self.crashes.append((time.monotonic(), request))
+            asyncio.get_running_loop().create_task(self.restart())
+            return None
         self.running += 1
         try:
             await asyncio.sleep(self.work_s * self.rng.uniform(0.5, 1.5) *
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -14,6 +14,7 @@
 RETRY_AFTER = "retry-after"
 STORE_ERA = "store-era"
 RECORD_BYTES = 16
+CRASH_PATH = "/plain/crash"  # Crashes each server that runs it.
 
 
 class Broken(Exception):
