Codechange: comparisons of store positions that the linter reads

Cause: clang-tidy takes a defaulted three-way comparison for a null pointer; a concatenation in a test. Change: three operators, one append. No behaviour changes. Result: discovery_test and the Crash tests pass.

--- a/src/discovery/table_sync.cpp
+++ b/src/discovery/table_sync.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace camphorfield {
@@ -174,6 +175,25 @@
 
 } // namespace
 
+bool
+operator<(const StorePosition& aLeft, const StorePosition& aRight)
+{
+  return std::tie(aLeft.era_, aLeft.revision_) <
+         std::tie(aRight.era_, aRight.revision_);
+}
+
+bool
+operator>(const StorePosition& aLeft, const StorePosition& aRight)
+{
+  return aRight < aLeft;
+}
+
+bool
+operator<=(const StorePosition& aLeft, const StorePosition& aRight)
+{
+  return !(aRight < aLeft);
+}
+
 StorePosition
 PositionOf(const StoreObject& aObject)
 {
--- a/src/discovery/table_sync.h
+++ b/src/discovery/table_sync.h
@@ -4,7 +4,6 @@
 #include "core/rng_type.h"
 #include "core/time_type.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -44,9 +43,16 @@
   std::uint64_t era_ = 0;
   std::uint64_t revision_ = 0;
 
-  auto operator<=>(const StorePosition& aOther) const = default;
+  bool operator==(const StorePosition& aOther) const = default;
 };
 
+bool
+operator<(const StorePosition& aLeft, const StorePosition& aRight);
+bool
+operator>(const StorePosition& aLeft, const StorePosition& aRight);
+bool
+operator<=(const StorePosition& aLeft, const StorePosition& aRight);
+
 /** What an object says of its own age, comparable over eras: a configuration's
  * version; a server's start and number of writes. Zeros: nothing. */
 using ContentOrder = std::pair<std::uint64_t, std::uint64_t>;
--- a/tests/gateway/crash_test.cpp
+++ b/tests/gateway/crash_test.cpp
@@ -89,7 +89,7 @@
     for (Duration at{}; at < kTime; at += kPoisonEvery) {
       const std::string query =
         case_.variesQuery_ ? "?page=" + std::to_string(at.count()) : "";
-      Send(at, prefix + "poison" + query);
+      Send(at, std::string(prefix).append("poison").append(query));
     }
     for (Duration at{}; at < kTime; at += kGoodEvery) {
       // Some contents are repeated, some are not.
