--- a/src/core/crash_evidence.cpp
+++ b/src/core/crash_evidence.cpp
@@ -26,10 +26,10 @@
 void
 AddCrash(CrashEvidence& aEvidence, const ServerCrash& aCrash)
 {
-  Insert(aEvidence.servers_, aCrash.server_, kCrashesToConvict);
-  Insert(aEvidence.requests_, aCrash.request_, kRequestsToConvict);
+  Insert(aEvidence.servers_, aCrash.server_, kServersToQuarantine);
+  Insert(aEvidence.requests_, aCrash.request_, kRequestsToQuarantine);
   if (aCrash.moment_ != 0) {
-    Insert(aEvidence.moments_, aCrash.moment_, kMomentsToConvict);
+    Insert(aEvidence.moments_, aCrash.moment_, kMomentsToQuarantine);
   }
 }
 
@@ -54,13 +54,13 @@
     aInto = CrashEvidence{ aFrom.epoch_, {}, {}, {} };
   }
   for (const std::uint64_t server : aFrom.servers_) {
-    Insert(aInto.servers_, server, kCrashesToConvict);
+    Insert(aInto.servers_, server, kServersToQuarantine);
   }
   for (const std::uint64_t request : aFrom.requests_) {
-    Insert(aInto.requests_, request, kRequestsToConvict);
+    Insert(aInto.requests_, request, kRequestsToQuarantine);
   }
   for (const std::uint64_t moment : aFrom.moments_) {
-    Insert(aInto.moments_, moment, kMomentsToConvict);
+    Insert(aInto.moments_, moment, kMomentsToQuarantine);
   }
   return aInto != before;
 }
@@ -68,10 +68,10 @@
 bool
 IsConclusive(const CrashEvidence& aEvidence)
 {
-  return aEvidence.servers_.size() >= kCrashesToConvict &&
-         aEvidence.requests_.size() >= kRequestsToConvict &&
+  return aEvidence.servers_.size() >= kServersToQuarantine &&
+         aEvidence.requests_.size() >= kRequestsToQuarantine &&
          (aEvidence.moments_.empty() ||
-          aEvidence.moments_.size() >= kMomentsToConvict);
+          aEvidence.moments_.size() >= kMomentsToQuarantine);
 }
 
 } // namespace camphorfield
--- a/src/core/crash_evidence.h
+++ b/src/core/crash_evidence.h
@@ -8,13 +8,13 @@
 namespace camphorfield {
 
 /** Crashed servers and requests that suffice as evidence. */
-constexpr std::size_t kCrashesToConvict = 3;
+constexpr std::size_t kServersToQuarantine = 3;
 /** More than one, because one query is in flight on many servers, which may
  * crash together for another reason. */
-constexpr std::size_t kRequestsToConvict = 2;
+constexpr std::size_t kRequestsToQuarantine = 2;
 /** Moments at which servers crashed, for content that many requests share:
  * those in flight when servers crash together have one or two in common. */
-constexpr std::size_t kMomentsToConvict = 3;
+constexpr std::size_t kMomentsToQuarantine = 3;
 
 /** One crash of a server. */
 struct ServerCrash
@@ -35,12 +35,12 @@
   /** Raised when an answer refutes the evidence; lower ones are obsolete. */
   std::uint32_t epoch_ = 0;
   /** Hashes of server incarnations that crashed: the smallest
-   * kCrashesToConvict, ascending. */
+   * kServersToQuarantine, ascending. */
   std::vector<std::uint64_t> servers_;
-  /** Hashes of ids of requests that they ran: the smallest kRequestsToConvict,
-   * ascending. */
+  /** Hashes of ids of requests that they ran: the smallest
+   * kRequestsToQuarantine, ascending. */
   std::vector<std::uint64_t> requests_;
-  /** Times of crashes: the smallest kMomentsToConvict, ascending; empty: not
+  /** Times of crashes: the smallest kMomentsToQuarantine, ascending; empty: not
    * required. */
   std::vector<std::uint64_t> moments_;
 
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -108,7 +108,7 @@
 {
   GatewayState& state = aStep.state_;
   std::size_t blocked = 0;
-  std::vector<std::pair<std::uint64_t, std::uint32_t>> convicted;
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> quarantined;
   auto next = state.services_[aService].queue_.begin();
   while (next != state.services_[aService].queue_.end() &&
          blocked < kMaxBlockedParts) {
@@ -116,7 +116,7 @@
     GatewayRun& run = *FindSlot(state.runs_, std::get<3>(key));
     const std::uint32_t index = std::get<4>(key);
     if (IsQuarantined(state, run.content_, aStep.Time())) {
-      convicted.emplace_back(run.key_, index);
+      quarantined.emplace_back(run.key_, index);
       ++blocked;
       continue;
     }
@@ -129,7 +129,7 @@
     state.services_[aService].queue_.erase(key);
     Send(aStep, run, index, backend, false);
   }
-  for (const auto& [key, index] : convicted) {
+  for (const auto& [key, index] : quarantined) {
     // The failure of an earlier part may have ended the run.
     if (GatewayRun* run = FindSlot(state.runs_, key)) {
       DequeuePart(state, run->parts_[index]);
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -86,7 +86,7 @@
 void
 AddEvidence(GatewayStep& aStep, const BrokenConnection& aBroken)
 {
-  bool convicted = false;
+  bool quarantined = false;
   for (const std::uint64_t key : AllKeys(aBroken.content_)) {
     const bool shared = key != aBroken.content_.exact_;
     SuspectContent& suspect = FindOrAddSuspect(aStep.state_, key, aStep.Time());
@@ -97,9 +97,9 @@
                shared ? aBroken.moment_ : 0 });
     suspect.until_ = aStep.Time() + TimeToLive(suspect.evidence_);
     aStep.out_.emplace_back(SuspectFound{ key, suspect.evidence_ });
-    convicted = convicted || (!before && IsConclusive(suspect.evidence_));
+    quarantined = quarantined || (!before && IsConclusive(suspect.evidence_));
   }
-  if (convicted) {
+  if (quarantined) {
     Report(aStep, SuspicionEvent::Quarantined, aBroken, "crashed servers");
   }
 }
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -132,7 +132,7 @@
 /** Broken connections that are remembered for as long. */
 constexpr std::size_t kMaxBroken = 1024;
 constexpr Duration kSuspectTtl = seconds(300);
-/** The same for evidence on what many requests share: a wrong conviction
+/** The same for evidence on what many requests share: a wrong quarantine
  * concerns more callers. */
 constexpr Duration kSharedSuspectTtl = seconds(60);
 constexpr std::size_t kMaxSuspects = 1024;
--- a/tests/gateway/crash_test.cpp
+++ b/tests/gateway/crash_test.cpp
@@ -227,8 +227,8 @@
   STRCMP_EQUAL("", failures.c_str());
 }
 
-// Content that is convicted while a request with it is being served.
-TEST(Crash, AdmittedRequestIsSentOnceMoreAfterItsConviction)
+// Content that is quarantined while a request with it is being served.
+TEST(Crash, AdmittedRequestIsSentOnceMoreAfterItsQuarantine)
 {
   Replay replay(1, 7);
   replay.AddServer("shard0", 1.0);
