Codechange: one restart of a crashed server in the soak

Cause: the check of crashing content had written the soak's crash of a server again. Change: crash_server calls Server.restart, which takes the pause. Same draws, pauses and checks.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -431,11 +431,7 @@
         server = self.rng.choice(self.servers)
         if not server.listener.is_serving():
             return
-        server.crash()
-        await asyncio.sleep(self.rng.uniform(0.2, 3))
-        server.started_ms = int(time.time() * 1000)
-        await server.start()
-        self.list_server(server)
+        await server.restart(self.rng.uniform(0.2, 3))
 
     async def replace_entry(self):
         """Remove a server's entry or make it invalid, then restore it."""
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -282,12 +282,12 @@
         for writer in list(self.connections):
             reset(writer)
 
-    async def restart(self):
+    async def restart(self, pause_s):
         """Crash, and start again after a while as another incarnation."""
         if not self.listener.is_serving():
             return
         self.crash()
-        await asyncio.sleep(self.rng.uniform(0.5, 1.5))
+        await asyncio.sleep(pause_s)
         self.started_ms = int(time.time() * 1000)
         await self.start()
         self.listed(self)
@@ -316,7 +316,8 @@
         self.book.note_run(self, request, line, body)
         if line.split(" ")[1].startswith(wire.CRASH_PATH):
             self.crashes.append((time.monotonic(), request))
-            asyncio.get_running_loop().create_task(self.restart())
+            asyncio.get_running_loop().create_task(
+                self.restart(self.rng.uniform(0.5, 1.5)))
             return None
         self.running += 1
         try:
