--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -304,7 +304,8 @@
         """Write a server's entry."""
         self.store.put("servers", server.name, self.entry(server))
 
-    def configure(self, version, routes, body_bytes=262144):
+    def configure(self, version, routes, body_bytes=262144,
+                  max_conns=25):
         """Write a desired state."""
         names = set()
         for route in routes:
@@ -314,7 +315,7 @@
         self.store.put("config", "main", {
             "version": version, "routes": routes,
             "services": [{"name": name, "health-path": "/healthz",
-                          "max-conns": 25} for name in sorted(names)],
+                          "max-conns": max_conns} for name in sorted(names)],
             "limits": {"max-header-bytes": 16384,
                        "max-body-bytes": body_bytes,
                        "header-timeout-ms": 3000, "idle-timeout-ms": 15000}})
