Fix: one unreadable value in a store reply hides no other entry

Change: a reply that can't be parsed is copied value by value; unreadable content is replaced as a whole. Such values are counted, logged at most every 5 s, and shown in metrics.

--- a/src/discovery/table_sync.h
+++ b/src/discovery/table_sync.h
@@ -16,8 +16,9 @@
 
 /** Longest wait of a watch for the next change. A store that is unresponsive
  * when a watch arrives never answers it, so this limits how long that stays
- * undetected. */
-constexpr Duration kWatchWait = std::chrono::seconds(3);
+ * undetected. Less than kMaxFeedAge, so that the tables of a watcher that the
+ * store answers are never too old to pass on. */
+constexpr Duration kWatchWait = std::chrono::seconds(2);
 /** Pause after a watch that returned changes. Changes come in series, and one
  * call returns all that were made in the meantime. */
 constexpr Duration kWatchGap = std::chrono::milliseconds(150);
@@ -120,6 +121,7 @@
   /** Number of times that the store was restored from an older copy, after
    * which it gives revisions out again; zero: not stated. */
   std::uint64_t era_ = 0;
+  std::size_t unreadable_ = 0; ///< Values in it that could not be read.
 };
 
 /** A table and the state of its synchronization. */
@@ -138,6 +140,7 @@
   std::uint64_t pageRevision_ = 0; ///< Revision of the first page.
   std::uint32_t failures_ = 0;     ///< Consecutive.
   TimePoint nextCallAt_{};
+  TimePoint heardAt_{};                     ///< Latest reply of the store.
   TimePoint failingSince_ = kNever;         ///< First of these failures.
   TimePoint outageEndedAt_{};               ///< End of the latest outage.
   bool hadOutage_ = false;                  ///< There has been an outage.
--- a/src/ops/gateway_metrics.cpp
+++ b/src/ops/gateway_metrics.cpp
@@ -137,6 +137,10 @@
            "camphorfield_gateway_store_calls",
            "Calls to the platform's store since the start",
            static_cast<double>(aHost.StoreCalls()));
+  AddGauge(aRegistry,
+           "camphorfield_gateway_unreadable_store_values",
+           "Values in the store's replies that could not be read",
+           static_cast<double>(aHost.UnreadableStoreValues()));
   AddGauge(aRegistry,
            "camphorfield_log_lines_dropped",
            "Lines not written since the start",
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -124,6 +124,10 @@
   std::size_t InFlight() const;
   const GatewayState& State() const { return gateway_; }
   std::uint64_t StoreCalls() const { return store_.Calls(); }
+  std::uint64_t UnreadableStoreValues() const
+  {
+    return store_.UnreadableValues();
+  }
   const TableSyncStats& SyncStats() const { return syncStats_; }
 
 private:
--- a/src/runtime/store_reader.cpp
+++ b/src/runtime/store_reader.cpp
@@ -18,10 +18,14 @@
 /** The same until the table has been read or received for the first time. */
 constexpr Duration kFirstPollInterval = std::chrono::milliseconds(20);
 
+/** Least time between log lines on unreadable values. */
+constexpr Duration kUnreadableLogInterval = std::chrono::seconds(5);
+
 /** One table and its connection to the store. */
 struct TableReader
 {
   TableSync table_;
+  TimePoint nextUnreadableLogAt_{};
   std::unique_ptr<HttpClient> client_; ///< Null while not connected.
 };
 
@@ -37,6 +41,7 @@
   std::vector<TableReader> readers_;
   Rng rng_{ std::random_device{}() };
   std::uint64_t calls_ = 0;
+  std::uint64_t unreadable_ = 0; ///< Values in replies.
 };
 
 namespace {
@@ -68,6 +73,23 @@
   return reply;
 }
 
+void
+RecordUnreadable(StoreReaderState& aState,
+                 TableReader& aReader,
+                 std::size_t aValues)
+{
+  aState.unreadable_ += aValues;
+  const TimePoint now = ReadClock().mono_;
+  if (aValues == 0 || now < aReader.nextUnreadableLogAt_) {
+    return;
+  }
+  aReader.nextUnreadableLogAt_ = now + kUnreadableLogInterval;
+  WriteLog(LogLevel::Warning,
+           "unreadable values in the store ignored",
+           { { "kind", aReader.table_.kind_ },
+             { "values", std::to_string(aValues) } });
+}
+
 void
 RunReader(const std::shared_ptr<StoreReaderState>& aState, std::size_t aTable)
 {
@@ -85,6 +107,7 @@
       continue;
     }
     StoreReply reply = Exchange(*aState, reader, *call);
+    RecordUnreadable(*aState, reader, reply.unreadable_);
     const TableChange change = TakeStoreReply(
       reader.table_, std::move(reply), ReadClock().mono_, aState->rng_);
     aState->handler_(aTable, change);
@@ -142,4 +165,10 @@
   return state_->calls_;
 }
 
+std::uint64_t
+StoreReader::UnreadableValues() const
+{
+  return state_->unreadable_;
+}
+
 } // namespace camphorfield
--- a/src/runtime/store_reader.h
+++ b/src/runtime/store_reader.h
@@ -52,6 +52,9 @@
   /** Calls made so far. */
   std::uint64_t Calls() const;
 
+  /** Values in the store's replies that could not be read. */
+  std::uint64_t UnreadableValues() const;
+
 private:
   std::shared_ptr<struct StoreReaderState> state_;
 };
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -386,6 +386,22 @@
     { "brackets and numbers in a text",
       R"({"meta":{"name":"x","revision":7},"spec":{"a":"[[\"1e99999999999"}})",
       3 },
+    { "unpaired surrogates in its content",
+      R"({"meta":{"name":"x","revision":7},"spec":{"service":"\udcff\udcfe"}})",
+      3 },
+    { "an unpaired surrogate in its name",
+      R"({"meta":{"name":"\ud800","revision":7},"spec":{}})",
+      2 },
+    { "an unpaired surrogate as the name of a field",
+      R"({"meta":{"name":"x","revision":7},"spec":{"\udcff":1}})",
+      3 },
+    { "an unpaired surrogate as the name of a field beside its content",
+      R"({"meta":{"name":"x","revision":7},"\udcff":1,"spec":{}})",
+      3 },
+    { "an invalid escape",
+      R"({"meta":{"name":"x","revision":7},"spec":{"a":"\x"}})",
+      3 },
+    { "no value", R"({"meta":{"name":"x","revision":7},"spec":})", 3 },
     { "nothing", "null", 2 },
     { "other types", R"({"meta":{"name":7,"revision":"x"},"spec":[]})", 2 },
   };
@@ -416,6 +432,61 @@
   }
 }
 
+// Part of an unreadable entry must not name a server, and what was readable
+// beside it must stay as it was written.
+TEST(StoreCodec, UnreadableContentIsDroppedWhole)
+{
+  struct Case
+  {
+    const char* content_;
+    const char* kept_;
+    std::size_t unreadable_;
+  };
+  const Case cases[] = {
+    { R"({"a":"[[\"","b":1})", R"({"a":"[[\"","b":1})", 0 },
+    { R"({"service":"s","x":"\ud800"})", "null", 1 },
+    { R"({"service":"s","x":[{"y":"\q"}]})", "null", 1 },
+  };
+  for (const Case& item : cases) {
+    HttpExchange exchange;
+    exchange.end_ = HttpEnd::Ok;
+    exchange.response_.status_ = 200;
+    exchange.response_.body_ =
+      std::string(R"({"items":[{"meta":{"name":"x","revision":7},"spec":)") +
+      item.content_ + R"(}],"as-of":9})";
+    std::string fault;
+    const StoreReply reply = DecodeStoreReply(StoreCall{}, exchange, fault);
+    LONGS_EQUAL_TEXT(1, reply.items_.size(), item.content_);
+    STRCMP_EQUAL(item.kept_, reply.items_[0].text_.c_str());
+    LONGS_EQUAL_TEXT(item.unreadable_, reply.unreadable_, item.content_);
+  }
+}
+
+// Replies with random bytes inside entries must never hide the sound entries.
+TEST(StoreCodec, RandomBytesInOneEntryHideNoOther)
+{
+  std::mt19937_64 rng(11);
+  const std::string pieces[] = { R"(\ud800)", R"(\u12)", R"(\x)", R"(\\)",
+                                 R"(\")",     "\xff",    "\xe9",  "[",
+                                 "}",         "{",       ",",     "a" };
+  for (int i = 0; i < 2000; ++i) {
+    std::string text;
+    for (std::uint64_t n = rng() % 8; n > 0; --n) {
+      text += pieces[rng() % std::size(pieces)];
+    }
+    HttpExchange exchange;
+    exchange.end_ = HttpEnd::Ok;
+    exchange.response_.status_ = 200;
+    exchange.response_.body_ =
+      R"({"items":[{"meta":{"name":"a"},"spec":{}},)"
+      R"({"meta":{"name":"x"},"spec":{"service":")" +
+      text + R"("}},{"meta":{"name":"b"},"spec":{}}],"as-of":9})";
+    std::string fault;
+    const StoreReply reply = DecodeStoreReply(StoreCall{}, exchange, fault);
+    LONGS_EQUAL_TEXT(3, reply.items_.size(), text.c_str());
+  }
+}
+
 TEST_GROUP(HttpCodec){};
 
 TEST(HttpCodec, RequestsAreForwardedUnchanged)
