Fix: services slower than any learned or constant time are served

Change: no silence limit before answers are known; an attempt that can't be sent again keeps running until the deadline; unlearned delays derive from the objective; a plain route may always fill its part of its servers' slots.

--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -30,9 +30,30 @@
 } // namespace
 
 bool
-IsAdmitted(const RouteLoad& aLoad)
+IsAdmitted(const RouteLoad& aLoad, double aGuaranteed)
 {
-  return static_cast<double>(aLoad.inFlight_) < aLoad.window_;
+  return static_cast<double>(aLoad.inFlight_) <
+         std::max(aLoad.window_, aGuaranteed);
+}
+
+// A service may take longer than the objective without any lack of capacity,
+// and the window of its route then shrinks for nothing. Requests that its
+// servers run at once wait for no other.
+double
+GuaranteedWindow(const GatewayState& aState, const GatewayRoute& aRoute)
+{
+  double slots = 0.0;
+  for (const ServiceShare& share : aRoute.to_) {
+    const auto number = aState.serviceNumber_.find(share.service_);
+    if (number == aState.serviceNumber_.end()) {
+      continue;
+    }
+    for (const std::uint64_t key : aState.services_[number->second].backends_) {
+      const Backend& backend = aState.backends_.slots_[key & kSlotMask];
+      slots += IsUsable(backend) ? backend.entry_.slots_ : 0;
+    }
+  }
+  return slots * aState.limitShare_;
 }
 
 // Measures the time until enough shards had answered, because a few slow shards
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -1,6 +1,7 @@
 // Sends parts to servers, and hedges to a second server when the first one
 // pauses, within the retry budget that all daemons share.
 #include "gateway/gateway_internal.h"
+#include "gateway/route_times.h"
 
 #include <algorithm>
 
@@ -24,17 +25,16 @@
                GatewayTimer::Silence });
     return;
   }
-  const Duration silence =
-    std::max<Duration>(aRun.load_->silence_, kSilenceFloor);
-  AddTimer(
-    timers,
-    { aAttempt.sentAt_ + silence, aAttempt.key_, 0, GatewayTimer::Silence });
+  const Duration silence = SilenceLimit(*aRun.load_);
+  if (silence < aRun.deadline_ - aAttempt.sentAt_) {
+    AddTimer(
+      timers,
+      { aAttempt.sentAt_ + silence, aAttempt.key_, 0, GatewayTimer::Silence });
+  }
   if (aAttempt.hedge_ || !aStep.state_.settings_.policy_.hedge_) {
     return;
   }
-  const Duration delay = aRun.load_->hedgeDelay_.count() > 0
-                           ? aRun.load_->hedgeDelay_
-                           : Duration(kDefaultHedgeDelay);
+  const Duration delay = HedgeDelay(*aRun.load_, *aRun.route_);
   AddTimer(timers,
            { aAttempt.sentAt_ + delay, aAttempt.key_, 0, GatewayTimer::Hedge });
 }
@@ -57,7 +57,7 @@
                      aBackend,
                      conn.key_,
                      aStep.Time(),
-                     TypicalLatency(*aRun.load_),
+                     TypicalLatency(*aRun.load_, *aRun.route_),
                      aHedge };
   CountAgainstLimit(backend.rateLimit_, state.limitShare_, aStep.Time());
   conn.state_ = BackendConnState::Busy;
@@ -160,12 +160,6 @@
   return taken;
 }
 
-Duration
-TypicalLatency(const RouteLoad& aLoad)
-{
-  return aLoad.median_.count() > 0 ? aLoad.median_ : kDefaultLatency;
-}
-
 void
 DispatchMarked(GatewayStep& aStep)
 {
@@ -222,7 +216,7 @@
     // The other servers are busy: try again soon.
     if (part.tried_.size() < run->route_->maxAttempts_) {
       AddTimer(state.timers_,
-               { aStep.Time() + TypicalLatency(*run->load_) / 4,
+               { aStep.Time() + TypicalLatency(*run->load_, *run->route_) / 4,
                  aAttempt,
                  0,
                  GatewayTimer::Hedge });
@@ -237,12 +231,4 @@
   Send(aStep, *run, index, backend, true);
 }
 
-void
-EndSilentAttempt(GatewayStep& aStep, std::uint64_t aAttempt)
-{
-  if (FindSlot(aStep.state_.attempts_, aAttempt) != nullptr) {
-    EndAttempt(aStep, aAttempt, AttemptEnd::Broken);
-  }
-}
-
 } // namespace camphorfield
--- a/src/gateway/attempt_answer.cpp
+++ b/src/gateway/attempt_answer.cpp
@@ -3,6 +3,7 @@
 // within the retry budget that all daemons share.
 #include "gateway/gateway_func.h"
 #include "gateway/gateway_internal.h"
+#include "gateway/route_times.h"
 
 #include <algorithm>
 #include <utility>
@@ -13,8 +14,6 @@
 
 constexpr std::uint32_t kStatusOk = 200;
 constexpr std::uint32_t kStatusMultiple = 300;
-/** Samples between updates of the quantiles. */
-constexpr std::uint32_t kRefreshEvery = 32;
 
 bool
 IsSuccess(const BackendAnswer& aAnswer)
@@ -22,31 +21,6 @@
   return aAnswer.status_ >= kStatusOk && aAnswer.status_ < kStatusMultiple;
 }
 
-void
-AddAnswerTime(RouteLoad& aLoad, Duration aTime)
-{
-  AddSample(aLoad.answers_, aTime);
-  const bool few = aLoad.answers_.total_ < kSamplesToHedge;
-  if (!few && ++aLoad.samplesSinceRefresh_ < kRefreshEvery &&
-      aLoad.median_.count() > 0) {
-    return;
-  }
-  aLoad.samplesSinceRefresh_ = 0;
-  aLoad.median_ = GetQuantile(aLoad.answers_, 0.5);
-  if (few) {
-    return;
-  }
-  const auto median = static_cast<double>(aLoad.median_.count());
-  aLoad.hedgeDelay_ =
-    std::max({ GetQuantile(aLoad.answers_, kHedgeQuantile),
-               Duration(static_cast<std::int64_t>(median * kHedgeMedianFactor)),
-               Duration(kHedgeFloor) });
-  const auto slowest =
-    static_cast<double>(GetQuantile(aLoad.answers_, 0.99).count());
-  aLoad.silence_ =
-    Duration(static_cast<std::int64_t>(slowest * kSilenceFactor));
-}
-
 /** Part that an attempt belongs to, or null if its run has ended. */
 RequestPart*
 FindPart(GatewayState& aState, const Attempt& aAttempt)
@@ -97,22 +71,29 @@
   }
 }
 
-/** Whether a part may be sent once more after a failed attempt. */
+/**
+ * Takes one more send of a part from the budget.
+ * @param aMayHaveRun Sends of it that may have been executed.
+ * @return False if the part may not be sent again.
+ */
 bool
-CanRetry(const GatewayRun& aRun, const RequestPart& aPart)
+TakeRetry(GatewayStep& aStep,
+          const GatewayRun& aRun,
+          const RequestPart& aPart,
+          std::uint32_t aMayHaveRun)
 {
   const std::uint32_t runs =
     aRun.route_->kind_ == RequestKind::Idempotent ? kMaxRuns : 1;
-  return aPart.mayHaveRun_ < runs && aPart.sends_ < kMaxSends;
+  return aMayHaveRun < runs && aPart.sends_ < kMaxSends &&
+         !IsQuarantined(aStep.state_, aRun.content_, aStep.Time()) &&
+         TakeExtraSend(aStep, aPart);
 }
 
 void
 RetryOrFail(GatewayStep& aStep, GatewayRun& aRun, std::uint32_t aPart)
 {
   const RequestPart& part = aRun.parts_[aPart];
-  if (!CanRetry(aRun, part) ||
-      IsQuarantined(aStep.state_, aRun.content_, aStep.Time()) ||
-      !TakeExtraSend(aStep, part)) {
+  if (!TakeRetry(aStep, aRun, part, part.mayHaveRun_)) {
     FailPart(aStep, aRun, aPart);
     return;
   }
@@ -199,6 +180,42 @@
   ContinuePart(aStep, attempt, aEnd, nullptr);
 }
 
+// A silent server may be at work or gone. The attempt makes way for another
+// one; where there can be none, its answer is awaited until the deadline.
+void
+EndSilentAttempt(GatewayStep& aStep, std::uint64_t aAttempt)
+{
+  GatewayState& state = aStep.state_;
+  const Attempt* slot = FindSlot(state.attempts_, aAttempt);
+  if (slot == nullptr) {
+    return;
+  }
+  GatewayRun* run = FindSlot(state.runs_, slot->run_);
+  if (run == nullptr) {
+    EndAttempt(aStep, aAttempt, AttemptEnd::Broken);
+    return;
+  }
+  RequestPart& part = run->parts_[slot->part_];
+  const bool isOnly = part.attempts_[0] == 0 || part.attempts_[1] == 0;
+  if (isOnly && !TakeRetry(aStep, *run, part, part.mayHaveRun_ + 1U)) {
+    RecordPendingTime(aStep, *FindSlot(state.backends_, slot->backend_), *slot);
+    return;
+  }
+  const Attempt attempt = Detach(aStep, aAttempt);
+  RecordAttemptEnd(aStep,
+                   *FindSlot(state.backends_, attempt.backend_),
+                   nullptr,
+                   AttemptEnd::Broken);
+  AddAnswerTime(*run->load_, aStep.Time() - attempt.sentAt_);
+  CloseConnection(aStep, attempt.connection_);
+  ++part.mayHaveRun_;
+  run->mayHaveRun_ = true;
+  if (isOnly) {
+    ++state.stats_.retries_;
+    EnqueuePart(aStep, *run, attempt.part_);
+  }
+}
+
 // A server aborts a request when its connection closes, which frees the slot. A
 // new connection costs less than the rest of the work in most cases.
 void
--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -2,6 +2,7 @@
 // a while. A request goes to the server with the earliest estimated answer,
 // which may mean waiting for a busy server although a slow one is idle.
 #include "gateway/gateway_internal.h"
+#include "gateway/route_times.h"
 
 #include <algorithm>
 #include <cmath>
@@ -152,8 +153,7 @@
                bool aEjected)
 {
   GatewayState& state = aStep.state_;
-  const Duration typical =
-    aRun.load_->median_.count() > 0 ? aRun.load_->median_ : kDefaultLatency;
+  const Duration typical = TypicalLatency(*aRun.load_, *aRun.route_);
   const GatewayServiceState& service = state.services_[aPart.service_];
   std::vector<Candidate> found;
   for (const std::uint64_t key : service.backends_) {
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -64,6 +64,7 @@
 constexpr Duration kReportedLoadHalfLife = milliseconds(250);
 /** Shorter: the slowness that servers report changes many times a second. */
 constexpr Duration kSlownessHalfLife = milliseconds(100);
+/** Of routes without an objective, before the first answer. */
 constexpr Duration kDefaultLatency = milliseconds(20);
 constexpr double kLatencyRatioFloor = 0.3;
 constexpr double kLatencyRatioCeiling = 30.0;
@@ -102,7 +103,7 @@
 constexpr double kHedgeMedianFactor = 1.6; ///< Least delay, in medians.
 constexpr Duration kHedgeFloor = milliseconds(3);
 constexpr std::uint32_t kSamplesToHedge = 30;
-/** Hedge delay with fewer samples. */
+/** Hedge delay with fewer samples, on routes without an objective. */
 constexpr Duration kDefaultHedgeDelay = milliseconds(60);
 /** Sends per shard, including those that did not run. */
 constexpr std::uint32_t kMaxSends = 5;
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -157,10 +157,6 @@
 bool
 TakeExtraSend(GatewayStep& aStep, const RequestPart& aPart);
 
-/** Median latency of a route, or the default if it is unknown. */
-Duration
-TypicalLatency(const RouteLoad& aLoad);
-
 /** Dispatches the queues of all marked services. */
 void
 DispatchMarked(GatewayStep& aStep);
@@ -187,7 +183,8 @@
 void
 HedgeAttempt(GatewayStep& aStep, std::uint64_t aAttempt);
 
-/** Ends an attempt whose connection has been silent for too long. */
+/** Gives up an attempt whose server has been silent for too long, if its part
+ * can be sent again. */
 void
 EndSilentAttempt(GatewayStep& aStep, std::uint64_t aAttempt);
 
@@ -250,9 +247,17 @@
 
 // admission.cpp
 
-/** Whether the window of a route admits one more request. */
+/**
+ * Whether the window of a route admits one more request.
+ * @param aGuaranteed See GuaranteedWindow.
+ */
 bool
-IsAdmitted(const RouteLoad& aLoad);
+IsAdmitted(const RouteLoad& aLoad, double aGuaranteed);
+
+/** This daemon's part of the requests that the servers of a plain route run at
+ * once; zero for a query. */
+double
+GuaranteedWindow(const GatewayState& aState, const GatewayRoute& aRoute);
 
 /** Adjusts the window by the time until enough parts had answered. */
 void
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -230,7 +230,8 @@
   }
   RouteLoad& load = aState.loads_[route->name_];
   const Duration waited = TimeSinceFirstAttempt(aRequest, load, aNow.mono_);
-  if (aState.settings_.policy_.admission_ && !IsAdmitted(load)) {
+  if (aState.settings_.policy_.admission_ &&
+      !IsAdmitted(load, GuaranteedWindow(aState, *route))) {
     RejectRequest(step, aRequest, ProxyCode::Overloaded, route);
     return;
   }
