Fix: followers leave a feed whose source the store no longer answers

Change: the age of tables counts from the store's latest reply; a source whose tables are too old tells its followers at once; daemons say in gossip whether the store answers them and are preferred as sources; other daemons replace watchers in turns, a few at first.

--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -23,6 +23,7 @@
   11: optional i64 generation
   12: optional i32 load       // per mille
   13: optional i32 capacity   // per mille of a core
+  14: optional bool readsStore // its tables come from the store and are fresh
 }
 
 struct LeavingRumor {
--- a/src/discovery/table_sync.cpp
+++ b/src/discovery/table_sync.cpp
@@ -303,6 +303,7 @@
     change.restored_ = restored;
     return change;
   }
+  aTable.heardAt_ = aNow;
   change.regained_ = aTable.failures_ > 0;
   if (change.regained_) {
     aTable.hadOutage_ = true;
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -141,6 +141,21 @@
   return watchers;
 }
 
+std::size_t
+FallbackPlace(DaemonId aSelf, const std::vector<MemberRecord>& aMembers)
+{
+  std::set<DaemonId> watchers;
+  for (const MemberRecord* watcher : ChooseWatchers(aMembers)) {
+    watchers.insert(watcher->id_);
+  }
+  return static_cast<std::size_t>(std::count_if(
+    aMembers.begin(), aMembers.end(), [&](const MemberRecord& aMember) {
+      return aMember.state_ == MemberState::Alive &&
+             watchers.count(aMember.id_) == 0 &&
+             RankOf(aMember.id_) < RankOf(aSelf);
+    }));
+}
+
 Duration
 FirstReadDelay(DaemonId aSelf, std::size_t aMembers)
 {
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -68,6 +68,13 @@
 std::vector<const MemberRecord*>
 ChooseWatchers(const std::vector<MemberRecord>& aMembers);
 
+/**
+ * Place of a daemon among those that are not watchers, in the order in which
+ * they take the place of watchers that the store doesn't answer.
+ */
+std::size_t
+FallbackPlace(DaemonId aSelf, const std::vector<MemberRecord>& aMembers);
+
 /**
  * How long a starting daemon waits for the tables of others before it reads the
  * store itself. The first in the order of watchers hardly wait.
--- a/src/gateway/feed_source.cpp
+++ b/src/gateway/feed_source.cpp
@@ -5,6 +5,7 @@
 #include "gateway/directory.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace camphorfield {
 
@@ -20,12 +21,45 @@
   return found == aMembers.end() ? nullptr : &*found;
 }
 
+/** After a report that the store is unavailable, a follower prefers daemons
+ * that the store answers for this time. */
+constexpr Duration kUnavailablePeriod = std::chrono::seconds(3);
+/** Interval between the turns of successive groups of daemons that replace
+ * watchers; each group doubles the number of those that have tried. */
+constexpr Duration kTurnInterval = std::chrono::milliseconds(500);
+/** Length of a turn: a connect, a read of the tables, and some retries. */
+constexpr Duration kTurnLength = std::chrono::milliseconds(1500);
+/** A daemon's turns return at this interval, so that an outage of the whole
+ * store isn't answered by calls of the whole fleet at once. */
+constexpr Duration kTurnPeriod = std::chrono::seconds(6);
+
 bool
 HasNewest(const FeedSourceView& aView, const MemberRecord& aMember)
 {
   return aMember.generation_ >= aView.newestVersion_;
 }
 
+/** Daemons that the store answers; those of the same failure domain if there
+ * are any. */
+std::vector<const MemberRecord*>
+FindStoreReaders(const FeedSourceView& aView,
+                 const std::vector<MemberRecord>& aMembers)
+{
+  std::vector<const MemberRecord*> sameDomain;
+  std::vector<const MemberRecord*> all;
+  for (const MemberRecord& member : aMembers) {
+    if (member.id_ == aView.self_ || member.state_ != MemberState::Alive ||
+        !member.readsStore_) {
+      continue;
+    }
+    all.push_back(&member);
+    if (member.failureDomain_ == aView.failureDomain_) {
+      sameDomain.push_back(&member);
+    }
+  }
+  return sameDomain.empty() ? all : sameDomain;
+}
+
 std::vector<const MemberRecord*>
 FindWatchers(const FollowedFeed& aFeed,
              const FeedSourceView& aView,
@@ -77,6 +111,17 @@
 
 } // namespace
 
+bool
+MayReplaceWatcher(std::size_t aPlace, Duration aUnavailableFor)
+{
+  const auto group =
+    static_cast<std::int64_t>(std::bit_width(aPlace / kMinWatchers + 1) - 1);
+  // The first interval is for asking the other watchers.
+  const Duration passed =
+    aUnavailableFor - (group + 1) * Duration(kTurnInterval);
+  return passed >= Duration::zero() && passed % kTurnPeriod < kTurnLength;
+}
+
 bool
 IsReadByOthers(const StoreReadView& aView)
 {
@@ -89,9 +134,9 @@
 }
 
 // Keeps the current source while its feed messages arrive and its configuration
-// isn't behind; otherwise picks a random watcher, at first one of the same
-// failure domain. A watcher that the store rejects so tries another source each
-// time.
+// isn't behind; otherwise picks a random daemon that the store answers, or a
+// random watcher, at first of the same failure domain. A watcher that the store
+// rejects so tries another source each time.
 const MemberRecord*
 ChooseFeedSource(const FollowedFeed& aFeed,
                  const FeedSourceView& aView,
@@ -109,6 +154,10 @@
   if (isBehind) {
     candidates = FindNewest(aView, aMembers);
   }
+  if (candidates.empty() &&
+      aNow - aView.storeUnavailableAt_ < kUnavailablePeriod) {
+    candidates = FindStoreReaders(aView, aMembers);
+  }
   if (candidates.empty()) {
     candidates = FindWatchers(aFeed, aView, aMembers, aNow);
   }
--- a/src/gateway/feed_source.h
+++ b/src/gateway/feed_source.h
@@ -23,7 +23,7 @@
 {
   DaemonId self_;
   std::string failureDomain_;      ///< Of this daemon.
-  TimePoint storeUnavailableAt_{}; ///< A source reported the store down.
+  TimePoint storeUnavailableAt_{}; ///< Latest report of it by a source.
   Generation newestVersion_; ///< Newest configuration known of any daemon.
   /** How long a newer configuration than the own has been known. */
   Duration configLag_{};
@@ -40,6 +40,16 @@
   Duration configLag_{};     ///< Zero for other tables.
 };
 
+/**
+ * Whether a daemon may try to read the store in place of watchers that the
+ * store doesn't answer.
+ * @param aPlace See FallbackPlace.
+ * @param aUnavailableFor Time since a source reported the store unavailable,
+ * without a feed message meanwhile.
+ */
+bool
+MayReplaceWatcher(std::size_t aPlace, Duration aUnavailableFor);
+
 /** Whether the reading of a table is left to other daemons. */
 bool
 IsReadByOthers(const StoreReadView& aView);
--- a/src/machine/peer_type.h
+++ b/src/machine/peer_type.h
@@ -45,6 +45,8 @@
   Generation generation_;       ///< Configuration in force.
   std::uint32_t load_ = 0;      ///< Used share of the capacity, per mille.
   std::uint32_t capacity_ = 0;  ///< Per mille of a core; zero: unknown.
+  /** Its tables come from the store itself and are up to date. */
+  bool readsStore_ = false;
 };
 
 /** A backend server is leaving, or no longer is. */
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -275,7 +275,16 @@
 MembershipSetReady(MembershipState& aState, bool aReady)
 {
   if (aState.self_.ready_ != aReady) {
-    SetSelfReady(aState, aReady);
+    SetSelfStatus(aState, aReady, aState.self_.readsStore_);
+    aState.membersChangedDue_ = true;
+  }
+}
+
+void
+MembershipSetReadsStore(MembershipState& aState, bool aReadsStore)
+{
+  if (aState.self_.readsStore_ != aReadsStore) {
+    SetSelfStatus(aState, aState.self_.ready_, aReadsStore);
     aState.membersChangedDue_ = true;
   }
 }
--- a/src/membership/membership_func.h
+++ b/src/membership/membership_func.h
@@ -100,6 +100,11 @@
 void
 MembershipSetReady(MembershipState& aState, bool aReady);
 
+/** Sets whether this daemon's tables come from the store and are up to date.
+ * Gossiped like readiness. */
+void
+MembershipSetReadsStore(MembershipState& aState, bool aReadsStore);
+
 /**
  * Sets the share of the own capacity in use.
  * @param aPerMille Advertised at intervals, if it has changed enough.
--- a/src/membership/membership_internal.h
+++ b/src/membership/membership_internal.h
@@ -76,9 +76,10 @@
 void
 BumpSelfVersion(MembershipState& aState, bool aUrgent);
 
-/** Sets whether this daemon serves callers, and makes a burst due. */
+/** Sets whether this daemon serves callers and reads the store, and makes a
+ * burst due. */
 void
-SetSelfReady(MembershipState& aState, bool aReady);
+SetSelfStatus(MembershipState& aState, bool aReady, bool aReadsStore);
 
 /** Sets the own state and raises the version of the record. */
 void
--- a/src/membership/merge.cpp
+++ b/src/membership/merge.cpp
@@ -80,6 +80,7 @@
   const bool newest = aNew.generation_ > state.newestGeneration_;
   UpdateNewestGeneration(state, aNew.generation_, aStep.now_.mono_);
   return newest || aNew.state_ != aOld.state_ || aNew.ready_ != aOld.ready_ ||
+         aNew.readsStore_ != aOld.readsStore_ ||
          aNew.incarnation_ != aOld.incarnation_ ||
          (aNew.generation_ != aOld.generation_ &&
           CountLive(state) <= kSmallFleet);
--- a/src/membership/payload.cpp
+++ b/src/membership/payload.cpp
@@ -176,6 +176,7 @@
   brief.heartbeat_ = aRecord.heartbeat_;
   brief.state_ = aRecord.state_;
   brief.ready_ = aRecord.ready_;
+  brief.readsStore_ = aRecord.readsStore_;
   brief.generation_ = aRecord.generation_;
   brief.load_ = aRecord.load_;
   return brief;
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -28,8 +28,9 @@
   if (aRecord.state_ == MemberState::Dead) {
     return 0;
   }
-  const std::uint64_t status =
-    2 * static_cast<std::uint64_t>(aRecord.state_) + (aRecord.ready_ ? 1 : 0);
+  const std::uint64_t status = 4 * static_cast<std::uint64_t>(aRecord.state_) +
+                               (aRecord.readsStore_ ? 2 : 0) +
+                               (aRecord.ready_ ? 1 : 0);
   return HashPair(aRecord.id_.value_,
                   HashPair(aRecord.incarnation_.value_, status));
 }
@@ -201,10 +202,11 @@
 }
 
 void
-SetSelfReady(MembershipState& aState, bool aReady)
+SetSelfStatus(MembershipState& aState, bool aReady, bool aReadsStore)
 {
   ToggleHashes(aState, aState.self_);
   aState.self_.ready_ = aReady;
+  aState.self_.readsStore_ = aReadsStore;
   ToggleHashes(aState, aState.self_);
   BumpSelfVersion(aState, true);
 }
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -82,6 +82,11 @@
   this->capacity = val;
 __isset.capacity = true;
 }
+
+void Member::__set_readsStore(const bool val) {
+  this->readsStore = val;
+__isset.readsStore = true;
+}
 std::ostream& operator<<(std::ostream& out, const Member& obj)
 {
   obj.printTo(out);
@@ -214,6 +219,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->readsStore);
+          this->__isset.readsStore = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -296,6 +309,11 @@
     xfer += oprot->writeI32(this->capacity);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.readsStore) {
+    xfer += oprot->writeFieldBegin("readsStore", ::apache::thrift::protocol::T_BOOL, 14);
+    xfer += oprot->writeBool(this->readsStore);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -316,6 +334,7 @@
   swap(a.generation, b.generation);
   swap(a.load, b.load);
   swap(a.capacity, b.capacity);
+  swap(a.readsStore, b.readsStore);
   swap(a.__isset, b.__isset);
 }
 
@@ -333,6 +352,7 @@
   generation = other0.generation;
   load = other0.load;
   capacity = other0.capacity;
+  readsStore = other0.readsStore;
   __isset = other0.__isset;
 }
 Member& Member::operator=(const Member& other1) {
@@ -349,6 +369,7 @@
   generation = other1.generation;
   load = other1.load;
   capacity = other1.capacity;
+  readsStore = other1.readsStore;
   __isset = other1.__isset;
   return *this;
 }
@@ -368,6 +389,7 @@
   out << ", " << "generation="; (__isset.generation ? (out << to_string(generation)) : (out << "<null>"));
   out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
   out << ", " << "capacity="; (__isset.capacity ? (out << to_string(capacity)) : (out << "<null>"));
+  out << ", " << "readsStore="; (__isset.readsStore ? (out << to_string(readsStore)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -56,7 +56,7 @@
 class PeerFrame;
 
 typedef struct _Member__isset {
-  _Member__isset() : id(false), name(false), incarnation(false), heartbeat(false), state(false), peerAddress(false), callerAddress(false), operatorAddress(false), failureDomain(false), ready(false), generation(false), load(false), capacity(false) {}
+  _Member__isset() : id(false), name(false), incarnation(false), heartbeat(false), state(false), peerAddress(false), callerAddress(false), operatorAddress(false), failureDomain(false), ready(false), generation(false), load(false), capacity(false), readsStore(false) {}
   bool id :1;
   bool name :1;
   bool incarnation :1;
@@ -70,6 +70,7 @@
   bool generation :1;
   bool load :1;
   bool capacity :1;
+  bool readsStore :1;
 } _Member__isset;
 
 /**
@@ -93,7 +94,8 @@
            ready(0),
            generation(0),
            load(0),
-           capacity(0) {
+           capacity(0),
+           readsStore(0) {
   }
 
   virtual ~Member() noexcept;
@@ -110,6 +112,7 @@
   int64_t generation;
   int32_t load;
   int32_t capacity;
+  bool readsStore;
 
   _Member__isset __isset;
 
@@ -139,6 +142,8 @@
 
   void __set_capacity(const int32_t val);
 
+  void __set_readsStore(const bool val);
+
   bool operator == (const Member & rhs) const
   {
     if (__isset.id != rhs.__isset.id)
@@ -193,6 +198,10 @@
       return false;
     else if (__isset.capacity && !(capacity == rhs.capacity))
       return false;
+    if (__isset.readsStore != rhs.__isset.readsStore)
+      return false;
+    else if (__isset.readsStore && !(readsStore == rhs.readsStore))
+      return false;
     return true;
   }
   bool operator != (const Member &rhs) const {
--- a/src/peer/gossip_wire.cpp
+++ b/src/peer/gossip_wire.cpp
@@ -112,6 +112,9 @@
   if (aRecord.ready_) {
     out.__set_ready(true);
   }
+  if (aRecord.readsStore_) {
+    out.__set_readsStore(true);
+  }
   if (aRecord.generation_.IsValid()) {
     out.__set_generation(IdToWire(aRecord.generation_));
   }
@@ -142,6 +145,7 @@
   IdFromWire(aMember.generation, out.generation_);
   out.load_ = static_cast<std::uint32_t>(aMember.load);
   out.capacity_ = static_cast<std::uint32_t>(aMember.capacity);
+  out.readsStore_ = aMember.readsStore;
   return out;
 }
 
--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -29,9 +29,9 @@
 /** Time after the start until the first members are known; without this wait
  * each daemon of a starting fleet would read the store. */
 constexpr Duration kDiscoveryTime = std::chrono::milliseconds(240);
-/** The store may reject the watchers but serve others: followers without a feed
- * for this time plus a jitter read the store themselves. */
-constexpr Duration kStoreFallbackAfter = std::chrono::seconds(5);
+/** Ages of tables are stated in these steps, so that one encoded message serves
+ * most followers. */
+constexpr Duration kFeedAgeStep = std::chrono::milliseconds(100);
 constexpr Duration kFollowerTtl = std::chrono::seconds(3);
 /** A feed is requested once the store has been failing for this time. */
 constexpr Duration kPeerFallbackAfter = std::chrono::milliseconds(200);
@@ -57,17 +57,22 @@
          IsTableFresh(store_.Table(kServersTable));
 }
 
-/** Time since the tables were known to be up to date with the store. */
+/** Time since the tables were known to be up to date with the store. A watch
+ * that has gone silent looks like one without changes, so the time counts from
+ * the store's latest reply. */
 Duration
 GatewayHost::TableAge()
 {
-  if (IsFresh()) {
-    return Duration::zero();
+  const TableSync& config = store_.Table(kConfigTable);
+  const TableSync& servers = store_.Table(kServersTable);
+  if (!config.complete_ || !servers.complete_) {
+    return Duration::max();
   }
-  const bool complete = store_.Table(kConfigTable).complete_ &&
-                        store_.Table(kServersTable).complete_;
-  return complete ? ReadClock().mono_ - followed_.receivedAt_ + followed_.age_
-                  : Duration::max();
+  const TimePoint now = ReadClock().mono_;
+  const Duration age = IsFresh()
+                         ? now - std::min(config.heardAt_, servers.heardAt_)
+                         : now - followed_.receivedAt_ + followed_.age_;
+  return (age + kFeedAgeStep - Duration(1)) / kFeedAgeStep * kFeedAgeStep;
 }
 
 void
@@ -103,6 +108,14 @@
     SendPeer{ aTo.id_, aTo.peerAddress_, std::move(content), PeerCallId{} });
 }
 
+void
+GatewayHost::SendStoreUnavailable(const MemberRecord& aTo)
+{
+  FeedMessage message;
+  message.storeUnavailable_ = true;
+  SendFeedText(aTo, EncodeFeed(message));
+}
+
 // Only tables that are up to date with the store, or were so a moment ago, are
 // passed on. A follower gets changes until its request expires. While the store
 // is unavailable, followers are told so; otherwise all of them would fall back
@@ -122,9 +135,8 @@
     return;
   }
   if (age > kMaxFeedAge) {
-    FeedMessage message;
-    message.storeUnavailable_ = true;
-    SendFeedText(*sender, EncodeFeed(message));
+    followers_.erase(aMessage.from_);
+    SendStoreUnavailable(*sender);
     return;
   }
   const auto& request = std::get<GenerationRequest>(aMessage.body_);
@@ -158,6 +170,23 @@
   }
 }
 
+// Followers look for another source at once, without waiting for an answer to
+// their next request.
+void
+GatewayHost::DropFollowersIfStale()
+{
+  const Duration age = TableAge();
+  if (followers_.empty() || age <= kMaxFeedAge || age == Duration::max()) {
+    return;
+  }
+  for (const auto& [id, follower] : followers_) {
+    if (const MemberRecord* member = FindMember(id)) {
+      SendStoreUnavailable(*member);
+    }
+  }
+  followers_.clear();
+}
+
 void
 GatewayHost::HandleFeed(const PeerMessage& aMessage)
 {
@@ -170,7 +199,14 @@
     return;
   }
   if (message->storeUnavailable_) {
-    storeUnavailableAt_ = ReadClock().mono_;
+    const TimePoint now = ReadClock().mono_;
+    if (now - storeUnavailableAt_ >= kFeedTimeout) {
+      storeUnavailableSince_ = now;
+    }
+    storeUnavailableAt_ = now;
+    if (aMessage.from_ == followed_.source_) {
+      FollowFeed(followed_, DaemonId{});
+    }
     return;
   }
   const FeedEffect effect = TakeFeedMessage(
@@ -214,8 +250,12 @@
     return aTable.failures_ > 0 &&
            now.mono_ - aTable.failingSince_ > kPeerFallbackAfter;
   };
-  const bool isWanted = !role_.isWatcher_ || isFailing(config) ||
-                        isFailing(servers) || newestKnownVersion_ > version;
+  // One that replaces a watcher goes on until a watcher reads the store again.
+  const bool replacesWatcher =
+    !role_.isWatcher_ && IsFresh() && !IsStoreReadByWatchers();
+  const bool isWanted = (!role_.isWatcher_ && !replacesWatcher) ||
+                        isFailing(config) || isFailing(servers) ||
+                        newestKnownVersion_ > version;
   if (!isWanted || now.mono_ < nextFeedRequestAt_) {
     return;
   }
@@ -292,13 +332,16 @@
                   now);
   GatewaySetRole(gateway_, role_);
   MembershipSetLoad(membership_, GatewayCpuLoad(gateway_));
-  // While the store is unavailable there is no feed, but followers leave the
-  // store to the watchers, which notice its return, until the fallback time.
-  const bool storeUnavailable =
-    now - storeUnavailableAt_ < kFeedTimeout &&
-    now - followed_.receivedAt_ < kStoreFallbackAfter + storeFallbackJitter_;
-  const bool hasFeed =
-    now - followed_.receivedAt_ < kStoreReadAfter || storeUnavailable;
+  // While the store is unavailable there is no feed. The store may answer
+  // others than the watchers, so followers try to read it in turns.
+  const bool storeUnavailable = now - storeUnavailableAt_ < kFeedTimeout;
+  const bool mayRead =
+    storeUnavailable
+      ? IsFresh() ||
+          MayReplaceWatcher(FallbackPlace(membership_.self_.id_, *members_),
+                            now - storeUnavailableSince_)
+      : now - followed_.receivedAt_ >= kStoreReadAfter;
+  const bool hasFeed = !mayRead;
   const bool joining = now < role_.startedAt_ + kFirstFeedTimeout;
   // Before the first sync, few members are known.
   const bool membersKnown = MembershipIsSynced(membership_) || !joining;
@@ -317,6 +360,18 @@
     // Changes that a feed applies meanwhile are missing in the watch's history.
     table.watching_ = table.watching_ && !table.passive_;
   }
+  MembershipSetReadsStore(membership_, IsFresh() && TableAge() <= kMaxFeedAge);
+}
+
+/** Whether a watcher, other than this daemon, has up to date tables. */
+bool
+GatewayHost::IsStoreReadByWatchers() const
+{
+  const auto watchers = ChooseWatchers(*members_);
+  return std::any_of(
+    watchers.begin(), watchers.end(), [this](const MemberRecord* aMember) {
+      return aMember->readsStore_ && aMember->id_ != membership_.self_.id_;
+    });
 }
 
 } // namespace camphorfield
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -20,9 +20,6 @@
 
 namespace {
 
-/** Spread of the times at which daemons without a feed fall back to the store,
- * so that they don't all read it at once. */
-constexpr Duration kStoreFallbackJitter = std::chrono::seconds(5);
 /** Interval of the log line with the traffic counters. */
 constexpr Duration kTrafficLogInterval = std::chrono::seconds(10);
 constexpr Duration kHostMaintenanceInterval = std::chrono::milliseconds(250);
@@ -73,9 +70,6 @@
   , totalSuspension_(ReadSuspension())
 {
   GatewaySetRole(gateway_, role_);
-  storeFallbackJitter_ = Duration(static_cast<std::int64_t>(
-    rng_() %
-    static_cast<std::uint64_t>(Duration(kStoreFallbackJitter).count())));
   feed_.incarnation_ = aSettings.membership_.self_.incarnation_.value_;
 }
 
@@ -405,6 +399,7 @@
     LogTraffic();
     TrackConfigLag();
     UpdateRole();
+    DropFollowersIfStale();
     RequestFeed();
     if (DropLapsed(store_.Table(kServersTable), now).changed_) {
       AdoptTables({ kServersTable });
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -164,6 +164,9 @@
                 std::uint64_t aNumber,
                 Duration aAge);
   void SendFeedText(const MemberRecord& aTo, const std::string& aText);
+  void SendStoreUnavailable(const MemberRecord& aTo);
+  void DropFollowersIfStale();
+  bool IsStoreReadByWatchers() const;
   void CheckSuspension();
   void Fulfil(CallerRequestId aId, ProxyAnswer&& aAnswer);
   void Abandon(CallerRequestId aId);
@@ -204,10 +207,10 @@
   /** Key of encodedFeed_: newest change, whether it holds whole tables, after
    * which change it begins, and the tables' age. */
   std::tuple<std::uint64_t, bool, std::uint64_t, Duration> encodedKey_;
-  FollowedFeed followed_;          ///< Feed that this daemon follows.
-  TimePoint storeUnavailableAt_{}; ///< A source reported the store down.
-  Duration storeFallbackJitter_{}; ///< Added to kStoreFallbackAfter.
-  Duration totalSuspension_{};     ///< Total time that the VM was suspended.
+  FollowedFeed followed_;             ///< Feed that this daemon follows.
+  TimePoint storeUnavailableAt_{};    ///< Latest report of it by a source.
+  TimePoint storeUnavailableSince_{}; ///< First of these reports.
+  Duration totalSuspension_{};        ///< Total time that the VM was suspended.
   bool stopping_ = false;
   PeerTraffic traffic_;
   TimePoint nextTrafficLogAt_{};
--- a/tests/gateway/feed_source_test.cpp
+++ b/tests/gateway/feed_source_test.cpp
@@ -245,3 +245,72 @@
   // A version that was skipped is no longer missing.
   CHECK_TRUE(UpdateConfigLag(lag, 7, 6, at(3600)) == Duration::zero());
 }
+
+// The store may answer others than the watchers. Without this, followers kept
+// an old configuration until they had lost their feed for 5 to 10 s.
+TEST(FeedSource, DaemonsThatTheStoreAnswersArePreferredDuringAnOutage)
+{
+  const auto markReaders = [](Bench& aBench, Duration aReportAge) {
+    aBench.view_.storeUnavailableAt_ = kNow - aReportAge;
+    for (MemberRecord& member : aBench.members_) {
+      member.readsStore_ = aBench.watchers_.count(member.id_) == 0 &&
+                           member.id_ != aBench.view_.self_ &&
+                           member.id_.value_ % 5 == 0;
+    }
+  };
+  const auto readsInDomain = [](Bench& aBench, const MemberRecord& aMember) {
+    return aMember.readsStore_ &&
+           aMember.failureDomain_ == aBench.view_.failureDomain_;
+  };
+  CheckChoices({
+    { "reported a moment ago",
+      [&](Bench& aBench) { markReaders(aBench, milliseconds(100)); },
+      readsInDomain },
+    { "none in the own failure domain",
+      [&](Bench& aBench) {
+        markReaders(aBench, milliseconds(100));
+        for (MemberRecord& member : aBench.members_) {
+          member.readsStore_ =
+            member.readsStore_ &&
+            member.failureDomain_ != aBench.view_.failureDomain_;
+        }
+      },
+      [](Bench&, const MemberRecord& aMember) { return aMember.readsStore_; } },
+    { "reported long ago",
+      [&](Bench& aBench) { markReaders(aBench, seconds(10)); },
+      [](Bench& aBench, const MemberRecord& aMember) {
+        return IsWatcher(aBench, aMember) &&
+               aMember.failureDomain_ == aBench.view_.failureDomain_;
+      } },
+  });
+}
+
+// While the store answers none of the watchers, enough other daemons must try
+// it before a configuration is due, and the whole fleet must not try at once.
+TEST(FeedSource, WatchersAreReplacedInTurns)
+{
+  for (const std::size_t others : { 70UL, 289UL, 2394UL }) {
+    const auto trying = [others](Duration aAfter) {
+      std::size_t count = 0;
+      for (std::size_t place = 0; place < others; ++place) {
+        count += MayReplaceWatcher(place, aAfter) ? 1 : 0;
+      }
+      return count;
+    };
+    CHECK_TRUE(trying(milliseconds(300)) == 0);
+    CHECK_TRUE(trying(milliseconds(600)) >= kMinWatchers);
+    CHECK_TRUE(trying(milliseconds(600)) <= 2 * kMinWatchers);
+    std::set<std::size_t> tried;
+    for (Duration at{}; at < seconds(7); at += milliseconds(100)) {
+      for (std::size_t place = 0; place < others; ++place) {
+        if (MayReplaceWatcher(place, at)) {
+          tried.insert(place);
+        }
+      }
+      if (at == Duration(milliseconds(1100))) {
+        CHECK_TRUE(tried.size() >= 3 * kMinWatchers);
+      }
+    }
+    LONGS_EQUAL(others, tried.size());
+  }
+}
