Add: keys of organisations decide who is served

Cause: configurations with tenants require a valid key on all but public routes; servers get the organisation's name and never the key. Change: tenants and public routes are decoded; keys are found by a keyed hash; 401 for unknown keys, 503 while the tables may lack a newer version; the organisation's priority replaces the route's; requests of a withdrawn key are rejected, or end with the parts under way. The handling of an arriving request moves to gateway/request_admit.cpp. Without tenants nothing changes.

--- a/src/app/gateway_cmd.cpp
+++ b/src/app/gateway_cmd.cpp
@@ -243,12 +243,17 @@
            { { "result", settings.status().ToString() } });
 }
 
-/** Sets the random seed and the incarnation, which differ for each start. */
+/** Sets the random seeds and the incarnation, which differ for each start. */
 void
 SetIncarnation(GatewayHostSettings& aSettings)
 {
   std::random_device device;
   aSettings.seed_ = (static_cast<std::uint64_t>(device()) << 32U) | device();
+  for (HashKey& key : aSettings.gateway_.keySeed_) {
+    for (std::uint64_t& word : key) {
+      word = (static_cast<std::uint64_t>(device()) << 32U) | device();
+    }
+  }
   aSettings.membership_.self_.incarnation_ =
     Incarnation{ static_cast<std::uint64_t>(ReadClock().unixMicros_) };
 }
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -84,7 +84,8 @@
                                        ConnectionId{ conn.key_ },
                                        aRun.message_,
                                        aRun.deadline_ - aStep.Time(),
-                                       backend.entry_.id_ });
+                                       backend.entry_.id_,
+                                       OrganisationName(aRun) });
   EnsureConnections(aStep, backend);
 }
 
@@ -179,7 +180,7 @@
   part.phase_ = PartPhase::Waiting;
   const TimePoint urgency = aRun.late_ ? aRun.deadline_ : aRun.softAt_;
   part.queueKey_ =
-    QueueKey(aRun.late_, aRun.route_->priority_, urgency, aRun.key_, aPart);
+    QueueKey(aRun.late_, aRun.priority_, urgency, aRun.key_, aPart);
   aStep.state_.services_[part.service_].queue_.insert(part.queueKey_);
   MarkService(aStep.state_, part.service_);
 }
@@ -208,7 +209,7 @@
     return;
   }
   if (part.mayHaveRun_ + 1U >= kMaxRuns || part.sends_ >= kMaxSends ||
-      IsSuspected(state, run->content_)) {
+      run->revoked_ || IsSuspected(state, run->content_)) {
     return;
   }
   const std::uint64_t backend = ChooseBackend(aStep, *run, part, true);
--- a/src/gateway/attempt_answer.cpp
+++ b/src/gateway/attempt_answer.cpp
@@ -84,7 +84,7 @@
 {
   const std::uint32_t runs =
     aRun.route_->kind_ == RequestKind::Idempotent ? kMaxRuns : 1;
-  return aMayHaveRun < runs && aPart.sends_ < kMaxSends &&
+  return !aRun.revoked_ && aMayHaveRun < runs && aPart.sends_ < kMaxSends &&
          !IsQuarantined(aStep.state_, aRun.content_, aStep.Time()) &&
          TakeExtraSend(aStep, aPart);
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -103,6 +103,8 @@
     return false;
   }
   aState.config_ = aConfig;
+  aState.organisations_ =
+    MakeOrganisationTable(*aConfig, aState.settings_.keySeed_);
   for (GatewayServiceState& service : aState.services_) {
     service.configured_ = false;
   }
@@ -120,9 +122,20 @@
   }
   GatewayStep step{ aState, aNow, aRng, aOut };
   MaintainConnections(step);
+  RejectRevokedRuns(step);
   return true;
 }
 
+void
+GatewaySetTableAge(GatewayState& aState,
+                   Duration aAge,
+                   bool aNewerConfig,
+                   TimePoint aNow)
+{
+  aState.tablesAsOf_ = aAge == Duration::max() ? TimePoint{} : aNow - aAge;
+  aState.newerConfigExpected_ = aNewerConfig;
+}
+
 void
 GatewaySetRole(GatewayState& aState, const FleetRole& aRole)
 {
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -7,6 +7,7 @@
 #include "core/timer_heap.h"
 #include "gateway/gateway_const.h"
 #include "gateway/gateway_type.h"
+#include "gateway/organisation.h"
 #include "gateway/rate_limit.h"
 #include "gateway/retry_budget.h"
 
@@ -51,6 +52,10 @@
   double cpuShare_ = 1.0; ///< Processor share of this daemon, in cores.
   BudgetLimits budget_;
   GatewayPolicy policy_;
+  KeySeed keySeed_{}; ///< Secret of this process.
+  /** Time after which each reachable daemon has a new configuration in force;
+   * zero: unknown. */
+  Duration configApply_{};
 };
 
 /** State of a connection to a backend server. */
@@ -205,6 +210,10 @@
   RouteLoad* load_ = nullptr;
   SharedMessage message_;
   std::string caller_;
+  KeyDigest keyDigest_;
+  std::uint32_t organisation_ = kNoOrganisation; ///< In config_.
+  std::uint32_t priority_ = 0; ///< Of the organisation or the route.
+  bool revoked_ = false; ///< Its key is no longer valid: nothing more is sent.
   ContentKeys content_{};
   TimePoint arrivedAt_{};
   Duration waitedBefore_{}; ///< Since the caller's first attempt.
@@ -295,6 +304,9 @@
   /** Requests rejected because servers' limits left no room in time. */
   std::uint64_t limitRejections_ = 0;
   std::uint64_t crashesSuspected_ = 0; ///< Requests in flight at a crash.
+  /** Unknown keys rejected as not ready, because the tables were stale. */
+  std::uint64_t staleKeyRejections_ = 0;
+  std::uint64_t revokedRuns_ = 0; ///< Requests whose key was withdrawn.
 };
 
 /** State of the gateway. */
@@ -302,6 +314,11 @@
 {
   GatewaySettings settings_;
   SharedGatewayConfig config_;
+  OrganisationTable organisations_; ///< Of config_.
+  /** When the tables were known to be up to date with the store. */
+  TimePoint tablesAsOf_ = kNever;
+  /** A newer configuration is known to exist, and may still arrive in time. */
+  bool newerConfigExpected_ = false;
   std::vector<GatewayServiceState> services_;
   /** When servers said that they leave, by id and start. The store may list
    * them as ready again. */
--- a/src/gateway/gateway_func.h
+++ b/src/gateway/gateway_func.h
@@ -25,6 +25,18 @@
                    Rng& aRng,
                    GatewayDecisions& aOut);
 
+/**
+ * Tells how far the tables can be relied on.
+ * @param aAge Time since they were known to be up to date with the store.
+ * @param aNewerConfig Another daemon has a newer configuration, which may still
+ * arrive in time.
+ */
+void
+GatewaySetTableAge(GatewayState& aState,
+                   Duration aAge,
+                   bool aNewerConfig,
+                   TimePoint aNow);
+
 /** Replaces the list of backend servers. */
 void
 GatewayAdoptServers(GatewayState& aState,
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -188,6 +188,16 @@
 void
 EndSilentAttempt(GatewayStep& aStep, std::uint64_t aAttempt);
 
+// request_admit.cpp
+
+/** Name of a run's organisation, see BackendSend. */
+std::optional<std::string>
+OrganisationName(const GatewayRun& aRun);
+
+/** Ends requests whose keys the present configuration doesn't hold. */
+void
+RejectRevokedRuns(GatewayStep& aStep);
+
 // request_run.cpp
 
 /** Stores the answer of a part; the run may finish. */
@@ -235,6 +245,19 @@
              ProxyCode aCode,
              Duration aNotBefore = Duration::zero());
 
+/** Rejects a run that has not been executed; nothing more of another one is
+ * sent, and it ends with the parts that have been. */
+void
+RevokeRun(GatewayStep& aStep, GatewayRun& aRun);
+
+/** More about a rejection. */
+struct RejectionDetail
+{
+  std::string organisation_;
+  std::string reason_;
+  Duration notBefore_{}; ///< Least time after which to retry.
+};
+
 /**
  * Rejects a request on arrival.
  * @param aRoute Null if no route matches.
@@ -243,7 +266,8 @@
 RejectRequest(GatewayStep& aStep,
               const ProxyRequest& aRequest,
               ProxyCode aCode,
-              const GatewayRoute* aRoute);
+              const GatewayRoute* aRoute,
+              const RejectionDetail& aDetail = {});
 
 // admission.cpp
 
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -45,6 +45,7 @@
   std::vector<std::string> shards_; ///< Queries: one service per shard.
   std::uint32_t topRecords_ = 0;    ///< Queries: records in the answer.
   double minCoverage_ = 0.0;        ///< Queries: least share of shards.
+  bool public_ = false;             ///< Requests need no key.
 
   bool IsQuery() const { return !shards_.empty(); }
 };
@@ -56,6 +57,16 @@
   std::uint32_t maxConnections_ = 1; ///< Per server, over all daemons.
 };
 
+/** A customer whose callers share keys, a priority and a rate. */
+struct Organisation
+{
+  std::string name_;
+  std::vector<std::string> keys_;
+  std::optional<std::uint32_t> priority_; ///< None: that of the route.
+  double perSecond_ = 0.0;                ///< Over all daemons; zero: no limit.
+  double burst_ = 0.0;                    ///< Requests beyond the rate.
+};
+
 /** Limits on the requests and connections of callers. */
 struct GatewayLimits
 {
@@ -72,6 +83,8 @@
   std::vector<GatewayRoute> routes_;
   std::map<std::string, GatewayService> services_;
   GatewayLimits limits_;
+  /** None: requests need no keys. An empty list admits public routes alone. */
+  std::optional<std::vector<Organisation>> organisations_;
 };
 
 using SharedGatewayConfig = std::shared_ptr<const GatewayConfig>;
@@ -106,6 +119,9 @@
   std::string host_;
   std::string requestId_; ///< Set by the caller; empty if it sent none.
   std::vector<MessageField> fields_; ///< End-to-end fields only.
+  /** Fields that hold the caller's key or name its organisation, as they came;
+   * forwarded only where the configuration has no organisations. */
+  std::vector<MessageField> identity_;
   std::string body_;
 };
 
@@ -118,24 +134,27 @@
   std::string caller_; ///< Name of the caller; part of the fingerprint.
   SharedMessage message_;
   Duration callerTimeout_{}; ///< How long it waits; zero: not stated.
+  std::string key_;          ///< Of its organisation; empty: none, or several.
 };
 
 /** Outcome of a caller's request. */
 enum class ProxyCode : std::uint8_t
 {
-  Forwarded,   ///< Answer of a server, unchanged.
-  Merged,      ///< Answer of a query, merged from its shards.
-  NoRoute,     ///< No route matches.
-  NotReady,    ///< No configuration has been loaded yet.
-  Overloaded,  ///< Rejected by admission; it did not run.
-  NoServer,    ///< No server is available; it did not run.
-  NotRun,      ///< Every server tried reports that it did not run.
-  Stopping,    ///< This daemon is about to end; it did not run.
-  Quarantined, ///< Rejected: its content has crashed servers.
-  Failed,      ///< Broken or invalid answer; it may have run.
-  TimedOut,    ///< No answer in time; it may have run.
-  LowCoverage, ///< Too few shards answered; it may have run.
-  End          ///< Number of codes.
+  Forwarded,    ///< Answer of a server, unchanged.
+  Merged,       ///< Answer of a query, merged from its shards.
+  NoRoute,      ///< No route matches.
+  NotReady,     ///< No configuration has been loaded yet.
+  Overloaded,   ///< Rejected by admission; it did not run.
+  NoServer,     ///< No server is available; it did not run.
+  NotRun,       ///< Every server tried reports that it did not run.
+  Stopping,     ///< This daemon is about to end; it did not run.
+  Quarantined,  ///< Rejected: its content has crashed servers.
+  Unauthorized, ///< Its key is unknown; it did not run.
+  RateCapped,   ///< Its organisation is above its rate; it did not run.
+  Failed,       ///< Broken or invalid answer; it may have run.
+  TimedOut,     ///< No answer in time; it may have run.
+  LowCoverage,  ///< Too few shards answered; it may have run.
+  End           ///< Number of codes.
 };
 
 /** Answer to a caller. */
@@ -159,6 +178,9 @@
   SharedMessage message_;
   Duration remaining_{};       ///< Time left until the deadline.
   std::string expectedServer_; ///< A server with another id must refuse it.
+  /** Name of the caller's organisation; empty: unknown, on a public route.
+   * None: the configuration has no organisations. */
+  std::optional<std::string> organisation_;
 };
 
 /** Load that a server reports in an answer. */
@@ -248,6 +270,7 @@
 {
   std::string requestId_;
   std::string route_;
+  std::string organisation_;  ///< Name; empty: none.
   std::uint64_t version_ = 0; ///< Of the configuration in use.
   ProxyCode code_ = ProxyCode::Failed;
   std::uint32_t status_ = 0; ///< Forwarded only.
--- /dev/null
+++ b/src/gateway/request_admit.cpp
@@ -0,0 +1,338 @@
+// Admits or rejects a request on arrival. Callers without a valid key must cost
+// little and learn nothing, a key that is too new to be known here must not be
+// refused for good, and requests of a key that is withdrawn while they wait in
+// queues must not run.
+#include "gateway/gateway_func.h"
+#include "gateway/gateway_internal.h"
+#include "gateway/route_match.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace camphorfield {
+
+namespace {
+
+Duration
+RequestTimeout(const ProxyRequest& aRequest, const GatewayRoute& aRoute)
+{
+  Duration wait = kDefaultDeadline;
+  for (const Duration limit : { aRequest.callerTimeout_, aRoute.timeout_ }) {
+    wait = limit.count() > 0 ? std::min(wait, limit) : wait;
+  }
+  return wait - std::min<Duration>(kDeadlineMargin, wait / 10);
+}
+
+// The objective counts from the caller's first attempt. A retrying caller
+// states what is left of its timeout, so the longest recent timeout is taken as
+// that of a first attempt.
+Duration
+TimeSinceFirstAttempt(const ProxyRequest& aRequest,
+                      RouteLoad& aLoad,
+                      TimePoint aNow)
+{
+  if (aRequest.callerTimeout_.count() == 0) {
+    return Duration::zero();
+  }
+  if (aRequest.callerTimeout_ >= aLoad.callerTimeout_ ||
+      aNow - aLoad.callerTimeoutAt_ > kCallerTimeoutTtl) {
+    aLoad.callerTimeout_ = aRequest.callerTimeout_;
+    aLoad.callerTimeoutAt_ = aNow;
+  }
+  return aLoad.callerTimeout_ - aRequest.callerTimeout_;
+}
+
+/** Time left until the objective, less a margin for merging the parts and for
+ * the network trip to the caller. */
+Duration
+TimeToSoftDeadline(const GatewayState& aState,
+                   const GatewayRoute& aRoute,
+                   Duration aWaited)
+{
+  const auto objective = static_cast<double>(aRoute.objective_.count());
+  const double work = static_cast<double>(kShardCpuTime.count()) *
+                      static_cast<double>(aRoute.shards_.size()) /
+                      aState.settings_.cpuShare_;
+  const Duration margin = std::min<Duration>(
+    kObjectiveMargin + Duration(static_cast<std::int64_t>(
+                         objective * kObjectiveMarginShare + work)),
+    aRoute.objective_ / 3);
+  return aRoute.objective_ - margin - aWaited;
+}
+
+std::uint32_t
+PartsNeeded(const GatewayRoute& aRoute)
+{
+  if (!aRoute.IsQuery()) {
+    return 1;
+  }
+  const double needed = std::ceil(
+    aRoute.minCoverage_ * static_cast<double>(aRoute.shards_.size()) - 1e-9);
+  return std::max(static_cast<std::uint32_t>(needed), 1U);
+}
+
+void
+AddParts(GatewayState& aState, GatewayRun& aRun)
+{
+  const GatewayRoute& route = *aRun.route_;
+  if (!route.IsQuery()) {
+    aRun.parts_.emplace_back();
+    aRun.parts_.back().service_ =
+      FindOrAddService(aState, ChooseService(route, *aRun.load_));
+    return;
+  }
+  for (const std::string& shard : route.shards_) {
+    aRun.parts_.emplace_back();
+    aRun.parts_.back().service_ = FindOrAddService(aState, shard);
+  }
+}
+
+/** Who sends a request, by its key. */
+struct Sender
+{
+  KeyDigest keyDigest_;
+  std::uint32_t organisation_ = kNoOrganisation;
+};
+
+Sender
+FindSender(const GatewayState& aState, const ProxyRequest& aRequest)
+{
+  Sender sender;
+  sender.keyDigest_ = DigestKey(aRequest.key_, aState.settings_.keySeed_);
+  sender.organisation_ =
+    FindOrganisation(aState.organisations_, sender.keyDigest_);
+  return sender;
+}
+
+/** Whether the store may hold a newer configuration that is in force at others.
+ */
+bool
+AreTablesStale(const GatewayState& aState, TimePoint aNow)
+{
+  const Duration bound = aState.settings_.configApply_;
+  return aState.newerConfigExpected_ ||
+         (bound.count() > 0 && aState.tablesAsOf_ != kNever &&
+          aNow - aState.tablesAsOf_ > bound);
+}
+
+void
+RejectUnknownKey(GatewayStep& aStep,
+                 const ProxyRequest& aRequest,
+                 const GatewayRoute& aRoute)
+{
+  RejectionDetail detail;
+  if (aRequest.key_.empty()) {
+    detail.reason_ = "no key, or several";
+    RejectRequest(aStep, aRequest, ProxyCode::Unauthorized, &aRoute, detail);
+    return;
+  }
+  detail.reason_ = "unknown key";
+  if (!AreTablesStale(aStep.state_, aStep.Time())) {
+    RejectRequest(aStep, aRequest, ProxyCode::Unauthorized, &aRoute, detail);
+    return;
+  }
+  // The key may be newer than the tables, and 401 would end the caller's tries.
+  detail.reason_ = "unknown key, while the configuration may be outdated";
+  detail.notBefore_ = kRetryAfterNotReady;
+  ++aStep.state_.stats_.staleKeyRejections_;
+  RejectRequest(aStep, aRequest, ProxyCode::NotReady, &aRoute, detail);
+}
+
+GatewayRun&
+MakeRun(GatewayStep& aStep,
+        const ProxyRequest& aRequest,
+        const GatewayRoute& aRoute,
+        const Sender& aSender,
+        const ContentKeys& aContent,
+        Duration aWaited)
+{
+  GatewayState& state = aStep.state_;
+  GatewayRun& run = AllocateSlot(state.runs_);
+  run.id_ = aRequest.id_;
+  run.config_ = state.config_;
+  run.route_ = &aRoute;
+  run.load_ = &state.loads_[aRoute.name_];
+  run.message_ = aRequest.message_;
+  run.caller_ = aRequest.caller_;
+  run.content_ = aContent;
+  run.keyDigest_ = aSender.keyDigest_;
+  run.organisation_ = aSender.organisation_;
+  run.priority_ = aRoute.priority_;
+  if (aSender.organisation_ != kNoOrganisation) {
+    run.priority_ =
+      (*run.config_->organisations_)[aSender.organisation_].priority_.value_or(
+        aRoute.priority_);
+  }
+  run.arrivedAt_ = aStep.Time();
+  run.waitedBefore_ = aWaited;
+  run.deadline_ = std::min(aStep.Time() + RequestTimeout(aRequest, aRoute),
+                           state.stop_.answeredBy_);
+  run.softAt_ = run.deadline_;
+  run.needed_ = PartsNeeded(aRoute);
+  if (aRoute.objective_.count() > 0 && state.settings_.policy_.partial_) {
+    const Duration wait = TimeToSoftDeadline(state, aRoute, aWaited);
+    run.late_ = wait <= Duration::zero();
+    run.softAt_ =
+      run.late_ ? run.deadline_ : std::min(run.deadline_, aStep.Time() + wait);
+  }
+  AddParts(state, run);
+  ++run.load_->inFlight_;
+  state.runOf_[run.id_] = run.key_;
+  return run;
+}
+
+void
+StartRun(GatewayStep& aStep, GatewayRun& aRun)
+{
+  BasicTimerHeap<GatewayTimer>& timers = aStep.state_.timers_;
+  AddTimer(timers,
+           { aRun.deadline_, aRun.key_, 0, GatewayTimer::RequestDeadline });
+  if (aRun.softAt_ < aRun.deadline_) {
+    AddTimer(timers,
+             { aRun.softAt_, aRun.key_, 0, GatewayTimer::RequestSoftDeadline });
+  }
+  for (std::uint32_t i = 0; i < aRun.parts_.size(); ++i) {
+    RequestPart& part = aRun.parts_[i];
+    const GatewayServiceState& service = aStep.state_.services_[part.service_];
+    // The others suffice, see TimeUntilEnoughRoom.
+    if (aRun.route_->IsQuery() &&
+        TimeUntilRoom(
+          aStep.state_, service, service.queue_.size(), aStep.Time()) >
+          aRun.softAt_ - aStep.Time()) {
+      part.phase_ = PartPhase::Failed;
+      ++aRun.failed_;
+      continue;
+    }
+    EnqueuePart(aStep, aRun, i);
+  }
+}
+
+/** Number of parts whose service has no available server. */
+std::uint32_t
+CountUnavailableShards(const GatewayState& aState,
+                       const GatewayRun& aRun,
+                       TimePoint aNow)
+{
+  return static_cast<std::uint32_t>(std::count_if(
+    aRun.parts_.begin(),
+    aRun.parts_.end(),
+    [&aState, aNow](const RequestPart& aPart) {
+      return IsServiceDown(aState, aState.services_[aPart.service_], aNow);
+    }));
+}
+
+/** Time until the servers' request limits leave room for as many parts as the
+ * run needs. */
+Duration
+TimeUntilEnoughRoom(const GatewayState& aState,
+                    const GatewayRun& aRun,
+                    TimePoint aNow)
+{
+  std::vector<Duration> waits;
+  waits.reserve(aRun.parts_.size());
+  for (const RequestPart& part : aRun.parts_) {
+    const GatewayServiceState& service = aState.services_[part.service_];
+    waits.push_back(
+      TimeUntilRoom(aState, service, service.queue_.size(), aNow));
+  }
+  const auto last = waits.begin() + (aRun.needed_ - 1);
+  std::nth_element(waits.begin(), last, waits.end());
+  return *last;
+}
+
+} // namespace
+
+std::optional<std::string>
+OrganisationName(const GatewayRun& aRun)
+{
+  if (!aRun.config_->organisations_) {
+    return std::nullopt;
+  }
+  return aRun.organisation_ == kNoOrganisation
+           ? std::string()
+           : (*aRun.config_->organisations_)[aRun.organisation_].name_;
+}
+
+// The new configuration decides which routes are public. One that it doesn't
+// have any more is taken as it was.
+void
+RejectRevokedRuns(GatewayStep& aStep)
+{
+  GatewayState& state = aStep.state_;
+  if (!state.organisations_.configured_) {
+    return;
+  }
+  for (GatewayRun& run : state.runs_.slots_) {
+    if (run.key_ == 0 || run.revoked_) {
+      continue;
+    }
+    const GatewayRoute* route =
+      FindRoute(*state.config_, run.message_->host_, run.message_->path_);
+    const bool isPublic = (route == nullptr ? run.route_ : route)->public_;
+    if (!isPublic && FindOrganisation(state.organisations_, run.keyDigest_) ==
+                       kNoOrganisation) {
+      RevokeRun(aStep, run);
+    }
+  }
+  DispatchMarked(aStep);
+}
+
+void
+GatewayOnEvent(GatewayState& aState,
+               const ProxyRequest& aRequest,
+               const Now& aNow,
+               Rng& aRng,
+               GatewayDecisions& aOut)
+{
+  GatewayStep step{ aState, aNow, aRng, aOut };
+  if (aState.config_ == nullptr) {
+    RejectRequest(step, aRequest, ProxyCode::NotReady, nullptr);
+    return;
+  }
+  const GatewayRoute* route = FindRoute(
+    *aState.config_, aRequest.message_->host_, aRequest.message_->path_);
+  if (route == nullptr) {
+    RejectRequest(step, aRequest, ProxyCode::NoRoute, nullptr);
+    return;
+  }
+  const Sender sender = FindSender(aState, aRequest);
+  if (aState.organisations_.configured_ && !route->public_ &&
+      sender.organisation_ == kNoOrganisation) {
+    RejectUnknownKey(step, aRequest, *route);
+    return;
+  }
+  if (!CanFinishBeforeStop(
+        aState.stop_, *route, RequestTimeout(aRequest, *route), aNow.mono_)) {
+    RejectRequest(step, aRequest, ProxyCode::Stopping, route);
+    return;
+  }
+  const ContentKeys content = MakeContentKeys(aRequest);
+  if (IsQuarantined(aState, content, aNow.mono_)) {
+    RejectRequest(step, aRequest, ProxyCode::Quarantined, route);
+    return;
+  }
+  RouteLoad& load = aState.loads_[route->name_];
+  const Duration waited = TimeSinceFirstAttempt(aRequest, load, aNow.mono_);
+  if (aState.settings_.policy_.admission_ &&
+      !IsAdmitted(load, GuaranteedWindow(aState, *route))) {
+    RejectRequest(step, aRequest, ProxyCode::Overloaded, route);
+    return;
+  }
+  GatewayRun& run = MakeRun(step, aRequest, *route, sender, content, waited);
+  const auto parts = static_cast<std::uint32_t>(run.parts_.size());
+  if (parts - CountUnavailableShards(aState, run, aNow.mono_) < run.needed_) {
+    FinishFailed(step, run, ProxyCode::NoServer);
+    return;
+  }
+  const Duration wait = TimeUntilEnoughRoom(aState, run, aNow.mono_);
+  if (wait > run.softAt_ - aNow.mono_) {
+    ++aState.stats_.limitRejections_;
+    FinishFailed(step, run, ProxyCode::NoServer, wait);
+    return;
+  }
+  StartRun(step, run);
+  DispatchMarked(step);
+}
+
+} // namespace camphorfield
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -67,6 +67,7 @@
   RequestRecord record;
   record.requestId_ = aRun.message_->requestId_;
   record.route_ = aRun.route_->name_;
+  record.organisation_ = OrganisationName(aRun).value_or("");
   record.version_ = aRun.config_->version_;
   record.code_ = aAnswer.code_;
   record.status_ = aAnswer.status_;
@@ -190,11 +191,38 @@
   Finish(aStep, aRun, std::move(answer));
 }
 
+// A query that has begun may finish from the parts that have been sent; the
+// others would reach servers after the key was withdrawn.
+void
+RevokeRun(GatewayStep& aStep, GatewayRun& aRun)
+{
+  ++aStep.state_.stats_.revokedRuns_;
+  aRun.revoked_ = true;
+  if (!MayHaveRun(aRun)) {
+    ProxyAnswer answer;
+    answer.code_ = ProxyCode::Unauthorized;
+    Finish(aStep, aRun, std::move(answer));
+    return;
+  }
+  const std::uint64_t key = aRun.key_;
+  for (std::uint32_t i = 0; i < aRun.parts_.size(); ++i) {
+    if (aRun.parts_[i].phase_ == PartPhase::Waiting) {
+      DequeuePart(aStep.state_, aRun.parts_[i]);
+      FailPart(aStep, aRun, i);
+      // The failure of a part may end the run.
+      if (aRun.key_ != key) {
+        return;
+      }
+    }
+  }
+}
+
 void
 RejectRequest(GatewayStep& aStep,
               const ProxyRequest& aRequest,
               ProxyCode aCode,
-              const GatewayRoute* aRoute)
+              const GatewayRoute* aRoute,
+              const RejectionDetail& aDetail)
 {
   ProxyAnswer answer;
   answer.id_ = aRequest.id_;
@@ -202,6 +230,7 @@
   answer.retryAfter_ = aRoute == nullptr
                          ? Duration(kRetryAfterNotReady)
                          : ChooseRetryAfter(*aRoute, aStep.rng_);
+  answer.retryAfter_ = std::max(answer.retryAfter_, aDetail.notBefore_);
   if (aCode == ProxyCode::Stopping) {
     // Another daemon can take it at once.
     answer.retryAfter_ = kRetryAfterFloor;
@@ -219,6 +248,10 @@
     record.reason_ =
       absl::StrCat(aRequest.message_->host_, aRequest.message_->path_);
   }
+  record.organisation_ = aDetail.organisation_;
+  if (!aDetail.reason_.empty()) {
+    record.reason_ = aDetail.reason_;
+  }
   record.version_ =
     aStep.state_.config_ == nullptr ? 0 : aStep.state_.config_->version_;
   aStep.out_.emplace_back(std::move(record));
--- a/src/observe/request_log.cpp
+++ b/src/observe/request_log.cpp
@@ -23,6 +23,7 @@
     "request",
     { { "request", aRecord.requestId_ },
       { "route", aRecord.route_ },
+      { "organisation", aRecord.organisation_ },
       { "outcome", GetProxyRow(aRecord.code_).name_ },
       { "status", std::to_string(aRecord.status_) },
       { "version", std::to_string(aRecord.version_) },
--- a/src/ops/request_explanation.cpp
+++ b/src/ops/request_explanation.cpp
@@ -65,6 +65,8 @@
   OutcomeRow{ "no_server",    "too few servers were available for it; it did not run" },
   OutcomeRow{ "not_run",      "it was sent, but no server ran it" },
   OutcomeRow{ "quarantined",  "requests with the same content had crashed servers; it did not run" },
+  OutcomeRow{ "unauthorized", "its key was missing, repeated, unknown or withdrawn; it did not run" },
+  OutcomeRow{ "rate_capped",  "its organisation was above its rate over all gateways; it did not run" },
   OutcomeRow{ "failed",       "a server closed the connection early or sent an invalid answer; it may have run" },
   OutcomeRow{ "timed_out",    "no answer came in time; it may have run" },
   OutcomeRow{ "low_coverage", "too few shards answered; it may have run" },
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -248,6 +248,7 @@
     newestKnownVersion_ =
       std::max(newestKnownVersion_, member.generation_.value_);
   }
+  ReportTableAge();
 }
 
 // The steady clock doesn't advance while the VM is suspended, so deadlines and
@@ -398,6 +399,7 @@
     CheckSuspension();
     LogTraffic();
     TrackConfigLag();
+    ReportTableAge();
     UpdateRole();
     DropFollowersIfStale();
     RequestFeed();
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -158,6 +158,7 @@
   void TrackConfigLag();
   bool IsFresh();
   Duration TableAge();
+  void ReportTableAge();
   const MemberRecord* FindMember(DaemonId aId) const;
   void SendFeed(const MemberRecord& aTo,
                 std::uint64_t aIncarnation,
--- a/src/runtime/gateway_tables.cpp
+++ b/src/runtime/gateway_tables.cpp
@@ -91,6 +91,7 @@
              { "revision", std::to_string(found->second.revision_) },
              { "routes", std::to_string((*config)->routes_.size()) } });
   ApplyDecisions();
+  ReportTableAge();
   if (limitsHandler_) {
     limitsHandler_((*config)->limits_);
   }
--- a/src/table/proxy_table.h
+++ b/src/table/proxy_table.h
@@ -27,6 +27,8 @@
   { ProxyCode::NotRun,      "not_run" },
   { ProxyCode::Stopping,    "stopping" },
   { ProxyCode::Quarantined, "quarantined" },
+  { ProxyCode::Unauthorized, "unauthorized" },
+  { ProxyCode::RateCapped,  "rate_capped" },
   { ProxyCode::Failed,      "failed" },
   { ProxyCode::TimedOut,    "timed_out" },
   { ProxyCode::LowCoverage, "low_coverage" },
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -564,7 +564,8 @@
 Replay::SendRequest(std::size_t aDaemon,
                     const std::string& aTarget,
                     Duration aCallerTimeout,
-                    const std::string& aCaller)
+                    const std::string& aCaller,
+                    const std::string& aKey)
 {
   const std::uint64_t id = nextRequest_++;
   auto message = std::make_shared<ProxyMessage>();
@@ -578,6 +579,7 @@
   request.caller_ = aCaller;
   request.message_ = std::move(message);
   request.callerTimeout_ = aCallerTimeout;
+  request.key_ = aKey;
   HandleEvent(aDaemon, request);
   return id;
 }
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -130,6 +130,8 @@
   void AddShards(std::size_t aShards);
   void SetRoute(GatewayRoute aRoute);
   void SetPolicy(const GatewayPolicy& aPolicy);
+  /** Takes effect with the next Announce. */
+  GatewayConfig& Config() { return config_; }
   /** Sends routes and servers to the daemons and lets them connect. */
   void Publish();
   /** Offers loads for the given time; returns results by target. */
@@ -139,7 +141,8 @@
   std::uint64_t SendRequest(std::size_t aDaemon,
                             const std::string& aTarget,
                             Duration aCallerTimeout,
-                            const std::string& aCaller = "caller");
+                            const std::string& aCaller = "caller",
+                            const std::string& aKey = "");
   void CancelRequest(std::size_t aDaemon, std::uint64_t aRequest);
   void Advance(Duration aTime);
   void At(Duration aAfter, std::function<void()> aAction);
