--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -75,6 +75,19 @@
   return (age + kFeedAgeStep - Duration(1)) / kFeedAgeStep * kFeedAgeStep;
 }
 
+/** Tells the core whether a key that it doesn't know may be a new one. A
+ * version that stays away for longer than the bound can't be had, e.g. because
+ * the store lost it. */
+void
+GatewayHost::ReportTableAge()
+{
+  const std::uint64_t version =
+    gateway_.config_ == nullptr ? 0 : gateway_.config_->version_;
+  const bool isNewer = newestKnownVersion_ > version &&
+                       configLagTime_ < settings_.gateway_.configApply_;
+  GatewaySetTableAge(gateway_, TableAge(), isNewer, ReadClock().mono_);
+}
+
 void
 GatewayHost::SendFeed(const MemberRecord& aTo,
                       std::uint64_t aIncarnation,
@@ -350,6 +363,7 @@
     FirstReadDelay(membership_.self_.id_, members_->size());
   for (const std::size_t number : { kConfigTable, kServersTable }) {
     TableSync& table = store_.Table(number);
+    const bool wasPassive = table.passive_;
     table.passive_ =
       IsReadByOthers({ role_.isWatcher_,
                        table.complete_,
@@ -359,6 +373,10 @@
                        number == kConfigTable ? configLagTime_ : Duration() });
     // Changes that a feed applies meanwhile are missing in the watch's history.
     table.watching_ = table.watching_ && !table.passive_;
+    if (wasPassive && !table.passive_ && storeUnavailable &&
+        !followed_.needsWhole_) {
+      ResumeTable(table, now);
+    }
   }
   MembershipSetReadsStore(membership_, IsFresh() && TableAge() <= kMaxFeedAge);
 }
