Add: check of a gateway configuration before it is published

Cause: a mistake in a configuration shows only when callers are rejected. Change: camphorfield check reads a gateway configuration offline with the gateways' decoder, finds entries that can never match or be served and limits that contradict each other, and lists differences and what needs two versions.

--- a/src/cli/codes_cmd.cpp
+++ b/src/cli/codes_cmd.cpp
@@ -2,6 +2,7 @@
 // page can't differ from them.
 #include "cli/codes_cmd.h"
 
+#include "table/config_finding_table.h"
 #include "table/result_table.h"
 #include "table/run_table.h"
 #include "table/setting_table.h"
@@ -31,6 +32,14 @@
     text << "| " << row.number_ << " | " << row.flag_ << " | " << row.text_
          << " |\n";
   }
+  text << "\n# Findings of `camphorfield check`\n\n"
+       << "| number | name | severity | meaning |\n"
+       << "| --- | --- | --- | --- |\n";
+  for (const ConfigFindingRow& row : kConfigFindingTable) {
+    text << "| " << row.number_ << " | " << row.name_ << " | "
+         << kSeverityNames.at(static_cast<std::size_t>(row.severity_)) << " | "
+         << row.text_ << " |\n";
+  }
   return text.str();
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 /** Entry point: defines the subcommands and runs one of them. */
+#include "app/check_cmd.h"
 #include "app/gateway_cmd.h"
 #include "cli/codes_cmd.h"
 #include "cli/daemon_cmd.h"
@@ -26,7 +27,6 @@
 
 // clang-format off
 constexpr CommandRow kCommands[] = {
-  { "check",    "Check a change document; publish nothing",        RunCheck,    true },
   { "apply",    "Check and publish a change document",             RunApply,    true },
   { "get",      "Print the objects in force",                      RunGet,      false },
   { "history",  "Print the earlier generations",                   RunHistory,  false },
@@ -98,6 +98,12 @@
   AddExplainFlags(*explain, explainFlags);
   explain->callback([&]() { status = RunExplain(explainFlags); });
 
+  CheckFlags checkFlags;
+  CLI::App* check = app.add_subcommand(
+    "check", "Check a configuration or change document; publish nothing");
+  AddCheckFlags(*check, checkFlags);
+  check->callback([&]() { status = RunCheckCommand(checkFlags); });
+
   OperatorFlags flags;
   for (const CommandRow& row : kCommands) {
     CLI::App* command = app.add_subcommand(row.name_, row.text_);
