Fix: a watcher that reads its tables anew stays a source

Change: the age of tables counts from when the store last said that nothing was missing, also while they are read again.

--- a/src/discovery/table_sync.cpp
+++ b/src/discovery/table_sync.cpp
@@ -127,6 +127,7 @@
   aTable.revision_ = std::max(aTable.revision_, aTable.pageRevision_);
   aTable.watching_ = true;
   aTable.complete_ = true;
+  aTable.upToDateAt_ = aNow;
 }
 
 void
@@ -307,7 +308,6 @@
     change.restored_ = restored;
     return change;
   }
-  aTable.heardAt_ = aNow;
   aTable.resuming_ = false;
   change.regained_ = aTable.failures_ > 0;
   if (change.regained_) {
@@ -329,6 +329,7 @@
     aTable.historyGoneInRow_ = 0;
     change.changed_ = !aReply.changes_.empty();
     ApplyChanges(aTable, std::move(aReply), aNow);
+    aTable.upToDateAt_ = aNow;
   }
   // The reply to an abandoned watch is ignored: the table is read again.
   const bool series = change.changed_ && watch && aTable.watching_;
--- a/src/discovery/table_sync.h
+++ b/src/discovery/table_sync.h
@@ -140,7 +140,8 @@
   std::uint64_t pageRevision_ = 0; ///< Revision of the first page.
   std::uint32_t failures_ = 0;     ///< Consecutive.
   TimePoint nextCallAt_{};
-  TimePoint heardAt_{};   ///< Latest reply of the store.
+  /** When the store last said that nothing was missing. */
+  TimePoint upToDateAt_{};
   bool resuming_ = false; ///< The store has not answered since ResumeTable.
   TimePoint failingSince_ = kNever;         ///< First of these failures.
   TimePoint outageEndedAt_{};               ///< End of the latest outage.
--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -59,7 +59,7 @@
 
 /** Time since the tables were known to be up to date with the store. A watch
  * that has gone silent looks like one without changes, so the time counts from
- * the store's latest reply. */
+ * the store's latest word. */
 Duration
 GatewayHost::TableAge()
 {
@@ -69,25 +69,12 @@
     return Duration::max();
   }
   const TimePoint now = ReadClock().mono_;
-  const Duration age = IsFresh()
-                         ? now - std::min(config.heardAt_, servers.heardAt_)
-                         : now - followed_.receivedAt_ + followed_.age_;
+  const Duration age =
+    std::min(now - std::min(config.upToDateAt_, servers.upToDateAt_),
+             now - followed_.receivedAt_ + followed_.age_);
   return (age + kFeedAgeStep - Duration(1)) / kFeedAgeStep * kFeedAgeStep;
 }
 
-/** Tells the core whether a key that it doesn't know may be a new one. A
- * version that stays away for longer than the bound can't be had, e.g. because
- * the store lost it. */
-void
-GatewayHost::ReportTableAge()
-{
-  const std::uint64_t version =
-    gateway_.config_ == nullptr ? 0 : gateway_.config_->version_;
-  const bool isNewer = newestKnownVersion_ > version &&
-                       configLagTime_ < settings_.gateway_.configApply_;
-  GatewaySetTableAge(gateway_, TableAge(), isNewer, ReadClock().mono_);
-}
-
 void
 GatewayHost::SendFeed(const MemberRecord& aTo,
                       std::uint64_t aIncarnation,
