--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -75,6 +75,19 @@
   return (age + kFeedAgeStep - Duration(1)) / kFeedAgeStep * kFeedAgeStep;
 }
 
+/** Tells the core whether a key that it doesn't know may be a new one. A
+ * version that stays away for longer than the bound can't be had, e.g. because
+ * the store lost it. */
+void
+GatewayHost::ReportTableAge()
+{
+  const std::uint64_t version =
+    gateway_.config_ == nullptr ? 0 : gateway_.config_->version_;
+  const bool isNewer = newestKnownVersion_ > version &&
+                       configLagTime_ < settings_.gateway_.configApply_;
+  GatewaySetTableAge(gateway_, TableAge(), isNewer, ReadClock().mono_);
+}
+
 void
 GatewayHost::SendFeed(const MemberRecord& aTo,
                       std::uint64_t aIncarnation,
