Add: rates of organisations are kept over all daemons

Cause: callers of an organisation are uneven and change their daemon; a fixed share of the cap at each daemon refuses much below it. Change: one owner for each cap grants tokens by peer messages; handover, a wait before a takeover without one, and a share of the tolerance without an owner. 429 with Retry-After beyond the rate.

--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -153,6 +153,18 @@
   2: optional list<RelayedAnswer> answers
 }
 
+/** About the rate of an organisation. */
+struct RateCap {
+  1: optional i16 kind
+  2: optional i64 organisation
+  3: optional i32 tokens
+  4: optional i32 refused
+  5: optional bool owner
+  6: optional i64 hint
+  7: optional i64 nextTokenMicros
+  8: optional i64 retryAfterMicros
+}
+
 /** Exactly one of the fields from 10 on is set. */
 struct PeerFrame {
   1: optional i16 protocolVersion
@@ -170,4 +182,5 @@
   17: optional OrderOutcomeCopy orderOutcomeCopy
   18: optional RelayBatch relayBatch
   19: optional RelayAnswers relayAnswers
+  20: optional RateCap rateCap
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -87,6 +87,7 @@
 {
   GatewayState state;
   state.settings_ = aSettings;
+  state.caps_ = MakeRateCaps(aSettings.capTolerance_, aSettings.self_);
   AddTimer(state.timers_, { TimePoint{}, 0, 0, GatewayTimer::Maintenance });
   return state;
 }
@@ -123,6 +124,9 @@
   GatewayStep step{ aState, aNow, aRng, aOut };
   MaintainConnections(step);
   RejectRevokedRuns(step);
+  CapOutput caps;
+  CapsAdoptConfig(aState.caps_, *aConfig, aNow.mono_, caps);
+  ApplyCapOutput(step, caps);
   return true;
 }
 
@@ -157,13 +161,17 @@
   while (PopDueTimer(aState.timers_, aNow.mono_, timer)) {
     HandleTimer(step, timer);
   }
+  CapOutput caps;
+  CapsOnTick(aState.caps_, aNow.mono_, aRng, caps);
+  ApplyCapOutput(step, caps);
   DispatchMarked(step);
 }
 
 TimePoint
 GatewayNextWake(const GatewayState& aState)
 {
-  return EarliestTimerTime(aState.timers_);
+  return std::min(EarliestTimerTime(aState.timers_),
+                  CapsNextWake(aState.caps_));
 }
 
 std::uint32_t
@@ -175,7 +183,7 @@
 std::size_t
 GatewayInFlight(const GatewayState& aState)
 {
-  return aState.runs_.Count();
+  return aState.runs_.Count() + aState.awaiting_.size();
 }
 
 } // namespace camphorfield
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -8,6 +8,7 @@
 #include "gateway/gateway_const.h"
 #include "gateway/gateway_type.h"
 #include "gateway/organisation.h"
+#include "gateway/rate_cap.h"
 #include "gateway/rate_limit.h"
 #include "gateway/retry_budget.h"
 
@@ -56,6 +57,8 @@
   /** Time after which each reachable daemon has a new configuration in force;
    * zero: unknown. */
   Duration configApply_{};
+  DaemonId self_;
+  CapTolerance capTolerance_; ///< Rates of organisations.
 };
 
 /** State of a connection to a backend server. */
@@ -213,6 +216,7 @@
   KeyDigest keyDigest_;
   std::uint32_t organisation_ = kNoOrganisation; ///< In config_.
   std::uint32_t priority_ = 0; ///< Of the organisation or the route.
+  std::uint64_t cap_ = 0;      ///< Whose token it has; zero: none.
   bool revoked_ = false; ///< Its key is no longer valid: nothing more is sent.
   ContentKeys content_{};
   TimePoint arrivedAt_{};
@@ -230,6 +234,14 @@
   BackendAnswer failure_; ///< Latest complete answer that was a failure.
 };
 
+/** A request that waits for a token of its organisation's rate. */
+struct AwaitingToken
+{
+  ProxyRequest request_;
+  std::uint64_t cap_ = 0; ///< Hash of the organisation's name.
+  TimePoint since_{};
+};
+
 /** One request sent to one server. */
 struct Attempt
 {
@@ -333,6 +345,8 @@
   Pool<BackendConn> connections_;
   Pool<Attempt> attempts_;
   Pool<GatewayRun> runs_;
+  RateCaps caps_;
+  std::map<std::uint64_t, AwaitingToken> awaiting_; ///< By request id.
   std::unordered_map<CallerRequestId, std::uint64_t> runOf_;
   std::vector<ServiceNumber> marked_;
   BasicTimerHeap<GatewayTimer> timers_;
--- a/src/gateway/gateway_func.h
+++ b/src/gateway/gateway_func.h
@@ -37,6 +37,14 @@
                    bool aNewerConfig,
                    TimePoint aNow);
 
+/** Takes a view of the fleet for the rates of organisations. */
+void
+GatewaySetCapView(GatewayState& aState,
+                  const CapView& aView,
+                  const Now& aNow,
+                  Rng& aRng,
+                  GatewayDecisions& aOut);
+
 /** Replaces the list of backend servers. */
 void
 GatewayAdoptServers(GatewayState& aState,
@@ -107,6 +115,14 @@
                Rng& aRng,
                GatewayDecisions& aOut);
 
+/** Handles a message about the rate of an organisation. */
+void
+GatewayOnEvent(GatewayState& aState,
+               const CapReceived& aReceived,
+               const Now& aNow,
+               Rng& aRng,
+               GatewayDecisions& aOut);
+
 /** Handles all timers that are due. */
 void
 GatewayOnEvent(GatewayState& aState,
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -194,10 +194,34 @@
 std::optional<std::string>
 OrganisationName(const GatewayRun& aRun);
 
+/**
+ * Admits or rejects a request.
+ * @param aCap Whose token it has; zero: none was taken yet.
+ */
+void
+AdmitRequest(GatewayStep& aStep,
+             const ProxyRequest& aRequest,
+             std::uint64_t aCap);
+
 /** Ends requests whose keys the present configuration doesn't hold. */
 void
 RejectRevokedRuns(GatewayStep& aStep);
 
+// cap_admit.cpp
+
+/** Lets a request wait for a token; it is admitted or rejected once the token
+ * is there or refused. */
+void
+AwaitCapToken(GatewayStep& aStep, const ProxyRequest& aRequest, RateCap& aCap);
+
+/** Returns a token of a request that isn't sent. */
+void
+ReturnToken(GatewayStep& aStep, std::uint64_t aCap);
+
+/** Admits and rejects requests as the caps have decided. */
+void
+ApplyCapOutput(GatewayStep& aStep, CapOutput& aOutput);
+
 // request_run.cpp
 
 /** Stores the answer of a part; the run may finish. */
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -4,6 +4,7 @@
 #include "core/crash_evidence.h"
 #include "core/id_type.h"
 #include "core/time_type.h"
+#include "machine/cap_type.h"
 
 #include <cstdint>
 #include <map>
@@ -331,7 +332,8 @@
                                      SuspectFound,
                                      RequestRecord,
                                      BackendRecord,
-                                     SuspicionRecord>;
+                                     SuspicionRecord,
+                                     CapSend>;
 
 using GatewayDecisions = std::vector<GatewayDecision>;
 
--- /dev/null
+++ b/src/gateway/rate_cap_owner.cpp
@@ -0,0 +1,209 @@
+// The owner's side of rate caps, see rate_cap.cpp: a token bucket, and its
+// transfer to the next owner while views of the fleet differ.
+#include "gateway/rate_cap_internal.h"
+
+#include "core/hash_func.h"
+
+#include <algorithm>
+
+namespace camphorfield {
+
+namespace {
+
+/** Views of a change differ for about as long. Also the time after a start. */
+constexpr Duration kTakeoverTime = std::chrono::milliseconds(1500);
+/** A daemon that has released a cap and is still the owner in its own view does
+ * not grant for this time. */
+constexpr Duration kReleaseTime = std::chrono::seconds(5);
+/** Part of the tolerance that makes up for tokens that are granted and not
+ * used. */
+constexpr double kCapacityPart = 0.25;
+
+/** The owner if this daemon weren't there. */
+DaemonId
+FindPredecessor(const RateCaps& aCaps, std::uint64_t aOrganisation)
+{
+  DaemonId best;
+  std::uint64_t bestRank = 0;
+  for (const DaemonId member : aCaps.view_.members_) {
+    const std::uint64_t rank = Rank(aOrganisation, member);
+    if (member != aCaps.self_ && rank > bestRank) {
+      best = member;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+/** When callers that are refused now should return, one after the other. */
+Duration
+QueueRefused(RateCap& aCap, std::uint32_t aRefused, TimePoint aNow)
+{
+  OwnedCap& owned = aCap.owned_;
+  const double perSecond = std::max(aCap.perSecond_, 1e-3);
+  const TimePoint free =
+    aNow + FromSeconds(std::max(1.0 - owned.tokens_, 0.0) / perSecond);
+  owned.nextFree_ = std::max(owned.nextFree_, free);
+  const Duration wait = std::min(owned.nextFree_ - aNow, kMaxRetryAfter);
+  owned.nextFree_ = std::min(
+    owned.nextFree_ + FromSeconds(aRefused / perSecond), aNow + kMaxRetryAfter);
+  return wait;
+}
+
+} // namespace
+
+double
+Allowance(const RateCaps& aCaps, const RateCap& aCap)
+{
+  const CapTolerance& tolerance = aCaps.tolerance_;
+  return tolerance.overage_ *
+           (aCap.perSecond_ * Seconds(tolerance.window_) + aCap.burst_) +
+         tolerance.slack_;
+}
+
+void
+Refill(const RateCaps& aCaps, RateCap& aCap, TimePoint aNow)
+{
+  OwnedCap& owned = aCap.owned_;
+  const double capacity =
+    std::max(aCap.burst_ + kCapacityPart * Allowance(aCaps, aCap), 1.0);
+  const double passed = Seconds(std::max(aNow - owned.tokensAt_, Duration()));
+  owned.tokens_ = std::min(owned.tokens_ + passed * aCap.perSecond_, capacity);
+  owned.tokensAt_ = std::max(aNow, owned.tokensAt_);
+}
+
+std::uint64_t
+Rank(std::uint64_t aOrganisation, DaemonId aMember)
+{
+  return HashPair(aOrganisation, aMember.value_);
+}
+
+void
+ChooseOwner(const RateCaps& aCaps, RateCap& aCap)
+{
+  aCap.owner_ = DaemonId{};
+  aCap.ownerRank_ = 0;
+  for (const DaemonId member : aCaps.view_.members_) {
+    const std::uint64_t rank = Rank(aCap.organisation_, member);
+    if (rank > aCap.ownerRank_) {
+      aCap.owner_ = member;
+      aCap.ownerRank_ = rank;
+    }
+  }
+}
+
+void
+StartOver(OwnedCap& aOwned, TimePoint aNow)
+{
+  aOwned.grantsFrom_ = aNow + kTakeoverTime;
+  aOwned.tokens_ = 0.0;
+  aOwned.tokensAt_ = aOwned.grantsFrom_;
+  aOwned.nextFree_ = aOwned.grantsFrom_;
+}
+
+void
+ApplyOwner(RateCaps& aCaps, RateCap& aCap, TimePoint aNow, CapOutput& aOut)
+{
+  OwnedCap& owned = aCap.owned_;
+  const bool owner = aCap.owner_ == aCaps.self_ && aCaps.self_.IsValid();
+  if (owner == owned.active_) {
+    return;
+  }
+  owned.active_ = owner;
+  if (!owner) {
+    owned.endedAt_ = aNow;
+    return;
+  }
+  ++aCaps.stats_.takeovers_;
+  StartOver(owned, aNow);
+  const DaemonId predecessor = FindPredecessor(aCaps, aCap.organisation_);
+  if (predecessor.IsValid()) {
+    CapMessage message;
+    message.kind_ = CapMessageKind::Takeover;
+    message.organisation_ = aCap.organisation_;
+    aOut.sends_.push_back({ predecessor, message });
+  }
+}
+
+bool
+MayGrant(const RateCaps& aCaps, const RateCap& aCap, TimePoint aNow)
+{
+  const OwnedCap& owned = aCap.owned_;
+  return owned.active_ && aCaps.view_.majority_ && aNow >= owned.grantsFrom_ &&
+         aNow >= owned.releasedUntil_;
+}
+
+CapMessage
+AnswerAsk(RateCaps& aCaps,
+          RateCap& aCap,
+          const CapMessage& aAsk,
+          TimePoint aNow)
+{
+  CapMessage answer;
+  answer.kind_ = CapMessageKind::Grant;
+  answer.organisation_ = aAsk.organisation_;
+  OwnedCap& owned = aCap.owned_;
+  if (!owned.active_ || aNow < owned.releasedUntil_) {
+    answer.hint_ = owned.active_ ? owned.releasedTo_ : aCap.owner_;
+    return answer;
+  }
+  answer.retryAfter_ =
+    std::max<Duration>(owned.grantsFrom_ - aNow, Duration::zero());
+  if (!MayGrant(aCaps, aCap, aNow)) {
+    return answer;
+  }
+  answer.owner_ = true;
+  Refill(aCaps, aCap, aNow);
+  answer.tokens_ =
+    std::min(aAsk.tokens_, static_cast<std::uint32_t>(owned.tokens_));
+  owned.tokens_ -= answer.tokens_;
+  const std::uint32_t missing =
+    aAsk.refused_ + (answer.tokens_ == 0 ? aAsk.tokens_ : 0);
+  if (owned.tokens_ < 1.0) {
+    answer.nextToken_ =
+      FromSeconds((1.0 - owned.tokens_) / std::max(aCap.perSecond_, 1e-3));
+    answer.retryAfter_ = QueueRefused(aCap, missing, aNow);
+  }
+  return answer;
+}
+
+void
+TakeRelease(RateCaps& aCaps,
+            RateCap& aCap,
+            const CapMessage& aRelease,
+            TimePoint aNow)
+{
+  OwnedCap& owned = aCap.owned_;
+  if (!owned.active_ || !aRelease.owner_ || aNow >= owned.grantsFrom_) {
+    return;
+  }
+  owned.grantsFrom_ = aNow;
+  owned.tokens_ = aRelease.tokens_;
+  owned.tokensAt_ = aNow;
+  owned.nextFree_ = aNow;
+  Refill(aCaps, aCap, aNow);
+}
+
+// Only a daemon that has granted, or could have, knows what is left; otherwise
+// a third one may still grant.
+CapMessage
+ReleaseCap(RateCaps& aCaps, DaemonId aTo, RateCap& aCap, TimePoint aNow)
+{
+  OwnedCap& owned = aCap.owned_;
+  CapMessage answer;
+  answer.kind_ = CapMessageKind::Release;
+  const bool known = owned.active_ || (owned.endedAt_ != TimePoint{} &&
+                                       aNow < owned.endedAt_ + kReleaseTime);
+  if (known && aNow >= owned.grantsFrom_ && aNow >= owned.releasedUntil_) {
+    Refill(aCaps, aCap, aNow);
+    answer.owner_ = true;
+    answer.tokens_ = static_cast<std::uint32_t>(owned.tokens_);
+    owned.releasedTo_ = aTo;
+    owned.releasedUntil_ = aNow + kReleaseTime;
+    // Should it be the owner again, then of an empty bucket.
+    owned.tokens_ = 0.0;
+  }
+  return answer;
+}
+
+} // namespace camphorfield
--- a/src/gateway/request_admit.cpp
+++ b/src/gateway/request_admit.cpp
@@ -286,53 +286,78 @@
                GatewayDecisions& aOut)
 {
   GatewayStep step{ aState, aNow, aRng, aOut };
-  if (aState.config_ == nullptr) {
-    RejectRequest(step, aRequest, ProxyCode::NotReady, nullptr);
+  AdmitRequest(step, aRequest, 0);
+}
+
+void
+AdmitRequest(GatewayStep& aStep,
+             const ProxyRequest& aRequest,
+             std::uint64_t aCap)
+{
+  GatewayState& state = aStep.state_;
+  const TimePoint now = aStep.Time();
+  const GatewayRoute* route = nullptr;
+  const auto reject = [&](ProxyCode aCode) {
+    ReturnToken(aStep, aCap);
+    RejectRequest(aStep, aRequest, aCode, route);
+  };
+  if (state.config_ == nullptr) {
+    reject(ProxyCode::NotReady);
     return;
   }
-  const GatewayRoute* route = FindRoute(
-    *aState.config_, aRequest.message_->host_, aRequest.message_->path_);
+  route = FindRoute(
+    *state.config_, aRequest.message_->host_, aRequest.message_->path_);
   if (route == nullptr) {
-    RejectRequest(step, aRequest, ProxyCode::NoRoute, nullptr);
+    reject(ProxyCode::NoRoute);
     return;
   }
-  const Sender sender = FindSender(aState, aRequest);
-  if (aState.organisations_.configured_ && !route->public_ &&
+  const Sender sender = FindSender(state, aRequest);
+  if (state.organisations_.configured_ && !route->public_ &&
       sender.organisation_ == kNoOrganisation) {
-    RejectUnknownKey(step, aRequest, *route);
+    ReturnToken(aStep, aCap);
+    RejectUnknownKey(aStep, aRequest, *route);
     return;
   }
   if (!CanFinishBeforeStop(
-        aState.stop_, *route, RequestTimeout(aRequest, *route), aNow.mono_)) {
-    RejectRequest(step, aRequest, ProxyCode::Stopping, route);
+        state.stop_, *route, RequestTimeout(aRequest, *route), now)) {
+    reject(ProxyCode::Stopping);
     return;
   }
   const ContentKeys content = MakeContentKeys(aRequest);
-  if (IsQuarantined(aState, content, aNow.mono_)) {
-    RejectRequest(step, aRequest, ProxyCode::Quarantined, route);
+  if (IsQuarantined(state, content, now)) {
+    reject(ProxyCode::Quarantined);
     return;
   }
-  RouteLoad& load = aState.loads_[route->name_];
-  const Duration waited = TimeSinceFirstAttempt(aRequest, load, aNow.mono_);
-  if (aState.settings_.policy_.admission_ &&
-      !IsAdmitted(load, GuaranteedWindow(aState, *route))) {
-    RejectRequest(step, aRequest, ProxyCode::Overloaded, route);
+  RouteLoad& load = state.loads_[route->name_];
+  const Duration waited = TimeSinceFirstAttempt(aRequest, load, now);
+  if (state.settings_.policy_.admission_ &&
+      !IsAdmitted(load, GuaranteedWindow(state, *route))) {
+    reject(ProxyCode::Overloaded);
     return;
   }
-  GatewayRun& run = MakeRun(step, aRequest, *route, sender, content, waited);
+  if (aCap == 0 && sender.organisation_ != kNoOrganisation) {
+    RateCap* cap = FindCap(
+      state.caps_, (*state.config_->organisations_)[sender.organisation_]);
+    if (cap != nullptr) {
+      AwaitCapToken(aStep, aRequest, *cap);
+      return;
+    }
+  }
+  GatewayRun& run = MakeRun(aStep, aRequest, *route, sender, content, waited);
+  run.cap_ = aCap;
   const auto parts = static_cast<std::uint32_t>(run.parts_.size());
-  if (parts - CountUnavailableShards(aState, run, aNow.mono_) < run.needed_) {
-    FinishFailed(step, run, ProxyCode::NoServer);
+  if (parts - CountUnavailableShards(state, run, now) < run.needed_) {
+    FinishFailed(aStep, run, ProxyCode::NoServer);
     return;
   }
-  const Duration wait = TimeUntilEnoughRoom(aState, run, aNow.mono_);
-  if (wait > run.softAt_ - aNow.mono_) {
-    ++aState.stats_.limitRejections_;
-    FinishFailed(step, run, ProxyCode::NoServer, wait);
+  const Duration wait = TimeUntilEnoughRoom(state, run, now);
+  if (wait > run.softAt_ - now) {
+    ++state.stats_.limitRejections_;
+    FinishFailed(aStep, run, ProxyCode::NoServer, wait);
     return;
   }
-  StartRun(step, run);
-  DispatchMarked(step);
+  StartRun(aStep, run);
+  DispatchMarked(aStep);
 }
 
 } // namespace camphorfield
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -139,6 +139,9 @@
       }
     }
   }
+  if (aRun.cap_ != 0 && aRun.sends_ == 0) {
+    ReturnToken(aStep, aRun.cap_);
+  }
   --aRun.load_->inFlight_;
   state.runOf_.erase(aRun.id_);
   const std::uint64_t key = aRun.key_;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -36,6 +36,10 @@
                GatewayDecisions& aOut)
 {
   GatewayStep step{ aState, aNow, aRng, aOut };
+  if (aState.awaiting_.erase(aGone.id_.value_) > 0) {
+    ++aState.stats_.callersGone_;
+    return;
+  }
   const auto found = aState.runOf_.find(aGone.id_);
   if (found != aState.runOf_.end()) {
     ++aState.stats_.callersGone_;
--- a/src/machine/peer_type.h
+++ b/src/machine/peer_type.h
@@ -6,6 +6,7 @@
 #include "core/result_type.h"
 #include "core/time_type.h"
 #include "machine/caller_type.h"
+#include "machine/cap_type.h"
 #include "machine/server_type.h"
 #include "machine/timeline_type.h"
 
@@ -208,7 +209,8 @@
                               OrderForwarded,
                               OrderOutcomeCopy,
                               RelayBatch,
-                              RelayAnswers>;
+                              RelayAnswers,
+                              CapMessage>;
 
 /** Message from one daemon to another. */
 struct PeerMessage
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -3372,6 +3372,254 @@
 }
 
 
+RateCap::~RateCap() noexcept {
+}
+
+
+void RateCap::__set_kind(const int16_t val) {
+  this->kind = val;
+__isset.kind = true;
+}
+
+void RateCap::__set_organisation(const int64_t val) {
+  this->organisation = val;
+__isset.organisation = true;
+}
+
+void RateCap::__set_tokens(const int32_t val) {
+  this->tokens = val;
+__isset.tokens = true;
+}
+
+void RateCap::__set_refused(const int32_t val) {
+  this->refused = val;
+__isset.refused = true;
+}
+
+void RateCap::__set_owner(const bool val) {
+  this->owner = val;
+__isset.owner = true;
+}
+
+void RateCap::__set_hint(const int64_t val) {
+  this->hint = val;
+__isset.hint = true;
+}
+
+void RateCap::__set_nextTokenMicros(const int64_t val) {
+  this->nextTokenMicros = val;
+__isset.nextTokenMicros = true;
+}
+
+void RateCap::__set_retryAfterMicros(const int64_t val) {
+  this->retryAfterMicros = val;
+__isset.retryAfterMicros = true;
+}
+std::ostream& operator<<(std::ostream& out, const RateCap& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RateCap::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->organisation);
+          this->__isset.organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->refused);
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->owner);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hint);
+          this->__isset.hint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nextTokenMicros);
+          this->__isset.nextTokenMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retryAfterMicros);
+          this->__isset.retryAfterMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RateCap::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RateCap");
+
+  if (this->__isset.kind) {
+    xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I16, 1);
+    xfer += oprot->writeI16(this->kind);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.organisation) {
+    xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->organisation);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.tokens) {
+    xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->tokens);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.refused) {
+    xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->refused);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.owner) {
+    xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->owner);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.hint) {
+    xfer += oprot->writeFieldBegin("hint", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->hint);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.nextTokenMicros) {
+    xfer += oprot->writeFieldBegin("nextTokenMicros", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->nextTokenMicros);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.retryAfterMicros) {
+    xfer += oprot->writeFieldBegin("retryAfterMicros", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->retryAfterMicros);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RateCap &a, RateCap &b) {
+  using ::std::swap;
+  swap(a.kind, b.kind);
+  swap(a.organisation, b.organisation);
+  swap(a.tokens, b.tokens);
+  swap(a.refused, b.refused);
+  swap(a.owner, b.owner);
+  swap(a.hint, b.hint);
+  swap(a.nextTokenMicros, b.nextTokenMicros);
+  swap(a.retryAfterMicros, b.retryAfterMicros);
+  swap(a.__isset, b.__isset);
+}
+
+RateCap::RateCap(const RateCap& other80) noexcept {
+  kind = other80.kind;
+  organisation = other80.organisation;
+  tokens = other80.tokens;
+  refused = other80.refused;
+  owner = other80.owner;
+  hint = other80.hint;
+  nextTokenMicros = other80.nextTokenMicros;
+  retryAfterMicros = other80.retryAfterMicros;
+  __isset = other80.__isset;
+}
+RateCap& RateCap::operator=(const RateCap& other81) noexcept {
+  kind = other81.kind;
+  organisation = other81.organisation;
+  tokens = other81.tokens;
+  refused = other81.refused;
+  owner = other81.owner;
+  hint = other81.hint;
+  nextTokenMicros = other81.nextTokenMicros;
+  retryAfterMicros = other81.retryAfterMicros;
+  __isset = other81.__isset;
+  return *this;
+}
+void RateCap::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RateCap(";
+  out << "kind="; (__isset.kind ? (out << to_string(kind)) : (out << "<null>"));
+  out << ", " << "organisation="; (__isset.organisation ? (out << to_string(organisation)) : (out << "<null>"));
+  out << ", " << "tokens="; (__isset.tokens ? (out << to_string(tokens)) : (out << "<null>"));
+  out << ", " << "refused="; (__isset.refused ? (out << to_string(refused)) : (out << "<null>"));
+  out << ", " << "owner="; (__isset.owner ? (out << to_string(owner)) : (out << "<null>"));
+  out << ", " << "hint="; (__isset.hint ? (out << to_string(hint)) : (out << "<null>"));
+  out << ", " << "nextTokenMicros="; (__isset.nextTokenMicros ? (out << to_string(nextTokenMicros)) : (out << "<null>"));
+  out << ", " << "retryAfterMicros="; (__isset.retryAfterMicros ? (out << to_string(retryAfterMicros)) : (out << "<null>"));
+  out << ")";
+}
+
+
 PeerFrame::~PeerFrame() noexcept {
 }
 
@@ -3450,6 +3698,11 @@
   this->relayAnswers = val;
 __isset.relayAnswers = true;
 }
+
+void PeerFrame::__set_rateCap(const RateCap& val) {
+  this->rateCap = val;
+__isset.rateCap = true;
+}
 std::ostream& operator<<(std::ostream& out, const PeerFrame& obj)
 {
   obj.printTo(out);
@@ -3598,6 +3851,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rateCap.read(iprot);
+          this->__isset.rateCap = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3690,6 +3951,11 @@
     xfer += this->relayAnswers.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.rateCap) {
+    xfer += oprot->writeFieldBegin("rateCap", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->rateCap.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3712,44 +3978,47 @@
   swap(a.orderOutcomeCopy, b.orderOutcomeCopy);
   swap(a.relayBatch, b.relayBatch);
   swap(a.relayAnswers, b.relayAnswers);
+  swap(a.rateCap, b.rateCap);
   swap(a.__isset, b.__isset);
 }
 
-PeerFrame::PeerFrame(const PeerFrame& other80) {
-  protocolVersion = other80.protocolVersion;
-  sender = other80.sender;
-  senderIncarnation = other80.senderIncarnation;
-  sentUnixMicros = other80.sentUnixMicros;
-  sentLogical = other80.sentLogical;
-  ping = other80.ping;
-  ack = other80.ack;
-  probe = other80.probe;
-  generationAsk = other80.generationAsk;
-  generationContent = other80.generationContent;
-  orderForward = other80.orderForward;
-  orderForwarded = other80.orderForwarded;
-  orderOutcomeCopy = other80.orderOutcomeCopy;
-  relayBatch = other80.relayBatch;
-  relayAnswers = other80.relayAnswers;
-  __isset = other80.__isset;
-}
-PeerFrame& PeerFrame::operator=(const PeerFrame& other81) {
-  protocolVersion = other81.protocolVersion;
-  sender = other81.sender;
-  senderIncarnation = other81.senderIncarnation;
-  sentUnixMicros = other81.sentUnixMicros;
-  sentLogical = other81.sentLogical;
-  ping = other81.ping;
-  ack = other81.ack;
-  probe = other81.probe;
-  generationAsk = other81.generationAsk;
-  generationContent = other81.generationContent;
-  orderForward = other81.orderForward;
-  orderForwarded = other81.orderForwarded;
-  orderOutcomeCopy = other81.orderOutcomeCopy;
-  relayBatch = other81.relayBatch;
-  relayAnswers = other81.relayAnswers;
-  __isset = other81.__isset;
+PeerFrame::PeerFrame(const PeerFrame& other82) {
+  protocolVersion = other82.protocolVersion;
+  sender = other82.sender;
+  senderIncarnation = other82.senderIncarnation;
+  sentUnixMicros = other82.sentUnixMicros;
+  sentLogical = other82.sentLogical;
+  ping = other82.ping;
+  ack = other82.ack;
+  probe = other82.probe;
+  generationAsk = other82.generationAsk;
+  generationContent = other82.generationContent;
+  orderForward = other82.orderForward;
+  orderForwarded = other82.orderForwarded;
+  orderOutcomeCopy = other82.orderOutcomeCopy;
+  relayBatch = other82.relayBatch;
+  relayAnswers = other82.relayAnswers;
+  rateCap = other82.rateCap;
+  __isset = other82.__isset;
+}
+PeerFrame& PeerFrame::operator=(const PeerFrame& other83) {
+  protocolVersion = other83.protocolVersion;
+  sender = other83.sender;
+  senderIncarnation = other83.senderIncarnation;
+  sentUnixMicros = other83.sentUnixMicros;
+  sentLogical = other83.sentLogical;
+  ping = other83.ping;
+  ack = other83.ack;
+  probe = other83.probe;
+  generationAsk = other83.generationAsk;
+  generationContent = other83.generationContent;
+  orderForward = other83.orderForward;
+  orderForwarded = other83.orderForwarded;
+  orderOutcomeCopy = other83.orderOutcomeCopy;
+  relayBatch = other83.relayBatch;
+  relayAnswers = other83.relayAnswers;
+  rateCap = other83.rateCap;
+  __isset = other83.__isset;
   return *this;
 }
 void PeerFrame::printTo(std::ostream& out) const {
@@ -3770,6 +4039,7 @@
   out << ", " << "orderOutcomeCopy="; (__isset.orderOutcomeCopy ? (out << to_string(orderOutcomeCopy)) : (out << "<null>"));
   out << ", " << "relayBatch="; (__isset.relayBatch ? (out << to_string(relayBatch)) : (out << "<null>"));
   out << ", " << "relayAnswers="; (__isset.relayAnswers ? (out << to_string(relayAnswers)) : (out << "<null>"));
+  out << ", " << "rateCap="; (__isset.rateCap ? (out << to_string(rateCap)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -53,6 +53,8 @@
 
 class RelayAnswers;
 
+class RateCap;
+
 class PeerFrame;
 
 typedef struct _Member__isset {
@@ -1468,8 +1470,119 @@
 
 std::ostream& operator<<(std::ostream& out, const RelayAnswers& obj);
 
+typedef struct _RateCap__isset {
+  _RateCap__isset() : kind(false), organisation(false), tokens(false), refused(false), owner(false), hint(false), nextTokenMicros(false), retryAfterMicros(false) {}
+  bool kind :1;
+  bool organisation :1;
+  bool tokens :1;
+  bool refused :1;
+  bool owner :1;
+  bool hint :1;
+  bool nextTokenMicros :1;
+  bool retryAfterMicros :1;
+} _RateCap__isset;
+
+/**
+ * About the rate of an organisation.
+ */
+class RateCap : public virtual ::apache::thrift::TBase {
+ public:
+
+  RateCap(const RateCap&) noexcept;
+  RateCap& operator=(const RateCap&) noexcept;
+  RateCap() noexcept
+          : kind(0),
+            organisation(0),
+            tokens(0),
+            refused(0),
+            owner(0),
+            hint(0),
+            nextTokenMicros(0),
+            retryAfterMicros(0) {
+  }
+
+  virtual ~RateCap() noexcept;
+  int16_t kind;
+  int64_t organisation;
+  int32_t tokens;
+  int32_t refused;
+  bool owner;
+  int64_t hint;
+  int64_t nextTokenMicros;
+  int64_t retryAfterMicros;
+
+  _RateCap__isset __isset;
+
+  void __set_kind(const int16_t val);
+
+  void __set_organisation(const int64_t val);
+
+  void __set_tokens(const int32_t val);
+
+  void __set_refused(const int32_t val);
+
+  void __set_owner(const bool val);
+
+  void __set_hint(const int64_t val);
+
+  void __set_nextTokenMicros(const int64_t val);
+
+  void __set_retryAfterMicros(const int64_t val);
+
+  bool operator == (const RateCap & rhs) const
+  {
+    if (__isset.kind != rhs.__isset.kind)
+      return false;
+    else if (__isset.kind && !(kind == rhs.kind))
+      return false;
+    if (__isset.organisation != rhs.__isset.organisation)
+      return false;
+    else if (__isset.organisation && !(organisation == rhs.organisation))
+      return false;
+    if (__isset.tokens != rhs.__isset.tokens)
+      return false;
+    else if (__isset.tokens && !(tokens == rhs.tokens))
+      return false;
+    if (__isset.refused != rhs.__isset.refused)
+      return false;
+    else if (__isset.refused && !(refused == rhs.refused))
+      return false;
+    if (__isset.owner != rhs.__isset.owner)
+      return false;
+    else if (__isset.owner && !(owner == rhs.owner))
+      return false;
+    if (__isset.hint != rhs.__isset.hint)
+      return false;
+    else if (__isset.hint && !(hint == rhs.hint))
+      return false;
+    if (__isset.nextTokenMicros != rhs.__isset.nextTokenMicros)
+      return false;
+    else if (__isset.nextTokenMicros && !(nextTokenMicros == rhs.nextTokenMicros))
+      return false;
+    if (__isset.retryAfterMicros != rhs.__isset.retryAfterMicros)
+      return false;
+    else if (__isset.retryAfterMicros && !(retryAfterMicros == rhs.retryAfterMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const RateCap &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RateCap & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RateCap &a, RateCap &b);
+
+std::ostream& operator<<(std::ostream& out, const RateCap& obj);
+
 typedef struct _PeerFrame__isset {
-  _PeerFrame__isset() : protocolVersion(false), sender(false), senderIncarnation(false), sentUnixMicros(false), sentLogical(false), ping(false), ack(false), probe(false), generationAsk(false), generationContent(false), orderForward(false), orderForwarded(false), orderOutcomeCopy(false), relayBatch(false), relayAnswers(false) {}
+  _PeerFrame__isset() : protocolVersion(false), sender(false), senderIncarnation(false), sentUnixMicros(false), sentLogical(false), ping(false), ack(false), probe(false), generationAsk(false), generationContent(false), orderForward(false), orderForwarded(false), orderOutcomeCopy(false), relayBatch(false), relayAnswers(false), rateCap(false) {}
   bool protocolVersion :1;
   bool sender :1;
   bool senderIncarnation :1;
@@ -1485,6 +1598,7 @@
   bool orderOutcomeCopy :1;
   bool relayBatch :1;
   bool relayAnswers :1;
+  bool rateCap :1;
 } _PeerFrame__isset;
 
 /**
@@ -1519,6 +1633,7 @@
   OrderOutcomeCopy orderOutcomeCopy;
   RelayBatch relayBatch;
   RelayAnswers relayAnswers;
+  RateCap rateCap;
 
   _PeerFrame__isset __isset;
 
@@ -1552,6 +1667,8 @@
 
   void __set_relayAnswers(const RelayAnswers& val);
 
+  void __set_rateCap(const RateCap& val);
+
   bool operator == (const PeerFrame & rhs) const
   {
     if (__isset.protocolVersion != rhs.__isset.protocolVersion)
@@ -1614,6 +1731,10 @@
       return false;
     else if (__isset.relayAnswers && !(relayAnswers == rhs.relayAnswers))
       return false;
+    if (__isset.rateCap != rhs.__isset.rateCap)
+      return false;
+    else if (__isset.rateCap && !(rateCap == rhs.rateCap))
+      return false;
     return true;
   }
   bool operator != (const PeerFrame &rhs) const {
--- a/src/peer/peer_codec.cpp
+++ b/src/peer/peer_codec.cpp
@@ -108,6 +108,12 @@
   aFrame.__set_relayAnswers(RelayAnswersToWire(aBody));
 }
 
+void
+SetBody(const CapMessage& aBody, wire::PeerFrame& aFrame)
+{
+  aFrame.__set_rateCap(CapToWire(aBody));
+}
+
 GossipPing
 PingFromWire(const wire::Gossip& aWire)
 {
@@ -152,7 +158,8 @@
   const auto& isset = aFrame.__isset;
   return isset.ping + isset.ack + isset.probe + isset.generationAsk +
          isset.generationContent + isset.orderForward + isset.orderForwarded +
-         isset.orderOutcomeCopy + isset.relayBatch + isset.relayAnswers;
+         isset.orderOutcomeCopy + isset.relayBatch + isset.relayAnswers +
+         isset.rateCap;
 }
 
 PeerBody
@@ -194,6 +201,9 @@
   if (isset.orderOutcomeCopy) {
     return OutcomeCopyFromWire(aFrame.orderOutcomeCopy);
   }
+  if (isset.rateCap) {
+    return CapFromWire(aFrame.rateCap);
+  }
   if (isset.relayBatch) {
     return RelayBatchFromWire(aFrame.relayBatch);
   }
--- a/src/peer/wire_internal.h
+++ b/src/peer/wire_internal.h
@@ -86,6 +86,12 @@
 RelayAnswers
 RelayAnswersFromWire(const wire::RelayAnswers& aWire);
 
+wire::RateCap
+CapToWire(const CapMessage& aMessage);
+
+CapMessage
+CapFromWire(const wire::RateCap& aWire);
+
 wire::OrderForward
 OrderForwardToWire(const OrderForward& aForward);
 
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -153,6 +153,8 @@
         rumor.untilUnixMicros_ =
           ReadClock().unixMicros_ + Duration(kSuspectTtl).count();
         HandleMembershipEvent(SpreadRumor{ rumor });
+      } else if constexpr (std::is_same_v<Item, CapSend>) {
+        SendCapMessage(aItem);
       } else if constexpr (std::is_same_v<Item, RequestRecord>) {
         LogRequest(aItem);
       } else if constexpr (std::is_same_v<Item, BackendRecord>) {
@@ -237,6 +239,10 @@
     HandleFeed(*message);
     return;
   }
+  if (const auto* cap = std::get_if<CapMessage>(&message->body_)) {
+    HandleEvent(CapReceived{ message->from_, *cap });
+    return;
+  }
   HandleMembershipEvent(*message);
 }
 
@@ -264,6 +270,7 @@
       { { "millis",
           std::to_string((suspended - totalSuspension_).count() / 1000) } });
     store_.Restart();
+    CapsAfterSuspension(gateway_.caps_, ReadClock().mono_);
   }
   totalSuspension_ = suspended;
 }
@@ -401,6 +408,7 @@
     TrackConfigLag();
     ReportTableAge();
     UpdateRole();
+    UpdateCapView();
     DropFollowersIfStale();
     RequestFeed();
     if (DropLapsed(store_.Table(kServersTable), now).changed_) {
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -159,6 +159,8 @@
   bool IsFresh();
   Duration TableAge();
   void ReportTableAge();
+  void UpdateCapView();
+  void SendCapMessage(const CapSend& aSend);
   const MemberRecord* FindMember(DaemonId aId) const;
   void SendFeed(const MemberRecord& aTo,
                 std::uint64_t aIncarnation,
--- a/src/runtime/gateway_tables.cpp
+++ b/src/runtime/gateway_tables.cpp
@@ -92,6 +92,7 @@
              { "routes", std::to_string((*config)->routes_.size()) } });
   ApplyDecisions();
   ReportTableAge();
+  UpdateCapView();
   if (limitsHandler_) {
     limitsHandler_((*config)->limits_);
   }
--- a/tests/gateway/organisation_test.cpp
+++ b/tests/gateway/organisation_test.cpp
@@ -264,3 +264,72 @@
   LONGS_EQUAL(0, std::get<1>(*queue.begin()));
   LONGS_EQUAL(3, std::get<1>(*queue.rbegin()));
 }
+
+// Guards against requests above the cap that reach servers, against a token
+// that is lost with a request that no server can run, and against requests that
+// wait for ever for an owner that doesn't answer.
+TEST(Organisation, RatesAreCapped)
+{
+  struct Case
+  {
+    const char* name_;
+    DaemonId owner_;
+    bool serversGone_;
+    bool leaves_; ///< The caller of each request, at once.
+    std::uint32_t sent_;
+    ProxyCode last_;
+  };
+  const DaemonId self{ 1 };
+  const DaemonId other{ 2 };
+  const std::vector<Case> cases{
+    { "own cap", self, false, false, 8, ProxyCode::RateCapped },
+    { "no server", self, true, false, 0, ProxyCode::NoServer },
+    // A quarter of the tolerance is this daemon's without an owner.
+    { "owner silent", other, false, false, 4, ProxyCode::RateCapped },
+    { "owner silent, callers leave", other, false, true, 0, ProxyCode::End },
+  };
+  for (const Case& item : cases) {
+    KeyWorld world;
+    GatewayState& state = world.replay_.Daemon(0);
+    // Of a burst of 4 and a tolerance of 16, a quarter of which is used.
+    state.caps_ = MakeRateCaps({ seconds(5), 0.0, 16.0 }, self);
+    Organisation& organisation = (*world.replay_.Config().organisations_)[1];
+    organisation.perSecond_ = 1.0;
+    organisation.burst_ = 4.0;
+    world.replay_.Announce();
+    Rng rng(1);
+    GatewayDecisions decisions;
+    GatewaySetCapView(state,
+                      { { item.owner_ }, true, 1 },
+                      { world.replay_.Clock(), 0 },
+                      rng,
+                      decisions);
+    world.replay_.Advance(seconds(12));
+    if (item.serversGone_) {
+      for (Backend& backend : state.backends_.slots_) {
+        backend.listed_ = false;
+      }
+    }
+    std::uint64_t last = 0;
+    for (int i = 0; i < 12; ++i) {
+      last = world.Ask("/plain/x", "key-a");
+      if (item.leaves_) {
+        world.replay_.CancelRequest(0, last);
+      }
+    }
+    world.replay_.Advance(seconds(2));
+    LONGS_EQUAL_TEXT(item.sent_, world.replay_.Sends(), item.name_);
+    LONGS_EQUAL_TEXT(item.last_, world.CodeOf(last), item.name_);
+    if (item.last_ == ProxyCode::RateCapped) {
+      CHECK_TEXT(world.replay_.AnswerOf(last)->retryAfter_.count() > 0,
+                 item.name_);
+    }
+    LONGS_EQUAL_TEXT(0, GatewayInFlight(state), item.name_);
+    // The other organisation has no cap.
+    const std::uint64_t free = world.Ask("/open/x", "key-o");
+    if (!item.serversGone_) {
+      world.replay_.Advance(seconds(2));
+      LONGS_EQUAL_TEXT(ProxyCode::Forwarded, world.CodeOf(free), item.name_);
+    }
+  }
+}
--- a/tests/peer/peer_codec_test.cpp
+++ b/tests/peer/peer_codec_test.cpp
@@ -132,6 +132,14 @@
   all.push_back(Message(GenerationRequest{ PeerCallId{ 1 }, Generation{ 2 } }));
   all.push_back(Message(
     GenerationContent{ PeerCallId{ 1 }, Generation{ 2 }, "c", "d", "{}" }));
+  all.push_back(Message(CapMessage{ CapMessageKind::Grant,
+                                    0x9000000000000000ULL,
+                                    3,
+                                    4,
+                                    true,
+                                    DaemonId{ 5 },
+                                    Duration(6),
+                                    Duration(7) }));
   all.push_back(Message(OrderForward{ PeerCallId{ 4 },
                                       "parish",
                                       "reorder",
