Fix: clients, servers and daemons outside the limits no longer fill the memory

Cause: trailers, heads of chunks and peer frames were read without a bound, every connection could hold a whole body at once and several copies of it, and callers' connections took all descriptors. Change: the head is read before the body; one memory account of the process (core/memory_budget decides) with reservations for declared lengths and for what chunked bodies grow to; stalled connections are closed first, the largest and longest stalled before others; 413, 431 and 503 are sent before anything is passed on; a rejected request is drained for at most 1 s and 1 MB. Shares of limits.max-fds for callers, operators and daemons. Requests written to servers are freed, oversized parts of queries reduced at once, frames read in pieces. The limits in force when a request begins apply to it.

--- a/src/app/gateway_cmd.cpp
+++ b/src/app/gateway_cmd.cpp
@@ -10,12 +10,14 @@
 #include "runtime/gateway_host.h"
 #include "runtime/http_server.h"
 
+#include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <boost/fiber/operations.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <future>
 #include <iostream>
+#include <malloc.h>
 #include <random>
 
 namespace camphorfield {
@@ -38,10 +40,30 @@
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(50);
 constexpr Duration kMaxRequestTime = std::chrono::seconds(60);
 
+/** Shares of the process's descriptors; the rest is for servers, other gateways
+ * and the store. */
+constexpr std::uint32_t kCallerShare = 4;
+constexpr std::uint32_t kOperatorShare = 64;
+constexpr std::uint32_t kMinSessions = 16;
+
+/** Limits of a server that may use a share of the descriptors. */
 HttpServerLimits
-ToServerLimits(const GatewayLimits& aLimits)
+ShareLimits(const platform::ProcessSettings& aSettings, std::uint32_t aShare)
 {
   HttpServerLimits limits;
+  if (aSettings.maxDescriptors_ > 0) {
+    limits.maxSessions_ =
+      std::max(aSettings.maxDescriptors_ / aShare, kMinSessions);
+    limits.closesStalled_ = true;
+  }
+  return limits;
+}
+
+HttpServerLimits
+ToServerLimits(const platform::ProcessSettings& aSettings,
+               const GatewayLimits& aLimits)
+{
+  HttpServerLimits limits = ShareLimits(aSettings, kCallerShare);
   limits.maxHeaderBytes_ = aLimits.headerBytes_;
   limits.maxBodyBytes_ = aLimits.bodyBytes_;
   limits.requestTimeout_ =
@@ -62,7 +84,7 @@
   int AwaitEnd() { return ended_.get_future().get(); }
 
 private:
-  HttpResponse ServeCaller(const HttpRequest& aRequest, HttpSession& aSession);
+  HttpResponse ServeCaller(HttpRequest& aRequest, HttpSession& aSession);
   HttpResponse ServeMetrics(const HttpRequest& aRequest);
   HttpResponse ServeDirectory(const HttpRequest& aRequest);
   void AwaitSignal();
@@ -90,30 +112,39 @@
   : settings_(aSettings)
   , pool_(aPool)
   , host_(aHostSettings, platform::GetAdapter(), aPool)
-  , callers_(aPool,
-             HttpServerLimits{},
-             [this](const HttpRequest& aRequest, HttpSession& aSession) {
-               return ServeCaller(aRequest, aSession);
-             })
-  , ready_(aPool,
-           HttpServerLimits{},
-           [this](const HttpRequest& aRequest, HttpSession&) {
-             return platform::EncodeReady(aRequest, host_.IsReady());
-           })
-  , directory_(aPool,
-               HttpServerLimits{},
-               [this](const HttpRequest& aRequest, HttpSession&) {
-                 return ServeDirectory(aRequest);
-               })
-  , metrics_(aPool,
-             HttpServerLimits{},
-             [this](const HttpRequest& aRequest, HttpSession&) {
-               return ServeMetrics(aRequest);
-             })
+  , callers_(
+      aPool,
+      ShareLimits(aSettings, kCallerShare),
+      [this](HttpRequest& aRequest, HttpSession& aSession) {
+        return ServeCaller(aRequest, aSession);
+      },
+      &host_.Memory())
+  , ready_(
+      aPool,
+      ShareLimits(aSettings, kOperatorShare),
+      [this](const HttpRequest& aRequest, HttpSession&) {
+        return platform::EncodeReady(aRequest, host_.IsReady());
+      },
+      &host_.Memory())
+  , directory_(
+      aPool,
+      ShareLimits(aSettings, kOperatorShare),
+      [this](const HttpRequest& aRequest, HttpSession&) {
+        return ServeDirectory(aRequest);
+      },
+      &host_.Memory())
+  , metrics_(
+      aPool,
+      ShareLimits(aSettings, kOperatorShare),
+      [this](const HttpRequest& aRequest, HttpSession&) {
+        return ServeMetrics(aRequest);
+      },
+      &host_.Memory())
   , signals_(aPool.At(0).Context(), SIGTERM, SIGINT, SIGHUP)
 {
   host_.SetLimitsHandler([this](const GatewayLimits& aLimits) {
-    callers_.SetLimits(ToServerLimits(aLimits));
+    callers_.SetLimits(ToServerLimits(settings_, aLimits));
+    host_.Memory().SetLargestRequest(aLimits.headerBytes_ + aLimits.bodyBytes_);
   });
 }
 
@@ -135,10 +166,10 @@
 }
 
 HttpResponse
-GatewayProcess::ServeCaller(const HttpRequest& aRequest, HttpSession& aSession)
+GatewayProcess::ServeCaller(HttpRequest& aRequest, HttpSession& aSession)
 {
   const GatewayCodec& codec = platform::GetGatewayCodec();
-  ProxyRequest request = codec.decodeRequest_(HttpRequest(aRequest));
+  ProxyRequest request = codec.decodeRequest_(std::move(aRequest));
   request.caller_ = aSession.PeerIp();
   return codec.encodeAnswer_(host_.SubmitAndWait(
     std::move(request), [&aSession](std::function<void()> aOnDisconnect) {
@@ -243,6 +274,18 @@
            { { "result", settings.status().ToString() } });
 }
 
+/** Returns large blocks to the system when they are freed, so that resident
+ * memory follows the memory account. The allocator would otherwise raise the
+ * threshold to the largest block that it has seen. */
+void
+SetAllocatorThresholds()
+{
+  constexpr int kMmapThreshold = 128 * 1024;
+  constexpr int kTrimThreshold = 1024 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kMmapThreshold);
+  mallopt(M_TRIM_THRESHOLD, kTrimThreshold);
+}
+
 /** Sets the random seed and the incarnation, which differ for each start. */
 void
 SetIncarnation(GatewayHostSettings& aSettings)
@@ -276,6 +319,9 @@
   }
   InitLog(ParseLogLevel(aFlags.logLevel_), settings->name_);
   std::signal(SIGPIPE, SIG_IGN);
+  if (settings->memoryMb_ > 0) {
+    SetAllocatorThresholds();
+  }
   GatewayHostSettings hostSettings = platform::MakeHostSettings(*settings);
   SetIncarnation(hostSettings);
   WorkerPool pool(1);
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -4,6 +4,7 @@
 #include "gateway/gateway_func.h"
 #include "gateway/gateway_internal.h"
 #include "gateway/route_match.h"
+#include "gateway/topk_merge.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -296,6 +297,10 @@
   part.phase_ = PartPhase::Done;
   part.proof_ = std::move(aAnswer.proof_);
   part.body_ = std::move(aAnswer.body_);
+  // The other shards' answers may take long; an oversized body isn't kept.
+  if (part.body_.size() > kMaxHeldPartBytes) {
+    part.body_ = MergeTopRecords({ part.body_ }, aRun.route_->topRecords_);
+  }
   if (++aRun.done_ == aRun.needed_) {
     AdjustWindow(*aRun.load_,
                  aStep.Time() - aRun.arrivedAt_,
--- a/src/gateway/topk_merge.h
+++ b/src/gateway/topk_merge.h
@@ -10,6 +10,9 @@
 namespace camphorfield {
 
 constexpr std::size_t kRecordBytes = 16;
+/** Body of a query's part that is kept unchanged until the merge; a longer one
+ * is reduced to the records that the merge could take from it. */
+constexpr std::size_t kMaxHeldPartBytes = 4096;
 
 /**
  * Returns the greatest records of all parts in descending order of their bytes.
--- a/src/ops/gateway_metrics.cpp
+++ b/src/ops/gateway_metrics.cpp
@@ -97,6 +97,20 @@
   }
 }
 
+void
+AddLimitCounters(prometheus::Registry& aRegistry, const MemoryAccount& aAccount)
+{
+  auto& family = prometheus::BuildCounter()
+                   .Name("camphorfield_gateway_limit_reached_total")
+                   .Help("Refusals and closed connections by limit")
+                   .Register(aRegistry);
+  for (std::size_t i = 0; i < static_cast<std::size_t>(MemoryLimit::End); ++i) {
+    const auto limit = static_cast<MemoryLimit>(i);
+    family.Add({ { "limit", std::string(LimitName(limit)) } })
+      .Increment(static_cast<double>(aAccount.Counted(limit)));
+  }
+}
+
 void
 AddGauge(prometheus::Registry& aRegistry,
          const char* aName,
@@ -141,6 +155,19 @@
            "camphorfield_gateway_unreadable_store_values",
            "Values in the store's replies that could not be read",
            static_cast<double>(aHost.UnreadableStoreValues()));
+  const MemoryBudget& memory = aHost.Memory().Budget();
+  AddGauge(aRegistry,
+           "camphorfield_gateway_held_bytes",
+           "Memory held for callers, servers and other gateways",
+           static_cast<double>(memory.used_));
+  AddGauge(aRegistry,
+           "camphorfield_gateway_held_bytes_limit",
+           "Limit of the memory held for others",
+           static_cast<double>(memory.limit_));
+  AddGauge(aRegistry,
+           "camphorfield_gateway_holders",
+           "Connections in the memory account",
+           static_cast<double>(memory.holders_.size()));
   AddGauge(aRegistry,
            "camphorfield_log_lines_dropped",
            "Lines not written since the start",
@@ -156,6 +183,7 @@
   const GatewayState& state = aHost.State();
   AddCounters(registry, state.stats_);
   AddCounterRows(registry, kSyncCounters, aHost.SyncStats());
+  AddLimitCounters(registry, aHost.Memory());
   AddGauges(registry, aHost);
   std::vector<prometheus::MetricFamily> families = registry.Collect();
   prometheus::MetricFamily latency;
--- a/src/runtime/backend_link.cpp
+++ b/src/runtime/backend_link.cpp
@@ -28,6 +28,8 @@
 constexpr std::uint64_t kMaxAnswerBytes = 4ULL * 1024 * 1024;
 constexpr std::uint32_t kMaxHeaderBytes = 16U * 1024;
 constexpr std::uint32_t kFirstFinalStatus = 200;
+/** Of an open connection without a request: object and read buffer. */
+constexpr std::uint64_t kLinkBytes = 8ULL * 1024;
 /** Interim answers (1xx) to one request; a server could send them forever. */
 constexpr std::uint32_t kMaxInterimAnswers = 8;
 
@@ -50,7 +52,9 @@
     , id_(aId)
     , socket_(aOwner.context_)
     , timer_(aOwner.context_)
+    , hold_(aOwner.account_, { .mayUseAll_ = true }, []() {})
   {
+    hold_.Set(kLinkBytes);
   }
 
   void Connect(const BackendConnect& aConnect);
@@ -72,6 +76,7 @@
   std::optional<BackendAnswer> ReleaseAnswer(bool aEnded);
   void Fail(BackendEnd aEnd);
   void WriteRest(std::size_t aWritten);
+  std::uint64_t HeldBytes() const;
   bool HasBegun() const { return parser_ && parser_->got_some(); }
   bool HasUnrequestedBytes() const;
 
@@ -81,11 +86,12 @@
   boost::asio::steady_timer timer_;
   beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
-  std::string out_;
+  std::string out_; ///< Request of which a part is not yet written.
   std::uint32_t interimAnswers_ = 0; ///< To the latest request.
   bool writing_ = false;
   bool awaitsAnswer_ = false;
   bool isClosed_ = false;
+  MemoryHold hold_;
 };
 
 void
@@ -158,10 +164,20 @@
   const std::size_t written =
     socket_.write_some(boost::asio::buffer(out_), error);
   if (written < out_.size()) {
+    hold_.Set(HeldBytes());
     WriteRest(error ? 0 : written);
+  } else {
+    out_ = std::string();
   }
 }
 
+std::uint64_t
+BackendLink::HeldBytes() const
+{
+  return kLinkBytes + out_.capacity() + buffer_.capacity() +
+         (parser_ ? parser_->get().body().capacity() : 0);
+}
+
 void
 BackendLink::WriteRest(std::size_t aWritten)
 {
@@ -172,6 +188,8 @@
     [self = shared_from_this()](const boost::system::error_code& aError,
                                 std::size_t) {
       self->writing_ = false;
+      self->out_ = std::string();
+      self->hold_.Set(self->HeldBytes());
       if (aError && !self->isClosed_) {
         self->Fail(BackendEnd::Reset);
       }
@@ -221,9 +239,15 @@
   }
   buffer_.commit(aBytes);
   Parse();
-  if (!isClosed_) {
-    Read();
+  if (isClosed_) {
+    return;
+  }
+  if (!hold_.Reserve(HeldBytes())) {
+    CountLimit(owner_.account_, MemoryLimit::Answer);
+    Fail(BackendEnd::Malformed);
+    return;
   }
+  Read();
 }
 
 void
@@ -342,10 +366,12 @@
 
 BackendLinks::BackendLinks(boost::asio::io_context& aContext,
                            const GatewayCodec& aCodec,
-                           BackendSink aSink)
+                           BackendSink aSink,
+                           MemoryAccount* aAccount)
   : context_(aContext)
   , codec_(aCodec)
   , sink_(std::move(aSink))
+  , account_(aAccount)
 {
 }
 
--- a/src/runtime/backend_link.h
+++ b/src/runtime/backend_link.h
@@ -3,6 +3,7 @@
 
 #include "gateway/gateway_type.h"
 #include "runtime/gateway_codec.h"
+#include "runtime/memory_account.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -30,7 +31,8 @@
 public:
   BackendLinks(boost::asio::io_context& aContext,
                const GatewayCodec& aCodec,
-               BackendSink aSink);
+               BackendSink aSink,
+               MemoryAccount* aAccount = nullptr);
   ~BackendLinks();
   BackendLinks(const BackendLinks&) = delete;
   BackendLinks& operator=(const BackendLinks&) = delete;
@@ -46,6 +48,7 @@
   boost::asio::io_context& context_;
   const GatewayCodec& codec_;
   BackendSink sink_;
+  MemoryAccount* account_; ///< Of answers and of requests not yet written.
   std::unordered_map<std::uint64_t, std::shared_ptr<class BackendLink>> links_;
 };
 
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -38,6 +38,7 @@
   : settings_(aSettings)
   , adapter_(aAdapter)
   , pool_(aPool)
+  , memory_(aSettings.heldBytes_)
   , rng_(aSettings.seed_)
   , gateway_(MakeGatewayState(aSettings.gateway_))
   , membership_(MakeMembershipState(aSettings.membership_, ReadClock(), rng_))
@@ -48,7 +49,8 @@
         [this](const BackendOpened& aItem) { HandleEvent(aItem); },
         [this](BackendAnswer&& aItem) { HandleEvent(std::move(aItem)); },
         [this](const BackendClosed& aItem) { HandleEvent(aItem); },
-        [this](const UnreadAnswer& aItem) { HandleEvent(aItem); } })
+        [this](const UnreadAnswer& aItem) { HandleEvent(aItem); } },
+      &memory_)
   , peers_(
       aPool,
       [this](const Event& aEvent) {
@@ -56,7 +58,8 @@
           HandleMembershipEvent(*lost);
         }
       },
-      [this](const std::string& aPayload) { OnFrame(aPayload); })
+      [this](const std::string& aPayload) { OnFrame(aPayload); },
+      PeerLimits{ &memory_, aSettings.maxPeerConnections_ })
   , store_(aPool.At(0),
            adapter_.store_,
            aSettings.storeAddress_,
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -10,6 +10,7 @@
 #include "machine/decision_type.h"
 #include "membership/membership_base.h"
 #include "runtime/backend_link.h"
+#include "runtime/memory_account.h"
 #include "runtime/peer_link.h"
 #include "runtime/store_reader.h"
 #include "runtime/worker.h"
@@ -40,6 +41,8 @@
   std::string configName_;   ///< Name of the configuration's object.
   std::string serversKind_;  ///< Kind of the servers' entries.
   std::uint64_t seed_ = 0;   ///< Seed of the random number generator.
+  std::uint64_t heldBytes_ = 256ULL << 20U; ///< Limit of the memory account.
+  std::uint32_t maxPeerConnections_ = 0;    ///< Accepted ones; 0: no bound.
 };
 
 /** Conversions that the platform's adapter provides. */
@@ -122,6 +125,9 @@
   void EndStop();
 
   std::size_t InFlight() const;
+  /** What connections of this process hold for others. */
+  MemoryAccount& Memory() { return memory_; }
+  const MemoryAccount& Memory() const { return memory_; }
   const GatewayState& State() const { return gateway_; }
   std::uint64_t StoreCalls() const { return store_.Calls(); }
   std::uint64_t UnreadableStoreValues() const
@@ -176,6 +182,7 @@
   GatewayHostSettings settings_;
   GatewayAdapter adapter_;
   WorkerPool& pool_;
+  MemoryAccount memory_;
   Rng rng_;
   GatewayState gateway_;
   MembershipState membership_;
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -25,6 +25,9 @@
 
 constexpr std::uint64_t kMaxResponseBytes = 4ULL * 1024 * 1024;
 constexpr std::uint32_t kMaxHeaderBytes = 16U * 1024;
+/** Trailers and the heads of chunks must fit in the read buffer; the parser has
+ * no limit for them. */
+constexpr std::size_t kMaxBufferBytes = 64UL * 1024;
 constexpr unsigned kHttp11 = 11;
 
 HttpEnd
@@ -79,7 +82,7 @@
   }
 
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{ kMaxBufferBytes };
   bool aborted_ = false;
   // Shared with the watch handlers, which may run after the client's end.
   std::shared_ptr<std::uint64_t> watchNumber_ =
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -1,21 +1,26 @@
 // HTTP server with one fiber for each connection. Limits sizes, times and the
 // number of sessions, so that slow or broken clients can't exhaust the daemon.
+// A head is read before its body, so that a body for which there is no memory
+// is rejected unread.
 #include "runtime/http_server.h"
 
 #include "runtime/address_func.h"
 #include "runtime/fiber_io.h"
 #include "runtime/http_beast.h"
+#include "runtime/http_refusal.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <boost/fiber/operations.hpp>
+#include <iterator>
 #include <optional>
 #include <sstream>
 
@@ -30,16 +35,21 @@
 {
   HttpServerState(WorkerPool& aPool,
                   HttpServerLimits aLimits,
-                  HttpHandler aHandler)
+                  HttpHandler aHandler,
+                  MemoryAccount* aAccount)
     : pool_(aPool)
     , limits_(std::make_shared<const HttpServerLimits>(aLimits))
     , handler_(std::move(aHandler))
+    , account_(aAccount)
+    , group_(aAccount == nullptr ? 0 : aAccount->NewGroup())
   {
   }
 
   WorkerPool& pool_;
   std::atomic<std::shared_ptr<const HttpServerLimits>> limits_;
   HttpHandler handler_;
+  MemoryAccount* account_;
+  std::uint32_t group_; ///< Of the sessions in the account.
   std::optional<tcp::acceptor> acceptor_;
   tcp::endpoint local_;
   std::atomic<bool> closing_{ false };
@@ -49,6 +59,16 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 4096;
+constexpr std::size_t kBodyReadBytes = 16384;
+/** Of one connection without a request: touched pages of its fiber's stack,
+ * session and first read buffer; 17 KB were measured. */
+constexpr std::uint64_t kSessionBytes = 24ULL * 1024;
+/** A rejected request is read on for as long and as far as this: closing with
+ * unread bytes resets the connection, and the client may lose the answer. */
+constexpr Duration kDrainTimeout = std::chrono::seconds(1);
+constexpr std::size_t kMaxDrainBytes = 1024UL * 1024;
+/** Of one header field beside its text, decoded and as the parser keeps it. */
+constexpr std::uint64_t kFieldBytes = 160;
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(20);
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
 
@@ -65,6 +85,9 @@
     : server_(std::move(aServer))
     , stream_(std::move(aSocket))
     , worker_(aWorker)
+    , hold_(server_->account_,
+            { .group_ = server_->group_, .state_ = HolderState::Idle },
+            [this]() { stream_.close(); })
   {
     ++server_->sessions_;
   }
@@ -76,19 +99,32 @@
   std::string PeerIp() const override;
   void WatchDisconnect(std::function<void()> aOnDisconnect) override;
 
+  /** Whether there is memory for one more connection. */
+  bool HasMemory() { return hold_.Reserve(kSessionBytes); }
+
   /** Serves requests until the connection ends. */
   void Run();
 
 private:
   bool ServeRequest();
   bool AwaitRequest(const HttpServerLimits& aLimits);
-  bool Answer(const HttpResponse& aResponse, bool aKeepAlive);
-  bool RejectMalformed(const boost::system::error_code& aError);
+  boost::system::error_code ReadRequest(Parser& aParser,
+                                        const HttpServerLimits& aLimits);
+  boost::system::error_code Receive(const HttpServerLimits& aLimits,
+                                    HttpRequest& aRequest,
+                                    bool& aKeepAlive);
+  boost::system::error_code ReadMore(std::size_t aBytes);
+  bool ReserveFor(const Parser& aParser);
+  bool Answer(HttpResponse&& aResponse, bool aKeepAlive);
+  bool Reject(const boost::system::error_code& aError);
+  void ShrinkBuffer();
+  void Drain();
 
   std::shared_ptr<HttpServerState> server_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
   std::uint32_t worker_;
+  MemoryHold hold_;
   std::shared_ptr<bool> watching_ = std::make_shared<bool>(false);
 };
 
@@ -128,31 +164,38 @@
   return error ? std::string() : peer.address().to_string();
 }
 
+/** Answers a request that could not be read, if it can be answered. */
 bool
-Session::RejectMalformed(const boost::system::error_code& aError)
+Session::Reject(const boost::system::error_code& aError)
 {
-  const boost::system::error_code known = http::error::bad_version;
-  if (aError.category() != known.category() ||
-      aError == http::error::end_of_stream ||
-      aError == http::error::partial_message) {
+  std::optional<HttpRefusal> refusal = MakeRefusal(aError);
+  if (!refusal) {
     return false;
   }
-  HttpResponse response;
-  response.status_ = 400;
-  if (aError == http::error::body_limit) {
-    response.status_ = 413;
+  if (refusal->limit_) {
+    CountLimit(server_->account_, *refusal->limit_);
   }
-  if (aError == http::error::header_limit) {
-    response.status_ = 431;
+  if (Answer(std::move(refusal->response_), false)) {
+    Drain();
   }
-  response.fields_.push_back({ "Content-Type", "application/json" });
-  response.body_ = response.status_ == 413
-                     ? R"({"code":1102,"result":"TOO_LARGE"})"
-                     : R"({"code":1100,"result":"BAD_REQUEST"})";
-  Answer(response, false);
   return false;
 }
 
+/** Reads and drops the rest of a rejected request. */
+void
+Session::Drain()
+{
+  boost::system::error_code error;
+  stream_.socket().shutdown(tcp::socket::shutdown_send, error);
+  stream_.expires_after(kDrainTimeout);
+  hold_.Enter(HolderState::Reading);
+  for (std::size_t drained = 0; !error && drained < kMaxDrainBytes;) {
+    buffer_.consume(buffer_.size());
+    error = ReadMore(kReadBytes);
+    drained += buffer_.size();
+  }
+}
+
 /** Waits for the first byte of a request; false on timeout or disconnect. */
 bool
 Session::AwaitRequest(const HttpServerLimits& aLimits)
@@ -168,40 +211,132 @@
   return !first.error_;
 }
 
+/** Reads what arrives next. */
+boost::system::error_code
+Session::ReadMore(std::size_t aBytes)
+{
+  const IoResult read = AwaitIo([&](auto aHandler) {
+    stream_.async_read_some(buffer_.prepare(aBytes), aHandler);
+  });
+  buffer_.commit(read.bytes_);
+  hold_.RecordProgress();
+  return read.error_ == boost::asio::error::eof ? http::error::end_of_stream
+                                                : read.error_;
+}
+
+/** Reserves memory for a request of which at least the head has arrived. */
+bool
+Session::ReserveFor(const Parser& aParser)
+{
+  const Request& message = aParser.get();
+  const auto fields =
+    static_cast<std::uint64_t>(std::distance(message.begin(), message.end()));
+  const std::uint64_t declared = aParser.content_length().value_or(0);
+  return hold_.Reserve(
+    kSessionBytes + buffer_.capacity() + fields * kFieldBytes +
+    std::max<std::uint64_t>(declared, message.body().capacity()));
+}
+
+// The parser asks for more while a head, a chunk's head or the trailers are not
+// whole, without a limit of its own for the latter two.
+boost::system::error_code
+Session::ReadRequest(Parser& aParser, const HttpServerLimits& aLimits)
+{
+  aParser.body_limit(aLimits.maxBodyBytes_);
+  aParser.header_limit(aLimits.maxHeaderBytes_);
+  while (true) {
+    boost::system::error_code error;
+    if (buffer_.size() > 0) {
+      buffer_.consume(aParser.put(buffer_.data(), error));
+      if (error && error != http::error::need_more) {
+        return error;
+      }
+    }
+    if (aParser.is_done()) {
+      return {};
+    }
+    const bool isBody = aParser.is_header_done();
+    if (isBody && !ReserveFor(aParser)) {
+      return NoMemoryError();
+    }
+    if (isBody && !aParser.eager()) {
+      aParser.eager(true);
+      if (buffer_.size() > 0) {
+        continue;
+      }
+    }
+    if (buffer_.size() > aLimits.maxHeaderBytes_) {
+      return http::error::header_limit;
+    }
+    error = ReadMore(isBody ? kBodyReadBytes : kReadBytes);
+    if (error) {
+      return error;
+    }
+  }
+}
+
+/** Returns what the read buffer has grown to for a large request. */
+void
+Session::ShrinkBuffer()
+{
+  if (buffer_.capacity() > kReadBytes && buffer_.size() == 0) {
+    buffer_.shrink_to_fit();
+  }
+}
+
+/** Reads and decodes a request. What was read of a request that is rejected is
+ * freed before its rejection is written. */
+boost::system::error_code
+Session::Receive(const HttpServerLimits& aLimits,
+                 HttpRequest& aRequest,
+                 bool& aKeepAlive)
+{
+  Parser parser;
+  const boost::system::error_code error = ReadRequest(parser, aLimits);
+  if (error) {
+    return error;
+  }
+  if (!ReserveFor(parser)) {
+    return NoMemoryError();
+  }
+  Request message = parser.release();
+  aRequest.method_ = FromVerb(message.method());
+  aRequest.methodText_ = std::string(message.method_string());
+  aRequest.target_ = std::string(message.target());
+  CopyFields(message.base(), aRequest.fields_);
+  aRequest.body_ = std::move(message.body());
+  aKeepAlive = message.keep_alive();
+  return {};
+}
+
+// The limits in force when the first byte has arrived apply to the request.
 bool
 Session::ServeRequest()
 {
-  const std::shared_ptr<const HttpServerLimits> limits = server_->limits_;
-  if (!AwaitRequest(*limits)) {
+  hold_.Enter(HolderState::Idle);
+  if (!AwaitRequest(*server_->limits_.load())) {
     return false;
   }
-  Parser parser;
-  parser.body_limit(limits->maxBodyBytes_);
-  parser.header_limit(limits->maxHeaderBytes_);
+  const std::shared_ptr<const HttpServerLimits> limits = server_->limits_;
+  hold_.Enter(HolderState::Reading);
+  HttpRequest request;
+  bool keepAlive = false;
   stream_.expires_after(limits->requestTimeout_);
-  const IoResult read = AwaitIo([&](auto aHandler) {
-    http::async_read(stream_, buffer_, parser, aHandler);
-  });
-  if (read.error_) {
-    return RejectMalformed(read.error_);
+  if (const auto error = Receive(*limits, request, keepAlive)) {
+    return Reject(error);
   }
   stream_.expires_never();
-  Request message = parser.release();
-  HttpRequest request;
-  request.method_ = FromVerb(message.method());
-  request.methodText_ = std::string(message.method_string());
-  request.target_ = std::string(message.target());
-  CopyFields(message.base(), request.fields_);
-  request.body_ = std::move(message.body());
-  const HttpResponse response = server_->handler_(request, *this);
+  ShrinkBuffer();
+  hold_.Enter(HolderState::Running);
+  HttpResponse response = server_->handler_(request, *this);
   *watching_ = false;
-  const bool keepAlive =
-    message.keep_alive() && !response.close_ && !server_->closing_;
-  return Answer(response, keepAlive) && keepAlive;
+  request = HttpRequest();
+  keepAlive = keepAlive && !response.close_ && !server_->closing_;
+  return Answer(std::move(response), keepAlive) && keepAlive;
 }
 
 bool
-Session::Answer(const HttpResponse& aResponse, bool aKeepAlive)
+Session::Answer(HttpResponse&& aResponse, bool aKeepAlive)
 {
   http::response<http::string_body> message;
   message.version(11);
@@ -210,12 +345,29 @@
     message.insert(field.name_, field.value_);
   }
   message.keep_alive(aKeepAlive);
-  message.body() = aResponse.body_;
+  message.body() = std::move(aResponse.body_);
   message.prepare_payload();
+  // An answer is there already; it is held even if that is beyond the limit.
+  const std::uint64_t bytes =
+    kSessionBytes + buffer_.capacity() + message.body().capacity();
+  if (!hold_.Reserve(bytes)) {
+    hold_.Set(bytes);
+  }
+  hold_.Enter(HolderState::Writing);
   stream_.expires_after(kWriteTimeout);
-  const IoResult written = AwaitIo(
-    [&](auto aHandler) { http::async_write(stream_, message, aHandler); });
-  return !written.error_;
+  http::response_serializer<http::string_body> serializer(message);
+  while (!serializer.is_done()) {
+    const IoResult written = AwaitIo([&](auto aHandler) {
+      http::async_write_some(stream_, serializer, aHandler);
+    });
+    if (written.error_) {
+      return false;
+    }
+    hold_.RecordProgress();
+  }
+  hold_.RecordServed();
+  hold_.Set(kSessionBytes);
+  return true;
 }
 
 void
@@ -226,9 +378,22 @@
   TuneSocket(aSocket);
   auto session =
     std::make_shared<Session>(aServer, std::move(aSocket), aWorker);
+  if (!session->HasMemory()) {
+    CountLimit(aServer->account_, MemoryLimit::Connections);
+    return;
+  }
   aServer->pool_.At(aWorker).Spawn([session]() { session->Run(); });
 }
 
+/** Closes a session that makes no progress; false if there is none. */
+bool
+CloseStalled(HttpServerState& aServer)
+{
+  return aServer.account_ != nullptr &&
+         aServer.limits_.load()->closesStalled_ &&
+         aServer.account_->CloseStalled(aServer.group_);
+}
+
 void
 AcceptLoop(const std::shared_ptr<HttpServerState>& aServer)
 {
@@ -245,11 +410,15 @@
     }
     if (accepted.error_) {
       // Out of file descriptors: retry after others were closed.
+      CloseStalled(*aServer);
       boost::this_fiber::sleep_for(kAcceptRetryDelay);
       continue;
     }
     if (aServer->sessions_ >= aServer->limits_.load()->maxSessions_) {
-      continue;
+      CountLimit(aServer->account_, MemoryLimit::Connections);
+      if (!CloseStalled(*aServer)) {
+        continue;
+      }
     }
     StartSession(aServer, std::move(socket), worker);
   }
@@ -259,9 +428,12 @@
 
 HttpServer::HttpServer(WorkerPool& aPool,
                        HttpServerLimits aLimits,
-                       HttpHandler aHandler)
-  : state_(
-      std::make_shared<HttpServerState>(aPool, aLimits, std::move(aHandler)))
+                       HttpHandler aHandler,
+                       MemoryAccount* aAccount)
+  : state_(std::make_shared<HttpServerState>(aPool,
+                                             aLimits,
+                                             std::move(aHandler),
+                                             aAccount))
 {
 }
 
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -3,6 +3,7 @@
 
 #include "core/time_type.h"
 #include "runtime/http_type.h"
+#include "runtime/memory_account.h"
 #include "runtime/worker.h"
 
 #include <absl/status/status.h>
@@ -17,9 +18,11 @@
 /** Limits that protect the daemon from its clients. */
 struct HttpServerLimits
 {
-  std::uint32_t maxHeaderBytes_ = 16U * 1024;          ///< Larger headers: 431.
-  std::uint64_t maxBodyBytes_ = 1024ULL * 1024;        ///< Larger bodies: 413.
-  std::uint32_t maxSessions_ = 4096;                   ///< Others are closed.
+  std::uint32_t maxHeaderBytes_ = 16U * 1024;   ///< Larger headers: 431.
+  std::uint64_t maxBodyBytes_ = 1024ULL * 1024; ///< Larger bodies: 413.
+  std::uint32_t maxSessions_ = 4096;            ///< Others are closed.
+  bool closesStalled_ = false; ///< At maxSessions_ a stalled session is closed
+                               ///< instead of the new one, if there is one.
   Duration idleTimeout_ = std::chrono::seconds(60);    ///< Between requests.
   Duration requestTimeout_ = std::chrono::seconds(60); ///< From the first
                                                        ///< byte of a request
@@ -43,15 +46,22 @@
   virtual void WatchDisconnect(std::function<void()> aOnDisconnect) = 0;
 };
 
-using HttpHandler =
-  std::function<HttpResponse(const HttpRequest&, HttpSession&)>;
+/** May move content out of the request. */
+using HttpHandler = std::function<HttpResponse(HttpRequest&, HttpSession&)>;
 
 /** Server that listens on one address. */
 class HttpServer
 {
 public:
-  /** @param aHandler Called in a fiber for each request; may suspend it. */
-  HttpServer(WorkerPool& aPool, HttpServerLimits aLimits, HttpHandler aHandler);
+  /**
+   * @param aHandler Called in a fiber for each request; may suspend it.
+   * @param aAccount Account of what sessions hold; only with a pool of one
+   * worker.
+   */
+  HttpServer(WorkerPool& aPool,
+             HttpServerLimits aLimits,
+             HttpHandler aHandler,
+             MemoryAccount* aAccount = nullptr);
 
   /**
    * Starts accepting connections.
@@ -63,7 +73,7 @@
   /** Address that Listen has bound. */
   std::string LocalAddress() const;
 
-  /** Replaces the limits; sessions use them from their next request on. */
+  /** Replaces the limits; they apply to requests that begin afterwards. */
   void SetLimits(const HttpServerLimits& aLimits);
 
   /** Closes each connection after its next response. */
--- a/src/runtime/peer_link.cpp
+++ b/src/runtime/peer_link.cpp
@@ -7,7 +7,9 @@
 #include "runtime/address_func.h"
 #include "runtime/fiber_io.h"
 
+#include <algorithm>
 #include <array>
+#include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -32,6 +34,16 @@
 constexpr auto kConnectTimeout = std::chrono::milliseconds(500);
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(20);
 constexpr auto kIdleLinkTimeout = std::chrono::seconds(60);
+/** A daemon that takes nothing for so long is not reachable. */
+constexpr auto kWriteTimeout = std::chrono::seconds(10);
+/** Longer frames are read in pieces of this size, as their length may be false.
+ */
+constexpr std::size_t kPieceBytes = 64UL * 1024;
+/** Of one accepted connection: touched pages of its fiber's stack, and socket.
+ */
+constexpr std::uint64_t kConnectionBytes = 24ULL * 1024;
+/** Of one frame beside its payload. */
+constexpr std::uint64_t kFrameBytes = 128;
 
 using Header = std::array<unsigned char, kHeaderBytes>;
 
@@ -59,16 +71,21 @@
 /** Outgoing connection to one address. Used only on one worker's thread. */
 struct PeerLink
 {
-  PeerLink(std::string aAddress, boost::asio::io_context& aContext)
+  PeerLink(std::string aAddress,
+           boost::asio::io_context& aContext,
+           MemoryAccount* aAccount)
     : address_(std::move(aAddress))
     , socket_(aContext)
+    , hold_(aAccount, {}, []() {})
   {
   }
 
   std::string address_;
   tcp::socket socket_;
   std::deque<PeerFrame> frames_; ///< At most kQueuedFrames.
-  boost::fibers::mutex mutex_;   ///< For arrived_; one thread uses frames_.
+  std::uint64_t queuedBytes_ = 0;
+  MemoryHold hold_;            ///< Of frames_.
+  boost::fibers::mutex mutex_; ///< For arrived_; one thread uses frames_.
   boost::fibers::condition_variable arrived_;
   bool connected_ = false;
 };
@@ -80,10 +97,15 @@
 /** Shared state. Each map of links_ is used only on its worker's thread. */
 struct PeerLinksState
 {
-  PeerLinksState(WorkerPool& aPool, EventSink aSink, FrameHandler aHandler)
+  PeerLinksState(WorkerPool& aPool,
+                 EventSink aSink,
+                 FrameHandler aHandler,
+                 const PeerLimits& aLimits)
     : pool_(aPool)
     , sink_(std::move(aSink))
     , handler_(std::move(aHandler))
+    , limits_(aLimits)
+    , group_(aLimits.account_ == nullptr ? 0 : aLimits.account_->NewGroup())
     , links_(aPool.Size())
   {
   }
@@ -91,6 +113,9 @@
   WorkerPool& pool_;
   EventSink sink_;
   FrameHandler handler_;
+  PeerLimits limits_;
+  std::uint32_t group_; ///< Of accepted connections in the account.
+  std::atomic<std::uint32_t> accepted_{ 0 }; ///< With the one accepted next.
   std::vector<LinkMap> links_;
   std::optional<tcp::acceptor> acceptor_;
 };
@@ -111,15 +136,12 @@
   aLink.connected_ = false;
 }
 
-bool
-Connect(PeerLink& aLink)
+/** Awaits an operation on a link's socket, which a timeout closes. */
+template<typename Initiate>
+IoResult
+AwaitWithin(PeerLink& aLink, Duration aTimeout, const Initiate& aInitiate)
 {
-  const auto endpoint = ParseAddress(aLink.address_);
-  if (!endpoint.ok()) {
-    return false;
-  }
-  boost::asio::steady_timer timer(aLink.socket_.get_executor(),
-                                  kConnectTimeout);
+  boost::asio::steady_timer timer(aLink.socket_.get_executor(), aTimeout);
   // The timer's handler may already be queued when the timer is cancelled; the
   // flag makes it do nothing.
   auto waiting = std::make_shared<bool>(true);
@@ -128,10 +150,23 @@
       Disconnect(aLink);
     }
   });
-  const IoResult result = AwaitIo(
-    [&](auto aHandler) { aLink.socket_.async_connect(*endpoint, aHandler); });
+  const IoResult result = AwaitIo(aInitiate);
   *waiting = false;
   timer.cancel();
+  return result;
+}
+
+bool
+Connect(PeerLink& aLink)
+{
+  const auto endpoint = ParseAddress(aLink.address_);
+  if (!endpoint.ok()) {
+    return false;
+  }
+  const IoResult result =
+    AwaitWithin(aLink, kConnectTimeout, [&](auto aHandler) {
+      aLink.socket_.async_connect(*endpoint, aHandler);
+    });
   if (result.error_ || !aLink.socket_.is_open()) {
     Disconnect(aLink);
     return false;
@@ -158,9 +193,10 @@
   const std::array<boost::asio::const_buffer, 2> buffers{
     boost::asio::buffer(header), boost::asio::buffer(aFrame.payload_)
   };
-  const IoResult written = AwaitIo([&](auto aHandler) {
-    boost::asio::async_write(aLink.socket_, buffers, aHandler);
-  });
+  const IoResult written =
+    AwaitWithin(aLink, kWriteTimeout, [&](auto aHandler) {
+      boost::asio::async_write(aLink.socket_, buffers, aHandler);
+    });
   return !written.error_;
 }
 
@@ -188,6 +224,8 @@
     const PeerFrame frame = std::move(aLink->frames_.front());
     aLink->frames_.pop_front();
     Deliver(*aState, *aLink, frame);
+    aLink->queuedBytes_ -= frame.payload_.size() + kFrameBytes;
+    aLink->hold_.Set(aLink->queuedBytes_);
   }
   aState->links_[aWorker].erase(aLink->address_);
 }
@@ -203,28 +241,99 @@
     return found->second;
   }
   Worker& worker = aState->pool_.At(aWorker);
-  auto link = std::make_shared<PeerLink>(aAddress, worker.Context());
+  auto link = std::make_shared<PeerLink>(
+    aAddress, worker.Context(), aState->limits_.account_);
   links.emplace(aAddress, link);
   worker.Spawn([aState, link, aWorker]() { RunLink(aState, link, aWorker); });
   return link;
 }
 
+/** Accepted connection. */
+struct Incoming
+{
+  Incoming(boost::asio::io_context& aContext,
+           std::atomic<std::uint32_t>& aCount)
+    : socket_(aContext)
+    , count_(aCount)
+  {
+    ++count_;
+  }
+  ~Incoming() { --count_; }
+  Incoming(const Incoming&) = delete;
+  Incoming& operator=(const Incoming&) = delete;
+
+  tcp::socket socket_;
+  std::atomic<std::uint32_t>& count_;
+  std::string payload_;
+  std::optional<MemoryHold> hold_;
+};
+
 bool
-ReadFrame(tcp::socket& aSocket, std::string& aPayload)
+ReadBytes(Incoming& aFrom, const boost::asio::mutable_buffer& aTo)
 {
-  Header header{};
-  const IoResult head = AwaitIo([&](auto aHandler) {
-    boost::asio::async_read(aSocket, boost::asio::buffer(header), aHandler);
+  const IoResult read = AwaitIo([&](auto aHandler) {
+    boost::asio::async_read(aFrom.socket_, aTo, aHandler);
   });
+  aFrom.hold_->RecordProgress();
+  return !read.error_;
+}
+
+bool
+ReadFrame(PeerLinksState& aState, Incoming& aFrom)
+{
+  Header header{};
+  if (!ReadBytes(aFrom, boost::asio::buffer(header))) {
+    return false;
+  }
   const std::size_t length = DecodeLength(header);
-  if (head.error_ || length > kMaxPeerFrameBytes) {
+  if (length > kMaxPeerFrameBytes) {
     return false;
   }
-  aPayload.resize(length);
-  const IoResult body = AwaitIo([&](auto aHandler) {
-    boost::asio::async_read(aSocket, boost::asio::buffer(aPayload), aHandler);
-  });
-  return !body.error_;
+  aFrom.hold_->Enter(HolderState::Reading);
+  aFrom.payload_.clear();
+  for (std::size_t at = 0; at < length;) {
+    const std::size_t piece = std::min(kPieceBytes, length - at);
+    if (!aFrom.hold_->Reserve(
+          kConnectionBytes + std::max(at + piece, aFrom.payload_.capacity()))) {
+      CountLimit(aState.limits_.account_, MemoryLimit::Frame);
+      return false;
+    }
+    aFrom.payload_.resize(at + piece);
+    if (!ReadBytes(aFrom,
+                   boost::asio::buffer(aFrom.payload_.data() + at, piece))) {
+      return false;
+    }
+    at += piece;
+  }
+  return true;
+}
+
+void
+ServePeer(PeerLinksState& aState, Incoming& aFrom)
+{
+  while (ReadFrame(aState, aFrom)) {
+    aFrom.hold_->Enter(HolderState::Running);
+    aState.handler_(aFrom.payload_);
+    aFrom.hold_->RecordServed();
+    if (aFrom.payload_.capacity() > kPieceBytes) {
+      aFrom.payload_ = std::string();
+    }
+    aFrom.hold_->Set(kConnectionBytes);
+    aFrom.hold_->Enter(HolderState::Idle);
+  }
+}
+
+/** Whether one more connection may be accepted; closes a stalled one for it. */
+bool
+HasRoom(PeerLinksState& aState)
+{
+  const PeerLimits& limits = aState.limits_;
+  if (limits.account_ == nullptr || limits.maxConnections_ == 0 ||
+      aState.accepted_ <= limits.maxConnections_) {
+    return true;
+  }
+  limits.account_->Count(MemoryLimit::Connections);
+  return limits.account_->CloseStalled(aState.group_);
 }
 
 void
@@ -233,9 +342,10 @@
   std::uint64_t next = 0;
   while (true) {
     Worker& worker = aState->pool_.At(next++);
-    auto socket = std::make_shared<tcp::socket>(worker.Context());
+    auto incoming =
+      std::make_shared<Incoming>(worker.Context(), aState->accepted_);
     const IoResult accepted = AwaitIo([&](auto aHandler) {
-      aState->acceptor_->async_accept(*socket, aHandler);
+      aState->acceptor_->async_accept(incoming->socket_, aHandler);
     });
     if (accepted.error_ == boost::asio::error::operation_aborted) {
       return;
@@ -244,22 +354,32 @@
       boost::this_fiber::sleep_for(kAcceptRetryDelay);
       continue;
     }
-    TuneSocket(*socket);
-    worker.Spawn([aState, socket]() {
-      std::string payload;
-      while (ReadFrame(*socket, payload)) {
-        aState->handler_(payload);
-      }
-    });
+    if (!HasRoom(*aState)) {
+      continue;
+    }
+    TuneSocket(incoming->socket_);
+    incoming->hold_.emplace(
+      aState->limits_.account_,
+      MemoryHolder{ .group_ = aState->group_, .state_ = HolderState::Idle },
+      [peer = incoming.get()]() {
+        boost::system::error_code ignored;
+        peer->socket_.close(ignored);
+      });
+    incoming->hold_->Set(kConnectionBytes);
+    worker.Spawn([aState, incoming]() { ServePeer(*aState, *incoming); });
   }
 }
 
 } // namespace
 
-PeerLinks::PeerLinks(WorkerPool& aPool, EventSink aSink, FrameHandler aHandler)
+PeerLinks::PeerLinks(WorkerPool& aPool,
+                     EventSink aSink,
+                     FrameHandler aHandler,
+                     const PeerLimits& aLimits)
   : state_(std::make_shared<PeerLinksState>(aPool,
                                             std::move(aSink),
-                                            std::move(aHandler)))
+                                            std::move(aHandler),
+                                            aLimits))
 {
 }
 
@@ -283,10 +403,13 @@
     [state = state_, worker, frame = std::move(aFrame)]() mutable {
       const std::shared_ptr<PeerLink> link =
         FindOrStart(state, frame.address_, worker);
-      if (link->frames_.size() >= kQueuedFrames) {
+      const std::uint64_t bytes = frame.payload_.size() + kFrameBytes;
+      if (link->frames_.size() >= kQueuedFrames ||
+          !link->hold_.Reserve(link->queuedBytes_ + bytes)) {
         ReportUnreachable(*state, frame);
         return;
       }
+      link->queuedBytes_ += bytes;
       link->frames_.push_back(std::move(frame));
       link->arrived_.notify_one();
     });
--- a/src/runtime/peer_link.h
+++ b/src/runtime/peer_link.h
@@ -3,6 +3,7 @@
 
 #include "core/id_type.h"
 #include "runtime/event_sink.h"
+#include "runtime/memory_account.h"
 #include "runtime/worker.h"
 
 #include <absl/status/status.h>
@@ -23,6 +24,13 @@
 
 using FrameHandler = std::function<void(const std::string& aPayload)>;
 
+/** Bounds on what other daemons can make this one hold. */
+struct PeerLimits
+{
+  MemoryAccount* account_ = nullptr; ///< Of frames; null: no bound.
+  std::uint32_t maxConnections_ = 0; ///< Accepted ones; 0: no bound.
+};
+
 /**
  * Connections to and from other daemons. A frame is four bytes of length, most
  * significant first, and the payload. All calls are thread-safe.
@@ -33,8 +41,12 @@
   /**
    * @param aSink Gets PeerUnreachable for each frame that fails.
    * @param aHandler Gets each payload, on any worker's thread.
+   * @param aLimits Its account only with a pool of one worker.
    */
-  PeerLinks(WorkerPool& aPool, EventSink aSink, FrameHandler aHandler);
+  PeerLinks(WorkerPool& aPool,
+            EventSink aSink,
+            FrameHandler aHandler,
+            const PeerLimits& aLimits = {});
 
   /** Starts accepting connections; see HttpServer::Listen. */
   absl::Status Listen(const std::string& aAddress);
--- a/tests/limits/loads.py
+++ b/tests/limits/loads.py
@@ -109,6 +109,8 @@
     _, writer = await connect(address)
     try:
         for byte in head("d", number, "X-D: " + "d" * 300):
+            if writer.is_closing():
+                return
             writer.write(struct.pack("B", byte))
             await asyncio.sleep(0.005)
     except OSError:
