--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -3,6 +3,7 @@
 // answered, and fails at once when enough shards are no longer possible.
 #include "gateway/gateway_func.h"
 #include "gateway/gateway_internal.h"
+#include "gateway/topk_merge.h"
 
 #include <utility>
 
@@ -36,6 +37,10 @@
                GatewayDecisions& aOut)
 {
   GatewayStep step{ aState, aNow, aRng, aOut };
+  if (aState.awaiting_.erase(aGone.id_.value_) > 0) {
+    ++aState.stats_.callersGone_;
+    return;
+  }
   const auto found = aState.runOf_.find(aGone.id_);
   if (found != aState.runOf_.end()) {
     ++aState.stats_.callersGone_;
@@ -73,6 +78,10 @@
   part.phase_ = PartPhase::Done;
   part.proof_ = std::move(aAnswer.proof_);
   part.body_ = std::move(aAnswer.body_);
+  // The other shards' answers may take long; an oversized body isn't kept.
+  if (part.body_.size() > kMaxHeldPartBytes) {
+    part.body_ = MergeTopRecords({ part.body_ }, aRun.route_->topRecords_);
+  }
   if (++aRun.done_ == aRun.needed_) {
     AdjustWindow(*aRun.load_,
                  aStep.Time() - aRun.arrivedAt_,
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -38,6 +38,7 @@
   : settings_(aSettings)
   , adapter_(aAdapter)
   , pool_(aPool)
+  , memory_(aSettings.heldBytes_)
   , rng_(aSettings.seed_)
   , gateway_(MakeGatewayState(aSettings.gateway_))
   , membership_(MakeMembershipState(aSettings.membership_, ReadClock(), rng_))
@@ -48,7 +49,8 @@
         [this](const BackendOpened& aItem) { HandleEvent(aItem); },
         [this](BackendAnswer&& aItem) { HandleEvent(std::move(aItem)); },
         [this](const BackendClosed& aItem) { HandleEvent(aItem); },
-        [this](const UnreadAnswer& aItem) { HandleEvent(aItem); } })
+        [this](const UnreadAnswer& aItem) { HandleEvent(aItem); } },
+      &memory_)
   , peers_(
       aPool,
       [this](const Event& aEvent) {
@@ -56,7 +58,8 @@
           HandleMembershipEvent(*lost);
         }
       },
-      [this](const std::string& aPayload) { OnFrame(aPayload); })
+      [this](const std::string& aPayload) { OnFrame(aPayload); },
+      PeerLimits{ &memory_, aSettings.maxPeerConnections_ })
   , store_(aPool.At(0),
            adapter_.store_,
            aSettings.storeAddress_,
@@ -153,6 +156,8 @@
         rumor.untilUnixMicros_ =
           ReadClock().unixMicros_ + Duration(kSuspectTtl).count();
         HandleMembershipEvent(SpreadRumor{ rumor });
+      } else if constexpr (std::is_same_v<Item, CapSend>) {
+        SendCapMessage(aItem);
       } else if constexpr (std::is_same_v<Item, RequestRecord>) {
         LogRequest(aItem);
       } else if constexpr (std::is_same_v<Item, BackendRecord>) {
@@ -237,6 +242,10 @@
     HandleFeed(*message);
     return;
   }
+  if (const auto* cap = std::get_if<CapMessage>(&message->body_)) {
+    HandleEvent(CapReceived{ message->from_, *cap });
+    return;
+  }
   HandleMembershipEvent(*message);
 }
 
@@ -264,6 +273,7 @@
       { { "millis",
           std::to_string((suspended - totalSuspension_).count() / 1000) } });
     store_.Restart();
+    CapsAfterSuspension(gateway_.caps_, ReadClock().mono_);
   }
   totalSuspension_ = suspended;
 }
@@ -401,6 +411,7 @@
     TrackConfigLag();
     ReportTableAge();
     UpdateRole();
+    UpdateCapView();
     DropFollowersIfStale();
     RequestFeed();
     if (DropLapsed(store_.Table(kServersTable), now).changed_) {
