Fix: no connection carries a request id twice

A server may send an answer twice, the second copy where the next answer is expected. The copy of a 503 with Not-Executed was taken for the answer to the next send of the same request on the same connection: a non-idempotent request ran twice, or was answered "not run" and ran.

Each connection keeps a Bloom filter of the ids that it has carried, and a send takes an idle connection that has not carried its id, of this or another server. If there is none, one is opened, in place of the one idle for the longest where the server would have too many. That a server echoes ids is known by incarnation instead of by connection; an answer without an id that says "not run" on a used connection counts as one that may have run where a second run would be an error. An unread answer of another request gives no guidance.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -49,7 +49,8 @@
   GatewayState& state = aStep.state_;
   RequestPart& part = aRun.parts_[aPart];
   Backend& backend = *FindSlot(state.backends_, aBackend);
-  BackendConn& conn = *FindIdle(state, backend, aStep.Time());
+  BackendConn& conn =
+    *FindIdle(state, backend, aRun.requestHash_, aStep.Time());
   Attempt& attempt = AllocateSlot(state.attempts_);
   attempt = Attempt{ attempt.key_,
                      aRun.key_,
@@ -62,6 +63,8 @@
   CountAgainstLimit(backend.rateLimit_, state.limitShare_, aStep.Time());
   conn.state_ = BackendConnState::Busy;
   conn.attempt_ = attempt.key_;
+  conn.requestHash_ = aRun.requestHash_;
+  AddCarriedId(conn.carried_, aRun.requestHash_);
   ++backend.inFlight_;
   state.stats_.crossDomainSends_ += IsSameDomain(state, backend) ? 0 : 1;
   part.attempts_[part.attempts_[0] == 0 ? 0 : 1] = attempt.key_;
--- a/src/gateway/attempt_answer.cpp
+++ b/src/gateway/attempt_answer.cpp
@@ -5,6 +5,8 @@
 #include "gateway/gateway_internal.h"
 #include "gateway/route_times.h"
 
+#include "core/hash_func.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -101,11 +103,37 @@
   EnqueuePart(aStep, aRun, aPart);
 }
 
+/** Whether an answer belongs to an earlier request on its connection. The
+ * connection has carried each id once. A server that echoes ids does so in each
+ * answer. */
+bool
+IsOtherAnswer(const Backend& aBackend,
+              const BackendConn& aConn,
+              const BackendAnswer& aAnswer)
+{
+  if (aAnswer.requestId_.empty()) {
+    return aBackend.echoesIds_ && aConn.requestHash_ != 0;
+  }
+  return HashText(aAnswer.requestId_) != aConn.requestHash_;
+}
+
+/** Whether a second run of an attempt's request would be an error. */
+bool
+RunsOnce(const GatewayState& aState, std::uint64_t aAttempt)
+{
+  const Attempt& attempt = aState.attempts_.slots_[aAttempt & kSlotMask];
+  const GatewayRun& run = aState.runs_.slots_[attempt.run_ & kSlotMask];
+  return run.key_ == attempt.run_ &&
+         run.route_->kind_ == RequestKind::NonIdempotent;
+}
+
+/** @param aTrusted Whether a report that it did not run is surely about this
+ * attempt; otherwise it may be a copy of an earlier one. */
 AttemptEnd
-Classify(const BackendAnswer& aAnswer)
+Classify(const BackendAnswer& aAnswer, bool aTrusted)
 {
   if (aAnswer.notRun_ || aAnswer.status_ == kStatusMisdirected) {
-    return AttemptEnd::NotRun;
+    return aTrusted ? AttemptEnd::NotRun : AttemptEnd::Garbled;
   }
   if (IsSuccess(aAnswer) && (aAnswer.proof_.empty() || aAnswer.encoded_)) {
     return AttemptEnd::Garbled;
@@ -250,23 +278,19 @@
     return;
   }
   const std::uint64_t key = conn->attempt_;
-  const Attempt* pending = FindSlot(aState.attempts_, key);
-  const GatewayRun* current = FindSlot(aState.runs_, pending->run_);
-  // A duplicate answer to an earlier request; the answer to this one is still
-  // to come. A server that echoes ids does so in each answer.
-  const bool isOther =
-    aAnswer.requestId_.empty()
-      ? conn->echoesIds_
-      : current != nullptr &&
-          aAnswer.requestId_ != current->message_->requestId_;
-  if (isOther) {
+  Backend& backend = *FindSlot(aState.backends_, conn->backend_);
+  // The answer to this request is still to come.
+  if (IsOtherAnswer(backend, *conn, aAnswer)) {
     ++aState.stats_.garbled_;
     return;
   }
-  conn->echoesIds_ = !aAnswer.requestId_.empty();
-  const AttemptEnd end = Classify(aAnswer);
+  const bool isBound = !aAnswer.requestId_.empty() || !conn->used_;
+  backend.echoesIds_ = backend.echoesIds_ || !aAnswer.requestId_.empty();
+  const bool isTrusted = isBound || !RunsOnce(aState, key);
+  const AttemptEnd end = Classify(aAnswer, isTrusted);
+  // If it was a copy, the answer is still to come.
+  aAnswer.closing_ = aAnswer.closing_ || !isTrusted;
   const Attempt attempt = Detach(step, key);
-  Backend& backend = *FindSlot(aState.backends_, attempt.backend_);
   RecordGuidance(step, backend, aAnswer);
   Release(step, attempt, aAnswer);
   GatewayRun* run = FindSlot(aState.runs_, attempt.run_);
@@ -293,7 +317,10 @@
 {
   GatewayStep step{ aState, aNow, aRng, aOut };
   Backend* backend = FindSlot(aState.backends_, aUnread.backend_);
-  if (backend != nullptr) {
+  const std::string& requestId = aUnread.answer_.requestId_;
+  const bool isOther = !requestId.empty() && aUnread.requestHash_ != 0 &&
+                       HashText(requestId) != aUnread.requestHash_;
+  if (backend != nullptr && !isOther) {
     RecordGuidance(step, *backend, aUnread.answer_);
   }
 }
--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -114,12 +114,16 @@
     TimeUntilAllowed(aBackend.rateLimit_, aState.limitShare_, aAhead, aNow));
 }
 
+/** @param aRequestHash See FindIdle. */
 bool
-HasRoom(GatewayState& aState, const Backend& aBackend, TimePoint aNow)
+HasRoom(GatewayState& aState,
+        const Backend& aBackend,
+        std::uint64_t aRequestHash,
+        TimePoint aNow)
 {
   return aBackend.inFlight_ < static_cast<std::uint32_t>(aBackend.limit_) &&
          TimeUntilWanted(aState, aBackend, 0, aNow) == Duration::zero() &&
-         FindIdle(aState, aBackend, aNow) != nullptr;
+         FindIdle(aState, aBackend, aRequestHash, aNow) != nullptr;
 }
 
 /** Whether a part may be sent to a server, disregarding its capacity. */
@@ -142,6 +146,8 @@
   const Backend* backend_ = nullptr;
   double micros_ = 0.0;
   bool room_ = false;
+  /** It has room, but its idle connections have carried the request's id. */
+  bool needsConnection_ = false;
 };
 
 /** Servers that a part may be sent to: the ejected ones or the others. */
@@ -165,8 +171,13 @@
     }
     Candidate candidate{ &backend,
                          EstimateMicros(state, backend, typical, aStep.Time()),
-                         HasRoom(state, backend, aStep.Time()) };
-    if (!candidate.room_) {
+                         HasRoom(
+                           state, backend, aRun.requestHash_, aStep.Time()) };
+    candidate.needsConnection_ =
+      !candidate.room_ && HasRoom(state, backend, 0, aStep.Time());
+    if (candidate.needsConnection_) {
+      candidate.micros_ += static_cast<double>(kNewConnectionCost.count());
+    } else if (!candidate.room_) {
       // Parts in the queue would be sent there first.
       const auto ahead = static_cast<double>(service.queue_.size() + 1);
       candidate.micros_ +=
@@ -262,7 +273,14 @@
                      [](const Candidate& aLeft, const Candidate& aRight) {
                        return aLeft.micros_ < aRight.micros_;
                      });
-  if (best == found.end() || !best->room_) {
+  if (best == found.end()) {
+    return 0;
+  }
+  if (best->needsConnection_) {
+    OpenUnusedConnection(
+      aStep, *FindSlot(aStep.state_.backends_, best->backend_->key_));
+  }
+  if (!best->room_) {
     return 0;
   }
   return best->backend_->key_;
--- a/src/gateway/backend_conn.cpp
+++ b/src/gateway/backend_conn.cpp
@@ -19,6 +19,17 @@
   return std::max(static_cast<std::uint32_t>(share), 1U);
 }
 
+/** Most connections to a server: this daemon's share, and what the server was
+ * seen to accept. */
+std::uint32_t
+MaxConnections(const GatewayStep& aStep, const Backend& aBackend)
+{
+  const std::uint32_t allowed = ConnectionsAllowed(aStep.state_, aBackend);
+  return aStep.Time() < aBackend.connectionLimitUntil_
+           ? std::min(allowed, std::max(aBackend.connectionLimit_, 1U))
+           : allowed;
+}
+
 void
 StartConnect(GatewayStep& aStep, Backend& aBackend)
 {
@@ -149,11 +160,8 @@
   const bool ahead = aStep.state_.preconnect_ || !service.queue_.empty();
   const std::uint32_t spare =
     IsSameDomain(aStep.state_, aBackend) ? kSpareSameDomain : kSpareOtherDomain;
-  std::uint32_t wanted = std::min(ConnectionsAllowed(aStep.state_, aBackend),
-                                  aBackend.inFlight_ + (ahead ? spare : 0));
-  if (aStep.Time() < aBackend.connectionLimitUntil_) {
-    wanted = std::min(wanted, std::max(aBackend.connectionLimit_, 1U));
-  }
+  const std::uint32_t wanted = std::min(
+    MaxConnections(aStep, aBackend), aBackend.inFlight_ + (ahead ? spare : 0));
   if (aBackend.connections_.size() < wanted) {
     StartConnect(aStep, aBackend);
   }
@@ -162,12 +170,16 @@
 // Prefers the connection used last: the server is the least likely to have
 // dropped it.
 BackendConn*
-FindIdle(GatewayState& aState, const Backend& aBackend, TimePoint aNow)
+FindIdle(GatewayState& aState,
+         const Backend& aBackend,
+         std::uint64_t aRequestHash,
+         TimePoint aNow)
 {
   BackendConn* best = nullptr;
   for (const std::uint64_t key : aBackend.connections_) {
     BackendConn& conn = aState.connections_.slots_[key & kSlotMask];
     if (conn.state_ == BackendConnState::Idle && aNow < conn.expiresAt_ &&
+        !MayHaveCarried(conn.carried_, aRequestHash) &&
         (best == nullptr || conn.usedAt_ > best->usedAt_)) {
       best = &conn;
     }
@@ -175,13 +187,48 @@
   return best;
 }
 
+// A server that has just refused is not sent many connections: one at a time,
+// and none during the backoff after a failed connect.
+void
+OpenUnusedConnection(GatewayStep& aStep, Backend& aBackend)
+{
+  GatewayState& state = aStep.state_;
+  if (aBackend.opening_ > 0) {
+    return;
+  }
+  if (aStep.Time() < aBackend.connectAfter_) {
+    AddTimer(state.timers_,
+             { aBackend.connectAfter_,
+               aBackend.service_,
+               0,
+               GatewayTimer::QueueWake });
+    return;
+  }
+  if (aBackend.connections_.size() >= MaxConnections(aStep, aBackend)) {
+    std::uint64_t oldest = 0;
+    TimePoint oldestAt = kNever;
+    for (const std::uint64_t key : aBackend.connections_) {
+      const BackendConn& conn = state.connections_.slots_[key & kSlotMask];
+      if (conn.state_ == BackendConnState::Idle && conn.usedAt_ < oldestAt) {
+        oldest = key;
+        oldestAt = conn.usedAt_;
+      }
+    }
+    if (oldest == 0) {
+      return;
+    }
+    CloseConnection(aStep, oldest);
+  }
+  StartConnect(aStep, aBackend);
+}
+
 void
 CloseConnection(GatewayStep& aStep, std::uint64_t aConnection)
 {
   BackendConn* conn = FindSlot(aStep.state_.connections_, aConnection);
   if (conn != nullptr) {
-    aStep.out_.emplace_back(
-      BackendDisconnect{ ConnectionId{ aConnection }, conn->backend_ });
+    aStep.out_.emplace_back(BackendDisconnect{
+      ConnectionId{ aConnection }, conn->backend_, conn->requestHash_ });
     RemoveConnection(aStep.state_, *conn);
   }
 }
@@ -210,6 +257,13 @@
   conn.attempt_ = 0;
   conn.usedAt_ = aStep.Time();
   conn.expiresAt_ = aStep.Time() + aIdleTimeout;
+  if (conn.carried_.count_ >= kMaxCarriedIds) {
+    const std::uint64_t backend = conn.backend_;
+    CloseConnection(aStep, aConnection);
+    if (Backend* server = FindSlot(state.backends_, backend)) {
+      EnsureConnections(aStep, *server);
+    }
+  }
 }
 
 void
@@ -245,6 +299,7 @@
   }
   Backend& backend = *FindSlot(aState.backends_, conn->backend_);
   conn->state_ = BackendConnState::Idle;
+  conn->openedAt_ = aNow.mono_;
   conn->usedAt_ = aNow.mono_;
   conn->expiresAt_ = aNow.mono_ + kDefaultKeepAlive;
   --backend.opening_;
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -5,6 +5,7 @@
 #include "core/pool.h"
 #include "core/rng_type.h"
 #include "core/timer_heap.h"
+#include "gateway/carried_ids.h"
 #include "gateway/gateway_const.h"
 #include "gateway/gateway_type.h"
 #include "gateway/rate_limit.h"
@@ -68,11 +69,13 @@
   std::uint64_t key_ = 0; ///< Value of its ConnectionId.
   std::uint64_t backend_ = 0;
   BackendConnState state_ = BackendConnState::Opening;
-  bool used_ = false;      ///< It has carried at least one answer.
-  bool echoesIds_ = false; ///< An answer on it had the request's id.
+  bool used_ = false; ///< It has carried at least one answer.
+  TimePoint openedAt_{};
   TimePoint usedAt_{};
-  TimePoint expiresAt_ = kNever; ///< When to close it if still idle.
-  std::uint64_t attempt_ = 0;    ///< Busy: the attempt in flight.
+  TimePoint expiresAt_ = kNever;  ///< When to close it if still idle.
+  std::uint64_t attempt_ = 0;     ///< Busy: the attempt in flight.
+  std::uint64_t requestHash_ = 0; ///< Of the id sent last; zero: no id.
+  CarriedIds carried_;
 };
 
 /** One incarnation of a backend server. */
@@ -102,8 +105,9 @@
   ReportedLoad load_;
   TimePoint loadAt_{};
   RateLimit rateLimit_;
-  bool leaving_ = false; ///< It said so in an answer.
-  bool crashed_ = false; ///< Cleared when a connection opens again.
+  bool echoesIds_ = false; ///< An answer had its request's id.
+  bool leaving_ = false;   ///< It said so in an answer.
+  bool crashed_ = false;   ///< Cleared when a connection opens again.
   /** Ends after which it accepted connections again, before its next entry was
    * known. */
   std::uint64_t restarts_ = 0;
@@ -206,6 +210,7 @@
   SharedMessage message_;
   std::string caller_;
   ContentKeys content_{};
+  std::uint64_t requestHash_ = 0; ///< Of its id; zero: it has none.
   TimePoint arrivedAt_{};
   Duration waitedBefore_{}; ///< Since the caller's first attempt.
   TimePoint deadline_{};
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -77,6 +77,9 @@
 /** A request that takes this many times the expected time indicates a pause
  * of its server. */
 constexpr double kStallFactor = 2.0;
+/** Penalty of a server to which a connection would be opened first: its
+ * handshake takes 6 ms of a slot, and the request waits for it. */
+constexpr Duration kNewConnectionCost = milliseconds(12);
 constexpr std::uint32_t kFailuresToEject = 3; ///< Consecutive.
 constexpr Duration kEjectionFloor = milliseconds(500);
 constexpr Duration kEjectionCeiling = seconds(4);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -126,9 +126,21 @@
 void
 EnsureConnections(GatewayStep& aStep, Backend& aBackend);
 
-/** Returns the idle connection to use next, or null. */
+/**
+ * Returns the idle connection to use next, or null.
+ * @param aRequestHash Hash of a request id that the connection must not have
+ * carried; zero: any connection.
+ */
 BackendConn*
-FindIdle(GatewayState& aState, const Backend& aBackend, TimePoint aNow);
+FindIdle(GatewayState& aState,
+         const Backend& aBackend,
+         std::uint64_t aRequestHash,
+         TimePoint aNow);
+
+/** Opens a connection for a request whose id all idle ones have carried. Closes
+ * one of these if the server would have too many. */
+void
+OpenUnusedConnection(GatewayStep& aStep, Backend& aBackend);
 
 /**
  * Marks a connection idle after a complete answer.
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -234,6 +234,8 @@
 {
   ConnectionId connection_;
   std::uint64_t backend_ = 0; ///< Key of its server.
+  /** Hash of the id of the request sent last on it; zero: it had none. */
+  std::uint64_t requestHash_ = 0;
 };
 
 /** Event: answer to a request that was cancelled. */
@@ -241,6 +243,7 @@
 {
   std::uint64_t backend_ = 0; ///< Key of the server.
   BackendAnswer answer_;
+  std::uint64_t requestHash_ = 0; ///< As in BackendDisconnect.
 };
 
 /** Log record of a finished request. */
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -5,6 +5,8 @@
 #include "gateway/gateway_internal.h"
 #include "gateway/route_match.h"
 
+#include "core/hash_func.h"
+
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <array>
@@ -105,6 +107,8 @@
   run.message_ = aRequest.message_;
   run.caller_ = aRequest.caller_;
   run.content_ = aContent;
+  const std::string& requestId = aRequest.message_->requestId_;
+  run.requestHash_ = requestId.empty() ? 0 : HashText(requestId);
   run.arrivedAt_ = aStep.Time();
   run.waitedBefore_ = aWaited;
   run.deadline_ = std::min(aStep.Time() + RequestTimeout(aRequest, aRoute),
--- a/src/runtime/backend_link.cpp
+++ b/src/runtime/backend_link.cpp
@@ -377,12 +377,13 @@
     const std::shared_ptr<BackendLink> link = found->second;
     links_.erase(found);
     if (std::optional<BackendAnswer> unread = link->TakeUnread()) {
-      boost::asio::post(
-        context_,
-        [this,
-         item = UnreadAnswer{ aDisconnect.backend_, *std::move(unread) }]() {
-          sink_.unread_(item);
-        });
+      boost::asio::post(context_,
+                        [this,
+                         item = UnreadAnswer{ aDisconnect.backend_,
+                                              *std::move(unread),
+                                              aDisconnect.requestHash_ }]() {
+                          sink_.unread_(item);
+                        });
     }
     link->CloseSocket();
   }
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -339,6 +339,10 @@
     At(kTrip, [this, aConnection]() { Break(aConnection, BackendEnd::Reset); });
     return;
   }
+  if (found->second.copy_) {
+    BackendAnswer copy = *std::exchange(found->second.copy_, std::nullopt);
+    Send(aConnection, std::move(copy));
+  }
   ++server.arrivals_;
   server.arrivalTimes_.push_back(now_);
   CountUnwanted(found->second.daemon_, server);
@@ -356,7 +360,9 @@
     Reply(aConnection, std::move(other));
     return;
   }
-  if (server.fault_ == ModelFault::Shed ||
+  const bool sheds = server.sheds_ > 0;
+  server.sheds_ -= sheds ? 1 : 0;
+  if (sheds || server.fault_ == ModelFault::Shed ||
       server.waiting_.size() >= server.queue_) {
     BackendAnswer shed;
     shed.status_ = 503;
@@ -432,6 +438,7 @@
     server.waiting_.pop_front();
     server.running_.push_back(key);
     ++server.ran_;
+    ++runsById_[jobs_.at(key).send_.message_->requestId_];
     ModelJob& job = jobs_.at(key);
     job.running_ = true;
     if (server.crashesOn_ &&
@@ -515,6 +522,23 @@
 
 void
 Replay::Reply(std::uint64_t aConnection, BackendAnswer aAnswer)
+{
+  const auto found = connections_.find(aConnection);
+  if (found == connections_.end()) {
+    return;
+  }
+  const ModelServer& server = servers_[found->second.server_];
+  if (server.hidesIds_) {
+    aAnswer.requestId_.clear();
+  }
+  if (server.lateCopies_) {
+    found->second.copy_ = aAnswer;
+  }
+  Send(aConnection, std::move(aAnswer));
+}
+
+void
+Replay::Send(std::uint64_t aConnection, BackendAnswer aAnswer)
 {
   At(kTrip, [this, aConnection, answer = std::move(aAnswer)]() mutable {
     const auto found = connections_.find(aConnection);
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -60,7 +60,12 @@
   bool leaving_ = false;           ///< Said in all its answers.
   bool malformedGuidance_ = false; ///< What it says can't be read.
   Duration retryAfter_{};          ///< Said in answers that it sheds.
-  std::int64_t incarnation_ = 1;   ///< Start, in its entry.
+  std::uint32_t sheds_ = 0;        ///< It sheds so many further requests.
+  /** Sends each answer again once the next request has come on the connection.
+   */
+  bool lateCopies_ = false;
+  bool hidesIds_ = false;        ///< Its answers have no id.
+  std::int64_t incarnation_ = 1; ///< Start, in its entry.
   bool listed_ = true;
   std::map<std::size_t, ModelGuidance> told_; ///< By daemon.
   /** Requests of daemons that knew better for 100 ms. */
@@ -160,6 +165,12 @@
   GatewayState& Daemon(std::size_t aDaemon) { return daemons_[aDaemon].state_; }
   Duration Work(Duration aMean);
   std::uint64_t Sends() const;
+  /** Number of times that servers ran a request, by its id. */
+  const std::map<std::string, std::uint32_t>& RunsById() const
+  {
+    return runsById_;
+  }
+  GatewayConfig& Config() { return config_; }
   const std::vector<BackendSend>& SendsSeen() const { return sendsSeen_; }
   /** Number of log records of a change in the state of a server. */
   std::uint64_t RecordsSeen(const std::string& aChange)
@@ -183,6 +194,7 @@
     std::uint64_t job_ = 0;
     std::string lastId_; ///< Id of the request before.
     TimePoint idleSince_{};
+    std::optional<BackendAnswer> copy_; ///< To be sent again.
   };
   struct ModelJob
   {
@@ -215,6 +227,7 @@
   void StartJobs(std::size_t aServer);
   void EndJob(std::uint64_t aJob);
   void Reply(std::uint64_t aConnection, BackendAnswer aAnswer);
+  void Send(std::uint64_t aConnection, BackendAnswer aAnswer);
   void Break(std::uint64_t aConnection, BackendEnd aEnd);
   void Arm(std::size_t aDaemon);
   Now NowOf() const { return Now{ now_, now_.time_since_epoch().count() }; }
@@ -245,6 +258,7 @@
   std::vector<ModelCrash> crashes_;
   std::function<void(std::size_t)> onCrash_;
   double lostReports_ = 0.0;
+  std::map<std::string, std::uint32_t> runsById_;
 };
 
 } // namespace camphorfield
