Fix: a crash in the middle of an answer is evidence against its request

A connection that broke after the first byte of an answer was no evidence, so a request that crashed its servers there was never rejected. Now each connection that a server ends or resets under a request counts, if the server turns out to have crashed. Bytes that are no valid answer don't, and neither does silence: the kernel closes the connections of a process that ends.

Until now one loss of power sufficed against a request that its caller repeats.

--- a/src/core/crash_evidence.cpp
+++ b/src/core/crash_evidence.cpp
@@ -21,6 +21,18 @@
   aHashes.resize(std::min(aHashes.size(), aMost));
 }
 
+bool
+HasMoments(const std::vector<std::uint64_t>& aMoments)
+{
+  if (aMoments.empty()) {
+    return true;
+  }
+  if ((aMoments.front() & kExactMoment) != 0) {
+    return aMoments.back() - aMoments.front() > 1;
+  }
+  return aMoments.size() >= kMomentsToQuarantine;
+}
+
 } // namespace
 
 void
@@ -70,8 +82,7 @@
 {
   return aEvidence.servers_.size() >= kServersToQuarantine &&
          aEvidence.requests_.size() >= kRequestsToQuarantine &&
-         (aEvidence.moments_.empty() ||
-          aEvidence.moments_.size() >= kMomentsToQuarantine);
+         HasMoments(aEvidence.moments_);
 }
 
 } // namespace camphorfield
--- a/src/core/crash_evidence.h
+++ b/src/core/crash_evidence.h
@@ -15,6 +15,10 @@
 /** Moments at which servers crashed, for content that many requests share:
  * those in flight when servers crash together have one or two in common. */
 constexpr std::size_t kMomentsToQuarantine = 3;
+/** Set in the moments of content that only equal requests share. Two crashes
+ * suffice there that are more than one moment apart: a loss of power lasts less
+ * and would otherwise condemn what one caller repeats. */
+constexpr std::uint64_t kExactMoment = std::uint64_t{ 1 } << 62U;
 
 /** One crash of a server. */
 struct ServerCrash
--- a/src/gateway/attempt_answer.cpp
+++ b/src/gateway/attempt_answer.cpp
@@ -291,6 +291,7 @@
   // If it was a copy, the answer is still to come.
   aAnswer.closing_ = aAnswer.closing_ || !isTrusted;
   const Attempt attempt = Detach(step, key);
+  RefuteCrash(aState, backend.key_, conn->openedAt_, attempt.sentAt_);
   RecordGuidance(step, backend, aAnswer);
   Release(step, attempt, aAnswer);
   GatewayRun* run = FindSlot(aState.runs_, attempt.run_);
--- a/src/gateway/backend_conn.cpp
+++ b/src/gateway/backend_conn.cpp
@@ -134,7 +134,10 @@
   const std::uint64_t attemptKey = aConn.attempt_;
   const Attempt& attempt = *FindSlot(state.attempts_, attemptKey);
   const GatewayRun* run = FindSlot(state.runs_, attempt.run_);
-  if (run != nullptr && !aClosed.answerBegun_) {
+  // A server may crash in its answer, too. Bytes that are no answer come from a
+  // server that runs, and a process that ends closes its connections, so
+  // attempts that end by silence show a lost VM or network instead.
+  if (run != nullptr && aClosed.end_ != BackendEnd::Malformed) {
     RecordBrokenConnection(aStep,
                            *FindSlot(state.backends_, aConn.backend_),
                            *run,
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -55,7 +55,9 @@
 Duration
 TimeToLive(const CrashEvidence& aEvidence)
 {
-  return aEvidence.moments_.empty() ? kSuspectTtl : kSharedSuspectTtl;
+  const bool exact = aEvidence.moments_.empty() ||
+                     (aEvidence.moments_.front() & kExactMoment) != 0;
+  return exact ? kSuspectTtl : kSharedSuspectTtl;
 }
 
 /** Returns the record of a content; a full table drops the one with the least
@@ -94,7 +96,7 @@
     AddCrash(suspect.evidence_,
              { aBroken.serverHash_,
                HashText(aBroken.requestId_),
-               shared ? aBroken.moment_ : 0 });
+               shared ? aBroken.moment_ : aBroken.moment_ | kExactMoment });
     suspect.until_ = aStep.Time() + TimeToLive(suspect.evidence_);
     aStep.out_.emplace_back(SuspectFound{ key, suspect.evidence_ });
     quarantined = quarantined || (!before && IsConclusive(suspect.evidence_));
@@ -212,6 +214,18 @@
   }
 }
 
+void
+RefuteCrash(GatewayState& aState,
+            std::uint64_t aBackend,
+            TimePoint aOpenedAt,
+            TimePoint aSentAt)
+{
+  std::erase_if(aState.broken_, [=](const BrokenConnection& aOne) {
+    return aOne.backend_ == aBackend && aOpenedAt < aOne.at_ &&
+           aOne.at_ < aSentAt;
+  });
+}
+
 bool
 GatewayAdoptSuspect(GatewayState& aState,
                     std::uint64_t aFingerprint,
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -327,6 +327,16 @@
             std::uint64_t aBackend,
             const std::string& aReason);
 
+/**
+ * Drops the broken connections of a server that has answered a request: it has
+ * not crashed between the opening of the connection and the send.
+ */
+void
+RefuteCrash(GatewayState& aState,
+            std::uint64_t aBackend,
+            TimePoint aOpenedAt,
+            TimePoint aSentAt);
+
 /** Drops the evidence against content that has been answered. */
 void
 RefuteSuspicion(GatewayStep& aStep, const GatewayRun& aRun);
--- a/tests/gateway/crash_test.cpp
+++ b/tests/gateway/crash_test.cpp
@@ -38,7 +38,8 @@
   std::size_t shards_ = 0;         ///< Zero: a plain route.
   std::size_t crashingShards_ = 0; ///< The first ones; zero: all servers.
   bool variesCaller_ = false;      ///< Tries come from many addresses.
-  bool resets_ = false; ///< Other servers lose a part of their answers.
+  bool resets_ = false;    ///< Other servers lose a part of their answers.
+  bool inAnswers_ = false; ///< Crashes and resets come in answers.
 };
 
 GatewayRoute
@@ -77,6 +78,7 @@
     for (std::size_t i = 0; i < replay_.Servers().size(); ++i) {
       replay_.Servers()[i].crashesOn_ =
         aCase.crashingShards_ == 0 || i / 2 < aCase.crashingShards_;
+      replay_.Servers()[i].breaksInAnswers_ = aCase.inAnswers_;
     }
     replay_.LoseReports(aCase.lostReports_);
     replay_.OnCrash([this](std::size_t aServer) { Crash(aServer); });
@@ -179,6 +181,9 @@
     { "answers are lost, too", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), true, 0.0, 0, 0, true, true },
     { "a query, all shards", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), true, 0.0, 8, 0, true },
     { "a query, one shard of eight", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), true, 0.0, 8, 1 },
+    { "in the answer", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), true, 0.0, 0, 0, true, false, true },
+    { "in the answer, and answers are lost", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), true, 0.0, 0, 0, true, true, true },
+    { "a query, all shards, in the answer", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), true, 0.0, 8, 0, true, false, true },
     { "twenty daemons", 20, ModelFault::Silent, milliseconds(3600), milliseconds(4500), true, 0.0, 0, 0, true },
   };
   // clang-format on
--- /dev/null
+++ b/tests/gateway/innocent_test.cpp
@@ -0,0 +1,163 @@
+// Requests that are in flight when servers end or connections break for another
+// reason: their content must stay served.
+#include "gateway/replay_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <vector>
+
+using namespace camphorfield;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kDaemons = 6;
+constexpr std::size_t kServers = 6;
+constexpr Duration kTime = seconds(40);
+
+/** Another reason, applied to a replay whose load lasts for kTime. */
+struct OtherCause
+{
+  const char* name_;
+  std::function<void(Replay&)> apply_;
+};
+
+GatewayRoute
+MakeRoute()
+{
+  GatewayRoute route;
+  route.name_ = "plain";
+  route.prefix_ = "/plain/";
+  route.timeout_ = seconds(2);
+  route.objective_ = milliseconds(400);
+  route.maxAttempts_ = 2;
+  route.to_.push_back({ "shard0", 1.0 });
+  return route;
+}
+
+void
+Restart(Replay& aReplay, std::size_t aServer)
+{
+  ModelServer& server = aReplay.Servers()[aServer];
+  server.fault_ = ModelFault::None;
+  server.draining_ = false;
+  ++server.incarnation_;
+  aReplay.Announce();
+}
+
+/** All servers end together and are back after 3 s. */
+void
+LosePower(Replay& aReplay, Duration aAt)
+{
+  aReplay.At(aAt, [&aReplay]() {
+    for (std::size_t i = 0; i < kServers; ++i) {
+      aReplay.Crash(i);
+    }
+  });
+  aReplay.At(aAt + seconds(3), [&aReplay]() {
+    for (std::size_t i = 0; i < kServers; ++i) {
+      Restart(aReplay, i);
+    }
+  });
+}
+
+/** Servers end one after the other. */
+void
+RollServers(Replay& aReplay, bool aDrain)
+{
+  for (std::size_t i = 0; i < kServers; ++i) {
+    const Duration at = seconds(4) + i * seconds(5);
+    aReplay.At(at - seconds(1), [&aReplay, i, aDrain]() {
+      aReplay.Servers()[i].draining_ = aDrain;
+      aReplay.Announce();
+    });
+    aReplay.At(at, [&aReplay, i]() { aReplay.Crash(i); });
+    aReplay.At(at + seconds(2), [&aReplay, i]() { Restart(aReplay, i); });
+  }
+}
+
+/** Each server resets its answers for 0.3 s in each 2 s, and accepts no
+ * connections during the last third of it. */
+void
+ResetAnswers(Replay& aReplay)
+{
+  for (Duration at = seconds(2); at < kTime; at += milliseconds(2000)) {
+    for (std::size_t i = 0; i < kServers; ++i) {
+      const Duration begin = at + i * milliseconds(150);
+      const auto set = [&aReplay, i](ModelFault aFault) {
+        return
+          [&aReplay, i, aFault]() { aReplay.Servers()[i].fault_ = aFault; };
+      };
+      aReplay.At(begin, set(ModelFault::Reset));
+      aReplay.At(begin + milliseconds(200), set(ModelFault::Down));
+      aReplay.At(begin + milliseconds(300), set(ModelFault::None));
+    }
+  }
+}
+
+void
+GarbleAnswers(Replay& aReplay)
+{
+  for (ModelServer& server : aReplay.Servers()) {
+    server.lateCopies_ = true;
+    server.dropsIdle_ = milliseconds(150);
+  }
+}
+
+} // namespace
+
+TEST_GROUP(Innocent){};
+
+// One caller repeats one request at all daemons, so that several with the same
+// content are in flight on several servers at any moment.
+TEST(Innocent, RepeatedContentIsQuarantined)
+{
+  const std::vector<OtherCause> causes{
+    { "a loss of power",
+      [](Replay& aReplay) { LosePower(aReplay, seconds(5)); } },
+    { "two losses of power",
+      [](Replay& aReplay) {
+        LosePower(aReplay, seconds(5));
+        LosePower(aReplay, seconds(17));
+      } },
+    { "a rolling release",
+      [](Replay& aReplay) { RollServers(aReplay, true); } },
+    { "servers killed in turn",
+      [](Replay& aReplay) { RollServers(aReplay, false); } },
+    { "resets", ResetAnswers },
+    { "resets and a loss of power",
+      [](Replay& aReplay) {
+        ResetAnswers(aReplay);
+        LosePower(aReplay, seconds(5));
+      } },
+    { "copies and dropped connections", GarbleAnswers },
+  };
+  std::string failures;
+  for (const OtherCause& cause : causes) {
+    for (const std::uint64_t seed : { 1, 2, 3 }) {
+      Replay replay(kDaemons, seed);
+      for (std::size_t i = 0; i < kServers; ++i) {
+        replay.AddServer("shard0", 1.0).breaksInAnswers_ = true;
+      }
+      replay.SetRoute(MakeRoute());
+      replay.Publish();
+      cause.apply_(replay);
+      replay.Run({ { "/plain/x", 120.0, milliseconds(60) } }, kTime);
+      std::uint64_t quarantined = 0;
+      for (std::size_t i = 0; i < kDaemons; ++i) {
+        quarantined +=
+          replay.Daemon(i)
+            .stats_.byCode_[static_cast<std::size_t>(ProxyCode::Quarantined)];
+      }
+      if (quarantined > 0) {
+        failures += std::string("\n") + cause.name_ + ", seed " +
+                    std::to_string(seed) + ": " + std::to_string(quarantined);
+      }
+    }
+  }
+  STRCMP_EQUAL("", failures.c_str());
+}
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -299,12 +299,14 @@
     return;
   }
   const ModelConnection connection = found->second;
+  const bool begun =
+    connection.job_ != 0 && servers_[connection.server_].breaksInAnswers_;
   Drop(aConnection);
   const bool open =
     serialOf_.erase({ connection.daemon_, connection.key_ }) > 0;
   if (open) {
     HandleEvent(connection.daemon_,
-                BackendClosed{ ConnectionId{ connection.key_ }, aEnd, false });
+                BackendClosed{ ConnectionId{ connection.key_ }, aEnd, begun });
   }
 }
 
@@ -495,6 +497,7 @@
     case ModelFault::Silent:
       break;
     case ModelFault::Reset:
+      connection.job_ = server.breaksInAnswers_ ? aJob : 0;
       Break(job.connection_, BackendEnd::Reset);
       break;
     case ModelFault::Garble:
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -65,6 +65,7 @@
    */
   bool lateCopies_ = false;
   bool hidesIds_ = false;        ///< Its answers have no id.
+  bool breaksInAnswers_ = false; ///< Part of an answer comes before a reset.
   std::int64_t incarnation_ = 1; ///< Start, in its entry.
   bool listed_ = true;
   std::map<std::size_t, ModelGuidance> told_; ///< By daemon.
