Add: crash evidence outlives a kill of all daemons

Evidence against content that crashes servers was kept in memory and gossip only, so each kill of all daemons cost three more servers. Entries that a daemon reads keep their time of expiry.

The store stand-in of the soak takes creates, conditional replacements and deletes.

--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -52,14 +52,6 @@
            aContent.shared_[2] };
 }
 
-Duration
-TimeToLive(const CrashEvidence& aEvidence)
-{
-  const bool exact = aEvidence.moments_.empty() ||
-                     (aEvidence.moments_.front() & kExactMoment) != 0;
-  return exact ? kSuspectTtl : kSharedSuspectTtl;
-}
-
 /** Returns the record of a content; a full table drops the one with the least
  * evidence. */
 SuspectContent&
@@ -97,7 +89,7 @@
              { aBroken.serverHash_,
                HashText(aBroken.requestId_),
                shared ? aBroken.moment_ : aBroken.moment_ | kExactMoment });
-    suspect.until_ = aStep.Time() + TimeToLive(suspect.evidence_);
+    suspect.until_ = aStep.Time() + EvidenceTimeToLive(suspect.evidence_);
     aStep.out_.emplace_back(SuspectFound{ key, suspect.evidence_ });
     quarantined = quarantined || (!before && IsConclusive(suspect.evidence_));
   }
@@ -108,6 +100,14 @@
 
 } // namespace
 
+Duration
+EvidenceTimeToLive(const CrashEvidence& aEvidence)
+{
+  const bool exact = aEvidence.moments_.empty() ||
+                     (aEvidence.moments_.front() & kExactMoment) != 0;
+  return exact ? kSuspectTtl : kSharedSuspectTtl;
+}
+
 // The same content may come again with another query string, such as the number
 // of a page, and from another address.
 ContentKeys
@@ -230,12 +230,14 @@
 GatewayAdoptSuspect(GatewayState& aState,
                     std::uint64_t aFingerprint,
                     const CrashEvidence& aEvidence,
-                    const Now& aNow)
+                    const Now& aNow,
+                    Duration aLeft)
 {
   SuspectContent& suspect = FindOrAddSuspect(aState, aFingerprint, aNow.mono_);
   const bool before = IsConclusive(suspect.evidence_);
   JoinEvidence(suspect.evidence_, aEvidence);
-  suspect.until_ = aNow.mono_ + TimeToLive(suspect.evidence_);
+  const Duration left = std::min(aLeft, EvidenceTimeToLive(suspect.evidence_));
+  suspect.until_ = std::max(suspect.until_, aNow.mono_ + left);
   return !before && IsConclusive(suspect.evidence_);
 }
 
--- a/src/gateway/gateway_func.h
+++ b/src/gateway/gateway_func.h
@@ -41,13 +41,15 @@
 /**
  * Joins another daemon's evidence on content that crashes servers.
  * @param aFingerprint Hash of the content.
+ * @param aLeft Time until the evidence expires, if that is known.
  * @return Whether the content is quarantined from now on.
  */
 bool
 GatewayAdoptSuspect(GatewayState& aState,
                     std::uint64_t aFingerprint,
                     const CrashEvidence& aEvidence,
-                    const Now& aNow);
+                    const Now& aNow,
+                    Duration aLeft = Duration::max());
 
 /** Rejects or forwards a request. Each gets exactly one ProxyAnswer, unless its
  * caller leaves. */
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -309,6 +309,10 @@
               const ContentKeys& aContent,
               TimePoint aNow);
 
+/** How long evidence is kept after the latest crash. */
+Duration
+EvidenceTimeToLive(const CrashEvidence& aEvidence);
+
 /** Whether there is evidence against content. */
 bool
 IsSuspected(const GatewayState& aState, const ContentKeys& aContent);
--- a/src/ops/gateway_metrics.cpp
+++ b/src/ops/gateway_metrics.cpp
@@ -141,6 +141,14 @@
            "camphorfield_gateway_unreadable_store_values",
            "Values in the store's replies that could not be read",
            static_cast<double>(aHost.UnreadableStoreValues()));
+  AddGauge(aRegistry,
+           "camphorfield_gateway_evidence_calls",
+           "Calls to the store for crash evidence since the start",
+           static_cast<double>(aHost.Evidence().calls_));
+  AddGauge(aRegistry,
+           "camphorfield_gateway_evidence_calls_failed",
+           "Of these, refused, without an answer or in conflict",
+           static_cast<double>(aHost.Evidence().failedCalls_));
   AddGauge(aRegistry,
            "camphorfield_log_lines_dropped",
            "Lines not written since the start",
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -64,6 +64,13 @@
            [this](std::size_t aTable, const TableChange& aChange) {
              OnTable(aTable, aChange);
            })
+  , evidence_(
+      aPool.At(0),
+      adapter_.evidence_,
+      aSettings.storeAddress_,
+      aSettings.storesEvidence_,
+      [this]() { return IsEvidenceKeeper(); },
+      [this](const EvidenceItems& aItems) { AdoptStoredEvidence(aItems); })
   , timer_(aPool.At(0).Context())
   , members_(MembershipMembers(membership_))
   , role_(MakeFleetRole(ReadClock().mono_))
@@ -82,6 +89,7 @@
   }
   pool_.At(0).Post([this]() {
     store_.Start();
+    evidence_.Start();
     OnTimer();
   });
   return absl::OkStatus();
@@ -153,6 +161,7 @@
         rumor.untilUnixMicros_ =
           ReadClock().unixMicros_ + Duration(kSuspectTtl).count();
         HandleMembershipEvent(SpreadRumor{ rumor });
+        evidence_.Record(aItem.fingerprint_, aItem.evidence_, true);
       } else if constexpr (std::is_same_v<Item, RequestRecord>) {
         LogRequest(aItem);
       } else if constexpr (std::is_same_v<Item, BackendRecord>) {
@@ -189,16 +198,47 @@
 GatewayHost::AdoptEvidence(const QuarantineRumor& aRumor)
 {
   const std::uint64_t fingerprint = aRumor.fingerprint_.value_;
+  evidence_.Record(fingerprint, aRumor.evidence_, false);
   if (GatewayAdoptSuspect(
         gateway_, fingerprint, aRumor.evidence_, ReadClock())) {
-    SuspicionRecord record;
-    record.event_ = SuspicionEvent::Quarantined;
-    record.fingerprint_ = fingerprint;
-    record.reason_ = "evidence of another daemon";
-    LogSuspicion(record);
+    LogQuarantine(fingerprint, "evidence of another daemon");
   }
 }
 
+void
+GatewayHost::AdoptStoredEvidence(const EvidenceItems& aItems)
+{
+  const Now now = ReadClock();
+  for (const auto& [fingerprint, item] : aItems) {
+    if (GatewayAdoptSuspect(
+          gateway_,
+          fingerprint,
+          item.evidence_,
+          now,
+          Duration(item.untilUnixMicros_ - now.unixMicros_))) {
+      LogQuarantine(fingerprint, "evidence in the store");
+    }
+  }
+}
+
+void
+GatewayHost::LogQuarantine(std::uint64_t aFingerprint, const char* aReason)
+{
+  SuspicionRecord record;
+  record.event_ = SuspicionEvent::Quarantined;
+  record.fingerprint_ = aFingerprint;
+  record.reason_ = aReason;
+  LogSuspicion(record);
+}
+
+// Any rule does on which daemons with the same view agree.
+bool
+GatewayHost::IsEvidenceKeeper() const
+{
+  return !stopping_ && !members_->empty() &&
+         members_->front().id_ == membership_.self_.id_;
+}
+
 void
 GatewayHost::SendToPeer(const SendPeer& aSend)
 {
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -10,6 +10,7 @@
 #include "machine/decision_type.h"
 #include "membership/membership_base.h"
 #include "runtime/backend_link.h"
+#include "runtime/evidence_store.h"
 #include "runtime/peer_link.h"
 #include "runtime/store_reader.h"
 #include "runtime/worker.h"
@@ -35,11 +36,12 @@
 {
   MembershipSettings membership_; ///< self_: name, addresses, failure domain.
   GatewaySettings gateway_;
-  std::string storeAddress_; ///< "IP:port" of the platform's store.
-  std::string configKind_;   ///< Kind of the configuration's object.
-  std::string configName_;   ///< Name of the configuration's object.
-  std::string serversKind_;  ///< Kind of the servers' entries.
-  std::uint64_t seed_ = 0;   ///< Seed of the random number generator.
+  std::string storeAddress_;    ///< "IP:port" of the platform's store.
+  std::string configKind_;      ///< Kind of the configuration's object.
+  std::string configName_;      ///< Name of the configuration's object.
+  std::string serversKind_;     ///< Kind of the servers' entries.
+  bool storesEvidence_ = false; ///< Keep crash evidence in the store.
+  std::uint64_t seed_ = 0;      ///< Seed of the random number generator.
 };
 
 /** Conversions that the platform's adapter provides. */
@@ -51,6 +53,7 @@
     const std::string& aText);
   absl::StatusOr<BackendEntry> (*decodeServer_)(const std::string& aId,
                                                 const std::string& aText);
+  EvidenceCodec evidence_;
 };
 
 /** Bytes sent to other daemons since the process started. */
@@ -129,6 +132,7 @@
     return store_.UnreadableValues();
   }
   const TableSyncStats& SyncStats() const { return syncStats_; }
+  const EvidenceLog& Evidence() const { return evidence_.Log(); }
 
 private:
   using Promise = boost::fibers::promise<ProxyAnswer>;
@@ -142,6 +146,9 @@
   void ApplyDecision(GatewayDecision& aDecision);
   void ApplyMembershipDecisions();
   void AdoptEvidence(const QuarantineRumor& aRumor);
+  void AdoptStoredEvidence(const EvidenceItems& aItems);
+  void LogQuarantine(std::uint64_t aFingerprint, const char* aReason);
+  bool IsEvidenceKeeper() const;
   void SendToPeer(const SendPeer& aSend);
   void LogTraffic();
   void OnFrame(const std::string& aPayload);
@@ -182,6 +189,7 @@
   BackendLinks backends_;
   PeerLinks peers_;
   StoreReader store_;
+  EvidenceStore evidence_;
   boost::asio::steady_timer timer_;
   TimePoint timerExpiry_ = kNever;
   TimePoint nextMaintenanceAt_{};
--- a/src/runtime/gateway_tables.cpp
+++ b/src/runtime/gateway_tables.cpp
@@ -24,6 +24,7 @@
   }
   const TableSync& table = store_.Table(aTable);
   if (aChange.restored_) {
+    evidence_.Recheck();
     WriteLog(LogLevel::Warning,
              "store restored from an older copy",
              { { "kind", kind },
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -7,6 +7,7 @@
 import collections
 import errno
 import itertools
+import json
 import random
 import time
 
@@ -116,10 +117,11 @@
 
 
 class Store:
-    """The platform's store: objects by kind, with lists and watches."""
+    """The platform's store: objects by kind, with lists, watches and
+    conditional writes."""
 
     def __init__(self):
-        self.objects = {"config": {}, "servers": {}}
+        self.objects = {"config": {}, "servers": {}, wire.EVIDENCE: {}}
         self.changes = []  # (revision, kind, object, deleted)
         self.revision = 100
         self.compacted_revision = 100  # Changes up to here were dropped.
@@ -178,16 +180,19 @@
         await serve_messages(reader, writer, self.connections, self.answer)
 
     async def answer(self, message):
-        """Answer a list or a watch."""
+        """Answer a list, a watch or a write."""
         if self.mode == "down":
             return None
         if self.mode == "slow":
             await asyncio.sleep(0.3)
         if self.mode == "busy":
             return wire.store_reply(self.era, 503)
-        path, _, text = message[0].split(" ")[1].partition("?")
-        kind = path.rsplit("/", 1)[1]
+        method, target, _ = message[0].split(" ")
+        path, _, text = target.partition("?")
         query = dict(item.split("=", 1) for item in text.split("&") if item)
+        if method != "GET":
+            return self.write(method, path, query, message[2])
+        kind = path.rsplit("/", 1)[1]
         if "watch" in query:
             return await self.watch(kind, int(query["watch"]),
                                     int(query.get("wait-ms", 0)) / 1000)
@@ -198,6 +203,23 @@
                       for name in names[:PAGE_OBJECTS]],
             "more": len(names) > PAGE_OBJECTS, "as-of": self.revision})
 
+    def write(self, method, path, query, body):
+        """Create, replace or delete an object."""
+        document = json.loads(body) if body else {"meta": {}, "spec": None}
+        _, _, kind, *names = path.split("/")
+        name = names[0] if names else document["meta"]["name"]
+        known = self.objects[kind].get(name)
+        if method != "POST" and known is None:
+            return wire.store_reply(self.era, 404)
+        revision = document["meta"].get("revision") or query.get("revision")
+        if known is not None and (method == "POST" or int(
+                revision or 0) not in (0, known["meta"]["revision"])):
+            return wire.store_reply(self.era, 409, known)
+        self.put(kind, name,
+                 None if method == "DELETE" else document["spec"])
+        return wire.store_reply(self.era, 201 if method == "POST" else 200,
+                                self.objects[kind].get(name, known))
+
     async def watch(self, kind, since, wait_s):
         """Wait for changes after a revision and return them."""
         end = time.monotonic() + wait_s
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -13,6 +13,7 @@
 LIMIT = "server-limit"
 RETRY_AFTER = "retry-after"
 STORE_ERA = "store-era"
+EVIDENCE = "crash-evidence"  # Kind that the gateways write.
 RECORD_BYTES = 16
 CRASH_PATH = "/plain/crash"  # Crashes each server that runs it.
 
@@ -72,7 +73,7 @@
         f"seeds={','.join(seeds)}", f"platform.address={store}",
         "limits.cpu-share=0.25", f"bounds.grace-s={grace_s}",
         "bounds.retry-budget-ratio=0.2", "bounds.budget-slack=52",
-        "bounds.budget-window-s=10", ""])
+        "bounds.budget-window-s=10", "bounds.stable-window-ms=4000", ""])
 
 
 def make_config(version, host, query, plain, once):
