Fix: pauses and limits of servers are known in two more cases

A pause or a limit was kept with the listed server, and lost when its entry was malformed or missing for 0.2 s. It is now kept by id and start for 60 s, or as long as the pause, and what an older connection of the same incarnation is told goes to the listed one.

A rejection that was still under way when its request was cancelled was not seen, so a further request reached the server in its pause. A cancelled request's connection now ends sending, which the server sees as before, and reads for up to 0.5 s more; at most 128 connections do so at a time.

The soak's proxy passes the end of one direction on, as a network does, instead of dropping what is under way in the other.

BackendLink: an answer 0 and 50 ms after the server has seen the cancellation was lost before, and is reported now.

--- a/src/gateway/backend_health.cpp
+++ b/src/gateway/backend_health.cpp
@@ -141,16 +141,23 @@
                    "what it says of itself can't be read" });
 }
 
-} // namespace
+/** The listed incarnation with the same id and start: the entry may have come
+ * back while a connection from before was in use. */
+Backend&
+FindListed(GatewayState& aState, Backend& aBackend)
+{
+  const auto found = aState.backendOf_.find(
+    { aBackend.entry_.id_, aBackend.entry_.startedMillis_ });
+  return found == aState.backendOf_.end()
+           ? aBackend
+           : *FindSlot(aState.backends_, found->second);
+}
 
 void
-RecordGuidance(GatewayStep& aStep,
-               Backend& aBackend,
-               const BackendAnswer& aAnswer)
+ApplyGuidance(GatewayStep& aStep,
+              Backend& aBackend,
+              const BackendAnswer& aAnswer)
 {
-  if (aAnswer.status_ == kStatusMisdirected) {
-    return; // Another server has the address and speaks of itself.
-  }
   if (aAnswer.malformedGuidance_) {
     CountMalformed(aStep, aBackend);
   }
@@ -163,6 +170,53 @@
   }
 }
 
+} // namespace
+
+void
+KeepGuidance(GatewayStep& aStep, const Backend& aBackend)
+{
+  auto& kept = aStep.state_.keptGuidance_;
+  std::erase_if(kept, [&aStep](const auto& aItem) {
+    return aItem.second.keptUntil_ <= aStep.Time();
+  });
+  if (aStep.Time() < aBackend.pausedUntil_ ||
+      aBackend.rateLimit_.perSecond_.has_value()) {
+    kept[{ aBackend.entry_.id_, aBackend.entry_.startedMillis_ }] = {
+      aBackend.pausedUntil_,
+      aBackend.rateLimit_,
+      std::max(aStep.Time() + kGuidanceTtl, aBackend.pausedUntil_)
+    };
+  }
+}
+
+void
+RestoreGuidance(GatewayStep& aStep, Backend& aBackend)
+{
+  auto& kept = aStep.state_.keptGuidance_;
+  const auto found =
+    kept.find({ aBackend.entry_.id_, aBackend.entry_.startedMillis_ });
+  if (found != kept.end()) {
+    aBackend.pausedUntil_ = found->second.pausedUntil_;
+    aBackend.rateLimit_ = found->second.rateLimit_;
+    kept.erase(found);
+  }
+}
+
+void
+RecordGuidance(GatewayStep& aStep,
+               Backend& aBackend,
+               const BackendAnswer& aAnswer)
+{
+  if (aAnswer.status_ == kStatusMisdirected) {
+    return; // Another server has the address and speaks of itself.
+  }
+  Backend& listed = FindListed(aStep.state_, aBackend);
+  ApplyGuidance(aStep, listed, aAnswer);
+  if (!listed.listed_) {
+    KeepGuidance(aStep, listed);
+  }
+}
+
 void
 RecordSuccess(GatewayStep& aStep,
               Backend& aBackend,
--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -43,6 +43,7 @@
   backend.service_ = FindOrAddService(state, aEntry.service_);
   backend.leaving_ =
     state.leavingSince_.count({ aEntry.id_, aEntry.startedMillis_ }) > 0;
+  RestoreGuidance(aStep, backend);
   state.services_[backend.service_].backends_.push_back(key);
   state.backendOf_[BackendKey(aEntry.id_, aEntry.startedMillis_)] = key;
   aStep.out_.emplace_back(BackendRecord{
@@ -57,6 +58,7 @@
   if (IsUsable(aBackend)) {
     RecordCrash(aStep, aBackend.key_, "no longer listed");
   }
+  KeepGuidance(aStep, aBackend);
   aBackend.listed_ = false;
   std::vector<std::uint64_t>& listed =
     state.services_[aBackend.service_].backends_;
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -114,6 +114,14 @@
   TimePoint pausedUntil_{}; ///< It wants no requests before.
 };
 
+/** What an incarnation said of itself, while no entry lists it. */
+struct KeptGuidance
+{
+  TimePoint pausedUntil_{};
+  RateLimit rateLimit_;
+  TimePoint keptUntil_{};
+};
+
 /** Order of waiting parts: late requests last, then by priority, then by time;
  * the key of the run and the index of the part follow. */
 using QueueKey =
@@ -311,6 +319,8 @@
   /** When servers said that they leave, by id and start. The store may list
    * them as ready again. */
   std::map<std::pair<std::string, std::int64_t>, TimePoint> leavingSince_;
+  /** By id and start, of servers whose entries are missing. */
+  std::map<std::pair<std::string, std::int64_t>, KeptGuidance> keptGuidance_;
   TimePoint malformedGuidanceLogAt_{}; ///< Earliest time of the next line.
   std::unordered_map<std::string, ServiceNumber> serviceNumber_;
   std::map<std::string, RouteLoad> loads_; ///< By name of the route.
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -95,6 +95,8 @@
 /** A server that said it leaves is remembered for this time; its entry in the
  * store is gone long before. */
 constexpr Duration kLeavingTtl = seconds(600);
+/** Pauses and limits of servers without an entry are kept for this time. */
+constexpr Duration kGuidanceTtl = seconds(60);
 /** Least time between log lines on what servers say of themselves and can't be
  * read. */
 constexpr Duration kMalformedGuidanceLogInterval = seconds(5);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -111,6 +111,14 @@
                Backend& aBackend,
                const BackendAnswer& aAnswer);
 
+/** Keeps the pause and the limit of a server whose entry is missing. */
+void
+KeepGuidance(GatewayStep& aStep, const Backend& aBackend);
+
+/** Puts what was kept of an incarnation in force again. */
+void
+RestoreGuidance(GatewayStep& aStep, Backend& aBackend);
+
 /** Records that a server rejected a request for lack of capacity. */
 void
 RecordShed(GatewayStep& aStep, Backend& aBackend);
--- a/src/runtime/backend_link.cpp
+++ b/src/runtime/backend_link.cpp
@@ -30,6 +30,11 @@
 constexpr std::uint32_t kFirstFinalStatus = 200;
 /** Interim answers (1xx) to one request; a server could send them forever. */
 constexpr std::uint32_t kMaxInterimAnswers = 8;
+/** A server's word on itself may be under way when its request is cancelled;
+ * what comes later than this is no longer expected to be known. */
+constexpr Duration kLingerTime = std::chrono::milliseconds(500);
+/** Connections that linger: more would take descriptors from other uses. */
+constexpr std::size_t kMaxLingering = 128;
 
 BackendEnd
 ToConnectEnd(const boost::system::error_code& aError)
@@ -56,6 +61,8 @@
   void Connect(const BackendConnect& aConnect);
   void Send(std::string aText);
   void CloseSocket();
+  /** Ends sending, and reports the answer if it comes soon. */
+  void Linger(const BackendDisconnect& aDisconnect);
   /** The answer that has arrived but was not read, if it is whole. */
   std::optional<BackendAnswer> TakeUnread();
 
@@ -86,6 +93,7 @@
   bool writing_ = false;
   bool awaitsAnswer_ = false;
   bool isClosed_ = false;
+  std::optional<BackendDisconnect> lingering_;
 };
 
 void
@@ -178,9 +186,34 @@
     });
 }
 
+// The server sees the end of the connection as with a close. The pending read
+// holds a buffer from before TakeUnread, so it is begun again.
+void
+BackendLink::Linger(const BackendDisconnect& aDisconnect)
+{
+  if (isClosed_ || !awaitsAnswer_ || writing_ ||
+      owner_.lingering_ >= kMaxLingering) {
+    CloseSocket();
+    return;
+  }
+  ++owner_.lingering_;
+  lingering_ = aDisconnect;
+  boost::system::error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  socket_.cancel(ignored);
+  timer_.expires_after(kLingerTime);
+  timer_.async_wait(
+    [self = shared_from_this()](const boost::system::error_code& aError) {
+      if (!aError) {
+        self->Fail(BackendEnd::TimedOut);
+      }
+    });
+}
+
 void
 BackendLink::CloseSocket()
 {
+  owner_.lingering_ -= lingering_ && !isClosed_ ? 1 : 0;
   isClosed_ = true;
   timer_.cancel();
   boost::system::error_code ignored;
@@ -195,7 +228,9 @@
   }
   const bool begun = HasBegun();
   CloseSocket();
-  owner_.Close(id_, aEnd, begun);
+  if (!lingering_) {
+    owner_.Close(id_, aEnd, begun);
+  }
 }
 
 void
@@ -215,6 +250,10 @@
   if (isClosed_) {
     return;
   }
+  if (lingering_ && aError == boost::asio::error::operation_aborted) {
+    Read();
+    return;
+  }
   if (aError) {
     HandleReadError(aError);
     return;
@@ -334,6 +373,12 @@
     }
     return;
   }
+  if (lingering_) {
+    CloseSocket();
+    owner_.sink_.unread_(UnreadAnswer{
+      lingering_->backend_, *std::move(answer), lingering_->requestHash_ });
+    return;
+  }
   owner_.sink_.answered_(*std::move(answer));
   if (aEnded) {
     Fail(BackendEnd::Closed);
@@ -384,8 +429,10 @@
                                               aDisconnect.requestHash_ }]() {
                           sink_.unread_(item);
                         });
+      link->CloseSocket();
+      return;
     }
-    link->CloseSocket();
+    link->Linger(aDisconnect);
   }
 }
 
--- a/src/runtime/backend_link.h
+++ b/src/runtime/backend_link.h
@@ -37,6 +37,7 @@
 
   void Connect(const BackendConnect& aConnect);
   void Send(const BackendSend& aSend);
+  /** Ends sending; reads for a moment longer if an answer is awaited. */
   void Disconnect(const BackendDisconnect& aDisconnect);
 
 private:
@@ -46,6 +47,7 @@
   boost::asio::io_context& context_;
   const GatewayCodec& codec_;
   BackendSink sink_;
+  std::size_t lingering_ = 0; ///< Connections that only read.
   std::unordered_map<std::uint64_t, std::shared_ptr<class BackendLink>> links_;
 };
 
--- a/tests/gateway/guidance_test.cpp
+++ b/tests/gateway/guidance_test.cpp
@@ -177,6 +177,59 @@
   CHECK_TEXT(arrivals > 60, std::to_string(arrivals).c_str());
 }
 
+// An entry may be malformed or missing for a moment while its server pauses or
+// names a limit.
+TEST(Guidance, PausesAndLimitsAreLostWithTheEntry)
+{
+  struct Case
+  {
+    const char* name_;
+    Duration goneAt_; ///< After the server began to pause.
+    Duration goneFor_;
+    bool newIncarnation_;
+    bool isLimit_;
+  };
+  const std::vector<Case> cases{
+    { "pause", milliseconds(400), milliseconds(200), false, false },
+    { "long gone", milliseconds(400), milliseconds(2500), false, false },
+    { "told while gone", milliseconds(2), milliseconds(30), false, false },
+    { "new incarnation", milliseconds(400), milliseconds(200), true, false },
+    { "limit", milliseconds(400), milliseconds(200), false, true },
+  };
+  for (const Case& item : cases) {
+    Replay replay(6, 42);
+    MakeShards(replay);
+    ModelServer& server = replay.Servers()[0];
+    const TimePoint begun = replay.Clock();
+    replay.At(seconds(2), [&]() {
+      server.fault_ = item.isLimit_ ? ModelFault::None : ModelFault::Shed;
+      server.retryAfter_ = item.isLimit_ ? Duration::zero() : seconds(4);
+      server.limit_ = item.isLimit_ ? std::optional(6.0) : std::nullopt;
+    });
+    const auto list = [&](bool aListed) {
+      server.listed_ = aListed;
+      replay.Announce();
+    };
+    replay.At(seconds(2) + item.goneAt_, [&]() {
+      server.incarnation_ += item.newIncarnation_ ? 1 : 0;
+      list(false);
+    });
+    replay.At(seconds(2) + item.goneAt_ + item.goneFor_, [&]() { list(true); });
+    const ReplayLoad load{ kTarget, 60, milliseconds(10), seconds(2), 1 };
+    replay.Run({ load }, seconds(6));
+    const std::size_t arrivals =
+      CountArrivals(server, begun + seconds(3), begun + seconds(6));
+    if (item.isLimit_) {
+      // The servers of a shard share 60 queries a second.
+      CHECK_TEXT(arrivals <= 21, std::to_string(arrivals).c_str());
+    } else if (item.newIncarnation_) {
+      CHECK_TEXT(arrivals > 0, item.name_);
+    } else {
+      LONGS_EQUAL_TEXT(0, server.unwantedWhilePaused_, item.name_);
+    }
+  }
+}
+
 // A request may be cancelled while the rejection is on its way.
 TEST(Guidance, PausesAreMissedInAnswersToCancelledRequests)
 {
--- a/tests/runtime/backend_link_test.cpp
+++ b/tests/runtime/backend_link_test.cpp
@@ -178,10 +178,95 @@
   return unread;
 }
 
+/** What a server saw of a cancelled request, and what it then sent. */
+struct LateCase
+{
+  const char* name_;
+  std::string answer_;
+  std::chrono::milliseconds after_; ///< The end of the connection.
+  std::size_t reported_;
+};
+
+/** Cancels a request whose server answers after it has seen the end.
+ * @param aSeesEnd Set if the server saw it before the time for answers. */
+std::vector<UnreadAnswer>
+CancelBefore(const LateCase& aCase, bool& aSeesEnd)
+{
+  boost::asio::io_context context;
+  tcp::acceptor acceptor(context,
+                         { boost::asio::ip::address_v4::loopback(), 0 });
+  std::thread server([&]() {
+    tcp::socket socket = acceptor.accept();
+    boost::system::error_code error;
+    std::array<char, 1024> request{};
+    socket.read_some(boost::asio::buffer(request), error);
+    socket.read_some(boost::asio::buffer(request), error);
+    aSeesEnd = error == boost::asio::error::eof;
+    std::this_thread::sleep_for(aCase.after_);
+    const std::size_t half = aCase.answer_.size() / 2;
+    boost::asio::write(
+      socket, boost::asio::buffer(aCase.answer_.substr(0, half)), error);
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    boost::asio::write(
+      socket, boost::asio::buffer(aCase.answer_.substr(half)), error);
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  });
+  GatewayCodec codec{};
+  codec.encodeSend_ = EncodePlain;
+  codec.decodeAnswer_ = DecodePlain;
+  const ConnectionId id{ 1 };
+  std::vector<UnreadAnswer> unread;
+  BackendLinks* sender = nullptr;
+  BackendLinks links(
+    context,
+    codec,
+    BackendSink{ [&](const BackendOpened&) {
+                  BackendSend send;
+                  send.connection_ = id;
+                  sender->Send(send);
+                  sender->Disconnect({ id, 7, 9 });
+                },
+                 [](BackendAnswer&&) { FAIL("delivered"); },
+                 [](const BackendClosed&) { FAIL("closed"); },
+                 [&](const UnreadAnswer& aItem) { unread.push_back(aItem); } });
+  sender = &links;
+  links.Connect(BackendConnect{
+    id,
+    "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+    std::chrono::seconds(1) });
+  context.run();
+  server.join();
+  return unread;
+}
+
 } // namespace
 
 TEST_GROUP(BackendLink){};
 
+// A rejection that is on the network when its request is cancelled.
+TEST(BackendLink, GuidanceUnderWayToACancelledRequestIsLost)
+{
+  using std::chrono::milliseconds;
+  const std::string whole = std::string(kOk) + "Content-Length: 2\r\n\r\nhi";
+  const std::vector<LateCase> cases{
+    { "at once", whole, milliseconds(0), 1 },
+    { "after 50 ms", whole, milliseconds(50), 1 },
+    { "no answer", "", milliseconds(50), 0 },
+    { "too late", whole, milliseconds(900), 0 },
+    { "garbled", "HTTP/1.1 9x\r\n\r\n", milliseconds(0), 0 },
+  };
+  for (const LateCase& item : cases) {
+    bool seesEnd = false;
+    const std::vector<UnreadAnswer> unread = CancelBefore(item, seesEnd);
+    CHECK_TEXT(seesEnd, item.name_);
+    LONGS_EQUAL_TEXT(item.reported_, unread.size(), item.name_);
+    for (const UnreadAnswer& seen : unread) {
+      LONGS_EQUAL(7, seen.backend_);
+      LONGS_EQUAL(9, seen.requestHash_);
+    }
+  }
+}
+
 // A server that rejects a request doesn't know that it has been cancelled.
 TEST(BackendLink, GuidanceToACancelledRequestIsLost)
 {
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -108,7 +108,8 @@
                     reset(writer)
                     return
                 if not data:
-                    writer.close()
+                    # The other direction may still have bytes under way.
+                    writer.write_eof()
                     return
                 writer.write(data)
                 await writer.drain()
