--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -5,6 +5,7 @@
 #include "core/pool.h"
 #include "core/rng_type.h"
 #include "core/timer_heap.h"
+#include "gateway/carried_ids.h"
 #include "gateway/gateway_const.h"
 #include "gateway/gateway_type.h"
 #include "gateway/organisation.h"
@@ -76,11 +77,13 @@
   std::uint64_t key_ = 0; ///< Value of its ConnectionId.
   std::uint64_t backend_ = 0;
   BackendConnState state_ = BackendConnState::Opening;
-  bool used_ = false;      ///< It has carried at least one answer.
-  bool echoesIds_ = false; ///< An answer on it had the request's id.
+  bool used_ = false; ///< It has carried at least one answer.
+  TimePoint openedAt_{};
   TimePoint usedAt_{};
-  TimePoint expiresAt_ = kNever; ///< When to close it if still idle.
-  std::uint64_t attempt_ = 0;    ///< Busy: the attempt in flight.
+  TimePoint expiresAt_ = kNever;  ///< When to close it if still idle.
+  std::uint64_t attempt_ = 0;     ///< Busy: the attempt in flight.
+  std::uint64_t requestHash_ = 0; ///< Of the id sent last; zero: no id.
+  CarriedIds carried_;
 };
 
 /** One incarnation of a backend server. */
@@ -110,14 +113,23 @@
   ReportedLoad load_;
   TimePoint loadAt_{};
   RateLimit rateLimit_;
-  bool leaving_ = false; ///< It said so in an answer.
-  bool crashed_ = false; ///< Cleared when a connection opens again.
+  bool echoesIds_ = false; ///< An answer had its request's id.
+  bool leaving_ = false;   ///< It said so in an answer.
+  bool crashed_ = false;   ///< Cleared when a connection opens again.
   /** Ends after which it accepted connections again, before its next entry was
    * known. */
   std::uint64_t restarts_ = 0;
   TimePoint pausedUntil_{}; ///< It wants no requests before.
 };
 
+/** What an incarnation said of itself, while no entry lists it. */
+struct KeptGuidance
+{
+  TimePoint pausedUntil_{};
+  RateLimit rateLimit_;
+  TimePoint keptUntil_{};
+};
+
 /** Order of waiting parts: late requests last, then by priority, then by time;
  * the key of the run and the index of the part follow. */
 using QueueKey =
@@ -219,6 +231,7 @@
   std::uint64_t cap_ = 0;      ///< Whose token it has; zero: none.
   bool revoked_ = false; ///< Its key is no longer valid: nothing more is sent.
   ContentKeys content_{};
+  std::uint64_t requestHash_ = 0; ///< Of its id; zero: it has none.
   TimePoint arrivedAt_{};
   Duration waitedBefore_{}; ///< Since the caller's first attempt.
   TimePoint deadline_{};
@@ -335,6 +348,8 @@
   /** When servers said that they leave, by id and start. The store may list
    * them as ready again. */
   std::map<std::pair<std::string, std::int64_t>, TimePoint> leavingSince_;
+  /** By id and start, of servers whose entries are missing. */
+  std::map<std::pair<std::string, std::int64_t>, KeptGuidance> keptGuidance_;
   TimePoint malformedGuidanceLogAt_{}; ///< Earliest time of the next line.
   std::unordered_map<std::string, ServiceNumber> serviceNumber_;
   std::map<std::string, RouteLoad> loads_; ///< By name of the route.
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -77,6 +77,9 @@
 /** A request that takes this many times the expected time indicates a pause
  * of its server. */
 constexpr double kStallFactor = 2.0;
+/** Penalty of a server to which a connection would be opened first: its
+ * handshake takes 6 ms of a slot, and the request waits for it. */
+constexpr Duration kNewConnectionCost = milliseconds(12);
 constexpr std::uint32_t kFailuresToEject = 3; ///< Consecutive.
 constexpr Duration kEjectionFloor = milliseconds(500);
 constexpr Duration kEjectionCeiling = seconds(4);
@@ -92,6 +95,8 @@
 /** A server that said it leaves is remembered for this time; its entry in the
  * store is gone long before. */
 constexpr Duration kLeavingTtl = seconds(600);
+/** Pauses and limits of servers without an entry are kept for this time. */
+constexpr Duration kGuidanceTtl = seconds(60);
 /** Least time between log lines on what servers say of themselves and can't be
  * read. */
 constexpr Duration kMalformedGuidanceLogInterval = seconds(5);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -111,6 +111,14 @@
                Backend& aBackend,
                const BackendAnswer& aAnswer);
 
+/** Keeps the pause and the limit of a server whose entry is missing. */
+void
+KeepGuidance(GatewayStep& aStep, const Backend& aBackend);
+
+/** Puts what was kept of an incarnation in force again. */
+void
+RestoreGuidance(GatewayStep& aStep, Backend& aBackend);
+
 /** Records that a server rejected a request for lack of capacity. */
 void
 RecordShed(GatewayStep& aStep, Backend& aBackend);
@@ -126,9 +134,21 @@
 void
 EnsureConnections(GatewayStep& aStep, Backend& aBackend);
 
-/** Returns the idle connection to use next, or null. */
+/**
+ * Returns the idle connection to use next, or null.
+ * @param aRequestHash Hash of a request id that the connection must not have
+ * carried; zero: any connection.
+ */
 BackendConn*
-FindIdle(GatewayState& aState, const Backend& aBackend, TimePoint aNow);
+FindIdle(GatewayState& aState,
+         const Backend& aBackend,
+         std::uint64_t aRequestHash,
+         TimePoint aNow);
+
+/** Opens a connection for a request whose id all idle ones have carried. Closes
+ * one of these if the server would have too many. */
+void
+OpenUnusedConnection(GatewayStep& aStep, Backend& aBackend);
 
 /**
  * Marks a connection idle after a complete answer.
@@ -345,6 +365,10 @@
               const ContentKeys& aContent,
               TimePoint aNow);
 
+/** How long evidence is kept after the latest crash. */
+Duration
+EvidenceTimeToLive(const CrashEvidence& aEvidence);
+
 /** Whether there is evidence against content. */
 bool
 IsSuspected(const GatewayState& aState, const ContentKeys& aContent);
@@ -363,6 +387,16 @@
             std::uint64_t aBackend,
             const std::string& aReason);
 
+/**
+ * Drops the broken connections of a server that has answered a request: it has
+ * not crashed between the opening of the connection and the send.
+ */
+void
+RefuteCrash(GatewayState& aState,
+            std::uint64_t aBackend,
+            TimePoint aOpenedAt,
+            TimePoint aSentAt);
+
 /** Drops the evidence against content that has been answered. */
 void
 RefuteSuspicion(GatewayStep& aStep, const GatewayRun& aRun);
--- a/src/gateway/request_admit.cpp
+++ b/src/gateway/request_admit.cpp
@@ -6,6 +6,8 @@
 #include "gateway/gateway_internal.h"
 #include "gateway/route_match.h"
 
+#include "core/hash_func.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -156,6 +158,8 @@
   run.message_ = aRequest.message_;
   run.caller_ = aRequest.caller_;
   run.content_ = aContent;
+  const std::string& requestId = aRequest.message_->requestId_;
+  run.requestHash_ = requestId.empty() ? 0 : HashText(requestId);
   run.keyDigest_ = aSender.keyDigest_;
   run.organisation_ = aSender.organisation_;
   run.priority_ = aRoute.priority_;
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -10,6 +10,7 @@
 #include "machine/decision_type.h"
 #include "membership/membership_base.h"
 #include "runtime/backend_link.h"
+#include "runtime/evidence_store.h"
 #include "runtime/memory_account.h"
 #include "runtime/peer_link.h"
 #include "runtime/store_reader.h"
@@ -43,6 +44,7 @@
   std::uint64_t seed_ = 0;   ///< Seed of the random number generator.
   std::uint64_t heldBytes_ = 256ULL << 20U; ///< Limit of the memory account.
   std::uint32_t maxPeerConnections_ = 0;    ///< Accepted ones; 0: no bound.
+  bool storesEvidence_ = false; ///< Keep crash evidence in the store.
 };
 
 /** Conversions that the platform's adapter provides. */
@@ -54,6 +56,7 @@
     const std::string& aText);
   absl::StatusOr<BackendEntry> (*decodeServer_)(const std::string& aId,
                                                 const std::string& aText);
+  EvidenceCodec evidence_;
 };
 
 /** Bytes sent to other daemons since the process started. */
@@ -135,6 +138,7 @@
     return store_.UnreadableValues();
   }
   const TableSyncStats& SyncStats() const { return syncStats_; }
+  const EvidenceLog& Evidence() const { return evidence_.Log(); }
 
 private:
   using Promise = boost::fibers::promise<ProxyAnswer>;
@@ -148,6 +152,9 @@
   void ApplyDecision(GatewayDecision& aDecision);
   void ApplyMembershipDecisions();
   void AdoptEvidence(const QuarantineRumor& aRumor);
+  void AdoptStoredEvidence(const EvidenceItems& aItems);
+  void LogQuarantine(std::uint64_t aFingerprint, const char* aReason);
+  bool IsEvidenceKeeper() const;
   void SendToPeer(const SendPeer& aSend);
   void LogTraffic();
   void OnFrame(const std::string& aPayload);
@@ -192,6 +199,7 @@
   BackendLinks backends_;
   PeerLinks peers_;
   StoreReader store_;
+  EvidenceStore evidence_;
   boost::asio::steady_timer timer_;
   TimePoint timerExpiry_ = kNever;
   TimePoint nextMaintenanceAt_{};
