Add: evacuations of failure domains and limits for cold servers, first state

Evacuations are a third table of the store, only where the settings have bounds.evacuate-ms; IsUsable consults them. Cold servers get requests in time slots that entry daemons own by rendezvous hash.

--- a/src/discovery/feed_follower.cpp
+++ b/src/discovery/feed_follower.cpp
@@ -30,6 +30,7 @@
   aFeed.incarnation_ = 0;
   aFeed.position_ = 0;
   aFeed.needsWhole_ = false;
+  aFeed.kinds_.clear();
 }
 
 FeedEffect
@@ -56,10 +57,15 @@
   aFeed.incarnation_ = aMessage.incarnation_;
   aFeed.receivedAt_ = aNow;
   aFeed.age_ = aMessage.age_;
+  aFeed.kinds_.clear();
+  for (const auto& [kind, revision] : aMessage.revisions_) {
+    aFeed.kinds_.insert(kind);
+  }
   if (aMessage.whole_) {
     aFeed.needsWhole_ =
       std::any_of(aTables.begin(), aTables.end(), [&](const TableSync* aTable) {
-        return PositionOf(*aTable) > PositionOf(aMessage, aTable->kind_);
+        return aFeed.kinds_.count(aTable->kind_) > 0 &&
+               PositionOf(*aTable) > PositionOf(aMessage, aTable->kind_);
       });
   }
   for (std::size_t i = 0; i < aTables.size(); ++i) {
--- a/src/discovery/feed_follower.h
+++ b/src/discovery/feed_follower.h
@@ -6,6 +6,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace camphorfield {
@@ -21,6 +23,7 @@
   /** Whole tables are needed once more: these were ahead of the source's, or a
    * new era has begun. Changes may lack removals of what a source never had. */
   bool needsWhole_ = false;
+  std::set<std::string> kinds_; ///< Of the tables in the latest message.
 };
 
 /** Effect of a message on the tables, by their index. */
--- a/src/discovery/table_feed.cpp
+++ b/src/discovery/table_feed.cpp
@@ -221,6 +221,9 @@
   message.number_ = aFeed.newest_;
   message.whole_ = NeedsWholeTables(aFeed, aIncarnation, aNumber);
   for (const TableSync* table : aTables) {
+    if (!table->complete_) {
+      continue; // A follower would take it for an empty one.
+    }
     message.revisions_[table->kind_] = table->revision_;
     message.eras_[table->kind_] = table->era_;
     if (!message.whole_) {
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -60,6 +60,7 @@
                      TypicalLatency(*aRun.load_, *aRun.route_),
                      aHedge };
   CountAgainstLimit(backend.rateLimit_, state.limitShare_, aStep.Time());
+  CountColdSend(state, backend, aStep.Time());
   conn.state_ = BackendConnState::Busy;
   conn.attempt_ = attempt.key_;
   ++backend.inFlight_;
--- a/src/gateway/attempt_answer.cpp
+++ b/src/gateway/attempt_answer.cpp
@@ -93,7 +93,9 @@
 RetryOrFail(GatewayStep& aStep, GatewayRun& aRun, std::uint32_t aPart)
 {
   const RequestPart& part = aRun.parts_[aPart];
-  if (!TakeRetry(aStep, aRun, part, part.mayHaveRun_)) {
+  const GatewayServiceState& service = aStep.state_.services_[part.service_];
+  if (IsServiceEvacuated(aStep.state_, service) ||
+      !TakeRetry(aStep, aRun, part, part.mayHaveRun_)) {
     FailPart(aStep, aRun, aPart);
     return;
   }
--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -110,8 +110,9 @@
                 TimePoint aNow)
 {
   return std::max(
-    aBackend.pausedUntil_ - aNow,
-    TimeUntilAllowed(aBackend.rateLimit_, aState.limitShare_, aAhead, aNow));
+    { Duration(aBackend.pausedUntil_ - aNow),
+      TimeUntilAllowed(aBackend.rateLimit_, aState.limitShare_, aAhead, aNow),
+      TimeUntilColdRoom(aState, aBackend, aAhead, aNow) });
 }
 
 bool
@@ -122,6 +123,15 @@
          FindIdle(aState, aBackend, aNow) != nullptr;
 }
 
+/** Whether a server has accepted no connections for a while. */
+bool
+IsUnreachable(const Backend& aBackend, TimePoint aNow)
+{
+  return aBackend.connections_.size() == aBackend.opening_ &&
+         aBackend.reconnect_ > kReconnectFloor * 2 &&
+         aNow < aBackend.ejectedUntil_;
+}
+
 /** Whether a part may be sent to a server, disregarding its capacity. */
 bool
 MayTry(const GatewayRun& aRun,
@@ -164,7 +174,10 @@
       continue;
     }
     Candidate candidate{ &backend,
-                         EstimateMicros(state, backend, typical, aStep.Time()),
+                         EstimateMicros(state, backend, typical, aStep.Time()) *
+                           ReturnFactor(state.evacuations_,
+                                        backend.entry_.failureDomain_,
+                                        aStep.Time()),
                          HasRoom(state, backend, aStep.Time()) };
     if (!candidate.room_) {
       // Parts in the queue would be sent there first.
@@ -198,7 +211,8 @@
 bool
 IsUsable(const Backend& aBackend)
 {
-  return aBackend.listed_ && !aBackend.entry_.draining_ && !aBackend.leaving_;
+  return aBackend.listed_ && !aBackend.entry_.draining_ && !aBackend.leaving_ &&
+         !aBackend.evacuated_;
 }
 
 bool
@@ -206,17 +220,13 @@
               const GatewayServiceState& aService,
               TimePoint aNow)
 {
-  return std::all_of(aService.backends_.begin(),
-                     aService.backends_.end(),
-                     [&aState, aNow](std::uint64_t aKey) {
-                       const Backend& backend =
-                         aState.backends_.slots_[aKey & kSlotMask];
-                       const bool unreachable =
-                         backend.connections_.size() == backend.opening_ &&
-                         backend.reconnect_ > kReconnectFloor * 2;
-                       return !IsUsable(backend) ||
-                              (unreachable && aNow < backend.ejectedUntil_);
-                     });
+  return std::all_of(
+    aService.backends_.begin(),
+    aService.backends_.end(),
+    [&aState, aNow](std::uint64_t aKey) {
+      const Backend& backend = aState.backends_.slots_[aKey & kSlotMask];
+      return !IsUsable(backend) || IsUnreachable(backend, aNow);
+    });
 }
 
 Duration
@@ -236,13 +246,23 @@
     return least;
   }
   const std::size_t ahead = aAhead / static_cast<std::size_t>(usable);
+  Duration leastReachable = Duration::max();
+  bool anyCold = false;
   for (const std::uint64_t key : aService.backends_) {
     const Backend& backend = aState.backends_.slots_[key & kSlotMask];
-    if (IsUsable(backend)) {
-      least = std::min(least, TimeUntilWanted(aState, backend, ahead, aNow));
+    if (!IsUsable(backend)) {
+      continue;
+    }
+    const Duration wait = TimeUntilWanted(aState, backend, ahead, aNow);
+    least = std::min(least, wait);
+    if (!IsUnreachable(backend, aNow)) {
+      leastReachable = std::min(leastReachable, wait);
+      anyCold = anyCold || TimeUntilColdRoom(aState, backend, ahead, aNow) >
+                             Duration::zero();
     }
   }
-  return least;
+  // Where cold servers are the only ones left, lost ones give no room.
+  return anyCold ? leastReachable : least;
 }
 
 std::uint64_t
--- a/src/gateway/backend_conn.cpp
+++ b/src/gateway/backend_conn.cpp
@@ -249,6 +249,9 @@
   conn->expiresAt_ = aNow.mono_ + kDefaultKeepAlive;
   --backend.opening_;
   backend.restarts_ += backend.crashed_ ? 1 : 0;
+  if (backend.crashed_) {
+    AssumeCold(step, backend, "it has restarted");
+  }
   backend.crashed_ = false;
   if (!IsUsable(backend)) {
     CloseConnection(step, aOpened.connection_.value_);
--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -43,6 +43,12 @@
   backend.service_ = FindOrAddService(state, aEntry.service_);
   backend.leaving_ =
     state.leavingSince_.count({ aEntry.id_, aEntry.startedMillis_ }) > 0;
+  if (const auto cold =
+        state.unlistedCold_.find({ aEntry.id_, aEntry.startedMillis_ });
+      cold != state.unlistedCold_.end()) {
+    backend.cold_ = cold->second;
+    state.unlistedCold_.erase(cold);
+  }
   state.services_[backend.service_].backends_.push_back(key);
   state.backendOf_[BackendKey(aEntry.id_, aEntry.startedMillis_)] = key;
   aStep.out_.emplace_back(BackendRecord{
@@ -67,6 +73,7 @@
                                          aBackend.entry_.service_,
                                          "removed",
                                          "no longer listed" });
+  KeepCold(state, aBackend, aStep.Time());
   CloseIdle(aStep, aBackend);
   FreeIfUnused(state, aBackend.key_);
 }
@@ -76,6 +83,7 @@
 {
   const bool drains = aEntry.draining_ && !aBackend.entry_.draining_;
   aBackend.entry_ = aEntry;
+  UpdateEvacuated(aStep, aBackend);
   if (drains) {
     aStep.out_.emplace_back(BackendRecord{
       aEntry.id_, aEntry.service_, "draining", "announced by the server" });
@@ -184,9 +192,13 @@
   }
   for (const auto& [key, entry] : listed) {
     const auto known = aState.backendOf_.find(key);
-    Backend* backend = known == aState.backendOf_.end()
-                         ? &AddBackend(step, entry)
-                         : FindSlot(aState.backends_, known->second);
+    const bool isNew = known == aState.backendOf_.end();
+    Backend* backend = isNew ? &AddBackend(step, entry)
+                             : FindSlot(aState.backends_, known->second);
+    // A list repeats entries; each tells once what is left of a cold phase.
+    if (isNew || entry.sequence_ != backend->entry_.sequence_) {
+      BeginCold(step, *backend, entry.warmupLeft_, "stated in its entry");
+    }
     UpdateBackend(step, *backend, entry);
     backend->warmUntil_ = aNow.mono_ + entry.warmupLeft_;
     EnsureConnections(step, *backend);
--- a/src/gateway/fleet_role.cpp
+++ b/src/gateway/fleet_role.cpp
@@ -35,6 +35,11 @@
 /** Daemons' views of the entry daemons may differ, and callers keep old answers
  * of the directory: up to this factor more daemons may serve at a time. */
 constexpr std::uint32_t kEntryViewFactor = 2;
+/** A new entry daemon owns no slots of cold servers until the others know of
+ * it: gossip reaches all of 600 daemons in 0.2 s (docs/CAPACITY.md). */
+constexpr Duration kColdOwnerDelay = std::chrono::seconds(1);
+/** An entry daemon that has left the view keeps its slots for this time. */
+constexpr Duration kColdOwnerTtl = std::chrono::seconds(3);
 
 std::uint32_t
 LargestCount(const std::map<TimePoint, std::uint32_t>& aCounts)
@@ -94,6 +99,35 @@
                            : 1.0 / LargestCount(aRole.entryDaemonCounts_);
 }
 
+// Each slot belongs to one of the entry daemons. Those seen a moment ago count
+// too: with more daemons in its view, a daemon owns fewer slots, so views that
+// differ lose slots rather than giving them to two daemons.
+void
+UpdateColdOwners(FleetRole& aRole,
+                 const std::vector<const MemberRecord*>& aEntryDaemons,
+                 bool aEligible,
+                 TimePoint aNow)
+{
+  for (const MemberRecord* daemon : aEntryDaemons) {
+    aRole.entrySeenAt_[daemon->id_] = aNow;
+  }
+  std::erase_if(aRole.entrySeenAt_, [aNow](const auto& aItem) {
+    return aItem.second + kColdOwnerTtl < aNow;
+  });
+  aRole.coldOwners_.clear();
+  if (!aEligible) {
+    aRole.coldOwnerSince_ = kNever;
+    return;
+  }
+  aRole.coldOwnerSince_ = std::min(aRole.coldOwnerSince_, aNow);
+  if (aNow - aRole.coldOwnerSince_ < kColdOwnerDelay) {
+    return;
+  }
+  for (const auto& [id, seenAt] : aRole.entrySeenAt_) {
+    aRole.coldOwners_.push_back(id);
+  }
+}
+
 } // namespace
 
 FleetRole
@@ -151,8 +185,10 @@
   aRole.limitShare_ = 1.0 / (aNow < aRole.startedAt_ + kStartupPeriod
                                ? std::max(entryCount, kInitialFleetSize)
                                : entryCount);
-  UpdateSlack(
-    aRole, isListed && SeesMajority(aRole, aMembers), aBudgetWindow, aNow);
+  const bool isEligible = isListed && SeesMajority(aRole, aMembers);
+  UpdateSlack(aRole, isEligible, aBudgetWindow, aNow);
+  aRole.self_ = aSelf;
+  UpdateColdOwners(aRole, entryDaemons, isEligible, aNow);
 }
 
 } // namespace camphorfield
--- a/src/gateway/fleet_role.h
+++ b/src/gateway/fleet_role.h
@@ -19,6 +19,10 @@
   double slackFraction_ = 0.0;
   /** Part of the servers' request limits that this daemon may use, 0 to 1. */
   double limitShare_ = 1.0;
+  DaemonId self_;
+  /** Daemons that share the slots of cold servers, see ColdPlan; empty: this
+   * daemon sends them nothing. */
+  std::vector<DaemonId> coldOwners_;
 
   TimePoint startedAt_{};
   TimePoint grownAt_{};       ///< Latest growth of the member list by a part.
@@ -29,6 +33,10 @@
   TimePoint slackEarnedSince_ = kNever;
   std::map<TimePoint, std::uint32_t> daemonCounts_; ///< Recent fleet sizes.
   std::map<TimePoint, std::uint32_t> entryDaemonCounts_; ///< Recent numbers.
+  std::map<DaemonId, TimePoint> entrySeenAt_; ///< Recent entry daemons.
+  /** Since when this daemon may own slots of cold servers; kNever: it may not.
+   */
+  TimePoint coldOwnerSince_ = kNever;
 };
 
 /** Role of a daemon that has just started. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -70,6 +70,7 @@
       break;
     default:
       UpdateCpuLoad(aStep.state_, aStep.Time());
+      MaintainColdPlan(aStep.state_, aStep.now_);
       MaintainConnections(aStep);
       AddTimer(aStep.state_.timers_,
                { aStep.Time() + kMaintenanceInterval,
@@ -118,6 +119,8 @@
       MarkConfigured(aState, shard);
     }
   }
+  AdoptColdRates(aState);
+  MaintainColdPlan(aState, aNow);
   GatewayStep step{ aState, aNow, aRng, aOut };
   MaintainConnections(step);
   return true;
@@ -130,6 +133,7 @@
   aState.slackFraction_ = aRole.slackFraction_;
   aState.limitShare_ = aRole.limitShare_;
   aState.preconnect_ = aRole.isEntryDaemon_;
+  SetColdOwners(aState.coldPlan_, aRole.self_, aRole.coldOwners_);
 }
 
 void
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -5,6 +5,8 @@
 #include "core/pool.h"
 #include "core/rng_type.h"
 #include "core/timer_heap.h"
+#include "gateway/cold_server.h"
+#include "gateway/evacuation.h"
 #include "gateway/gateway_const.h"
 #include "gateway/gateway_type.h"
 #include "gateway/rate_limit.h"
@@ -51,6 +53,10 @@
   double cpuShare_ = 1.0; ///< Processor share of this daemon, in cores.
   BudgetLimits budget_;
   GatewayPolicy policy_;
+  /** Bound on the requests that reach a cold server in a second; both zero: no
+   * limit, whatever the configuration says. See MakeColdRate. */
+  double warmupOverage_ = 0.0;
+  double warmupSlack_ = 0.0;
 };
 
 /** State of a connection to a backend server. */
@@ -108,6 +114,8 @@
    * known. */
   std::uint64_t restarts_ = 0;
   TimePoint pausedUntil_{}; ///< It wants no requests before.
+  bool evacuated_ = false;  ///< Its failure domain is.
+  ColdPhase cold_;
 };
 
 /** Order of waiting parts: late requests last, then by priority, then by time;
@@ -120,7 +128,9 @@
 {
   std::string name_;
   std::uint32_t maxConnections_ = 1;
-  bool configured_ = false; ///< Used by a route of the configuration.
+  Duration warmup_{};            ///< See GatewayService.
+  double warmupPerSecond_ = 0.0; ///< Limit in force; zero: none.
+  bool configured_ = false;      ///< Used by a route of the configuration.
   std::vector<std::uint64_t> backends_; ///< Listed incarnations.
   std::set<QueueKey> queue_;
   RetryBudget budget_;
@@ -295,6 +305,11 @@
   /** Requests rejected because servers' limits left no room in time. */
   std::uint64_t limitRejections_ = 0;
   std::uint64_t crashesSuspected_ = 0; ///< Requests in flight at a crash.
+  std::uint64_t evacuations_ = 0;      ///< Evacuations that have begun.
+  /** Waiting parts that failed because all their servers are evacuated. */
+  std::uint64_t evacuatedParts_ = 0;
+  std::uint64_t coldPhases_ = 0; ///< Times that a server became cold.
+  std::uint64_t coldSends_ = 0;  ///< Requests sent to cold servers.
 };
 
 /** State of the gateway. */
@@ -329,6 +344,11 @@
   std::uint64_t sendsAtCpuLoad_ = 0; ///< Sends counted at cpuLoadAt_.
   PlannedStop stop_;
   bool preconnect_ = true; ///< Open connections ahead of requests.
+  Evacuations evacuations_;
+  ColdPlan coldPlan_;
+  /** Cold phases of servers that are not listed at the moment, by id and start:
+   * an entry may be malformed for a while. */
+  std::map<std::pair<std::string, std::int64_t>, ColdPhase> unlistedCold_;
   GatewayStats stats_;
 };
 
--- a/src/gateway/gateway_func.h
+++ b/src/gateway/gateway_func.h
@@ -6,6 +6,8 @@
 #include "machine/event_type.h"
 
 #include <cstdint>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace camphorfield {
@@ -33,6 +35,18 @@
                     Rng& aRng,
                     GatewayDecisions& aOut);
 
+/**
+ * Replaces the set of evacuated failure domains. Their servers get no further
+ * requests; requests in flight are completed.
+ * @return The domains that are new in the set, or no longer in it.
+ */
+EvacuationChange
+GatewayAdoptEvacuations(GatewayState& aState,
+                        const std::set<std::string>& aDomains,
+                        const Now& aNow,
+                        Rng& aRng,
+                        GatewayDecisions& aOut);
+
 /** Applies this daemon's role: its shares of connections and retry budget, and
  * whether connections are opened ahead of requests. */
 void
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -43,13 +43,63 @@
 void
 FreeIfUnused(GatewayState& aState, std::uint64_t aBackend);
 
+// evacuation.cpp
+
+/** Whether a service has servers, and all of them are evacuated. */
+bool
+IsServiceEvacuated(const GatewayState& aState,
+                   const GatewayServiceState& aService);
+
+/** Takes over whether a server's failure domain is evacuated. */
+void
+UpdateEvacuated(GatewayStep& aStep, Backend& aBackend);
+
+// cold_phase.cpp
+
+/** Takes the limits of cold servers from the configuration in force. */
+void
+AdoptColdRates(GatewayState& aState);
+
+/** Extends the plan of the slots in which this daemon may send to cold servers.
+ */
+void
+MaintainColdPlan(GatewayState& aState, const Now& aNow);
+
+/** Begins or extends a server's cold phase if its service has a limit. */
+void
+BeginCold(GatewayStep& aStep,
+          Backend& aBackend,
+          Duration aLeft,
+          const std::string& aReason);
+
+/** The same for the whole cold phase of a start that the server has not stated.
+ */
+void
+AssumeCold(GatewayStep& aStep, Backend& aBackend, const std::string& aReason);
+
+/** Keeps the cold phase of a server that is no longer listed. */
+void
+KeepCold(GatewayState& aState, const Backend& aBackend, TimePoint aNow);
+
+/** Time until this daemon may send a cold server a request after aAhead others;
+ * zero if it isn't cold. */
+Duration
+TimeUntilColdRoom(const GatewayState& aState,
+                  const Backend& aBackend,
+                  std::size_t aAhead,
+                  TimePoint aNow);
+
+/** Counts a request that is sent to a server. */
+void
+CountColdSend(GatewayState& aState, Backend& aBackend, TimePoint aNow);
+
 // backend_choice.cpp
 
 /** Whether a server is in the daemon's own failure domain. */
 bool
 IsSameDomain(const GatewayState& aState, const Backend& aBackend);
 
-/** Whether a server is listed and neither draining nor leaving. */
+/** Whether a server is listed and neither draining, leaving nor evacuated. */
 bool
 IsUsable(const Backend& aBackend);
 
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -54,6 +54,10 @@
 {
   std::string name_;
   std::uint32_t maxConnections_ = 1; ///< Per server, over all daemons.
+  Duration warmup_{}; ///< Length of a server's cold phase after its start.
+  /** Requests a second that a cold server takes from all daemons together;
+   * zero: no limit. */
+  double warmupPerSecond_ = 0.0;
 };
 
 /** Limits on the requests and connections of callers. */
--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -3,6 +3,7 @@
 // keep the tables up to date when the store fails for some daemons.
 #include "runtime/gateway_host.h"
 
+#include "discovery/stale_evacuations.h"
 #include "gateway/directory.h"
 #include "gateway/feed_source.h"
 #include "gateway/gateway_func.h"
@@ -38,6 +39,18 @@
 /** A configuration older than another daemon's for this time is logged. */
 constexpr Duration kConfigLagToLog = std::chrono::seconds(1);
 
+/** Time of the store's reply that is the oldest among the tables' latest ones.
+ */
+TimePoint
+EarliestReply(const std::vector<const TableSync*>& aTables)
+{
+  TimePoint earliest = kNever;
+  for (const TableSync* table : aTables) {
+    earliest = std::min(earliest, table->heardAt_);
+  }
+  return earliest;
+}
+
 } // namespace
 
 const MemberRecord*
@@ -53,8 +66,10 @@
 bool
 GatewayHost::IsFresh()
 {
-  return IsTableFresh(store_.Table(kConfigTable)) &&
-         IsTableFresh(store_.Table(kServersTable));
+  const std::vector<const TableSync*> tables = TablesToSend();
+  return std::all_of(tables.begin(), tables.end(), [](const TableSync* aTable) {
+    return IsTableFresh(*aTable);
+  });
 }
 
 /** Time since the tables were known to be up to date with the store. A watch
@@ -69,9 +84,8 @@
     return Duration::max();
   }
   const TimePoint now = ReadClock().mono_;
-  const Duration age = IsFresh()
-                         ? now - std::min(config.heardAt_, servers.heardAt_)
-                         : now - followed_.receivedAt_ + followed_.age_;
+  const Duration age = IsFresh() ? now - EarliestReply(TablesToSend())
+                                 : now - followed_.receivedAt_ + followed_.age_;
   return (age + kFeedAgeStep - Duration(1)) / kFeedAgeStep * kFeedAgeStep;
 }
 
@@ -85,11 +99,8 @@
   const bool whole = NeedsWholeTables(feed_, aIncarnation, aNumber);
   const std::tuple key(feed_.newest_, whole, whole ? 0 : aNumber, aAge);
   if (encodedFeed_.empty() || encodedKey_ != key) {
-    FeedMessage message = MakeFeedMessage(
-      feed_,
-      { &store_.Table(kConfigTable), &store_.Table(kServersTable) },
-      aIncarnation,
-      aNumber);
+    FeedMessage message =
+      MakeFeedMessage(feed_, TablesToSend(), aIncarnation, aNumber);
     message.age_ = aAge;
     encodedFeed_ = EncodeFeed(message);
     encodedKey_ = key;
@@ -113,6 +124,7 @@
 {
   FeedMessage message;
   message.storeUnavailable_ = true;
+  AddEvacuations(message, settings_.evacuationsKind_, TablesToSend());
   SendFeedText(aTo, EncodeFeed(message));
 }
 
@@ -199,6 +211,7 @@
     return;
   }
   if (message->storeUnavailable_) {
+    TakePeerEvacuations(*message);
     const TimePoint now = ReadClock().mono_;
     if (now - storeUnavailableAt_ >= kFeedTimeout) {
       storeUnavailableSince_ = now;
@@ -210,11 +223,7 @@
     return;
   }
   const FeedEffect effect = TakeFeedMessage(
-    followed_,
-    aMessage.from_,
-    *message,
-    { &store_.Table(kConfigTable), &store_.Table(kServersTable) },
-    ReadClock().mono_);
+    followed_, aMessage.from_, *message, Tables(), ReadClock().mono_);
   if (effect.missed_) {
     ++syncStats_.feedGaps_;
     WriteLog(LogLevel::Warning,
@@ -242,20 +251,22 @@
 GatewayHost::RequestFeed()
 {
   const Now now = ReadClock();
-  const TableSync& config = store_.Table(kConfigTable);
-  const TableSync& servers = store_.Table(kServersTable);
+  const std::vector<TableSync*> tables = Tables();
   const std::uint64_t version =
     gateway_.config_ == nullptr ? 0 : gateway_.config_->version_;
-  const auto isFailing = [&now](const TableSync& aTable) {
-    return aTable.failures_ > 0 &&
-           now.mono_ - aTable.failingSince_ > kPeerFallbackAfter;
-  };
+  const bool isFailing =
+    std::any_of(tables.begin(), tables.end(), [&now](const TableSync* aTable) {
+      return aTable->failures_ > 0 &&
+             now.mono_ - aTable->failingSince_ > kPeerFallbackAfter;
+    });
+  const bool lacksEvacuations =
+    serversWithheldSince_ != kNever &&
+    now.mono_ - serversWithheldSince_ > kPeerFallbackAfter;
   // One that replaces a watcher goes on until a watcher reads the store again.
   const bool replacesWatcher =
     !role_.isWatcher_ && IsFresh() && !IsStoreReadByWatchers();
-  const bool isWanted = (!role_.isWatcher_ && !replacesWatcher) ||
-                        isFailing(config) || isFailing(servers) ||
-                        newestKnownVersion_ > version;
+  const bool isWanted = (!role_.isWatcher_ && !replacesWatcher) || isFailing ||
+                        lacksEvacuations || newestKnownVersion_ > version;
   if (!isWanted || now.mono_ < nextFeedRequestAt_) {
     return;
   }
@@ -330,7 +341,6 @@
                   MaxEntryDaemons(gateway_),
                   settings_.gateway_.budget_.window_,
                   now);
-  GatewaySetRole(gateway_, role_);
   MembershipSetLoad(membership_, GatewayCpuLoad(gateway_));
   // While the store is unavailable there is no feed. The store may answer
   // others than the watchers, so followers try to read it in turns.
@@ -348,14 +358,21 @@
   const TimePoint firstReadAt =
     role_.startedAt_ + kDiscoveryTime +
     FirstReadDelay(membership_.self_.id_, members_->size());
-  for (const std::size_t number : { kConfigTable, kServersTable }) {
+  if (!MembershipIsSynced(membership_)) {
+    role_.coldOwners_.clear();
+  }
+  GatewaySetRole(gateway_, role_);
+  for (std::size_t number = 0; number < store_.Count(); ++number) {
     TableSync& table = store_.Table(number);
+    // The source may run with settings that don't have this table.
+    const bool isCarried = number != kEvacuationsTable || storeUnavailable ||
+                           followed_.kinds_.count(table.kind_) > 0;
     table.passive_ =
       IsReadByOthers({ role_.isWatcher_,
                        table.complete_,
                        now >= firstReadAt && membersKnown,
                        joining,
-                       hasFeed,
+                       hasFeed && isCarried,
                        number == kConfigTable ? configLagTime_ : Duration() });
     // Changes that a feed applies meanwhile are missing in the watch's history.
     table.watching_ = table.watching_ && !table.passive_;
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -30,6 +30,18 @@
 /** After a longer suspension of the VM the tables are read anew. */
 constexpr Duration kMinSuspension = std::chrono::milliseconds(500);
 
+/** Kinds of the tables, in the order of their indices. */
+std::vector<std::string>
+MakeKinds(const GatewayHostSettings& aSettings)
+{
+  std::vector<std::string> kinds{ aSettings.configKind_,
+                                  aSettings.serversKind_ };
+  if (!aSettings.evacuationsKind_.empty()) {
+    kinds.push_back(aSettings.evacuationsKind_);
+  }
+  return kinds;
+}
+
 } // namespace
 
 GatewayHost::GatewayHost(const GatewayHostSettings& aSettings,
@@ -60,7 +72,7 @@
   , store_(aPool.At(0),
            adapter_.store_,
            aSettings.storeAddress_,
-           { aSettings.configKind_, aSettings.serversKind_ },
+           MakeKinds(aSettings),
            [this](std::size_t aTable, const TableChange& aChange) {
              OnTable(aTable, aChange);
            })
@@ -401,8 +413,11 @@
     UpdateRole();
     DropFollowersIfStale();
     RequestFeed();
-    if (DropLapsed(store_.Table(kServersTable), now).changed_) {
-      AdoptTables({ kServersTable });
+    EndServerWait();
+    for (std::size_t i = kServersTable; i < store_.Count(); ++i) {
+      if (DropLapsed(store_.Table(i), now).changed_) {
+        AdoptTables({ i });
+      }
     }
   }
   if (now >= MembershipNextWake(membership_)) {
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -19,6 +19,7 @@
 #include <boost/fiber/future.hpp>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -29,6 +30,7 @@
 // Indices of the tables that are read from the store.
 constexpr std::size_t kConfigTable = 0;
 constexpr std::size_t kServersTable = 1;
+constexpr std::size_t kEvacuationsTable = 2; ///< Only where they are enabled.
 
 /** Settings of a GatewayHost. */
 struct GatewayHostSettings
@@ -39,7 +41,11 @@
   std::string configKind_;   ///< Kind of the configuration's object.
   std::string configName_;   ///< Name of the configuration's object.
   std::string serversKind_;  ///< Kind of the servers' entries.
-  std::uint64_t seed_ = 0;   ///< Seed of the random number generator.
+  /** Kind of the objects named after evacuated domains; empty: not read. */
+  std::string evacuationsKind_;
+  /** An evacuation is in force within this time where it can be known. */
+  Duration evacuateWithin_{};
+  std::uint64_t seed_ = 0; ///< Seed of the random number generator.
 };
 
 /** Conversions that the platform's adapter provides. */
@@ -150,6 +156,12 @@
   void AdoptTables(const std::vector<std::size_t>& aTables);
   void AdoptConfig();
   void AdoptServers();
+  void AdoptEvacuations();
+  void TakePeerEvacuations(const FeedMessage& aMessage);
+  bool MayUseServers();
+  void EndServerWait();
+  std::vector<TableSync*> Tables();
+  std::vector<const TableSync*> TablesToSend();
   void HandleFeedRequest(const PeerMessage& aMessage);
   void HandleFeed(const PeerMessage& aMessage);
   void PushFeed();
@@ -199,6 +211,12 @@
   std::map<std::string, std::pair<std::uint64_t, BackendEntry>> entries_;
   ConfigLag configLag_;
   Duration configLagTime_{}; ///< See UpdateConfigLag.
+  /** Evacuations that peers stated while the own table was not complete. */
+  std::set<std::string> peerEvacuations_;
+  /** A peer stated its table, or the wait for it is over. */
+  bool needsNoEvacuations_ = false;
+  /** Since when servers are known but not used, as evacuations are unknown. */
+  TimePoint serversWithheldSince_ = kNever;
   TableSyncStats syncStats_;
   FleetRole role_;
   TableFeed feed_; ///< Changes sent to followers.
--- a/src/runtime/gateway_tables.cpp
+++ b/src/runtime/gateway_tables.cpp
@@ -15,7 +15,7 @@
 void
 GatewayHost::OnTable(std::size_t aTable, const TableChange& aChange)
 {
-  const char* kind = aTable == kConfigTable ? "config" : "servers";
+  const std::string& kind = store_.Table(aTable).kind_;
   if (aChange.lost_) {
     WriteLog(LogLevel::Warning, "store unavailable", { { "kind", kind } });
   }
@@ -50,13 +50,18 @@
 void
 GatewayHost::AdoptTables(const std::vector<std::size_t>& aTables)
 {
+  // Servers are used only once it is known which of them are evacuated.
+  if (std::find(aTables.begin(), aTables.end(), kEvacuationsTable) !=
+      aTables.end()) {
+    AdoptEvacuations();
+  }
   for (const std::size_t number : aTables) {
     if (!store_.Table(number).complete_) {
       continue;
     }
     if (number == kConfigTable) {
       AdoptConfig();
-    } else {
+    } else if (number == kServersTable) {
       AdoptServers();
     }
     CollectChanges(feed_, store_.Table(number));
@@ -102,6 +107,9 @@
 void
 GatewayHost::AdoptServers()
 {
+  if (!MayUseServers()) {
+    return;
+  }
   const TableSync& table = store_.Table(kServersTable);
   std::erase_if(entries_, [&table](const auto& aItem) {
     return table.objects_.count(aItem.first) == 0;
--- a/src/runtime/store_reader.cpp
+++ b/src/runtime/store_reader.cpp
@@ -148,6 +148,12 @@
   return state_->readers_[aTable].table_;
 }
 
+std::size_t
+StoreReader::Count() const
+{
+  return state_->readers_.size();
+}
+
 // Aborted calls count as failed, after which the tables are read anew.
 void
 StoreReader::Restart()
--- a/src/runtime/store_reader.h
+++ b/src/runtime/store_reader.h
@@ -45,6 +45,9 @@
 
   TableSync& Table(std::size_t aTable);
 
+  /** Number of tables. */
+  std::size_t Count() const;
+
   /** Aborts pending calls, after which all tables are read whole on new
    * connections. */
   void Restart();
--- /dev/null
+++ b/tests/gateway/evacuation_test.cpp
@@ -0,0 +1,245 @@
+// Sequences of evacuations, their ends and other events at the same time.
+// Guards against requests to an evacuated domain on any path, requests that are
+// lost or sent twice because of an evacuation, and load that returns at once.
+#include "gateway/replay_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <vector>
+
+using namespace camphorfield;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kTarget = "/query/a";
+constexpr std::size_t kShards = 6;
+
+enum class Step : std::uint8_t
+{
+  Evacuate,     ///< Domain "a" at all daemons.
+  EvacuateLate, ///< The same, at one daemon not yet: it has just started.
+  EvacuateBoth, ///< All domains.
+  Return,       ///< The end of all evacuations.
+  Announce,     ///< The list of servers comes again.
+  Replace,      ///< A server of the domain gets a new start.
+  Crash,        ///< A server outside the domain crashes.
+  End           ///< Number of steps.
+};
+
+/** Steps by seconds, while callers send queries. */
+struct EvacuationCase
+{
+  const char* name_;
+  std::size_t daemons_;
+  std::vector<std::pair<Duration, Step>> steps_;
+  /** Intervals in which no request may reach the domain. */
+  std::vector<std::pair<Duration, Duration>> silent_;
+  double onTime_; ///< Least share of queries answered on time.
+};
+
+void
+Apply(Replay& aReplay, Step aStep)
+{
+  switch (aStep) {
+    case Step::Evacuate:
+      aReplay.Evacuate({ "a" });
+      break;
+    case Step::EvacuateLate:
+      aReplay.Evacuate({ "a" }, 1);
+      break;
+    case Step::EvacuateBoth:
+      aReplay.Evacuate({ "a", "b" });
+      break;
+    case Step::Return:
+      aReplay.Evacuate({});
+      break;
+    case Step::Announce:
+      aReplay.Announce();
+      break;
+    case Step::Replace:
+      ++aReplay.Servers()[1].incarnation_;
+      aReplay.Announce();
+      break;
+    default:
+      aReplay.Crash(0, ModelFault::Reset);
+      break;
+  }
+}
+
+std::size_t
+CountArrivals(Replay& aReplay,
+              const std::string& aDomain,
+              TimePoint aFrom,
+              TimePoint aTo)
+{
+  std::size_t count = 0;
+  for (const ModelServer& server : aReplay.Servers()) {
+    if (server.domain_ == aDomain) {
+      count += static_cast<std::size_t>(std::count_if(
+        server.arrivalTimes_.begin(),
+        server.arrivalTimes_.end(),
+        [&](TimePoint aAt) { return aAt >= aFrom && aAt < aTo; }));
+    }
+  }
+  return count;
+}
+
+} // namespace
+
+TEST_GROUP(Evacuation){};
+
+TEST(Evacuation, RequestsReachAnEvacuatedDomain)
+{
+  // A request needs 0.3 ms to reach a server.
+  const Duration sent = milliseconds(1);
+  const Duration at2 = seconds(2);
+  const Duration at3 = seconds(3);
+  const Duration at4 = seconds(4);
+  const Duration at6 = seconds(6);
+  const Duration at8 = seconds(8);
+  const std::vector<EvacuationCase> cases{
+    { "begun and ended",
+      6,
+      { { at2, Step::Evacuate }, { at6, Step::Return } },
+      { { at2 + sent, at6 } },
+      0.97 },
+    { "many daemons",
+      40,
+      { { at2, Step::Evacuate }, { at6, Step::Return } },
+      { { at2 + sent, at6 } },
+      0.97 },
+    { "begun and ended twice",
+      6,
+      { { at2, Step::Evacuate },
+        { at3, Step::Evacuate },
+        { at4, Step::Return },
+        { at4, Step::Return },
+        { at6, Step::Evacuate },
+        { at8, Step::Return } },
+      { { at2 + sent, at4 }, { at6 + sent, at8 } },
+      0.97 },
+    { "the list comes again",
+      6,
+      { { at2, Step::Evacuate },
+        { at3, Step::Announce },
+        { at6, Step::Return } },
+      { { at2 + sent, at6 } },
+      0.97 },
+    { "a server of the domain starts meanwhile",
+      6,
+      { { at2, Step::Evacuate },
+        { at3, Step::Replace },
+        { at6, Step::Return } },
+      { { at2 + sent, at6 } },
+      0.97 },
+    { "a daemon starts meanwhile",
+      6,
+      { { at2, Step::EvacuateLate },
+        { at3, Step::Evacuate },
+        { at6, Step::Return } },
+      { { at3 + sent, at6 } },
+      0.97 },
+    { "another server resets its connections meanwhile",
+      6,
+      { { at2, Step::Evacuate }, { at3, Step::Crash }, { at6, Step::Return } },
+      { { at2 + sent, at6 } },
+      0.9 },
+    { "all domains",
+      6,
+      { { at2, Step::EvacuateBoth }, { at3, Step::Return } },
+      { { at2 + sent, at3 } },
+      0.85 },
+  };
+  for (const EvacuationCase& item : cases) {
+    Replay replay(item.daemons_, 42);
+    replay.AddShards(kShards);
+    replay.SetRoute(MakeQueryRoute(kShards, 0.8, 5));
+    replay.Publish();
+    const TimePoint begun = replay.Clock();
+    for (const auto& [at, step] : item.steps_) {
+      const Step action = step;
+      replay.At(at, [&replay, action]() { Apply(replay, action); });
+    }
+    const ReplayLoad load{ kTarget, 40, milliseconds(10), seconds(2), 3 };
+    const ReplayResult result = replay.Run({ load }, seconds(10))[kTarget];
+    for (const auto& [from, to] : item.silent_) {
+      LONGS_EQUAL_TEXT(
+        0, CountArrivals(replay, "a", begun + from, begun + to), item.name_);
+    }
+    const Duration returned = item.silent_.back().second;
+    CHECK_TEXT(CountArrivals(
+                 replay, "a", begun + returned, begun + returned + seconds(4)) >
+                 0,
+               item.name_);
+    LONGS_EQUAL_TEXT(0, result.failed_, item.name_);
+    const std::string text = std::string(item.name_) + ": on time " +
+                             std::to_string(result.OnTimeShare());
+    CHECK_TEXT(result.OnTimeShare() >= item.onTime_, text.c_str());
+  }
+}
+
+// Requests in flight are completed and not sent again; waiting ones that no
+// server may take are rejected at once.
+TEST(Evacuation, RequestsInFlightAreLostOrSentTwice)
+{
+  Replay replay(1, 42);
+  replay.AddServer("shard0", 1.0).slots_ = 1;
+  GatewayRoute route = MakeQueryRoute(1, 1.0, 5);
+  route.kind_ = RequestKind::NonIdempotent;
+  replay.SetRoute(route);
+  replay.Publish();
+  const ReplayLoad none{ "/query/a", 0.001, milliseconds(50) };
+  replay.Run({ none }, Duration::zero());
+  std::vector<std::uint64_t> requests;
+  for (int i = 0; i < 20; ++i) {
+    requests.push_back(replay.SendRequest(0, "/query/a", seconds(2)));
+  }
+  const std::uint64_t sent = replay.Sends();
+  CHECK_TRUE(sent > 0 && sent < 20);
+  replay.Evacuate({ "b" });
+  std::size_t rejected = 0;
+  for (const std::uint64_t request : requests) {
+    const ProxyAnswer* answer = replay.AnswerOf(request);
+    if (answer != nullptr) {
+      CHECK_TRUE(answer->code_ == ProxyCode::NoServer);
+      CHECK_TRUE(answer->retryAfter_.count() > 0);
+      ++rejected;
+    }
+  }
+  LONGS_EQUAL(20 - sent, rejected);
+  replay.Advance(seconds(3));
+  std::size_t merged = 0;
+  for (const std::uint64_t request : requests) {
+    merged += replay.AnswerOf(request)->code_ == ProxyCode::Merged ? 1 : 0;
+  }
+  LONGS_EQUAL(sent, merged);
+  LONGS_EQUAL(sent, replay.Servers()[0].arrivals_);
+  LONGS_EQUAL(0, replay.Servers()[0].connections_);
+}
+
+// The domain's servers may be cold, or slow for other reasons, when it returns.
+TEST(Evacuation, LoadReturnsAtOnce)
+{
+  Evacuations evacuations;
+  const TimePoint begun{ seconds(100) };
+  UpdateEvacuations(evacuations, { "a" }, begun);
+  DOUBLES_EQUAL(1.0, ReturnFactor(evacuations, "a", begun), 1e-9);
+  UpdateEvacuations(evacuations, {}, begun + seconds(1));
+  double before = 10.0;
+  for (int i = 0; i <= 5; ++i) {
+    const double factor =
+      ReturnFactor(evacuations, "a", begun + seconds(1 + i));
+    CHECK_TRUE(factor < before);
+    before = factor;
+  }
+  DOUBLES_EQUAL(1.0, before, 1e-9);
+  DOUBLES_EQUAL(1.0, ReturnFactor(evacuations, "b", begun), 1e-9);
+  UpdateEvacuations(evacuations, { "a" }, begun + seconds(2));
+  CHECK_TRUE(IsEvacuated(evacuations, "a"));
+  CHECK_TRUE(evacuations.endedAt_.empty());
+}
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -134,6 +134,7 @@
     entry.failureDomain_ = server.domain_;
     entry.slots_ = server.slots_;
     entry.draining_ = server.draining_;
+    entry.warmupLeft_ = server.warmupLeft_;
     entry.sequence_ = config_.version_;
     entries.push_back(entry);
   }
@@ -148,6 +149,45 @@
   }
 }
 
+void
+Replay::LimitCold(double aPerSecond, Duration aWarmup)
+{
+  for (auto& [name, service] : config_.services_) {
+    service.warmupPerSecond_ = aPerSecond;
+    service.warmup_ = aWarmup;
+  }
+  for (ModelDaemon& daemon : daemons_) {
+    daemon.state_.settings_.warmupOverage_ = 1.5;
+    daemon.state_.settings_.warmupSlack_ = 5.0;
+  }
+  SetColdOwners(daemons_.size());
+}
+
+void
+Replay::SetColdOwners(std::size_t aOwners)
+{
+  std::vector<DaemonId> owners;
+  for (std::size_t i = 0; i < aOwners; ++i) {
+    owners.push_back(DaemonId{ i + 1 });
+  }
+  for (std::size_t i = 0; i < daemons_.size(); ++i) {
+    camphorfield::SetColdOwners(daemons_[i].state_.coldPlan_,
+                                DaemonId{ i + 1 },
+                                i < aOwners ? owners : std::vector<DaemonId>{});
+  }
+}
+
+void
+Replay::Evacuate(const std::set<std::string>& aDomains, std::size_t aFirst)
+{
+  for (std::size_t i = aFirst; i < daemons_.size(); ++i) {
+    GatewayDecisions decisions;
+    GatewayAdoptEvacuations(
+      daemons_[i].state_, aDomains, NowOf(), daemons_[i].rng_, decisions);
+    ApplyDecisions(i, decisions);
+  }
+}
+
 template<typename Item>
 void
 Replay::HandleEvent(std::size_t aDaemon, Item&& aItem)
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,7 @@
   std::uint32_t unwantedWhileLeaving_ = 0;
   std::uint32_t unwantedWhilePaused_ = 0;
   bool draining_ = false;
+  Duration warmupLeft_{};  ///< Stated in its entry.
   bool crashesOn_ = false; ///< Crashes on paths with "poison".
   std::uint32_t connections_ = 0;
   std::uint32_t peakConnections_ = 0; ///< Largest number of connections.
@@ -146,6 +148,12 @@
 
   /** Sends routes and servers to the daemons. */
   void Announce();
+  /** Rate that cold servers of all services take, with the usual bounds. */
+  void LimitCold(double aPerSecond, Duration aWarmup);
+  /** Makes the first aOwners daemons share the slots of cold servers. */
+  void SetColdOwners(std::size_t aOwners);
+  /** Replaces the evacuated domains at the daemons from aFirst on. */
+  void Evacuate(const std::set<std::string>& aDomains, std::size_t aFirst = 0);
   /** Resets a server's connections; from then on it has the given fault. */
   void Crash(std::size_t aServer, ModelFault aAfter = ModelFault::Down);
   /** Called after each crash by a request, instead of leaving it down. */
