--- a/src/discovery/feed_follower.cpp
+++ b/src/discovery/feed_follower.cpp
@@ -61,7 +61,14 @@
   for (const auto& [kind, revision] : aMessage.revisions_) {
     aFeed.kinds_.insert(kind);
   }
-  if (aMessage.whole_) {
+  // Changes don't complete a table that the source had not read before.
+  const bool lacksTable =
+    std::any_of(aTables.begin(), aTables.end(), [&](const TableSync* aTable) {
+      return !aTable->complete_ && aFeed.kinds_.count(aTable->kind_) > 0;
+    });
+  if (!aMessage.whole_) {
+    aFeed.needsWhole_ = aFeed.needsWhole_ || lacksTable;
+  } else {
     aFeed.needsWhole_ =
       std::any_of(aTables.begin(), aTables.end(), [&](const TableSync* aTable) {
         return aFeed.kinds_.count(aTable->kind_) > 0 &&
--- a/src/gateway/cold_phase.cpp
+++ b/src/gateway/cold_phase.cpp
@@ -1,6 +1,7 @@
 // Tracks which servers are cold: after their start, when they say so later,
 // after an evacuation, and after a restart that their entries don't show yet.
 // Each of these may strike all servers of a failure domain at once.
+#include "gateway/gateway_func.h"
 #include "gateway/gateway_internal.h"
 #include "gateway/route_times.h"
 
@@ -89,10 +90,9 @@
 {
   const GatewayServiceState& service =
     aStep.state_.services_[aBackend.service_];
-  if (service.warmupPerSecond_ <= 0.0 || aLeft <= Duration::zero()) {
-    return;
-  }
-  if (aBackend.cold_.until_ <= aStep.Time()) {
+  // The limit may become known after the server.
+  if (service.warmupPerSecond_ > 0.0 && aLeft > Duration::zero() &&
+      aBackend.cold_.until_ <= aStep.Time()) {
     ++aStep.state_.stats_.coldPhases_;
     aStep.out_.emplace_back(
       BackendRecord{ aBackend.entry_.id_,
@@ -161,6 +161,21 @@
                      });
 }
 
+std::size_t
+CountColdServers(const GatewayState& aState)
+{
+  // The time of the latest maintenance, a moment ago.
+  return static_cast<std::size_t>(std::count_if(
+    aState.backendOf_.begin(),
+    aState.backendOf_.end(),
+    [&aState](const auto& aItem) {
+      const Backend& backend =
+        aState.backends_.slots_[aItem.second & kSlotMask];
+      return aState.services_[backend.service_].warmupPerSecond_ > 0.0 &&
+             backend.cold_.until_ > aState.cpuLoadAt_;
+    }));
+}
+
 bool
 HasColdShard(const GatewayState& aState,
              const GatewayRoute& aRoute,
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -125,6 +125,9 @@
 constexpr double kWindowPressureDecrease = 0.85;
 constexpr Duration kRetryAfterFloor = milliseconds(30);
 constexpr Duration kRetryAfterNotReady = milliseconds(300);
+/** When all servers of a shard are evacuated. The end is not known; evacuations
+ * last for many seconds, and each further request would be rejected too. */
+constexpr Duration kRetryAfterEvacuated = seconds(1);
 
 // Content that crashes servers.
 /** Time after a broken connection in which it may turn out that its server has
--- a/src/gateway/gateway_func.h
+++ b/src/gateway/gateway_func.h
@@ -121,6 +121,10 @@
 TimePoint
 GatewayNextWake(const GatewayState& aState);
 
+/** Number of servers that are cold and whose services have a limit. */
+std::size_t
+CountColdServers(const GatewayState& aState);
+
 /** Estimated share of this daemon's processor in use, per mille. */
 std::uint32_t
 GatewayCpuLoad(const GatewayState& aState);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -65,7 +65,7 @@
 void
 MaintainColdPlan(GatewayState& aState, const Now& aNow);
 
-/** Begins or extends a server's cold phase if its service has a limit. */
+/** Begins or extends a server's cold phase. */
 void
 BeginCold(GatewayStep& aStep,
           Backend& aBackend,
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -104,6 +104,21 @@
   CloseRun(aStep, aRun);
 }
 
+/** Least time until a request's evacuated servers may return. */
+Duration
+TimeUntilReturn(const GatewayState& aState, const GatewayRun& aRun)
+{
+  const bool evacuated =
+    !aState.evacuations_.since_.empty() &&
+    std::any_of(aRun.parts_.begin(),
+                aRun.parts_.end(),
+                [&aState](const RequestPart& aPart) {
+                  return IsServiceEvacuated(aState,
+                                            aState.services_[aPart.service_]);
+                });
+  return evacuated ? kRetryAfterEvacuated : Duration::zero();
+}
+
 // A request counts as not run only if no server can have started it: an attempt
 // in flight or broken off may have run.
 bool
@@ -184,8 +199,9 @@
   answer.code_ = aCode;
   if (!MayHaveRun(aRun)) {
     answer.code_ = aRun.sends_ > 0 ? ProxyCode::NotRun : ProxyCode::NoServer;
-    answer.retryAfter_ =
-      std::max(aNotBefore, ChooseRetryAfter(*aRun.route_, aStep.rng_));
+    answer.retryAfter_ = std::max({ aNotBefore,
+                                    ChooseRetryAfter(*aRun.route_, aStep.rng_),
+                                    TimeUntilReturn(aStep.state_, aRun) });
   }
   Finish(aStep, aRun, std::move(answer));
 }
--- a/src/ops/gateway_metrics.cpp
+++ b/src/ops/gateway_metrics.cpp
@@ -2,6 +2,7 @@
 // failing servers.
 #include "ops/gateway_metrics.h"
 
+#include "gateway/gateway_func.h"
 #include "observe/log.h"
 #include "table/proxy_table.h"
 
@@ -16,6 +17,9 @@
 
 namespace {
 
+/** Label values are bounded: anyone may write objects to the store. */
+constexpr std::size_t kMaxDomainsShown = 32;
+
 /** Counter without labels. */
 struct CounterRow
 {
@@ -46,6 +50,10 @@
   { "camphorfield_gateway_malformed_guidance_total", "Answers of servers with unreadable guidance", &GatewayStats::malformedGuidance_ },
   { "camphorfield_gateway_limits_total",           "Times that a server began to name a limit",   &GatewayStats::limits_ },
   { "camphorfield_gateway_limit_rejections_total", "Requests rejected for limits of servers",     &GatewayStats::limitRejections_ },
+  { "camphorfield_gateway_evacuations_total",      "Evacuations of failure domains begun",        &GatewayStats::evacuations_ },
+  { "camphorfield_gateway_evacuated_parts_total",  "Waiting parts that lost all servers to evacuations", &GatewayStats::evacuatedParts_ },
+  { "camphorfield_gateway_cold_phases_total",      "Times that a server with a limit became cold", &GatewayStats::coldPhases_ },
+  { "camphorfield_gateway_cold_sends_total",       "Requests sent to cold servers",               &GatewayStats::coldSends_ },
   { "camphorfield_gateway_crashes_suspected_total", "Requests in flight when their server crashed",   &GatewayStats::crashesSuspected_ },
 };
 
@@ -111,6 +119,35 @@
     .Set(aValue);
 }
 
+void
+AddEvacuationGauges(prometheus::Registry& aRegistry, const GatewayHost& aHost)
+{
+  const GatewayState& state = aHost.State();
+  auto& domains = prometheus::BuildGauge()
+                    .Name("camphorfield_gateway_evacuated")
+                    .Help("Failure domains that are evacuated")
+                    .Register(aRegistry);
+  std::size_t shown = 0;
+  for (const auto& [domain, since] : state.evacuations_.since_) {
+    if (++shown > kMaxDomainsShown) {
+      break;
+    }
+    domains.Add({ { "domain", domain } }).Set(1.0);
+  }
+  AddGauge(aRegistry,
+           "camphorfield_gateway_evacuations_known",
+           "Whether the table of evacuations has been read, if there is one",
+           aHost.KnowsEvacuations() ? 1.0 : 0.0);
+  AddGauge(aRegistry,
+           "camphorfield_gateway_cold_servers",
+           "Servers with a limit that are cold",
+           static_cast<double>(CountColdServers(state)));
+  AddGauge(aRegistry,
+           "camphorfield_gateway_cold_owners",
+           "Daemons that share the slots of cold servers; 0: this one has none",
+           static_cast<double>(state.coldPlan_.owners_.size()));
+}
+
 void
 AddGauges(prometheus::Registry& aRegistry, const GatewayHost& aHost)
 {
@@ -141,6 +178,7 @@
            "camphorfield_gateway_unreadable_store_values",
            "Values in the store's replies that could not be read",
            static_cast<double>(aHost.UnreadableStoreValues()));
+  AddEvacuationGauges(aRegistry, aHost);
   AddGauge(aRegistry,
            "camphorfield_log_lines_dropped",
            "Lines not written since the start",
--- a/src/runtime/gateway_evacuations.cpp
+++ b/src/runtime/gateway_evacuations.cpp
@@ -45,6 +45,7 @@
 {
   const TableSync& table = store_.Table(kEvacuationsTable);
   std::set<std::string> domains = peerEvacuations_;
+  evacuationsKnown_ = table.complete_;
   if (table.complete_) {
     domains.clear();
     for (const auto& [name, object] : table.objects_) {
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -120,6 +120,9 @@
    * and isn't stopping. */
   bool IsReady() const;
 
+  /** Whether evacuations are followed and their table has been read. */
+  bool KnowsEvacuations() const { return evacuationsKnown_; }
+
   /** Stops being ready, announces the shutdown to the other daemons and answers
    * all requests in time. */
   void BeginStop(const PlannedStop& aStop);
@@ -213,6 +216,7 @@
   Duration configLagTime_{}; ///< See UpdateConfigLag.
   /** Evacuations that peers stated while the own table was not complete. */
   std::set<std::string> peerEvacuations_;
+  bool evacuationsKnown_ = false; ///< The own table has been read.
   /** A peer stated its table, or the wait for it is over. */
   bool needsNoEvacuations_ = false;
   /** Since when servers are known but not used, as evacuations are unknown. */
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -1,5 +1,6 @@
 // Decoding and encoding of the platform's documents and messages, malformed
 // and forged ones included.
+#include "adapter.h"
 #include "config_codec.h"
 #include "http_codec.h"
 #include "settings_file.h"
@@ -111,6 +112,36 @@
   CHECK_TRUE((*config)->limits_.idleTimeout_ == seconds(15));
 }
 
+// Values outside of what a server can mean must not disable the limit, or make
+// slots without end.
+TEST(ConfigCodec, ColdPhasesAreReadWrongly)
+{
+  struct WarmupCase
+  {
+    const char* fields_;
+    Duration warmup_;
+    double perSecond_;
+  };
+  const std::vector<WarmupCase> cases{
+    { "", Duration::zero(), 0.0 },
+    { R"(,"warmup-s":3.0,"warmup-per-s":12.5)", seconds(3), 12.5 },
+    { R"(,"warmup-s":3,"warmup-per-s":0)", seconds(3), 0.0 },
+    { R"(,"warmup-s":-1,"warmup-per-s":-2)", Duration::zero(), 0.0 },
+    { R"(,"warmup-s":1e9,"warmup-per-s":1e9)", seconds(86400), 10000.0 },
+  };
+  for (const WarmupCase& item : cases) {
+    const auto config =
+      DecodeConfig(Replace(kConfigText,
+                           R"("max-conns":25)",
+                           std::string(R"("max-conns":25)") + item.fields_));
+    CHECK_TRUE_TEXT(config.ok(), item.fields_);
+    const GatewayService& service = (*config)->services_.at("s1");
+    CHECK_TRUE_TEXT(service.warmup_ == item.warmup_, item.fields_);
+    DOUBLES_EQUAL_TEXT(
+      item.perSecond_, service.warmupPerSecond_, 1e-9, item.fields_);
+  }
+}
+
 TEST(ConfigCodec, MalformedConfigurationsAreRefused)
 {
   const std::vector<ForgedCase> cases{
@@ -692,6 +723,25 @@
   CHECK_TRUE(settings->stopGrace_ == seconds(6));
 }
 
+// Each further table that is read costs calls of the store.
+TEST(SettingsFile, EvacuationsAreFollowedWithoutTheirBound)
+{
+  const auto without = DecodeSettings(kSettingsText);
+  CHECK_TRUE(without.ok());
+  CHECK_TRUE(MakeHostSettings(*without).evacuationsKind_.empty());
+  DOUBLES_EQUAL(0.0, without->warmupOverage_ + without->warmupSlack_, 1e-9);
+  const auto with =
+    DecodeSettings(std::string(kSettingsText) + "bounds.evacuate-ms=5000\n"
+                                                "bounds.warmup-overage=1.5\n"
+                                                "bounds.warmup-slack=5\n");
+  CHECK_TRUE(with.ok());
+  const GatewayHostSettings host = MakeHostSettings(*with);
+  STRCMP_EQUAL("evacuations", host.evacuationsKind_.c_str());
+  CHECK_TRUE(host.evacuateWithin_ == seconds(5));
+  DOUBLES_EQUAL(1.5, host.gateway_.warmupOverage_, 1e-9);
+  DOUBLES_EQUAL(5.0, host.gateway_.warmupSlack_, 1e-9);
+}
+
 TEST(SettingsFile, ErrorsNameKeyAndValue)
 {
   const std::vector<SettingCase> cases{
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -1,12 +1,15 @@
 // Roles and budget shares of hundreds of daemons whose views of the fleet
 // differ: late, partitioned, or during starts, kills and joins.
 #include "core/rng_type.h"
+#include "gateway/cold_server.h"
 #include "gateway/fleet_role.h"
 #include "gateway/retry_budget.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
+#include <array>
 #include <deque>
+#include <map>
 #include <numeric>
 #include <string>
 #include <vector>
@@ -24,6 +27,10 @@
 constexpr std::size_t kWindowSeconds = 10;
 constexpr std::size_t kDomains = 7;
 constexpr std::size_t kStrongPerDomain = 3;
+constexpr std::array kColdRates{ 10.0, 100.0 };
+constexpr double kColdOverage = 1.5;
+constexpr double kColdSlack = 5.0;
+constexpr std::size_t kColdSeconds = 32;
 constexpr std::size_t kMaxLagSteps = 6; ///< Age of the oldest view: 1.5 s.
 
 /** Truth about one daemon, step by step. */
@@ -40,6 +47,8 @@
   FleetRole role_;
   RetryBudget budget_;
   std::size_t lag_ = 0; ///< In steps.
+  ColdPlan plan_;
+  std::map<double, ColdPhase> phases_; ///< One cold server for each rate.
 };
 
 /** A fleet whose daemons spend all extra requests that their budget allows. */
@@ -70,10 +79,16 @@
     return std::accumulate(extras_.begin(), extras_.end(), 0.0);
   }
 
+  /** Most requests that a cold server of a rate got in any one second. */
+  std::size_t LargestColdSecond(double aPerSecond) const;
+  /** Share of its rate that it got in an interval. */
+  double ColdUse(double aPerSecond, std::size_t aFrom, std::size_t aTo) const;
+
   BudgetLimits limits_{ 0.2, 630.0, seconds(kWindowSeconds) };
 
 private:
   void Observe(std::size_t aDaemon, TimePoint aNow);
+  void SendCold(FleetDaemon& aDaemon, DaemonId aId, TimePoint aNow);
 
   Rng rng_{ 7 };
   std::vector<Truth> truth_;
@@ -81,6 +96,7 @@
   std::deque<std::vector<Truth>> history_; ///< Newest first.
   std::vector<double> firsts_;
   std::vector<double> extras_;
+  std::map<double, std::vector<TimePoint>> coldSends_; ///< By rate.
   std::size_t step_ = 0;
 };
 
@@ -112,6 +128,8 @@
 {
   daemons_[aDaemon].role_ = MakeFleetRole(TimeOf(step_));
   daemons_[aDaemon].budget_ = RetryBudget{};
+  daemons_[aDaemon].plan_ = ColdPlan{};
+  daemons_[aDaemon].phases_.clear();
   truth_[aDaemon].up_ = true;
 }
 
@@ -139,6 +157,56 @@
                   aNow);
 }
 
+// A daemon sends as often as its slots allow, for one step.
+void
+Fleet::SendCold(FleetDaemon& aDaemon, DaemonId aId, TimePoint aNow)
+{
+  for (const double perSecond : kColdRates) {
+    aDaemon.plan_.slots_[perSecond].rate_ =
+      MakeColdRate(perSecond, kColdOverage, kColdSlack);
+  }
+  SetColdOwners(aDaemon.plan_, aId, aDaemon.role_.coldOwners_);
+  ExtendColdPlan(aDaemon.plan_, { aNow, aNow.time_since_epoch().count() });
+  for (const double perSecond : kColdRates) {
+    ColdPhase& phase = aDaemon.phases_[perSecond];
+    for (TimePoint at = aNow; at < aNow + kStep; at += milliseconds(10)) {
+      while (TimeUntilColdSlot(aDaemon.plan_, phase, perSecond, 0, at) ==
+             Duration::zero()) {
+        UseColdSlot(aDaemon.plan_, phase, perSecond, at);
+        coldSends_[perSecond].push_back(at);
+      }
+    }
+  }
+}
+
+std::size_t
+Fleet::LargestColdSecond(double aPerSecond) const
+{
+  const auto found = coldSends_.find(aPerSecond);
+  std::vector<TimePoint> times =
+    found == coldSends_.end() ? std::vector<TimePoint>{} : found->second;
+  std::sort(times.begin(), times.end());
+  std::size_t largest = 0;
+  for (auto first = times.begin(); first != times.end(); ++first) {
+    const auto end = std::lower_bound(first, times.end(), *first + seconds(1));
+    largest = std::max(largest, static_cast<std::size_t>(end - first));
+  }
+  return largest;
+}
+
+double
+Fleet::ColdUse(double aPerSecond, std::size_t aFrom, std::size_t aTo) const
+{
+  const std::vector<TimePoint>& times = coldSends_.at(aPerSecond);
+  const auto count =
+    std::count_if(times.begin(), times.end(), [&](TimePoint aAt) {
+      return aAt >= TimeOf(aFrom * kStepsPerSecond) &&
+             aAt < TimeOf(aTo * kStepsPerSecond);
+    });
+  return static_cast<double>(count) / aPerSecond /
+         static_cast<double>(aTo - aFrom);
+}
+
 void
 Fleet::Step()
 {
@@ -152,6 +220,7 @@
       continue;
     }
     Observe(i, now);
+    SendCold(daemons_[i], truth_[i].member_.id_, now);
     // Callers may reach any daemon: a few keep using old addresses.
     if (daemons_[i].role_.isEntryDaemon_ || rng_() % 40 == 0) {
       CountFirst(daemons_[i].budget_, limits_, now);
@@ -247,6 +316,15 @@
   }
 }
 
+/** A fleet that sends all requests that cold servers may get. */
+struct ColdFleetCase
+{
+  const char* name_;
+  std::size_t daemons_;
+  Disturb disturb_;
+  double used_; ///< Least use of the rate from second 20 to 30.
+};
+
 struct FleetCase
 {
   const char* name_;
@@ -280,6 +358,41 @@
   }
 }
 
+// In any one second, over all daemons, a cold server gets at most its rate
+// times the overage plus the slack.
+TEST(FleetRole, NoViewOverdrawsAColdServersRate)
+{
+  const std::vector<ColdFleetCase> cases{
+    { "small", 6, NoChange, 0.95 },
+    { "steady", 83, NoChange, 0.95 },
+    { "entry daemons restart", 83, KillEntryDaemons, 0.5 },
+    { "all restart", 83, KillAll, 0.5 },
+    { "all of a large fleet restart", 295, KillAll, 0.5 },
+    { "domains cut off from each other", 83, SeparateDomains, 0.0 },
+    { "each isolated in turn", 83, IsolateInTurn, 0.0 },
+    { "many join, the strong are lost", 83, JoinAndLoseStrong, 0.4 },
+  };
+  for (const ColdFleetCase& item : cases) {
+    Fleet fleet(item.daemons_);
+    while (fleet.Seconds() < kColdSeconds) {
+      item.disturb_(fleet);
+      fleet.Step();
+    }
+    for (const double perSecond : kColdRates) {
+      const double largest =
+        static_cast<double>(fleet.LargestColdSecond(perSecond));
+      const double use = fleet.ColdUse(perSecond, 20, 30);
+      const std::string text = std::string(item.name_) + " at " +
+                               std::to_string(perSecond) +
+                               "/s: " + std::to_string(largest) +
+                               " in 1 s, use " + std::to_string(use);
+      CHECK_TEXT(largest <= kColdOverage * perSecond + kColdSlack,
+                 text.c_str());
+      CHECK_TEXT(use >= item.used_, text.c_str());
+    }
+  }
+}
+
 // A budget that nobody may use would keep the bound, too.
 TEST(FleetRole, EntryDaemonsUseMostOfTheSlack)
 {
