--- a/tests/soak/evacuation.py
+++ b/tests/soak/evacuation.py
@@ -2,13 +2,15 @@
 
 Callers send requests all the time. Guards against requests that reach an
 evacuated domain: from gateways that the store refuses, from one that starts
-while the store doesn't tell evacuations, and after a restore; and against
-gateways that never get ready again when nobody knows the evacuations. Exits
-with 1 if one of these happened.
+while the store doesn't tell evacuations, and after a restore; against
+gateways that never get ready again when nobody knows the evacuations; and
+against cold servers that get more requests than they take. Exits with 1 if one
+of these happened.
 """
 
 import argparse
 import asyncio
+import collections
 import signal
 import sys
 import tempfile
@@ -21,7 +23,12 @@
 ZONE = "a"
 EVACUATE_S = 5.0  # bounds.evacuate-ms
 RETURN_S = 12.0  # An object that a restored store lost ends by then.
-CALLERS = 12
+CALLERS = 24
+WARMUP_PER_S = 2
+WARMUP_S = 3.0
+WARMUP_MOST = WARMUP_PER_S * 1.5 + 5  # In any one second.
+COLD_S = 5.0  # A cold phase that servers state later.
+KNOWN_S = 0.5  # By then all gateways have read it.
 SETTINGS = [f"bounds.evacuate-ms={EVACUATE_S * 1000:g}",
             "bounds.warmup-overage=1.5", "bounds.warmup-slack=5", ""]
 
@@ -48,6 +55,7 @@
         super().__init__(arguments, directory)
         self.store = Store()
         self.arrivals = []  # Times of requests at servers of the domain.
+        self.arrivals_of = collections.defaultdict(list)  # By server.
 
     async def add_server(self, service, zone, work_s):
         server = await super().add_server(service, zone, work_s)
@@ -56,6 +64,7 @@
 
             async def note(message):
                 self.arrivals.append(time.monotonic())
+                self.arrivals_of[server.name].append(self.arrivals[-1])
                 return await answer(message)
             server.answer = note
         return server
@@ -85,6 +94,35 @@
             await asyncio.sleep(0.05)
         print(f"{what}: first request after {time.monotonic() - begun:.2f} s")
 
+    def largest_second(self, what, begin, end):
+        """Most requests that one server got in one second."""
+        most = 0
+        count = 0
+        for times in self.arrivals_of.values():
+            times = [at for at in times if begin <= at < end]
+            count += len(times)
+            most = max([most] + [sum(first <= at < first + 1 for at in times)
+                                 for first in times])
+        print(f"{what}: at most {most} requests in 1 s, {count} in all")
+        return most
+
+    def check_cold(self, what, begin, end):
+        """No server may get more requests in a second than it takes."""
+        most = self.largest_second(what, begin, end)
+        if most > WARMUP_MOST:
+            self.book.fail(f"{what}: {most} requests in 1 s")
+
+    async def become_cold(self, cold_s):
+        """All servers of the domain state a cold phase."""
+        begun = time.monotonic()
+        for server in self.servers:
+            if server.zone == ZONE:
+                server.warmup_left_ms = int(cold_s * 1000)
+                self.list_server(server)
+                server.warmup_left_ms = 0
+        await asyncio.sleep(cold_s)
+        self.check_cold("cold servers", begun + KNOWN_S, begun + cold_s)
+
     async def restart(self, gateways):
         """Kill gateways, which start again at once."""
         for gateway in gateways:
@@ -120,8 +158,16 @@
         await self.expect_arrivals("restored without it", RETURN_S)
         self.evacuate(True)
         await self.expect_silence("evacuated again", EVACUATE_S, 2.0)
+        begun = time.monotonic()
         self.evacuate(False)
         await self.expect_arrivals("ended", RETURN_S)
+        await asyncio.sleep(WARMUP_S)
+        self.check_cold("after the end", begun, begun + WARMUP_S)
+        await asyncio.sleep(RETURN_S)
+        now = time.monotonic()
+        if self.largest_second("warm servers", now - 5, now) <= WARMUP_MOST:
+            self.book.fail("the load is too low to show the limit")
+        await self.become_cold(COLD_S)
         self.store.refused_kind = "evacuations"
         self.store.cut()
         begun = time.monotonic()
@@ -155,8 +201,19 @@
     arguments = parser.parse_args()
     arguments.seed = 1
     arguments.seconds = 0
-    make = wire.make_settings
-    wire.make_settings = lambda *items: make(*items) + "\n".join(SETTINGS)
+    make_settings, make_config, make_entry = (
+        wire.make_settings, wire.make_config, wire.make_entry)
+
+    def configure(*items):
+        config = make_config(*items)
+        for service in config["services"]:
+            service |= {"warmup-s": WARMUP_S, "warmup-per-s": WARMUP_PER_S}
+        return config
+    wire.make_settings = lambda *items: (
+        make_settings(*items) + "\n".join(SETTINGS))
+    wire.make_config = configure
+    wire.make_entry = lambda server, sequence: make_entry(server, sequence) | {
+        "warmup-left-ms": getattr(server, "warmup_left_ms", 0)}
     directory = tempfile.mkdtemp(prefix="camphorfield-evacuation-")
     run = Run(arguments, directory)
 
