--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -110,8 +110,9 @@
                 TimePoint aNow)
 {
   return std::max(
-    aBackend.pausedUntil_ - aNow,
-    TimeUntilAllowed(aBackend.rateLimit_, aState.limitShare_, aAhead, aNow));
+    { Duration(aBackend.pausedUntil_ - aNow),
+      TimeUntilAllowed(aBackend.rateLimit_, aState.limitShare_, aAhead, aNow),
+      TimeUntilColdRoom(aState, aBackend, aAhead, aNow) });
 }
 
 /** @param aRequestHash See FindIdle. */
@@ -126,6 +127,14 @@
          FindIdle(aState, aBackend, aRequestHash, aNow) != nullptr;
 }
 
+/** Whether a server has accepted no connections for a while. */
+bool
+HasNoConnection(const Backend& aBackend)
+{
+  return aBackend.connections_.size() == aBackend.opening_ &&
+         aBackend.reconnect_ > kReconnectFloor * 2;
+}
+
 /** Whether a part may be sent to a server, disregarding its capacity. */
 bool
 MayTry(const GatewayRun& aRun,
@@ -169,10 +178,13 @@
         !MayTry(aRun, aPart, backend, aHedge)) {
       continue;
     }
-    Candidate candidate{ &backend,
-                         EstimateMicros(state, backend, typical, aStep.Time()),
-                         HasRoom(
-                           state, backend, aRun.requestHash_, aStep.Time()) };
+    Candidate candidate{
+      &backend,
+      EstimateMicros(state, backend, typical, aStep.Time()) *
+        ReturnFactor(
+          state.evacuations_, backend.entry_.failureDomain_, aStep.Time()),
+      HasRoom(state, backend, aRun.requestHash_, aStep.Time())
+    };
     candidate.needsConnection_ =
       !candidate.room_ && HasRoom(state, backend, 0, aStep.Time());
     if (candidate.needsConnection_) {
@@ -209,7 +221,8 @@
 bool
 IsUsable(const Backend& aBackend)
 {
-  return aBackend.listed_ && !aBackend.entry_.draining_ && !aBackend.leaving_;
+  return aBackend.listed_ && !aBackend.entry_.draining_ && !aBackend.leaving_ &&
+         !aBackend.evacuated_;
 }
 
 bool
@@ -217,17 +230,14 @@
               const GatewayServiceState& aService,
               TimePoint aNow)
 {
-  return std::all_of(aService.backends_.begin(),
-                     aService.backends_.end(),
-                     [&aState, aNow](std::uint64_t aKey) {
-                       const Backend& backend =
-                         aState.backends_.slots_[aKey & kSlotMask];
-                       const bool unreachable =
-                         backend.connections_.size() == backend.opening_ &&
-                         backend.reconnect_ > kReconnectFloor * 2;
-                       return !IsUsable(backend) ||
-                              (unreachable && aNow < backend.ejectedUntil_);
-                     });
+  return std::all_of(
+    aService.backends_.begin(),
+    aService.backends_.end(),
+    [&aState, aNow](std::uint64_t aKey) {
+      const Backend& backend = aState.backends_.slots_[aKey & kSlotMask];
+      return !IsUsable(backend) ||
+             (HasNoConnection(backend) && aNow < backend.ejectedUntil_);
+    });
 }
 
 Duration
@@ -236,11 +246,16 @@
               std::size_t aAhead,
               TimePoint aNow)
 {
+  // Where cold servers are the only ones left, lost ones give no room.
+  const bool anyCold = HasColdServer(aState, aService, aNow);
+  const auto counts = [anyCold](const Backend& aBackend) {
+    return IsUsable(aBackend) && !(anyCold && HasNoConnection(aBackend));
+  };
   const auto usable =
     std::count_if(aService.backends_.begin(),
                   aService.backends_.end(),
-                  [&aState](std::uint64_t aKey) {
-                    return IsUsable(aState.backends_.slots_[aKey & kSlotMask]);
+                  [&aState, &counts](std::uint64_t aKey) {
+                    return counts(aState.backends_.slots_[aKey & kSlotMask]);
                   });
   Duration least = Duration::max();
   if (usable == 0) {
@@ -249,7 +264,7 @@
   const std::size_t ahead = aAhead / static_cast<std::size_t>(usable);
   for (const std::uint64_t key : aService.backends_) {
     const Backend& backend = aState.backends_.slots_[key & kSlotMask];
-    if (IsUsable(backend)) {
+    if (counts(backend)) {
       least = std::min(least, TimeUntilWanted(aState, backend, ahead, aNow));
     }
   }
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -6,6 +6,8 @@
 #include "core/rng_type.h"
 #include "core/timer_heap.h"
 #include "gateway/carried_ids.h"
+#include "gateway/cold_server.h"
+#include "gateway/evacuation.h"
 #include "gateway/gateway_const.h"
 #include "gateway/gateway_type.h"
 #include "gateway/organisation.h"
@@ -60,6 +62,10 @@
   Duration configApply_{};
   DaemonId self_;
   CapTolerance capTolerance_; ///< Rates of organisations.
+  /** Bound on the requests that reach a cold server in a second; both zero: no
+   * limit, whatever the configuration says. See MakeColdRate. */
+  double warmupOverage_ = 0.0;
+  double warmupSlack_ = 0.0;
 };
 
 /** State of a connection to a backend server. */
@@ -120,6 +126,8 @@
    * known. */
   std::uint64_t restarts_ = 0;
   TimePoint pausedUntil_{}; ///< It wants no requests before.
+  bool evacuated_ = false;  ///< Its failure domain is.
+  ColdPhase cold_;
 };
 
 /** What an incarnation said of itself, while no entry lists it. */
@@ -140,10 +148,14 @@
 {
   std::string name_;
   std::uint32_t maxConnections_ = 1;
-  bool configured_ = false; ///< Used by a route of the configuration.
+  Duration warmup_{};            ///< See GatewayService.
+  double warmupPerSecond_ = 0.0; ///< Limit in force; zero: none.
+  bool configured_ = false;      ///< Used by a route of the configuration.
   std::vector<std::uint64_t> backends_; ///< Listed incarnations.
   std::set<QueueKey> queue_;
   RetryBudget budget_;
+  /** When rejected callers return that were told a slot of cold servers. */
+  std::multiset<TimePoint> coldPromises_;
   TimePoint wakeAt_{};  ///< Time of the latest QueueWake timer.
   bool marked_ = false; ///< Its queue is dispatched at the end of the step.
 };
@@ -332,6 +344,11 @@
   /** Unknown keys rejected as not ready, because the tables were stale. */
   std::uint64_t staleKeyRejections_ = 0;
   std::uint64_t revokedRuns_ = 0; ///< Requests whose key was withdrawn.
+  std::uint64_t evacuations_ = 0; ///< Evacuations that have begun.
+  /** Waiting parts that failed because all their servers are evacuated. */
+  std::uint64_t evacuatedParts_ = 0;
+  std::uint64_t coldPhases_ = 0; ///< Times that a server became cold.
+  std::uint64_t coldSends_ = 0;  ///< Requests sent to cold servers.
 };
 
 /** State of the gateway. */
@@ -375,6 +392,11 @@
   std::uint64_t sendsAtCpuLoad_ = 0; ///< Sends counted at cpuLoadAt_.
   PlannedStop stop_;
   bool preconnect_ = true; ///< Open connections ahead of requests.
+  Evacuations evacuations_;
+  ColdPlan coldPlan_;
+  /** Cold phases of servers that are not listed at the moment, by id and start:
+   * an entry may be malformed for a while. */
+  std::map<std::pair<std::string, std::int64_t>, ColdPhase> unlistedCold_;
   GatewayStats stats_;
 };
 
--- a/src/gateway/request_admit.cpp
+++ b/src/gateway/request_admit.cpp
@@ -237,14 +237,27 @@
   waits.reserve(aRun.parts_.size());
   for (const RequestPart& part : aRun.parts_) {
     const GatewayServiceState& service = aState.services_[part.service_];
+    // A caller that returns was promised room before those that follow.
     waits.push_back(
-      TimeUntilRoom(aState, service, service.queue_.size(), aNow));
+      aRun.waitedBefore_ > Duration::zero()
+        ? TimeUntilRoom(aState, service, service.queue_.size(), aNow)
+        : TimeUntilUnpromisedRoom(aState, service, aNow));
   }
   const auto last = waits.begin() + (aRun.needed_ - 1);
   std::nth_element(waits.begin(), last, waits.end());
   return *last;
 }
 
+/** Longest time that a request waits for room at servers. Those that are late
+ * already would wait for cold servers until their deadline. */
+Duration
+LongestWait(const GatewayRun& aRun, bool aCold, TimePoint aNow)
+{
+  const Duration left = aRun.softAt_ - aNow;
+  const Duration objective = aRun.route_->objective_;
+  return aCold && objective.count() > 0 ? std::min(left, objective) : left;
+}
+
 } // namespace
 
 std::optional<std::string>
@@ -334,8 +347,11 @@
   }
   RouteLoad& load = state.loads_[route->name_];
   const Duration waited = TimeSinceFirstAttempt(aRequest, load, now);
-  if (state.settings_.policy_.admission_ &&
-      !IsAdmitted(load, GuaranteedWindow(state, *route))) {
+  const bool cold = HasColdShard(state, *route, now);
+  const bool admitted = !state.settings_.policy_.admission_ ||
+                        IsAdmitted(load, GuaranteedWindow(state, *route));
+  // With cold servers, the time until they have room is known.
+  if (!admitted && !cold) {
     reject(ProxyCode::Overloaded);
     return;
   }
@@ -355,9 +371,10 @@
     return;
   }
   const Duration wait = TimeUntilEnoughRoom(state, run, now);
-  if (wait > run.softAt_ - now) {
+  if (!admitted || wait > LongestWait(run, cold, now)) {
     ++state.stats_.limitRejections_;
-    FinishFailed(aStep, run, ProxyCode::NoServer, wait);
+    FinishFailed(
+      aStep, run, ProxyCode::NoServer, PromiseColdSlot(state, run, wait, now));
     return;
   }
   StartRun(aStep, run);
