Add: placement by the expected work of requests and of those ahead of them

Requests that look alike cost servers very different amounts of work; a number of requests ahead says little then. PlacementMode::Cost learns a distribution of work by route and content, estimates the work ahead of each server in time, hedges where a second server is expected to be faster, and leaves unneeded attempts to finish where that costs less than a new connection.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -1,5 +1,6 @@
 // Sends parts to servers, and hedges to a second server when the first one
 // pauses, within the retry budget that all daemons share.
+#include "gateway/cost_placement.h"
 #include "gateway/gateway_internal.h"
 #include "gateway/route_times.h"
 
@@ -34,7 +35,9 @@
   if (aAttempt.hedge_ || !aStep.state_.settings_.policy_.hedge_) {
     return;
   }
-  const Duration delay = HedgeDelay(*aRun.load_, *aRun.route_);
+  const Duration delay = aAttempt.cost_ != nullptr
+                           ? FirstHedgeCheck(aAttempt)
+                           : HedgeDelay(*aRun.load_, *aRun.route_);
   AddTimer(timers,
            { aAttempt.sentAt_ + delay, aAttempt.key_, 0, GatewayTimer::Hedge });
 }
@@ -59,6 +62,11 @@
                      aStep.Time(),
                      TypicalLatency(*aRun.load_, *aRun.route_),
                      aHedge };
+  if (aRun.cost_ != nullptr) {
+    attempt.cost_ = aRun.cost_;
+    attempt.estimate_ = state.placement_.chosen_;
+    part.note_ = state.placement_.note_;
+  }
   CountAgainstLimit(backend.rateLimit_, state.limitShare_, aStep.Time());
   conn.state_ = BackendConnState::Busy;
   conn.attempt_ = attempt.key_;
@@ -88,6 +96,23 @@
   EnsureConnections(aStep, backend);
 }
 
+/** Opens connections to the servers that a hedge could go to: PlacementMode::
+ * Cost keeps none open ahead to servers that are hardly used. */
+void
+OpenForHedge(GatewayStep& aStep, const RequestPart& aPart)
+{
+  GatewayState& state = aStep.state_;
+  const std::vector<std::uint64_t> backends =
+    state.services_[aPart.service_].backends_;
+  for (const std::uint64_t key : backends) {
+    Backend& backend = *FindSlot(state.backends_, key);
+    if (backend.connections_.empty()) {
+      RecordWanted(backend, aStep.Time());
+      EnsureConnections(aStep, backend);
+    }
+  }
+}
+
 /** Dispatches a queue again once the servers' request limits leave room. */
 void
 WakeWhenAllowed(GatewayStep& aStep, ServiceNumber aService)
@@ -177,6 +202,7 @@
 {
   RequestPart& part = aRun.parts_[aPart];
   part.phase_ = PartPhase::Waiting;
+  PrepareCost(aStep.state_, aRun, aStep.Time());
   const TimePoint urgency = aRun.late_ ? aRun.deadline_ : aRun.softAt_;
   part.queueKey_ =
     QueueKey(aRun.late_, aRun.route_->priority_, urgency, aRun.key_, aPart);
@@ -212,8 +238,18 @@
     return;
   }
   const std::uint64_t backend = ChooseBackend(aStep, *run, part, true);
-  if (backend == 0) {
+  double repeatedWork = 0.0;
+  const bool wanted = attempt->cost_ == nullptr || backend == 0 ||
+                      IsHedgeWorthwhile(state,
+                                        *attempt,
+                                        *FindSlot(state.backends_, backend),
+                                        aStep.Time(),
+                                        repeatedWork);
+  if (backend == 0 || !wanted) {
     // The other servers are busy: try again soon.
+    if (backend == 0 && attempt->cost_ != nullptr) {
+      OpenForHedge(aStep, part);
+    }
     if (part.tried_.size() < run->route_->maxAttempts_) {
       AddTimer(state.timers_,
                { aStep.Time() + TypicalLatency(*run->load_, *run->route_) / 4,
@@ -229,6 +265,9 @@
   ++state.stats_.hedges_;
   ++run->hedges_;
   Send(aStep, *run, index, backend, true);
+  if (Attempt* hedge = FindSlot(state.attempts_, part.attempts_[1])) {
+    hedge->repeatedWork_ = repeatedWork;
+  }
 }
 
 } // namespace camphorfield
--- a/src/gateway/attempt_answer.cpp
+++ b/src/gateway/attempt_answer.cpp
@@ -1,6 +1,7 @@
 // Handles the end of an attempt. When a server fails, rejects or loses an
 // answer, idempotent requests and requests that did not run are sent again,
 // within the retry budget that all daemons share.
+#include "gateway/cost_placement.h"
 #include "gateway/gateway_func.h"
 #include "gateway/gateway_internal.h"
 #include "gateway/route_times.h"
@@ -191,6 +192,11 @@
     return;
   }
   GatewayRun* run = FindSlot(state.runs_, slot->run_);
+  if (slot->abandoned_) {
+    // Nothing was expected of the server any more.
+    CloseConnection(aStep, Detach(aStep, aAttempt).connection_);
+    return;
+  }
   if (run == nullptr) {
     EndAttempt(aStep, aAttempt, AttemptEnd::Broken);
     return;
@@ -216,19 +222,51 @@
   }
 }
 
+namespace {
+
+/** Leaves an unneeded attempt to finish, so that its connection stays open. */
+void
+AbandonAttempt(GatewayStep& aStep, Attempt& aAttempt)
+{
+  GatewayState& state = aStep.state_;
+  if (GatewayRun* run = FindSlot(state.runs_, aAttempt.run_)) {
+    aAttempt.abandonedId_ = run->message_->requestId_;
+    for (std::uint64_t& key : run->parts_[aAttempt.part_].attempts_) {
+      key = key == aAttempt.key_ ? 0 : key;
+    }
+  }
+  aAttempt.abandoned_ = true;
+  aAttempt.run_ = 0;
+  ++state.stats_.abandoned_;
+  AddTimer(state.timers_,
+           { aStep.Time() + kMaxAbandonedTime,
+             aAttempt.key_,
+             0,
+             GatewayTimer::Silence });
+}
+
+} // namespace
+
 // A server aborts a request when its connection closes, which frees the slot. A
 // new connection costs less than the rest of the work in most cases.
 void
 CancelAttempt(GatewayStep& aStep, std::uint64_t aAttempt)
 {
-  const Attempt attempt = Detach(aStep, aAttempt);
+  Attempt& attempt = *FindSlot(aStep.state_.attempts_, aAttempt);
   Backend& backend = *FindSlot(aStep.state_.backends_, attempt.backend_);
   RecordPendingTime(aStep, backend, attempt);
   GatewayRun* run = FindSlot(aStep.state_.runs_, attempt.run_);
   if (run != nullptr) {
     AddAnswerTime(*run->load_, aStep.Time() - attempt.sentAt_);
   }
-  CloseConnection(aStep, attempt.connection_);
+  if (IsWorthFinishing(aStep.state_, backend, attempt, aStep.Time())) {
+    AbandonAttempt(aStep, attempt);
+    return;
+  }
+  if (attempt.cost_ != nullptr) {
+    LearnFromPending(aStep, backend, attempt, true);
+  }
+  CloseConnection(aStep, Detach(aStep, aAttempt).connection_);
 }
 
 void
@@ -252,13 +290,16 @@
   const std::uint64_t key = conn->attempt_;
   const Attempt* pending = FindSlot(aState.attempts_, key);
   const GatewayRun* current = FindSlot(aState.runs_, pending->run_);
+  const std::string* expectedId =
+    current != nullptr
+      ? &current->message_->requestId_
+      : (pending->abandoned_ ? &pending->abandonedId_ : nullptr);
   // A duplicate answer to an earlier request; the answer to this one is still
   // to come. A server that echoes ids does so in each answer.
   const bool isOther =
     aAnswer.requestId_.empty()
       ? conn->echoesIds_
-      : current != nullptr &&
-          aAnswer.requestId_ != current->message_->requestId_;
+      : expectedId != nullptr && aAnswer.requestId_ != *expectedId;
   if (isOther) {
     ++aState.stats_.garbled_;
     return;
--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -1,6 +1,7 @@
 // Chooses a server when servers differ in speed, pause, or are slow or fail for
 // a while. A request goes to the server with the earliest estimated answer,
 // which may mean waiting for a busy server although a slow one is idle.
+#include "gateway/cost_placement.h"
 #include "gateway/gateway_internal.h"
 #include "gateway/route_times.h"
 #include "gateway/work_estimate.h"
@@ -11,6 +12,10 @@
 
 namespace {
 
+/** Random part of an estimate, as a share of the part's work. */
+constexpr double kSpreadShare = 0.1;
+constexpr std::uint64_t kSpreadSteps = 1024;
+
 bool
 WasTried(const RequestPart& aPart, std::uint64_t aBackend)
 {
@@ -58,8 +63,58 @@
   const Backend* backend_ = nullptr;
   double micros_ = 0.0;
   bool room_ = false;
+  PlacementEstimate estimate_; ///< PlacementMode::Cost only.
 };
 
+/** Sets the estimate of a candidate by the expected work of a part. Daemons
+ * that see the same reports spread over servers of about the same estimate. */
+void
+EstimateByCost(GatewayStep& aStep,
+               const GatewayServiceState& aService,
+               double aWork,
+               Duration aTypical,
+               Candidate& aCandidate)
+{
+  const Backend& backend = *aCandidate.backend_;
+  const TimePoint now = aStep.Time();
+  aCandidate.estimate_ = EstimatePlacement(aStep.state_, backend, aWork, now);
+  aCandidate.micros_ =
+    PenalisedMicros(aStep.state_, backend, aCandidate.estimate_, aTypical, now);
+  aCandidate.micros_ += kSpreadShare * aWork *
+                        static_cast<double>(aStep.rng_() % kSpreadSteps) /
+                        static_cast<double>(kSpreadSteps);
+  if (!aCandidate.room_) {
+    const std::size_t queued = aService.queue_.size();
+    aCandidate.micros_ +=
+      MicrosUntilRoom(
+        backend, aCandidate.estimate_, static_cast<double>(queued + 1)) +
+      static_cast<double>(
+        TimeUntilWanted(aStep.state_, backend, queued, now).count());
+  }
+}
+
+/** Keeps why a server was chosen, until the part is sent. */
+void
+NoteChoice(PlacementState& aState,
+           const std::vector<Candidate>& aFound,
+           std::size_t aChosen)
+{
+  aState.chosen_ = aFound[aChosen].estimate_;
+  PlacementNote& note = aState.note_;
+  note = PlacementNote{};
+  note.work_ = static_cast<float>(aState.chosen_.work_);
+  for (std::size_t i = 0, at = 1; i < aFound.size(); ++i) {
+    const std::size_t place = i == aChosen ? 0 : at++;
+    if (place < kNotedCandidates) {
+      const PlacementEstimate& estimate = aFound[i].estimate_;
+      note.servers_[place] = aFound[i].backend_->key_;
+      note.total_[place] = static_cast<float>(aFound[i].micros_);
+      note.wait_[place] =
+        static_cast<float>(estimate.wait_ * estimate.speed_ + estimate.stall_);
+    }
+  }
+}
+
 /** Servers that a part may be sent to: the ejected ones or the others. */
 std::vector<Candidate>
 FindCandidates(GatewayStep& aStep,
@@ -71,6 +126,8 @@
   GatewayState& state = aStep.state_;
   const Duration typical = TypicalLatency(*aRun.load_, *aRun.route_);
   const GatewayServiceState& service = state.services_[aPart.service_];
+  const double work =
+    aRun.cost_ == nullptr ? 0.0 : WorkAt(state, *aRun.cost_, aPart.service_);
   std::vector<Candidate> found;
   for (const std::uint64_t key : service.backends_) {
     const Backend& backend = state.backends_.slots_[key & kSlotMask];
@@ -79,10 +136,13 @@
         !MayTry(aRun, aPart, backend, aHedge)) {
       continue;
     }
-    Candidate candidate{ &backend,
-                         EstimateMicros(state, backend, typical, aStep.Time()),
-                         HasRoom(state, backend, aStep.Time()) };
-    if (!candidate.room_) {
+    Candidate candidate{ &backend, 0.0, HasRoom(state, backend, aStep.Time()) };
+    if (work > 0.0) {
+      EstimateByCost(aStep, service, work, typical, candidate);
+    } else {
+      candidate.micros_ = EstimateMicros(state, backend, typical, aStep.Time());
+    }
+    if (!candidate.room_ && work == 0.0) {
       // Parts in the queue would be sent there first.
       const auto ahead = static_cast<double>(service.queue_.size() + 1);
       candidate.micros_ +=
@@ -181,6 +241,11 @@
   if (best == found.end() || !best->room_) {
     return 0;
   }
+  if (aRun.cost_ != nullptr) {
+    NoteChoice(aStep.state_.placement_,
+               found,
+               static_cast<std::size_t>(best - found.begin()));
+  }
   return best->backend_->key_;
 }
 
--- a/src/gateway/backend_conn.cpp
+++ b/src/gateway/backend_conn.cpp
@@ -1,6 +1,7 @@
 // Connection pool for servers that accept few connections in total and spend a
 // slot on each new one. Every daemon stays within its share and keeps spare
 // connections open.
+#include "gateway/cost_placement.h"
 #include "gateway/gateway_func.h"
 #include "gateway/gateway_internal.h"
 
@@ -151,6 +152,16 @@
     IsSameDomain(aStep.state_, aBackend) ? kSpareSameDomain : kSpareOtherDomain;
   std::uint32_t wanted = std::min(ConnectionsAllowed(aStep.state_, aBackend),
                                   aBackend.inFlight_ + (ahead ? spare : 0));
+  if (IsCostMode(aStep.state_)) {
+    RecordUse(aBackend, aStep.Time());
+    const bool waiting = !service.queue_.empty();
+    wanted = std::min(
+      ConnectionsAllowed(aStep.state_, aBackend),
+      !ahead ? aBackend.inFlight_
+      : waiting
+        ? aBackend.inFlight_ + 1
+        : JustifiedConnections(aStep.state_, aBackend, spare, aStep.Time()));
+  }
   if (aStep.Time() < aBackend.connectionLimitUntil_) {
     wanted = std::min(wanted, std::max(aBackend.connectionLimit_, 1U));
   }
--- a/src/gateway/backend_health.cpp
+++ b/src/gateway/backend_health.cpp
@@ -1,6 +1,7 @@
 // Tracks server health by the outcomes of requests alone, because servers
 // crash, fail part of their requests or get slow while their health check stays
 // good.
+#include "gateway/cost_placement.h"
 #include "gateway/gateway_internal.h"
 
 #include <absl/strings/str_cat.h>
@@ -182,6 +183,9 @@
     aBackend, Ratio(now - aAttempt.sentAt_, aAttempt.expected_), now);
   aBackend.limit_ =
     std::min(aBackend.limit_ + 1.0 / aBackend.limit_, kLimitCeiling);
+  if (aAttempt.cost_ != nullptr) {
+    LearnFromAnswer(aStep, aBackend, aAttempt, aAnswer);
+  }
   if (aAnswer.load_.known_) {
     aBackend.load_ = aAnswer.load_;
     aBackend.loadAt_ = now;
--- /dev/null
+++ b/src/gateway/cost_placement.h
@@ -0,0 +1,121 @@
+/** Placement by the expected work of requests, PlacementMode::Cost. */
+#pragma once
+
+#include "gateway/gateway_base.h"
+
+namespace camphorfield {
+
+struct GatewayStep;
+
+/** Slot time that a new connection costs its server. */
+constexpr Duration kNewConnectionCost = milliseconds(6);
+
+/** An unneeded attempt is closed after this time at the latest: its server
+ * pauses. A caller that left has its work cancelled within half a second. */
+constexpr Duration kMaxAbandonedTime = kNewConnectionCost * 4;
+
+/** Whether servers are chosen by cost. */
+bool
+IsCostMode(const GatewayState& aState);
+
+/** Sets the expected work of a run, unless it is set or the mode is another. */
+void
+PrepareCost(GatewayState& aState, GatewayRun& aRun, TimePoint aNow);
+
+/** Expected time of a request of aWork microseconds that is sent now. */
+PlacementEstimate
+EstimatePlacement(const GatewayState& aState,
+                  const Backend& aBackend,
+                  double aWork,
+                  TimePoint aNow);
+
+/** Work of a run's part for one service, microseconds. */
+double
+WorkAt(const GatewayState& aState,
+       const CostEstimate& aCost,
+       ServiceNumber aService);
+
+/** Expected time with the penalties for failures and other failure domains,
+ * in microseconds. */
+double
+PenalisedMicros(const GatewayState& aState,
+                const Backend& aBackend,
+                const PlacementEstimate& aEstimate,
+                Duration aTypicalLatency,
+                TimePoint aNow);
+
+/**
+ * Expected time until a server without room can be sent a request.
+ * @param aAhead Parts that are sent before it, and itself.
+ */
+double
+MicrosUntilRoom(const Backend& aBackend,
+                const PlacementEstimate& aEstimate,
+                double aAhead);
+
+/** Expected rest of an attempt, a pause of its server included, microseconds.
+ */
+double
+ExpectedRest(const GatewayState& aState,
+             const Attempt& aAttempt,
+             TimePoint aNow);
+
+/** Delay until an attempt is first considered for a hedge. */
+Duration
+FirstHedgeCheck(const Attempt& aAttempt);
+
+/**
+ * Whether a second server is expected to answer before the first one, which
+ * takes longer than usual because of the request or of a pause.
+ * @param aWorkIfRepeated Receives the work of the second send if the request
+ * is as expensive as the time on the first server suggests.
+ */
+bool
+IsHedgeWorthwhile(const GatewayState& aState,
+                  const Attempt& aAttempt,
+                  const Backend& aSecond,
+                  TimePoint aNow,
+                  double& aWorkIfRepeated);
+
+/** Learns from an answer; called after its attempt has been detached. */
+void
+LearnFromAnswer(GatewayStep& aStep,
+                Backend& aBackend,
+                const Attempt& aAttempt,
+                const BackendAnswer& aAnswer);
+
+/** Learns from the age of an attempt that has no answer.
+ * @param aCancelled It gets none: its age is a lower bound of its time. */
+void
+LearnFromPending(GatewayStep& aStep,
+                 Backend& aBackend,
+                 const Attempt& aAttempt,
+                 bool aCancelled);
+
+/** Whether an unneeded attempt costs its server less than the new connection
+ * that takes the place of a closed one. */
+bool
+IsWorthFinishing(const GatewayState& aState,
+                 const Backend& aBackend,
+                 const Attempt& aAttempt,
+                 TimePoint aNow);
+
+/**
+ * Connections that recent use justifies.
+ * @param aSpare Most connections beyond those in use.
+ */
+std::uint32_t
+JustifiedConnections(const GatewayState& aState,
+                     const Backend& aBackend,
+                     std::uint32_t aSpare,
+                     TimePoint aNow);
+
+/** Records the number of own requests in flight. */
+void
+RecordUse(Backend& aBackend, TimePoint aNow);
+
+/** Records that a request could have used a connection. */
+void
+RecordWanted(Backend& aBackend, TimePoint aNow);
+
+} // namespace camphorfield
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -5,6 +5,8 @@
 #include "core/pool.h"
 #include "core/rng_type.h"
 #include "core/timer_heap.h"
+#include "gateway/backend_work.h"
+#include "gateway/cost_model.h"
 #include "gateway/gateway_const.h"
 #include "gateway/gateway_type.h"
 #include "gateway/rate_limit.h"
@@ -42,6 +44,7 @@
   bool partial_ = true;   ///< Partial answers just before the objective.
   bool admission_ = true; ///< Reject requests beyond the window.
   bool placement_ = true; ///< Choose by estimated latency; off: ignore it.
+  PlacementMode mode_ = PlacementMode::Count;
 };
 
 /** Settings of this daemon and limits of the platform. */
@@ -108,6 +111,7 @@
    * known. */
   std::uint64_t restarts_ = 0;
   TimePoint pausedUntil_{}; ///< It wants no requests before.
+  BackendWork work_;        ///< PlacementMode::Cost only.
 };
 
 /** Order of waiting parts: late requests last, then by priority, then by time;
@@ -182,6 +186,7 @@
   std::vector<std::uint64_t> tried_; ///< Servers, in the order of the sends.
   std::string proof_;
   std::string body_;
+  PlacementNote note_; ///< Of its latest send; PlacementMode::Cost only.
 };
 
 /** Fingerprints under which evidence on a request is kept. */
@@ -219,6 +224,7 @@
   bool late_ = false; ///< Past softAt_ without enough parts.
   std::vector<RequestPart> parts_;
   BackendAnswer failure_; ///< Latest complete answer that was a failure.
+  std::shared_ptr<const CostEstimate> cost_; ///< PlacementMode::Cost only.
 };
 
 /** One request sent to one server. */
@@ -232,6 +238,13 @@
   TimePoint sentAt_{};
   Duration expected_{}; ///< Median latency of the route when it was sent.
   bool hedge_ = false;
+  std::shared_ptr<const CostEstimate> cost_{}; ///< PlacementMode::Cost only.
+  PlacementEstimate estimate_{};               ///< When it was sent.
+  /** Work expected of a hedge if its request is as expensive as the time on the
+   * first server suggests, microseconds; zero: unknown. */
+  double repeatedWork_ = 0.0;
+  bool abandoned_ = false;    ///< Unneeded, left to finish; it has no run.
+  std::string abandonedId_{}; ///< Its request's id; set with abandoned_.
 };
 
 /** Content that was in flight when servers crashed. */
@@ -283,7 +296,8 @@
   std::uint64_t crossDomainSends_ = 0; ///< To servers of other failure domains.
   std::uint64_t budgetDenied_ = 0;
   std::uint64_t connects_ = 0;
-  std::uint64_t shed_ = 0; ///< Answers that report "not run".
+  std::uint64_t abandoned_ = 0; ///< Unneeded attempts left to finish.
+  std::uint64_t shed_ = 0;      ///< Answers that report "not run".
   std::uint64_t ejections_ = 0;
   std::uint64_t garbled_ = 0; ///< Invalid or unrequested answers.
   std::uint64_t leavings_ =
@@ -297,6 +311,21 @@
   std::uint64_t crashesSuspected_ = 0; ///< Requests in flight at a crash.
 };
 
+/** Upper bounds of the histogram of observed by expected answer times. */
+constexpr std::array<double, 9> kCostErrorBounds{ 0.25, 0.5, 0.75, 1.0, 1.5,
+                                                  2.0,  3.0, 5.0,  10.0 };
+
+/** Learned state of PlacementMode::Cost. */
+struct PlacementState
+{
+  CostModel costs_;
+  PlacementEstimate chosen_; ///< Of the latest choice, until it is sent.
+  PlacementNote note_;       ///< Of the latest choice, until it is sent.
+  /** Answers per bound; the last counter is beyond all bounds. */
+  std::array<std::uint64_t, kCostErrorBounds.size() + 1> errorCounts_{};
+  double errorSum_ = 0.0;
+};
+
 /** State of the gateway. */
 struct GatewayState
 {
@@ -330,6 +359,7 @@
   PlannedStop stop_;
   bool preconnect_ = true; ///< Open connections ahead of requests.
   GatewayStats stats_;
+  PlacementState placement_;
 };
 
 } // namespace camphorfield
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -37,6 +37,37 @@
   }
 }
 
+/** Expected work of the latest send, then for the chosen server and for the
+ * others the expected time and the part of it that is work ahead. */
+void
+AppendPlacement(const GatewayState& aState,
+                const PlacementNote& aNote,
+                std::string& aText)
+{
+  if (aNote.work_ == 0.0F) {
+    return;
+  }
+  const auto whole = [](float aMicros) {
+    return static_cast<std::int64_t>(aMicros);
+  };
+  absl::StrAppend(&aText, " expected work ", whole(aNote.work_), " us:");
+  for (std::size_t i = 0; i < kNotedCandidates; ++i) {
+    const std::uint64_t key = aNote.servers_[i];
+    if (key == 0) {
+      continue;
+    }
+    const Backend& backend = aState.backends_.slots_[key & kSlotMask];
+    absl::StrAppend(&aText,
+                    i == 0 ? " chosen " : ", ",
+                    backend.key_ == key ? backend.entry_.id_ : "gone",
+                    " ",
+                    whole(aNote.total_[i]),
+                    " us with ",
+                    whole(aNote.wait_[i]),
+                    " ahead");
+  }
+}
+
 void
 AppendPart(const GatewayState& aState,
            const RequestPart& aPart,
@@ -59,6 +90,7 @@
     absl::StrAppend(
       &aText, " ", backend.key_ == key ? backend.entry_.id_ : "gone");
   }
+  AppendPlacement(aState, aPart.note_, aText);
 }
 
 void
