--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -36,7 +36,7 @@
     return;
   }
   const Duration delay = aAttempt.cost_ != nullptr
-                           ? FirstHedgeCheck(aAttempt)
+                           ? FirstHedgeCheck(aRun, aAttempt)
                            : HedgeDelay(*aRun.load_, *aRun.route_);
   AddTimer(timers,
            { aAttempt.sentAt_ + delay, aAttempt.key_, 0, GatewayTimer::Hedge });
@@ -238,13 +238,15 @@
     return;
   }
   const std::uint64_t backend = ChooseBackend(aStep, *run, part, true);
-  double repeatedWork = 0.0;
+  double repeatedError = 0.0;
   const bool wanted = attempt->cost_ == nullptr || backend == 0 ||
+
                       IsHedgeWorthwhile(state,
+                                        *run,
                                         *attempt,
                                         *FindSlot(state.backends_, backend),
                                         aStep.Time(),
-                                        repeatedWork);
+                                        repeatedError);
   if (backend == 0 || !wanted) {
     // The other servers are busy: try again soon.
     if (backend == 0 && attempt->cost_ != nullptr) {
@@ -266,7 +268,7 @@
   ++run->hedges_;
   Send(aStep, *run, index, backend, true);
   if (Attempt* hedge = FindSlot(state.attempts_, part.attempts_[1])) {
-    hedge->repeatedWork_ = repeatedWork;
+    hedge->repeatedError_ = repeatedError;
   }
 }
 
--- a/src/gateway/cost_model.cpp
+++ b/src/gateway/cost_model.cpp
@@ -25,6 +25,7 @@
 constexpr float kCellWeight = 64.0F;
 /** Weight of the coarser distribution in that of a feature. */
 constexpr double kPriorWeight = 4.0;
+constexpr double kUnknownErrorWeight = 8.0;
 constexpr Duration kCellHalfLife = std::chrono::seconds(60);
 constexpr double kServiceGain = 0.02;
 constexpr double kServiceRatioFloor = 0.25;
@@ -170,6 +171,40 @@
     (1.0 - aShare) * aMixture.mean_ + scale * static_cast<double>(aCosts.sum_);
 }
 
+/** Distribution of errors; until samples are known that of work which varies
+ * by about a third. */
+Mixture
+MixErrors(const CostDistribution* aErrors)
+{
+  constexpr std::array kValues{ 600.0, 850.0, 1200.0, 1700.0, 2400.0, 4800.0 };
+  constexpr std::array kShares{ 0.2, 0.4, 0.3, 0.07, 0.02, 0.01 };
+  Mixture mixture;
+  for (std::size_t i = 0; i < kValues.size(); ++i) {
+    mixture.weight_[BucketOf(kValues[i])] = kShares[i];
+    mixture.mean_ += kShares[i] * kValues[i];
+  }
+  if (aErrors != nullptr && aErrors->total_ > 0.0F) {
+    const double total = aErrors->total_;
+    Mix(mixture, *aErrors, total / (total + kUnknownErrorWeight));
+  }
+  return mixture;
+}
+
+TailTable
+MakeTable(const Mixture& aMixture)
+{
+  const Bounds& bounds = GetBounds();
+  TailTable table;
+  table.mean_ = aMixture.mean_;
+  for (std::size_t i = kCostBuckets; i-- > 0;) {
+    table.weight_[i] =
+      table.weight_[i + 1] + static_cast<float>(aMixture.weight_[i]);
+    table.sum_[i] = table.sum_[i + 1] +
+                    static_cast<float>(aMixture.weight_[i] * bounds.middle_[i]);
+  }
+  return table;
+}
+
 } // namespace
 
 CostKeys
@@ -202,6 +237,7 @@
   Mixture mixture;
   mixture.weight_[BucketOf(aUnknownMicros)] = 1.0;
   mixture.mean_ = aUnknownMicros;
+  const CostDistribution* errors = nullptr;
   const auto known = aModel.keys_.find(aKeys.key_);
   if (known != aModel.keys_.end()) {
     const CostDistribution& all = known->second.costs_;
@@ -209,7 +245,9 @@
       Mix(mixture, all, all.total_ / (all.total_ + 1.0));
     }
     cost.repeatable_ = known->second.repeatable_;
+    errors = &known->second.errors_;
   }
+  cost.error_ = MakeTable(MixErrors(errors));
   for (const std::uint64_t feature : aKeys.features_) {
     const CostCell* cell = FindCell(aModel, feature);
     if (cell == nullptr || cell->costs_.total_ <= 0.0F) {
@@ -220,15 +258,7 @@
     const double total = cell->costs_.total_ * std::exp2(-age / halfLife);
     Mix(mixture, cell->costs_, total / (total + kPriorWeight));
   }
-  cost.mean_ = mixture.mean_;
-  const Bounds& bounds = GetBounds();
-  for (std::size_t i = kCostBuckets; i-- > 0;) {
-    cost.tailWeight_[i] =
-      cost.tailWeight_[i + 1] + static_cast<float>(mixture.weight_[i]);
-    cost.tailSum_[i] =
-      cost.tailSum_[i + 1] +
-      static_cast<float>(mixture.weight_[i] * bounds.middle_[i]);
-  }
+  cost.work_ = MakeTable(mixture);
   return cost;
 }
 
@@ -254,6 +284,15 @@
   }
 }
 
+void
+AddError(CostModel& aModel, const CostKeys& aKeys, double aThousandths)
+{
+  const auto known = aModel.keys_.find(aKeys.key_);
+  if (known != aModel.keys_.end()) {
+    Add(known->second.errors_, aThousandths, 1.0, kKeyWeight);
+  }
+}
+
 double
 ServiceRatio(const CostModel& aModel, std::uint32_t aService)
 {
@@ -286,7 +325,7 @@
 
 namespace {
 
-/** Weight and partial mean of the distribution beyond a time. */
+/** Weight and partial mean of the distribution beyond a value. */
 struct Tail
 {
   double weight_ = 0.0;
@@ -294,45 +333,45 @@
 };
 
 Tail
-TailBeyond(const CostEstimate& aCost, double aMicros)
+TailBeyond(const TailTable& aTable, double aValue)
 {
   const Bounds& bounds = GetBounds();
-  const std::size_t bucket = BucketOf(aMicros);
-  const double upper = std::max(bounds.lower_[bucket + 1], aMicros);
+  const std::size_t bucket = BucketOf(aValue);
+  const double upper = std::max(bounds.lower_[bucket + 1], aValue);
   const double width = bounds.lower_[bucket + 1] - bounds.lower_[bucket];
-  const double in = aCost.tailWeight_[bucket] - aCost.tailWeight_[bucket + 1];
-  const double part = std::max(in, 0.0) * (upper - aMicros) / width;
-  return { aCost.tailWeight_[bucket + 1] + part,
-           aCost.tailSum_[bucket + 1] + part * (aMicros + upper) / 2.0 };
+  const double in = aTable.weight_[bucket] - aTable.weight_[bucket + 1];
+  const double part = std::max(in, 0.0) * (upper - aValue) / width;
+  return { aTable.weight_[bucket + 1] + part,
+           aTable.sum_[bucket + 1] + part * (aValue + upper) / 2.0 };
 }
 
 } // namespace
 
 double
-Survival(const CostEstimate& aCost, double aMicros)
+Survival(const TailTable& aTable, double aValue)
 {
-  return aMicros <= 0.0 ? 1.0 : TailBeyond(aCost, aMicros).weight_;
+  return aValue <= 0.0 ? 1.0 : TailBeyond(aTable, aValue).weight_;
 }
 
 double
-MeanBeyond(const CostEstimate& aCost, double aMicros)
+MeanBeyond(const TailTable& aTable, double aValue)
 {
-  if (aMicros <= 0.0) {
-    return aCost.mean_;
+  if (aValue <= 0.0) {
+    return aTable.mean_;
   }
-  const Tail tail = TailBeyond(aCost, aMicros);
+  const Tail tail = TailBeyond(aTable, aValue);
   return tail.weight_ < kBeyondExperience
-           ? aMicros * (1.0 + kRestBeyond)
-           : std::max(tail.sum_ / tail.weight_, aMicros);
+           ? aValue * (1.0 + kRestBeyond)
+           : std::max(tail.sum_ / tail.weight_, aValue);
 }
 
 double
-TimeAtSurvival(const CostEstimate& aCost, double aProbability)
+ValueAtSurvival(const TailTable& aTable, double aProbability)
 {
   const Bounds& bounds = GetBounds();
   std::size_t bucket = 0;
   while (bucket + 1 < kCostBuckets &&
-         static_cast<double>(aCost.tailWeight_[bucket + 1]) > aProbability) {
+         static_cast<double>(aTable.weight_[bucket + 1]) > aProbability) {
     ++bucket;
   }
   return bounds.lower_[bucket + 1];
--- a/src/gateway/cost_model.h
+++ b/src/gateway/cost_model.h
@@ -36,8 +36,10 @@
 struct KeyCost
 {
   CostDistribution costs_;
-  /** Share of a request's deviation from the mean that it shows again on a
-   * second server, 0 to 1; the rest differs from run to run. */
+  /** Observed by expected answer times, thousandths. */
+  CostDistribution errors_;
+  /** Share of a request's deviation from its expected time that it shows again
+   * on a second server, 0 to 1; the rest is due to the server. */
   double repeatable_ = 0.5;
 };
 
@@ -58,15 +60,21 @@
   std::array<std::uint64_t, kCostFeatures> features_{}; ///< Zero: none.
 };
 
-/** Expected work of one request on a server of usual speed, microseconds. */
+/** Probability and partial mean of each bucket and all above it. */
+struct TailTable
+{
+  double mean_ = 0.0;
+  std::array<float, kCostBuckets + 1> weight_{};
+  std::array<float, kCostBuckets + 1> sum_{};
+};
+
+/** What is expected of one request. */
 struct CostEstimate
 {
   CostKeys keys_;
-  double mean_ = 0.0;
-  double repeatable_ = 0.5;
-  /** Probability and partial mean of this bucket and all above it. */
-  std::array<float, kCostBuckets + 1> tailWeight_{};
-  std::array<float, kCostBuckets + 1> tailSum_{};
+  TailTable work_;          ///< On a server of usual speed, microseconds.
+  TailTable error_;         ///< Observed by expected answer time, thousandths.
+  double repeatable_ = 0.5; ///< See KeyCost.
 };
 
 /**
@@ -101,6 +109,10 @@
         double aWeight,
         TimePoint aNow);
 
+/** Records an observed answer time in thousandths of the expected one. */
+void
+AddError(CostModel& aModel, const CostKeys& aKeys, double aThousandths);
+
 /** Work relative to that of other services; 1 if unknown. */
 double
 ServiceRatio(const CostModel& aModel, std::uint32_t aService);
@@ -114,16 +126,16 @@
 void
 AddRepeatSample(CostModel& aModel, const CostKeys& aKeys, double aSample);
 
-/** Probability that the work exceeds a time. */
+/** Probability that a value exceeds the given one. */
 double
-Survival(const CostEstimate& aCost, double aMicros);
+Survival(const TailTable& aTable, double aValue);
 
-/** Expected work, given that it exceeds a time. */
+/** Expected value, given that it exceeds the given one. */
 double
-MeanBeyond(const CostEstimate& aCost, double aMicros);
+MeanBeyond(const TailTable& aTable, double aValue);
 
-/** Time that the work exceeds with the given probability. */
+/** Value that is exceeded with the given probability. */
 double
-TimeAtSurvival(const CostEstimate& aCost, double aProbability);
+ValueAtSurvival(const TailTable& aTable, double aProbability);
 
 } // namespace camphorfield
--- a/src/gateway/cost_placement.cpp
+++ b/src/gateway/cost_placement.cpp
@@ -17,9 +17,15 @@
 
 /** Share of the time that servers pause: 120 to 250 ms every 3 to 6 s. */
 constexpr double kPauseShare = 0.04;
+/** Without reports the usual number fades too: a server that was avoided for
+ * its reports is tried again. */
+constexpr Duration kOthersHalfLife = milliseconds(300);
 /** Work left of a request of another daemon, as a share of the mean. */
 constexpr double kOthersRest = 0.75;
 constexpr double kSpeedFloor = 0.5;
+/** A server that claims to be faster than this is not believed: nothing else
+ * would correct it at a daemon that rarely sends to it. */
+constexpr double kReportedFloor = 0.9;
 constexpr double kSpeedCeiling = 30.0;
 constexpr double kRatioGain = 0.15;
 /** A sample moves the ratio at most towards this multiple of it: a single
@@ -34,9 +40,15 @@
 constexpr double kTrustLoss = 0.7;
 constexpr double kTrustGain = 0.05;
 /** Survival at which an attempt is first considered for a hedge. */
-constexpr double kHedgeSurvival = 0.4;
-/** A hedge must be expected to be this much faster: it costs a second slot. */
-constexpr double kHedgeMargin = 1.2;
+constexpr double kHedgeSurvival = 0.25;
+/** Least part of that time that passes before, as an earlier age says little.
+ */
+constexpr double kEarliestCheck = 0.4;
+/** A hedge must be expected to be this much faster. */
+constexpr double kHedgeMargin = 1.0;
+/** The same if the first server may miss the objective: gain in the probability
+ * of an answer in time. */
+constexpr double kHedgeGain = 0.1;
 /** Weight of a sample that may contain a pause. */
 constexpr double kUncertainWeight = 0.25;
 /** Less of the distribution is left beyond the age of an attempt without an
@@ -67,7 +79,8 @@
   const BackendWork& work = aBackend.work_;
   double speed = aRatio;
   if (aBackend.load_.known_) {
-    const double reported = aBackend.load_.slowness_ / 100.0;
+    const double reported =
+      std::max(aBackend.load_.slowness_ / 100.0, kReportedFloor);
     speed *=
       work.slowness_ + (reported - work.slowness_) *
                          Decay(aNow - aBackend.loadAt_, kSlownessHalfLife);
@@ -96,15 +109,15 @@
   const CostEstimate& cost = *aAttempt.cost_;
   const double age = Micros(aNow - aAttempt.sentAt_);
   progress.service_ = age - sent.wait_ * sent.speed_ - sent.stall_;
-  progress.scale_ = sent.work_ / std::max(cost.mean_, 1.0);
+  progress.scale_ = sent.work_ / std::max(cost.work_.mean_, 1.0);
   const double unit = sent.speed_ * progress.scale_;
   progress.worked_ = std::max(progress.service_, 0.0) / unit;
   const double sinceAnswer = Micros(aNow - aBackend.work_.answeredAt_);
   progress.silent_ = std::max(std::min(progress.service_, sinceAnswer), 0.0);
   if (progress.silent_ > 0.0) {
     const double before = progress.worked_ - progress.silent_ / unit;
-    progress.explained_ =
-      Survival(cost, progress.worked_) / std::max(Survival(cost, before), 1e-6);
+    progress.explained_ = Survival(cost.work_, progress.worked_) /
+                          std::max(Survival(cost.work_, before), 1e-6);
   }
   return progress;
 }
@@ -122,7 +135,8 @@
   if (aProgress.service_ <= 0.0) {
     return aAttempt.estimate_.work_;
   }
-  return (MeanBeyond(*aAttempt.cost_, aProgress.worked_) - aProgress.worked_) *
+  return (MeanBeyond(aAttempt.cost_->work_, aProgress.worked_) -
+          aProgress.worked_) *
          aProgress.scale_;
 }
 
@@ -135,9 +149,10 @@
     return 0.0;
   }
   const BackendWork& work = aBackend.work_;
-  return work.trust_ * (work.othersMean_ + (work.others_ - work.othersMean_) *
-                                             Decay(aNow - aBackend.loadAt_,
-                                                   kReportedLoadHalfLife));
+  return work.trust_ *
+         (work.othersMean_ * Decay(aNow - aBackend.loadAt_, kOthersHalfLife) +
+          (work.others_ - work.othersMean_) *
+            Decay(aNow - aBackend.loadAt_, kReportedLoadHalfLife));
 }
 
 void
@@ -161,8 +176,10 @@
   work.others_ = std::max(static_cast<double>(aLoad.running_ + aLoad.waiting_) -
                             aBackend.inFlight_,
                           0.0);
-  work.othersMean_ += kReportGain * (work.others_ - work.othersMean_);
-  work.slowness_ += kReportGain * (aLoad.slowness_ / 100.0 - work.slowness_);
+  const double gain = std::max(1.0 / ++work.reports_, kReportGain);
+  work.othersMean_ += gain * (work.others_ - work.othersMean_);
+  work.slowness_ +=
+    gain * (std::max(aLoad.slowness_ / 100.0, kReportedFloor) - work.slowness_);
 }
 
 void
@@ -206,7 +223,7 @@
        const CostEstimate& aCost,
        ServiceNumber aService)
 {
-  return aCost.mean_ * ServiceRatio(aState.placement_.costs_, aService);
+  return aCost.work_.mean_ * ServiceRatio(aState.placement_.costs_, aService);
 }
 
 // Requests in flight are told apart by their expected rest. A pause is the more
@@ -306,40 +323,58 @@
          pause * progress.silent_;
 }
 
+// In time for a second server to meet the objective, if it has one.
 Duration
-FirstHedgeCheck(const Attempt& aAttempt)
+FirstHedgeCheck(const GatewayRun& aRun, const Attempt& aAttempt)
 {
-  const PlacementEstimate& sent = aAttempt.estimate_;
-  const double scale = sent.work_ / std::max(aAttempt.cost_->mean_, 1.0);
-  const double work = TimeAtSurvival(*aAttempt.cost_, kHedgeSurvival) * scale;
-  return std::max(
-    Duration(static_cast<std::int64_t>((work + sent.wait_) * sent.speed_)),
-    Duration(kHedgeFloor));
+  const TailTable& error = aAttempt.cost_->error_;
+  const double expected = aAttempt.estimate_.Total() / 1000.0;
+  const double slow = ValueAtSurvival(error, kHedgeSurvival) * expected;
+  const double left = Micros(aRun.softAt_ - aAttempt.sentAt_);
+  const double last = left - error.mean_ * expected;
+  const double delay =
+    last > 0.0 ? std::min(slow, std::max(last, slow * kEarliestCheck)) : slow;
+  return std::max(Duration(static_cast<std::int64_t>(delay)),
+                  Duration(kHedgeFloor));
 }
 
-// The part of the cost that belongs to the request itself is met again on the
+// The part of the error that belongs to the request itself is met again on the
 // second server; how large it is, is learned from earlier hedges.
 bool
 IsHedgeWorthwhile(const GatewayState& aState,
+                  const GatewayRun& aRun,
                   const Attempt& aAttempt,
                   const Backend& aSecond,
                   TimePoint aNow,
-                  double& aWorkIfRepeated)
+                  double& aRepeatedError)
 {
   const Backend& first = aState.backends_.slots_[aAttempt.backend_ & kSlotMask];
   const CostEstimate& cost = *aAttempt.cost_;
+  const TailTable& error = cost.error_;
+  const double expected = std::max(aAttempt.estimate_.Total(), 1.0);
+  const double age = Micros(aNow - aAttempt.sentAt_) / expected * 1000.0;
   const Progress progress = ProgressOf(first, aAttempt, aNow);
   const double pause = PauseProbability(progress.explained_);
-  const double beyond = MeanBeyond(cost, progress.worked_);
+  const double beyond = MeanBeyond(error, age);
+  const double rest =
+    std::max((beyond - age) * expected / 1000.0, pause * progress.silent_);
+  aRepeatedError = pause < 0.5 ? beyond : 0.0;
   const double repeated =
-    cost.repeatable_ * (1.0 - pause) * (beyond - cost.mean_);
-  aWorkIfRepeated = pause < 0.5 ? beyond * progress.scale_ : 0.0;
-  const PlacementEstimate second =
-    EstimatePlacement(aState,
-                      aSecond,
-                      (cost.mean_ + std::max(repeated, 0.0)) * progress.scale_,
-                      aNow);
-  return ExpectedRest(aState, aAttempt, aNow) > kHedgeMargin * second.Total();
+    std::max(cost.repeatable_ * (1.0 - pause) * (beyond - error.mean_), 0.0);
+  const double second =
+    EstimatePlacement(aState, aSecond, aAttempt.estimate_.work_, aNow).Total() /
+    1000.0;
+  if (rest > kHedgeMargin * second * (error.mean_ + repeated)) {
+    return true;
+  }
+  // In time for the objective, which the first server would probably miss.
+  const double left = Micros(aRun.softAt_ - aNow);
+  const double firstLate = Survival(error, age + left / expected * 1000.0) /
+                           std::max(Survival(error, age), 1e-6);
+  const double secondLate = Survival(error,
+                                     left / std::max(second, 1e-3) *
+                                       error.mean_ / (error.mean_ + repeated));
+  return left > 0.0 && firstLate * (1.0 - secondLate) > kHedgeGain;
 }
 
 void
@@ -356,7 +391,9 @@
   const double took = Micros(now - aAttempt.sentAt_);
   const Progress progress = ProgressOf(aBackend, aAttempt, now);
   const double pause = PauseProbability(progress.explained_);
-  CountError(state, took / std::max(sent.Total(), 1.0));
+  const double error = took / std::max(sent.Total(), 1.0);
+  CountError(state, error);
+  AddError(state.costs_, cost.keys_, error * 1000.0);
   if (sent.reported_) {
     const bool wrong = took < kFalseShare * sent.Total();
     work.trust_ = wrong ? work.trust_ * kTrustLoss
@@ -375,15 +412,16 @@
   const double certain = sent.work_ / (sent.work_ + sent.wait_ + 1.0);
   const double weight = certain * std::max(1.0 - pause, kUncertainWeight);
   AddServiceSample(
-    state.costs_, aBackend.service_, service / std::max(cost.mean_, 1.0));
+    state.costs_, aBackend.service_, service / std::max(cost.work_.mean_, 1.0));
   const double mean = service / ServiceRatio(state.costs_, aBackend.service_);
   AddCost(state.costs_, cost.keys_, mean, weight, now);
   work.work_ = work.work_ > 0.0
                  ? work.work_ + kWorkGain * weight * (service - work.work_)
                  : service;
-  const double spread = aAttempt.repeatedWork_ - sent.work_;
+  const double spread = aAttempt.repeatedError_ - cost.error_.mean_;
   if (aAttempt.hedge_ && spread > 0.0) {
-    AddRepeatSample(state.costs_, cost.keys_, (service - sent.work_) / spread);
+    AddRepeatSample(
+      state.costs_, cost.keys_, (error * 1000.0 - cost.error_.mean_) / spread);
   }
   TakeReport(aBackend, aAnswer.load_);
   work.answeredAt_ = now;
@@ -399,7 +437,7 @@
   const PlacementEstimate& sent = aAttempt.estimate_;
   const Progress progress = ProgressOf(aBackend, aAttempt, now);
   const CostEstimate& cost = *aAttempt.cost_;
-  if (Survival(cost, progress.worked_) > kInformativeSurvival) {
+  if (Survival(cost.work_, progress.worked_) > kInformativeSurvival) {
     return;
   }
   BackendWork& work = aBackend.work_;
@@ -410,10 +448,17 @@
     AddRatio(work, ratio, now);
   }
   const double weight = 1.0 - PauseProbability(progress.explained_);
+  if (aCancelled) {
+    const double error =
+      Micros(now - aAttempt.sentAt_) / std::max(sent.Total(), 1.0) * 1000.0;
+    AddError(aStep.state_.placement_.costs_,
+             cost.keys_,
+             MeanBeyond(cost.error_, error));
+  }
   if (aCancelled && weight > kUncertainWeight) {
     AddCost(aStep.state_.placement_.costs_,
             cost.keys_,
-            MeanBeyond(cost, progress.worked_),
+            MeanBeyond(cost.work_, progress.worked_),
             weight,
             now);
   }
--- a/src/gateway/cost_placement.h
+++ b/src/gateway/cost_placement.h
@@ -62,20 +62,21 @@
 
 /** Delay until an attempt is first considered for a hedge. */
 Duration
-FirstHedgeCheck(const Attempt& aAttempt);
+FirstHedgeCheck(const GatewayRun& aRun, const Attempt& aAttempt);
 
 /**
- * Whether a second server is expected to answer before the first one, which
- * takes longer than usual because of the request or of a pause.
- * @param aWorkIfRepeated Receives the work of the second send if the request
- * is as expensive as the time on the first server suggests.
+ * Whether a second server is expected to answer before the first one, or in
+ * time although the first one probably doesn't.
+ * @param aRepeatedError Receives the second answer's time in thousandths of the
+ * expected one, if the delay of the first is due to the request alone.
  */
 bool
 IsHedgeWorthwhile(const GatewayState& aState,
+                  const GatewayRun& aRun,
                   const Attempt& aAttempt,
                   const Backend& aSecond,
                   TimePoint aNow,
-                  double& aWorkIfRepeated);
+                  double& aRepeatedError);
 
 /** Learns from an answer; called after its attempt has been detached. */
 void
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -240,9 +240,9 @@
   bool hedge_ = false;
   std::shared_ptr<const CostEstimate> cost_{}; ///< PlacementMode::Cost only.
   PlacementEstimate estimate_{};               ///< When it was sent.
-  /** Work expected of a hedge if its request is as expensive as the time on the
-   * first server suggests, microseconds; zero: unknown. */
-  double repeatedWork_ = 0.0;
+  /** Of a hedge: time in thousandths of the expected one, if the delay on the
+   * first server is due to the request alone; zero: unknown. */
+  double repeatedError_ = 0.0;
   bool abandoned_ = false;    ///< Unneeded, left to finish; it has no run.
   std::string abandonedId_{}; ///< Its request's id; set with abandoned_.
 };
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -372,8 +372,11 @@
   const std::uint64_t job = nextSerial_++;
   found->second.job_ = job;
   const Duration mean = workOf_[aSend.message_->path_];
+  const double factor = workFactor_ ? workFactor_(aSend) : 1.0;
+  const auto work =
+    static_cast<std::int64_t>(static_cast<double>(Work(mean).count()) * factor);
   jobs_[job] =
-    ModelJob{ found->second.server_, aConnection, aSend, Work(mean) };
+    ModelJob{ found->second.server_, aConnection, aSend, Duration(work) };
   server.waiting_.push_back(job);
   StartJobs(found->second.server_);
 }
@@ -480,6 +483,9 @@
                   static_cast<std::uint32_t>(server.running_.size()),
                   static_cast<std::uint32_t>(server.waiting_.size()),
                   server.slots_ };
+  if (server.report_) {
+    server.report_(answer.load_);
+  }
   answer.requestLimit_ = server.limit_;
   answer.leaving_ = server.leaving_;
   answer.malformedGuidance_ = server.malformedGuidance_;
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -60,7 +60,9 @@
   bool leaving_ = false;           ///< Said in all its answers.
   bool malformedGuidance_ = false; ///< What it says can't be read.
   Duration retryAfter_{};          ///< Said in answers that it sheds.
-  std::int64_t incarnation_ = 1;   ///< Start, in its entry.
+  /** Changes the load that it reports; empty: the true one. */
+  std::function<void(ReportedLoad&)> report_;
+  std::int64_t incarnation_ = 1; ///< Start, in its entry.
   bool listed_ = true;
   std::map<std::size_t, ModelGuidance> told_; ///< By daemon.
   /** Requests of daemons that knew better for 100 ms. */
@@ -130,6 +132,11 @@
   void AddShards(std::size_t aShards);
   void SetRoute(GatewayRoute aRoute);
   void SetPolicy(const GatewayPolicy& aPolicy);
+  /** Factor on the work of a request that any server needs for it. */
+  void SetWorkFactor(std::function<double(const BackendSend&)> aFactor)
+  {
+    workFactor_ = std::move(aFactor);
+  }
   /** Sends routes and servers to the daemons and lets them connect. */
   void Publish();
   /** Offers loads for the given time; returns results by target. */
@@ -244,6 +251,7 @@
   std::map<std::string, std::uint64_t> recordsSeen_; ///< By change.
   std::vector<ModelCrash> crashes_;
   std::function<void(std::size_t)> onCrash_;
+  std::function<double(const BackendSend&)> workFactor_;
   double lostReports_ = 0.0;
 };
 
