--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -1,99 +1,20 @@
 // Chooses a server when servers differ in speed, pause, or are slow or fail for
 // a while. A request goes to the server with the earliest estimated answer,
 // which may mean waiting for a busy server although a slow one is idle.
+#include "gateway/cost_placement.h"
 #include "gateway/gateway_internal.h"
 #include "gateway/route_times.h"
+#include "gateway/work_estimate.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace camphorfield {
 
 namespace {
 
-double
-Decay(Duration aAge, Duration aHalfLife)
-{
-  const auto age =
-    static_cast<double>(std::max(aAge, Duration::zero()).count());
-  return std::exp2(-age / static_cast<double>(aHalfLife.count()));
-}
-
-/** Estimated number of requests ahead of a new one. */
-double
-RequestsAhead(const Backend& aBackend, TimePoint aNow)
-{
-  const auto own = static_cast<double>(aBackend.inFlight_);
-  if (!aBackend.load_.known_) {
-    return own;
-  }
-  const double reported =
-    Decay(aNow - aBackend.loadAt_, kReportedLoadHalfLife) *
-    static_cast<double>(aBackend.load_.running_ + aBackend.load_.waiting_);
-  return std::max(own, reported);
-}
-
-/** Expected rest of a pause: the age of the oldest request that is far beyond
- * its expected time, because a pause lasts about as long again as it has. */
-Duration
-StalledFor(const GatewayState& aState, const Backend& aBackend, TimePoint aNow)
-{
-  Duration longest{};
-  for (const std::uint64_t key : aBackend.connections_) {
-    const BackendConn& conn = aState.connections_.slots_[key & kSlotMask];
-    if (conn.state_ != BackendConnState::Busy) {
-      continue;
-    }
-    const Attempt& attempt = aState.attempts_.slots_[conn.attempt_ & kSlotMask];
-    const Duration age = aNow - attempt.sentAt_;
-    const auto limit = static_cast<double>(attempt.expected_.count()) *
-                       std::max(aBackend.latencyRatio_, 1.0) * kStallFactor;
-    if (static_cast<double>(age.count()) > limit) {
-      longest = std::max(longest, age);
-    }
-  }
-  return longest;
-}
-
-double
-DecayedLatencyRatio(const Backend& aBackend, TimePoint aNow)
-{
-  return 1.0 + (aBackend.latencyRatio_ - 1.0) *
-                 Decay(aNow - aBackend.latencyRatioAt_, kLatencyRatioHalfLife);
-}
-
-/** Estimated latency of a request sent now, in microseconds. */
-double
-EstimateMicros(const GatewayState& aState,
-               const Backend& aBackend,
-               Duration aTypicalLatency,
-               TimePoint aNow)
-{
-  const auto typical = static_cast<double>(aTypicalLatency.count());
-  if (!aState.settings_.policy_.placement_) {
-    return typical;
-  }
-  double micros = typical * DecayedLatencyRatio(aBackend, aNow);
-  if (aBackend.load_.known_) {
-    const double slowness = std::max(1.0, aBackend.load_.slowness_ / 100.0);
-    micros *= 1.0 + (slowness - 1.0) *
-                      Decay(aNow - aBackend.loadAt_, kSlownessHalfLife);
-  }
-  if (aNow < aBackend.warmUntil_) {
-    micros *= kWarmupFactor;
-  }
-  const auto slots = static_cast<double>(std::max(aBackend.entry_.slots_, 1U));
-  const double waiting =
-    std::max(0.0, RequestsAhead(aBackend, aNow) + 1.0 - slots);
-  micros *= 1.0 + waiting / slots;
-  micros *= 1.0 + kFailureWeight * aBackend.failures_ *
-                    Decay(aNow - aBackend.failuresAt_, kFailureHalfLife);
-  if (!IsSameDomain(aState, aBackend)) {
-    micros += kOtherDomainWeight * typical;
-  }
-  return micros +
-         static_cast<double>(StalledFor(aState, aBackend, aNow).count());
-}
+/** Random part of an estimate, as a share of the part's work. */
+constexpr double kSpreadShare = 0.1;
+constexpr std::uint64_t kSpreadSteps = 1024;
 
 bool
 WasTried(const RequestPart& aPart, std::uint64_t aBackend)
@@ -157,8 +78,58 @@
   bool room_ = false;
   /** It has room, but its idle connections have carried the request's id. */
   bool needsConnection_ = false;
+  PlacementEstimate estimate_; ///< PlacementMode::Cost only.
 };
 
+/** Sets the estimate of a candidate by the expected work of a part. Daemons
+ * that see the same reports spread over servers of about the same estimate. */
+void
+EstimateByCost(GatewayStep& aStep,
+               const GatewayServiceState& aService,
+               double aWork,
+               Duration aTypical,
+               Candidate& aCandidate)
+{
+  const Backend& backend = *aCandidate.backend_;
+  const TimePoint now = aStep.Time();
+  aCandidate.estimate_ = EstimatePlacement(aStep.state_, backend, aWork, now);
+  aCandidate.micros_ =
+    PenalisedMicros(aStep.state_, backend, aCandidate.estimate_, aTypical, now);
+  aCandidate.micros_ += kSpreadShare * aWork *
+                        static_cast<double>(aStep.rng_() % kSpreadSteps) /
+                        static_cast<double>(kSpreadSteps);
+  if (!aCandidate.room_ && !aCandidate.needsConnection_) {
+    const std::size_t queued = aService.queue_.size();
+    aCandidate.micros_ +=
+      MicrosUntilRoom(
+        backend, aCandidate.estimate_, static_cast<double>(queued + 1)) +
+      static_cast<double>(
+        TimeUntilWanted(aStep.state_, backend, queued, now).count());
+  }
+}
+
+/** Keeps why a server was chosen, until the part is sent. */
+void
+NoteChoice(PlacementState& aState,
+           const std::vector<Candidate>& aFound,
+           std::size_t aChosen)
+{
+  aState.chosen_ = aFound[aChosen].estimate_;
+  PlacementNote& note = aState.note_;
+  note = PlacementNote{};
+  note.work_ = static_cast<float>(aState.chosen_.work_);
+  for (std::size_t i = 0, at = 1; i < aFound.size(); ++i) {
+    const std::size_t place = i == aChosen ? 0 : at++;
+    if (place < kNotedCandidates) {
+      const PlacementEstimate& estimate = aFound[i].estimate_;
+      note.servers_[place] = aFound[i].backend_->key_;
+      note.total_[place] = static_cast<float>(aFound[i].micros_);
+      note.wait_[place] =
+        static_cast<float>(estimate.wait_ * estimate.speed_ + estimate.stall_);
+    }
+  }
+}
+
 /** Servers that a part may be sent to: the ejected ones or the others. */
 std::vector<Candidate>
 FindCandidates(GatewayStep& aStep,
@@ -170,6 +141,8 @@
   GatewayState& state = aStep.state_;
   const Duration typical = TypicalLatency(*aRun.load_, *aRun.route_);
   const GatewayServiceState& service = state.services_[aPart.service_];
+  const double work =
+    aRun.cost_ == nullptr ? 0.0 : WorkAt(state, *aRun.cost_, aPart.service_);
   std::vector<Candidate> found;
   for (const std::uint64_t key : service.backends_) {
     const Backend& backend = state.backends_.slots_[key & kSlotMask];
@@ -179,17 +152,20 @@
       continue;
     }
     Candidate candidate{
-      &backend,
-      EstimateMicros(state, backend, typical, aStep.Time()) *
-        ReturnFactor(
-          state.evacuations_, backend.entry_.failureDomain_, aStep.Time()),
-      HasRoom(state, backend, aRun.requestHash_, aStep.Time())
+      &backend, 0.0, HasRoom(state, backend, aRun.requestHash_, aStep.Time())
     };
     candidate.needsConnection_ =
       !candidate.room_ && HasRoom(state, backend, 0, aStep.Time());
+    if (work > 0.0) {
+      EstimateByCost(aStep, service, work, typical, candidate);
+    } else {
+      candidate.micros_ = EstimateMicros(state, backend, typical, aStep.Time());
+    }
+    candidate.micros_ *= ReturnFactor(
+      state.evacuations_, backend.entry_.failureDomain_, aStep.Time());
     if (candidate.needsConnection_) {
       candidate.micros_ += static_cast<double>(kNewConnectionCost.count());
-    } else if (!candidate.room_) {
+    } else if (!candidate.room_ && work == 0.0) {
       // Parts in the queue would be sent there first.
       const auto ahead = static_cast<double>(service.queue_.size() + 1);
       candidate.micros_ +=
@@ -298,6 +274,11 @@
   if (!best->room_) {
     return 0;
   }
+  if (aRun.cost_ != nullptr) {
+    NoteChoice(aStep.state_.placement_,
+               found,
+               static_cast<std::size_t>(best - found.begin()));
+  }
   return best->backend_->key_;
 }
 
--- a/src/gateway/backend_conn.cpp
+++ b/src/gateway/backend_conn.cpp
@@ -1,6 +1,7 @@
 // Connection pool for servers that accept few connections in total and spend a
 // slot on each new one. Every daemon stays within its share and keeps spare
 // connections open.
+#include "gateway/cost_placement.h"
 #include "gateway/gateway_func.h"
 #include "gateway/gateway_internal.h"
 
@@ -163,8 +164,17 @@
   const bool ahead = aStep.state_.preconnect_ || !service.queue_.empty();
   const std::uint32_t spare =
     IsSameDomain(aStep.state_, aBackend) ? kSpareSameDomain : kSpareOtherDomain;
-  const std::uint32_t wanted = std::min(
-    MaxConnections(aStep, aBackend), aBackend.inFlight_ + (ahead ? spare : 0));
+  std::uint32_t wanted = aBackend.inFlight_ + (ahead ? spare : 0);
+  if (IsCostMode(aStep.state_)) {
+    RecordUse(aBackend, aStep.Time());
+    const bool waiting = !service.queue_.empty();
+    wanted =
+      !ahead ? aBackend.inFlight_
+      : waiting
+        ? aBackend.inFlight_ + 1
+        : JustifiedConnections(aStep.state_, aBackend, spare, aStep.Time());
+  }
+  wanted = std::min(wanted, MaxConnections(aStep, aBackend));
   if (aBackend.connections_.size() < wanted) {
     StartConnect(aStep, aBackend);
   }
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -67,6 +67,8 @@
   bool lateCopies_ = false;
   bool hidesIds_ = false;        ///< Its answers have no id.
   bool breaksInAnswers_ = false; ///< Part of an answer comes before a reset.
+  /** Changes the load that it reports; empty: the true one. */
+  std::function<void(ReportedLoad&)> report_;
   std::int64_t incarnation_ = 1; ///< Start, in its entry.
   bool listed_ = true;
   std::map<std::size_t, ModelGuidance> told_; ///< By daemon.
@@ -140,6 +142,11 @@
   void SetPolicy(const GatewayPolicy& aPolicy);
   /** Takes effect with the next Announce. */
   GatewayConfig& Config() { return config_; }
+  /** Factor on the work of a request that any server needs for it. */
+  void SetWorkFactor(std::function<double(const BackendSend&)> aFactor)
+  {
+    workFactor_ = std::move(aFactor);
+  }
   /** Sends routes and servers to the daemons and lets them connect. */
   void Publish();
   /** Offers loads for the given time; returns results by target. */
@@ -269,6 +276,7 @@
   std::map<std::string, std::uint64_t> recordsSeen_; ///< By change.
   std::vector<ModelCrash> crashes_;
   std::function<void(std::size_t)> onCrash_;
+  std::function<double(const BackendSend&)> workFactor_;
   double lostReports_ = 0.0;
   std::map<std::string, std::uint32_t> runsById_;
 };
