Add: fair admission, metrics and pages for organisations

Cause: while the window of a route is full, one organisation's surge is paid for by all others. Change: organisations below their part are admitted a bit beyond the window, others get less of it meanwhile; callers return in order.

--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -5,9 +5,11 @@
 #include "core/pool.h"
 #include "core/rng_type.h"
 #include "core/timer_heap.h"
+#include "gateway/fair_admission.h"
 #include "gateway/gateway_const.h"
 #include "gateway/gateway_type.h"
 #include "gateway/organisation.h"
+#include "gateway/organisation_stats.h"
 #include "gateway/rate_cap.h"
 #include "gateway/rate_limit.h"
 #include "gateway/retry_budget.h"
@@ -44,6 +46,7 @@
   bool partial_ = true;   ///< Partial answers just before the objective.
   bool admission_ = true; ///< Reject requests beyond the window.
   bool placement_ = true; ///< Choose by estimated latency; off: ignore it.
+  bool fair_ = true; ///< Divide full windows among organisations.
 };
 
 /** Settings of this daemon and limits of the platform. */
@@ -165,6 +168,7 @@
   double answerTimeSum_ = 0.0; ///< Sum of all answer times, seconds.
   Duration callerTimeout_{};   ///< Longest recent timeout of a caller.
   TimePoint callerTimeoutAt_{};
+  FairAdmission fair_;
 };
 
 /** State of one shard of a query, or of a plain request. */
@@ -361,6 +365,7 @@
   PlannedStop stop_;
   bool preconnect_ = true; ///< Open connections ahead of requests.
   GatewayStats stats_;
+  std::map<std::string, OrganisationStats> organisationStats_; ///< By name.
 };
 
 } // namespace camphorfield
--- a/src/gateway/rate_cap.cpp
+++ b/src/gateway/rate_cap.cpp
@@ -208,7 +208,7 @@
     } else {
       break;
     }
-    aCap.waiting_.pop_front();
+    aCap.waiting_.erase(aCap.waiting_.begin());
   }
   if (!aCap.waiting_.empty()) {
     AskOwner(aCaps, aCap, aNow, aOut);
@@ -243,7 +243,7 @@
     borrowed.silentUntil_ = aNow + kSilentOwnerPause;
     while (!aCap.waiting_.empty()) {
       const std::uint64_t request = aCap.waiting_.front().request_;
-      aCap.waiting_.pop_front();
+      aCap.waiting_.erase(aCap.waiting_.begin());
       ServeWithoutOwner(aCaps, aCap, request, aNow, aRng, aOut);
     }
     return;
@@ -476,7 +476,7 @@
     RateCap& cap = found->second;
     while (!cap.waiting_.empty() && cap.waiting_.front().until_ <= aNow) {
       const std::uint64_t request = cap.waiting_.front().request_;
-      cap.waiting_.pop_front();
+      cap.waiting_.erase(cap.waiting_.begin());
       ++aCaps.stats_.timeouts_;
       EndAsk(cap, aNow);
       ServeWithoutOwner(aCaps, cap, request, aNow, aRng, aOut);
--- a/src/gateway/rate_cap.h
+++ b/src/gateway/rate_cap.h
@@ -79,7 +79,7 @@
   DaemonId hint_; ///< Owner as another daemon says; until the view changes.
   OwnedCap owned_;
   BorrowedCap borrowed_;
-  std::deque<CapWaiter> waiting_;
+  std::vector<CapWaiter> waiting_; ///< In the order of time; mostly empty.
 };
 
 /** When to look for requests that have waited too long. */
--- a/src/gateway/request_admit.cpp
+++ b/src/gateway/request_admit.cpp
@@ -2,10 +2,12 @@
 // little and learn nothing, a key that is too new to be known here must not be
 // refused for good, and requests of a key that is withdrawn while they wait in
 // queues must not run.
+#include "core/hash_func.h"
 #include "gateway/gateway_func.h"
 #include "gateway/gateway_internal.h"
 #include "gateway/route_match.h"
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -139,6 +141,74 @@
   RejectRequest(aStep, aRequest, ProxyCode::NotReady, &aRoute, detail);
 }
 
+FairSender
+MakeFairSender(const GatewayState& aState,
+               const Sender& aSender,
+               const GatewayRoute& aRoute)
+{
+  FairSender fair;
+  fair.priority_ = aRoute.priority_;
+  if (aSender.organisation_ != kNoOrganisation) {
+    const Organisation& organisation =
+      (*aState.config_->organisations_)[aSender.organisation_];
+    fair.organisation_ = HashText(organisation.name_);
+    fair.weight_ = organisation.perSecond_;
+    fair.priority_ = organisation.priority_.value_or(aRoute.priority_);
+  }
+  return fair;
+}
+
+/** Rejects a request that finds the window of its route full; false if it may
+ * run. */
+bool
+RejectIfFull(GatewayStep& aStep,
+             const ProxyRequest& aRequest,
+             const GatewayRoute& aRoute,
+             const Sender& aSender)
+{
+  GatewayState& state = aStep.state_;
+  if (!state.settings_.policy_.admission_) {
+    return false;
+  }
+  RouteLoad& load = state.loads_[aRoute.name_];
+  const double guaranteed = GuaranteedWindow(state, aRoute);
+  if (!state.organisations_.configured_ || !state.settings_.policy_.fair_) {
+    if (IsAdmitted(load, guaranteed)) {
+      return false;
+    }
+    RejectRequest(aStep, aRequest, ProxyCode::Overloaded, &aRoute);
+    return true;
+  }
+  const FairSender sender = MakeFairSender(state, aSender, aRoute);
+  const FairVerdict verdict =
+    IsFairlyAdmitted(load.fair_,
+                     sender,
+                     load.inFlight_,
+                     std::max(load.window_, guaranteed),
+                     aStep.Time());
+  if (verdict.admitted_) {
+    return false;
+  }
+  RejectionDetail detail;
+  if (aSender.organisation_ != kNoOrganisation) {
+    detail.organisation_ =
+      (*state.config_->organisations_)[aSender.organisation_].name_;
+  }
+  detail.notBefore_ = ChooseFairReturn(load.fair_,
+                                       verdict,
+                                       ChooseRetryAfter(aRoute, aStep.rng_),
+                                       aStep.Time(),
+                                       aStep.rng_);
+  detail.reason_ = absl::StrCat("in flight ",
+                                load.inFlight_,
+                                " of ",
+                                std::floor(load.window_),
+                                verdict.entitled_ ? ", below" : ", above",
+                                " its part");
+  RejectRequest(aStep, aRequest, ProxyCode::Overloaded, &aRoute, detail);
+  return true;
+}
+
 GatewayRun&
 MakeRun(GatewayStep& aStep,
         const ProxyRequest& aRequest,
@@ -178,6 +248,11 @@
   }
   AddParts(state, run);
   ++run.load_->inFlight_;
+  ++run.load_->fair_.inFlight_[FairClass(run.priority_)];
+  if (state.organisations_.configured_) {
+    CountFairUse(
+      run.load_->fair_, MakeFairSender(state, aSender, aRoute), aStep.Time());
+  }
   state.runOf_[run.id_] = run.key_;
   return run;
 }
@@ -330,9 +405,8 @@
   }
   RouteLoad& load = state.loads_[route->name_];
   const Duration waited = TimeSinceFirstAttempt(aRequest, load, now);
-  if (state.settings_.policy_.admission_ &&
-      !IsAdmitted(load, GuaranteedWindow(state, *route))) {
-    reject(ProxyCode::Overloaded);
+  if (RejectIfFull(aStep, aRequest, *route, sender)) {
+    ReturnToken(aStep, aCap);
     return;
   }
   if (aCap == 0 && sender.organisation_ != kNoOrganisation) {
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -61,6 +61,16 @@
   }
 }
 
+/** Counts an outcome for its organisation, if it has one. */
+void
+CountOrganisation(GatewayState& aState, const RequestRecord& aRecord)
+{
+  if (!aRecord.organisation_.empty()) {
+    CountOutcome(aState.organisationStats_[aRecord.organisation_],
+                 aRecord.code_);
+  }
+}
+
 void
 Record(GatewayStep& aStep, const GatewayRun& aRun, const ProxyAnswer& aAnswer)
 {
@@ -83,6 +93,7 @@
       AppendPart(aStep.state_, part, record.reason_);
     }
   }
+  CountOrganisation(aStep.state_, record);
   aStep.out_.emplace_back(std::move(record));
 }
 
@@ -143,6 +154,7 @@
     ReturnToken(aStep, aRun.cap_);
   }
   --aRun.load_->inFlight_;
+  --aRun.load_->fair_.inFlight_[FairClass(aRun.priority_)];
   state.runOf_.erase(aRun.id_);
   const std::uint64_t key = aRun.key_;
   aRun = GatewayRun{};
@@ -255,6 +267,7 @@
   if (!aDetail.reason_.empty()) {
     record.reason_ = aDetail.reason_;
   }
+  CountOrganisation(aStep.state_, record);
   record.version_ =
     aStep.state_.config_ == nullptr ? 0 : aStep.state_.config_->version_;
   aStep.out_.emplace_back(std::move(record));
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,6 +5,7 @@
 #include "cli/explain_cmd.h"
 #include "cli/operator_cmd.h"
 #include "cli/settings_cmd.h"
+#include "settings_table.h"
 
 #include <CLI/CLI.hpp>
 #include <iostream>
@@ -90,7 +91,9 @@
   });
 
   app.add_subcommand("settings", "Print all settings as a page")
-    ->callback([&app]() { std::cout << RenderSettings(app); });
+    ->callback([&app]() {
+      std::cout << RenderSettings(app) << platform::RenderSettingsFile();
+    });
 
   ExplainFlags explainFlags;
   CLI::App* explain =
--- a/src/ops/gateway_metrics.cpp
+++ b/src/ops/gateway_metrics.cpp
@@ -3,6 +3,7 @@
 #include "ops/gateway_metrics.h"
 
 #include "observe/log.h"
+#include "ops/organisation_metrics.h"
 #include "table/proxy_table.h"
 
 #include <limits>
@@ -157,6 +158,7 @@
   AddCounters(registry, state.stats_);
   AddCounterRows(registry, kSyncCounters, aHost.SyncStats());
   AddGauges(registry, aHost);
+  AddOrganisationMetrics(registry, state);
   std::vector<prometheus::MetricFamily> families = registry.Collect();
   prometheus::MetricFamily latency;
   latency.name = "camphorfield_gateway_request_seconds";
