--- a/src/gateway/cost_placement.cpp
+++ b/src/gateway/cost_placement.cpp
@@ -299,13 +299,13 @@
 {
   const double perMicro =
     aBackend.inFlight_ / std::max(aEstimate.work_ * aEstimate.speed_, 1.0) +
-    aBackend.opening_ / Micros(kNewConnectionCost);
+    aBackend.opening_ / Micros(kConnectSlotTime);
   if (perMicro > 0.0) {
     return aAhead / perMicro;
   }
   // Nothing is open: one is opened at once, unless that has failed.
   return Micros(aBackend.reconnect_.count() > 0 ? kBackendConnectTimeout
-                                                : kNewConnectionCost) *
+                                                : kConnectSlotTime) *
          aAhead;
 }
 
@@ -472,7 +472,7 @@
 {
   return IsCostMode(aState) && aAttempt.cost_ != nullptr &&
          IsUsable(aBackend) &&
-         ExpectedRest(aState, aAttempt, aNow) < Micros(kNewConnectionCost);
+         ExpectedRest(aState, aAttempt, aNow) < Micros(kConnectSlotTime);
 }
 
 // A server of the own failure domain keeps one connection, so that the first
--- a/src/gateway/cost_placement.h
+++ b/src/gateway/cost_placement.h
@@ -8,11 +8,11 @@
 struct GatewayStep;
 
 /** Slot time that a new connection costs its server. */
-constexpr Duration kNewConnectionCost = milliseconds(6);
+constexpr Duration kConnectSlotTime = milliseconds(6);
 
 /** An unneeded attempt is closed after this time at the latest: its server
  * pauses. A caller that left has its work cancelled within half a second. */
-constexpr Duration kMaxAbandonedTime = kNewConnectionCost * 4;
+constexpr Duration kMaxAbandonedTime = kConnectSlotTime * 4;
 
 /** Whether servers are chosen by cost. */
 bool
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -10,9 +10,11 @@
 #include "gateway/cold_server.h"
 #include "gateway/cost_model.h"
 #include "gateway/evacuation.h"
+#include "gateway/fair_admission.h"
 #include "gateway/gateway_const.h"
 #include "gateway/gateway_type.h"
 #include "gateway/organisation.h"
+#include "gateway/organisation_stats.h"
 #include "gateway/rate_cap.h"
 #include "gateway/rate_limit.h"
 #include "gateway/retry_budget.h"
@@ -50,6 +52,7 @@
   bool admission_ = true; ///< Reject requests beyond the window.
   bool placement_ = true; ///< Choose by estimated latency; off: ignore it.
   PlacementMode mode_ = PlacementMode::Count;
+  bool fair_ = true; ///< Divide full windows among organisations.
 };
 
 /** Settings of this daemon and limits of the platform. */
@@ -193,6 +196,7 @@
   double answerTimeSum_ = 0.0; ///< Sum of all answer times, seconds.
   Duration callerTimeout_{};   ///< Longest recent timeout of a caller.
   TimePoint callerTimeoutAt_{};
+  FairAdmission fair_;
 };
 
 /** State of one shard of a query, or of a plain request. */
@@ -427,6 +431,7 @@
   std::map<std::pair<std::string, std::int64_t>, ColdPhase> unlistedCold_;
   GatewayStats stats_;
   PlacementState placement_;
+  std::map<std::string, OrganisationStats> organisationStats_; ///< By name.
 };
 
 } // namespace camphorfield
--- a/src/ops/gateway_metrics.cpp
+++ b/src/ops/gateway_metrics.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/gateway_func.h"
 #include "observe/log.h"
+#include "ops/organisation_metrics.h"
 #include "table/proxy_table.h"
 
 #include <limits>
@@ -231,6 +232,7 @@
   AddCounterRows(registry, kSyncCounters, aHost.SyncStats());
   AddLimitCounters(registry, aHost.Memory());
   AddGauges(registry, aHost);
+  AddOrganisationMetrics(registry, state);
   std::vector<prometheus::MetricFamily> families = registry.Collect();
   prometheus::MetricFamily latency;
   latency.name = "camphorfield_gateway_request_seconds";
