--- a/src/gateway/attempt_answer.cpp
+++ b/src/gateway/attempt_answer.cpp
@@ -86,6 +86,8 @@
     aRun.route_->kind_ == RequestKind::Idempotent ? kMaxRuns : 1;
   return aMayHaveRun < runs && aPart.sends_ < kMaxSends &&
          !IsQuarantined(aStep.state_, aRun.content_, aStep.Time()) &&
+         !IsServiceEvacuated(aStep.state_,
+                             aStep.state_.services_[aPart.service_]) &&
          TakeExtraSend(aStep, aPart);
 }
 
@@ -93,9 +95,7 @@
 RetryOrFail(GatewayStep& aStep, GatewayRun& aRun, std::uint32_t aPart)
 {
   const RequestPart& part = aRun.parts_[aPart];
-  const GatewayServiceState& service = aStep.state_.services_[part.service_];
-  if (IsServiceEvacuated(aStep.state_, service) ||
-      !TakeRetry(aStep, aRun, part, part.mayHaveRun_)) {
+  if (!TakeRetry(aStep, aRun, part, part.mayHaveRun_)) {
     FailPart(aStep, aRun, aPart);
     return;
   }
