--- a/tests/gateway/evacuation_test.cpp
+++ b/tests/gateway/evacuation_test.cpp
@@ -27,6 +27,7 @@
   Return,       ///< The end of all evacuations.
   Announce,     ///< The list of servers comes again.
   Replace,      ///< A server of the domain gets a new start.
+  Reshard,      ///< The route gets other shards, on servers of both domains.
   Crash,        ///< A server outside the domain crashes.
   End           ///< Number of steps.
 };
@@ -65,6 +66,17 @@
       ++aReplay.Servers()[1].incarnation_;
       aReplay.Announce();
       break;
+    case Step::Reshard: {
+      GatewayRoute route = MakeQueryRoute(kShards, 0.8, 5);
+      for (std::string& shard : route.shards_) {
+        shard = "new-" + shard;
+        aReplay.AddServer(shard, 1.0);
+        aReplay.AddServer(shard, 1.0);
+      }
+      aReplay.SetRoute(route);
+      aReplay.Announce();
+      break;
+    }
     default:
       aReplay.Crash(0, ModelFault::Reset);
       break;
@@ -93,6 +105,51 @@
 
 TEST_GROUP(Evacuation){};
 
+/** Shards whose servers are all evacuated. */
+struct LostShardCase
+{
+  const char* name_;
+  std::size_t lost_; ///< Of 6 shards.
+  double minCoverage_;
+  bool served_;
+};
+
+// What can't be served is rejected at once, the rest without waiting for the
+// lost shards.
+TEST(Evacuation, ShardsInTheDomainHoldQueriesUp)
+{
+  const std::vector<LostShardCase> cases{
+    { "one of six", 1, 0.8, true },
+    { "none may be missing", 1, 1.0, false },
+    { "two of six", 2, 0.8, false },
+    { "two of six, low coverage", 2, 0.5, true },
+    { "all", 6, 0.5, false },
+  };
+  for (const LostShardCase& item : cases) {
+    Replay replay(6, 42);
+    replay.AddShards(kShards);
+    for (std::size_t i = 0; i < 2 * item.lost_; ++i) {
+      replay.Servers()[i].domain_ = "lost";
+    }
+    replay.SetRoute(MakeQueryRoute(kShards, item.minCoverage_, 5));
+    replay.Publish();
+    replay.Evacuate({ "lost" });
+    const std::uint64_t request = replay.SendRequest(0, kTarget, seconds(2));
+    const ProxyAnswer* answer = replay.AnswerOf(request);
+    LONGS_EQUAL_TEXT(!item.served_, answer != nullptr, item.name_);
+    if (answer != nullptr) {
+      CHECK_TRUE_TEXT(answer->code_ == ProxyCode::NoServer, item.name_);
+      CHECK_TRUE_TEXT(answer->retryAfter_ >= seconds(1), item.name_);
+      continue;
+    }
+    replay.Advance(milliseconds(50));
+    answer = replay.AnswerOf(request);
+    CHECK_TRUE_TEXT(answer != nullptr, item.name_);
+    CHECK_TRUE_TEXT(answer->code_ == ProxyCode::Merged, item.name_);
+    LONGS_EQUAL_TEXT(item.lost_, answer->missing_, item.name_);
+  }
+}
+
 TEST(Evacuation, RequestsReachAnEvacuatedDomain)
 {
   // A request needs 0.3 ms to reach a server.
@@ -113,6 +170,23 @@
       { { at2, Step::Evacuate }, { at6, Step::Return } },
       { { at2 + sent, at6 } },
       0.97 },
+    { "83 daemons",
+      83,
+      { { at2, Step::Evacuate }, { at6, Step::Return } },
+      { { at2 + sent, at6 } },
+      0.97 },
+    { "295 daemons",
+      295,
+      { { at2, Step::Evacuate }, { at6, Step::Return } },
+      { { at2 + sent, at6 } },
+      0.97 },
+    { "shards change meanwhile",
+      6,
+      { { at2, Step::Evacuate },
+        { at3, Step::Reshard },
+        { at6, Step::Return } },
+      { { at2 + sent, at6 } },
+      0.97 },
     { "begun and ended twice",
       6,
       { { at2, Step::Evacuate },
