--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -134,6 +134,7 @@
   TimePoint pausedUntil_{}; ///< It wants no requests before.
   bool evacuated_ = false;  ///< Its failure domain is.
   ColdPhase cold_;
+  BackendWork work_; ///< PlacementMode::Cost only.
 };
 
 /** What an incarnation said of itself, while no entry lists it. */
@@ -142,7 +143,6 @@
   TimePoint pausedUntil_{};
   RateLimit rateLimit_;
   TimePoint keptUntil_{};
-  BackendWork work_; ///< PlacementMode::Cost only.
 };
 
 /** Order of waiting parts: late requests last, then by priority, then by time;
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -176,9 +176,9 @@
         rumor.untilUnixMicros_ =
           ReadClock().unixMicros_ + Duration(kSuspectTtl).count();
         HandleMembershipEvent(SpreadRumor{ rumor });
+        evidence_.Record(aItem.fingerprint_, aItem.evidence_, true);
       } else if constexpr (std::is_same_v<Item, CapSend>) {
         SendCapMessage(aItem);
-        evidence_.Record(aItem.fingerprint_, aItem.evidence_, true);
       } else if constexpr (std::is_same_v<Item, RequestRecord>) {
         LogRequest(aItem);
       } else if constexpr (std::is_same_v<Item, BackendRecord>) {
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -189,7 +189,6 @@
   {
     return runsById_;
   }
-  GatewayConfig& Config() { return config_; }
   const std::vector<BackendSend>& SendsSeen() const { return sendsSeen_; }
   /** Number of log records of a change in the state of a server. */
   std::uint64_t RecordsSeen(const std::string& aChange)
