Change: large requests close no idle callers, rejected clients give way first

Cause: trial with 60 and 150 clients that reconnect at once beside 12 ordinary callers: reservations for large bodies closed idle connections of callers that had been served (16 and 28 exchanges broken off). Change: idle connections of served callers are closed only after 5 s and never for a large request; rejected clients that are still being drained are the first to go when connections are short. Bodies are read in pieces of up to 64 KB, blocks from 512 KB on are mapped, receive buffers in the kernel have a fixed size.

--- a/src/app/gateway_cmd.cpp
+++ b/src/app/gateway_cmd.cpp
@@ -280,7 +280,7 @@
 void
 SetAllocatorThresholds()
 {
-  constexpr int kMmapThreshold = 128 * 1024;
+  constexpr int kMmapThreshold = 512 * 1024;
   constexpr int kTrimThreshold = 1024 * 1024;
   mallopt(M_MMAP_THRESHOLD, kMmapThreshold);
   mallopt(M_TRIM_THRESHOLD, kTrimThreshold);
--- a/src/core/memory_budget.cpp
+++ b/src/core/memory_budget.cpp
@@ -3,8 +3,10 @@
 //
 // What makes no progress is closed first, the largest and longest stalled
 // before others. Idle connections come after these, those that never completed
-// a request before those of callers that did. A quarter of the limit is kept
-// for small requests, so that ordinary ones get in while large bodies arrive.
+// a request before those of callers that did, which are not closed for a large
+// request at all: each holds little. The same goes for rejected clients, which
+// may not have received their rejection. A quarter of the limit is kept for
+// small requests, so that ordinary ones get in while large bodies arrive.
 #include "core/memory_budget.h"
 
 #include <algorithm>
@@ -30,18 +32,27 @@
 bool
 IsStalled(const MemoryHolder& aHolder, TimePoint aNow)
 {
-  return aHolder.state_ != HolderState::Running &&
-         aNow - aHolder.progressAt_ >= kMinStall;
+  const Duration least =
+    aHolder.state_ == HolderState::Idle && aHolder.hasServed_ ? kMinServedStall
+                                                              : kMinStall;
+  return aHolder.state_ == HolderState::Closing ||
+         (aHolder.state_ != HolderState::Running &&
+          aNow - aHolder.progressAt_ >= least);
 }
 
 std::vector<Candidate>
 FindCandidates(const MemoryBudget& aBudget,
                std::uint64_t aExcept,
+               bool aIsLarge,
                TimePoint aNow)
 {
   std::vector<Candidate> found;
   for (const auto& [number, holder] : aBudget.holders_) {
-    if (number != aExcept && IsStalled(holder, aNow)) {
+    const bool isServedIdle =
+      holder.state_ == HolderState::Idle && holder.hasServed_;
+    const bool isKept =
+      aIsLarge && (isServedIdle || holder.state_ == HolderState::Closing);
+    if (number != aExcept && !isKept && IsStalled(holder, aNow)) {
       const auto stalled =
         static_cast<double>((aNow - holder.progressAt_).count());
       found.push_back({ number,
@@ -102,7 +113,8 @@
             : aBudget.limit_;
   const std::uint64_t wanted = aBudget.used_ - found->second.bytes_ + aBytes;
   if (wanted > allowed && aBytes > found->second.bytes_) {
-    std::vector<Candidate> candidates = FindCandidates(aBudget, aHolder, aNow);
+    std::vector<Candidate> candidates =
+      FindCandidates(aBudget, aHolder, isLarge, aNow);
     std::uint64_t closable = 0;
     for (const Candidate& candidate : candidates) {
       closable += candidate.bytes_;
@@ -140,10 +152,12 @@
 TakeLongestStalled(MemoryBudget& aBudget, std::uint32_t aGroup, TimePoint aNow)
 {
   std::uint64_t chosen = 0;
-  std::tuple<bool, TimePoint> best{ true, kNever };
+  std::tuple<bool, bool, TimePoint> best{ true, true, kNever };
   for (const auto& [number, holder] : aBudget.holders_) {
-    const std::tuple<bool, TimePoint> rank{ holder.hasServed_,
-                                            holder.progressAt_ };
+    const std::tuple<bool, bool, TimePoint> rank{ holder.state_ !=
+                                                    HolderState::Closing,
+                                                  holder.hasServed_,
+                                                  holder.progressAt_ };
     if (holder.group_ == aGroup && IsStalled(holder, aNow) && rank < best) {
       chosen = number;
       best = rank;
--- a/src/core/memory_budget.h
+++ b/src/core/memory_budget.h
@@ -17,6 +17,7 @@
   Reading, ///< Receives a request or a frame.
   Running, ///< Its request is being served; never closed.
   Writing, ///< Sends an answer.
+  Closing, ///< Its request was rejected; may be closed at once.
   End      ///< Number of states.
 };
 
@@ -42,6 +43,9 @@
 
 /** Holders that make no progress for this long may be closed. */
 constexpr Duration kMinStall = std::chrono::milliseconds(500);
+/** The same for idle connections of callers that have been served: callers keep
+ * them for their next request. */
+constexpr Duration kMinServedStall = std::chrono::seconds(5);
 /** Holders up to this size may use the whole budget. */
 constexpr std::uint64_t kSmallHolderBytes = 64ULL * 1024;
 
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -59,16 +59,20 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 4096;
-constexpr std::size_t kBodyReadBytes = 16384;
+/** A read of a body; smaller ones cost more processor time. */
+constexpr std::size_t kBodyReadBytes = 65536;
 /** Of one connection without a request: touched pages of its fiber's stack,
  * session and first read buffer; 17 KB were measured. */
 constexpr std::uint64_t kSessionBytes = 24ULL * 1024;
-/** A rejected request is read on for as long and as far as this: closing with
- * unread bytes resets the connection, and the client may lose the answer. */
+/** Bounds on reading the rest of a rejected request: closing with unread bytes
+ * resets the connection, and the client may lose the answer. */
 constexpr Duration kDrainTimeout = std::chrono::seconds(1);
 constexpr std::size_t kMaxDrainBytes = 1024UL * 1024;
 /** Of one header field beside its text, decoded and as the parser keeps it. */
 constexpr std::uint64_t kFieldBytes = 160;
+/** Receive buffer of a socket in the kernel, which else grows to megabytes for
+ * a client that sends ahead. */
+constexpr int kSocketBytes = 128 * 1024;
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(20);
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
 
@@ -115,9 +119,9 @@
                                     bool& aKeepAlive);
   boost::system::error_code ReadMore(std::size_t aBytes);
   bool ReserveFor(const Parser& aParser);
+  static std::size_t BytesToRead(const Parser& aParser);
   bool Answer(HttpResponse&& aResponse, bool aKeepAlive);
   bool Reject(const boost::system::error_code& aError);
-  void ShrinkBuffer();
   void Drain();
 
   std::shared_ptr<HttpServerState> server_;
@@ -181,14 +185,13 @@
   return false;
 }
 
-/** Reads and drops the rest of a rejected request. */
 void
 Session::Drain()
 {
   boost::system::error_code error;
   stream_.socket().shutdown(tcp::socket::shutdown_send, error);
   stream_.expires_after(kDrainTimeout);
-  hold_.Enter(HolderState::Reading);
+  hold_.Enter(HolderState::Closing);
   for (std::size_t drained = 0; !error && drained < kMaxDrainBytes;) {
     buffer_.consume(buffer_.size());
     error = ReadMore(kReadBytes);
@@ -211,7 +214,6 @@
   return !first.error_;
 }
 
-/** Reads what arrives next. */
 boost::system::error_code
 Session::ReadMore(std::size_t aBytes)
 {
@@ -268,20 +270,20 @@
     if (buffer_.size() > aLimits.maxHeaderBytes_) {
       return http::error::header_limit;
     }
-    error = ReadMore(isBody ? kBodyReadBytes : kReadBytes);
+    error = ReadMore(isBody ? BytesToRead(aParser) : kReadBytes);
     if (error) {
       return error;
     }
   }
 }
 
-/** Returns what the read buffer has grown to for a large request. */
-void
-Session::ShrinkBuffer()
+/** Next read of a body: what is left of it, if that is known. */
+std::size_t
+Session::BytesToRead(const Parser& aParser)
 {
-  if (buffer_.capacity() > kReadBytes && buffer_.size() == 0) {
-    buffer_.shrink_to_fit();
-  }
+  const auto left = aParser.content_length_remaining();
+  return left ? std::clamp<std::uint64_t>(*left, kReadBytes, kBodyReadBytes)
+              : kBodyReadBytes;
 }
 
 /** Reads and decodes a request. What was read of a request that is rejected is
@@ -326,7 +328,9 @@
     return Reject(error);
   }
   stream_.expires_never();
-  ShrinkBuffer();
+  if (buffer_.capacity() > kReadBytes && buffer_.size() == 0) {
+    buffer_.shrink_to_fit();
+  }
   hold_.Enter(HolderState::Running);
   HttpResponse response = server_->handler_(request, *this);
   *watching_ = false;
@@ -446,6 +450,11 @@
     return status;
   }
   state_->local_ = state_->acceptor_->local_endpoint();
+  if (state_->account_ != nullptr) {
+    boost::system::error_code ignored;
+    state_->acceptor_->set_option(
+      boost::asio::socket_base::receive_buffer_size(kSocketBytes), ignored);
+  }
   state_->pool_.At(0).Spawn([state = state_]() { AcceptLoop(state); });
   return absl::OkStatus();
 }
