Add: allowed regions of routes

The settings give the region of each failure domain. Every choice of a server leaves out those in other regions; a query that lacks shards there is answered in part or rejected at once.

--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -169,6 +169,7 @@
     const Backend& backend = state.backends_.slots_[key & kSlotMask];
     const bool ejected = aStep.Time() < backend.ejectedUntil_;
     if (!IsUsable(backend) || ejected != aEjected ||
+        !IsInAllowedRegion(state, *aRun.route_, backend) ||
         !MayTry(aRun, aPart, backend, aHedge)) {
       continue;
     }
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -50,6 +50,7 @@
 struct GatewaySettings
 {
   std::string failureDomain_;
+  std::map<std::string, std::string> regionOf_; ///< By failure domain.
   double cpuShare_ = 1.0; ///< Processor share of this daemon, in cores.
   BudgetLimits budget_;
   GatewayPolicy policy_;
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -54,6 +54,20 @@
 void
 UpdateEvacuated(GatewayStep& aStep, Backend& aBackend);
 
+// route_region.cpp
+
+/** Whether a route's requests may reach a server in view of its region. */
+bool
+IsInAllowedRegion(const GatewayState& aState,
+                  const GatewayRoute& aRoute,
+                  const Backend& aBackend);
+
+/** Whether a service has a usable server that a route's requests may reach. */
+bool
+HasAllowedServer(const GatewayState& aState,
+                 const GatewayRoute& aRoute,
+                 const GatewayServiceState& aService);
+
 // cold_phase.cpp
 
 /** Takes the limits of cold servers from the configuration in force. */
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -45,6 +46,8 @@
   std::vector<std::string> shards_; ///< Queries: one service per shard.
   std::uint32_t topRecords_ = 0;    ///< Queries: records in the answer.
   double minCoverage_ = 0.0;        ///< Queries: least share of shards.
+  /** Regions whose servers may get its requests; empty: all. */
+  std::set<std::string> allowedRegions_;
 
   bool IsQuery() const { return !shards_.empty(); }
 };
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -138,9 +138,10 @@
     const GatewayServiceState& service = aStep.state_.services_[part.service_];
     // The others suffice, see TimeUntilEnoughRoom.
     if (aRun.route_->IsQuery() &&
-        TimeUntilRoom(
-          aStep.state_, service, service.queue_.size(), aStep.Time()) >
-          aRun.softAt_ - aStep.Time()) {
+        (!HasAllowedServer(aStep.state_, *aRun.route_, service) ||
+         TimeUntilRoom(
+           aStep.state_, service, service.queue_.size(), aStep.Time()) >
+           aRun.softAt_ - aStep.Time())) {
       part.phase_ = PartPhase::Failed;
       ++aRun.failed_;
       continue;
@@ -158,8 +159,10 @@
   return static_cast<std::uint32_t>(std::count_if(
     aRun.parts_.begin(),
     aRun.parts_.end(),
-    [&aState, aNow](const RequestPart& aPart) {
-      return IsServiceDown(aState, aState.services_[aPart.service_], aNow);
+    [&aState, &aRun, aNow](const RequestPart& aPart) {
+      const GatewayServiceState& service = aState.services_[aPart.service_];
+      return IsServiceDown(aState, service, aNow) ||
+             !HasAllowedServer(aState, *aRun.route_, service);
     }));
 }
 
--- a/tests/adapter/codec_test.cpp
+++ b/tests/adapter/codec_test.cpp
@@ -733,11 +733,13 @@
   const auto with =
     DecodeSettings(std::string(kSettingsText) + "bounds.evacuate-ms=5000\n"
                                                 "bounds.warmup-overage=1.5\n"
-                                                "bounds.warmup-slack=5\n");
+                                                "bounds.warmup-slack=5\n"
+                                                "zones.z1=north\n");
   CHECK_TRUE(with.ok());
   const GatewayHostSettings host = MakeHostSettings(*with);
   STRCMP_EQUAL("evacuations", host.evacuationsKind_.c_str());
   CHECK_TRUE(host.evacuateWithin_ == seconds(5));
+  STRCMP_EQUAL("north", host.gateway_.regionOf_.at("z1").c_str());
   DOUBLES_EQUAL(1.5, host.gateway_.warmupOverage_, 1e-9);
   DOUBLES_EQUAL(5.0, host.gateway_.warmupSlack_, 1e-9);
 }
--- a/tests/discovery/evacuation_table_test.cpp
+++ b/tests/discovery/evacuation_table_test.cpp
@@ -15,7 +15,7 @@
 const TimePoint kStart{ std::chrono::seconds(100) };
 
 TableSync
-MakeTable(const std::string& aKind, std::vector<std::string> aNames)
+MakeTable(const std::string& aKind, const std::vector<std::string>& aNames)
 {
   TableSync table;
   table.kind_ = aKind;
--- a/tests/gateway/evacuation_test.cpp
+++ b/tests/gateway/evacuation_test.cpp
@@ -69,7 +69,7 @@
     case Step::Reshard: {
       GatewayRoute route = MakeQueryRoute(kShards, 0.8, 5);
       for (std::string& shard : route.shards_) {
-        shard = "new-" + shard;
+        shard.insert(0, "new-");
         aReplay.AddServer(shard, 1.0);
         aReplay.AddServer(shard, 1.0);
       }
@@ -150,6 +150,57 @@
   }
 }
 
+/** Servers that a route may use, and whether its queries can be served. */
+struct RegionCase
+{
+  const char* name_;
+  std::set<std::string> allowed_;
+  std::set<std::string> evacuated_;
+  bool served_;
+  bool usesA_; ///< Servers of domain "a", in region "ra".
+  bool usesB_; ///< Servers of domain "b", in region "rb".
+};
+
+TEST(Evacuation, RequestsLeaveTheRegionsOfTheirRoute)
+{
+  const std::vector<RegionCase> cases{
+    { "all", {}, {}, true, true, true },
+    { "one", { "ra" }, {}, true, true, false },
+    { "both", { "ra", "rb" }, {}, true, true, true },
+    { "its domain is evacuated", { "ra" }, { "a" }, false, false, false },
+    { "the other is evacuated", { "ra" }, { "b" }, true, true, false },
+    { "unknown", { "rc" }, {}, false, false, false },
+  };
+  for (const RegionCase& item : cases) {
+    Replay replay(2, 42);
+    for (std::size_t i = 0; i < 2; ++i) {
+      replay.Daemon(i).settings_.regionOf_ = { { "a", "ra" }, { "b", "rb" } };
+    }
+    replay.AddShards(kShards);
+    GatewayRoute route = MakeQueryRoute(kShards, 0.8, 5);
+    route.allowedRegions_ = item.allowed_;
+    replay.SetRoute(route);
+    replay.Publish();
+    replay.Evacuate(item.evacuated_);
+    const ReplayLoad load{ kTarget, 120, milliseconds(10), seconds(2), 0 };
+    const ReplayResult result = replay.Run({ load }, seconds(3))[kTarget];
+    const TimePoint end = replay.Clock();
+    LONGS_EQUAL_TEXT(item.usesA_,
+                     CountArrivals(replay, "a", TimePoint{}, end) > 0,
+                     item.name_);
+    LONGS_EQUAL_TEXT(item.usesB_,
+                     CountArrivals(replay, "b", TimePoint{}, end) > 0,
+                     item.name_);
+    LONGS_EQUAL_TEXT(item.served_, result.onTime_ > 0, item.name_);
+    if (!item.served_) {
+      LONGS_EQUAL_TEXT(result.asked_, result.rejected_, item.name_);
+      for (const Duration after : result.rejectedAfter_) {
+        CHECK_TRUE_TEXT(after == Duration::zero(), item.name_);
+      }
+    }
+  }
+}
+
 TEST(Evacuation, RequestsReachAnEvacuatedDomain)
 {
   // A request needs 0.3 ms to reach a server.
@@ -270,6 +321,7 @@
   const ReplayLoad none{ "/query/a", 0.001, milliseconds(50) };
   replay.Run({ none }, Duration::zero());
   std::vector<std::uint64_t> requests;
+  requests.reserve(20);
   for (int i = 0; i < 20; ++i) {
     requests.push_back(replay.SendRequest(0, "/query/a", seconds(2)));
   }
