--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -47,6 +48,8 @@
   std::uint32_t topRecords_ = 0;    ///< Queries: records in the answer.
   double minCoverage_ = 0.0;        ///< Queries: least share of shards.
   bool public_ = false;             ///< Requests need no key.
+  /** Regions whose servers may get its requests; empty: all. */
+  std::set<std::string> allowedRegions_;
 
   bool IsQuery() const { return !shards_.empty(); }
 };
