--- a/src/app/gateway_cmd.cpp
+++ b/src/app/gateway_cmd.cpp
@@ -262,6 +262,13 @@
     ->envname("CAMPHORFIELD_LOG_LEVEL")
     ->check(CLI::IsMember({ "debug", "info", "warning", "error" }))
     ->capture_default_str();
+  aApp
+    .add_option("--placement",
+                aFlags.placement_,
+                "Choose servers by the count or by the cost of requests")
+    ->envname("CAMPHORFIELD_PLACEMENT")
+    ->check(CLI::IsMember({ "count", "cost" }))
+    ->capture_default_str();
 }
 
 // Exits without joining the worker: its fibers still wait on idle connections
@@ -277,6 +284,8 @@
   InitLog(ParseLogLevel(aFlags.logLevel_), settings->name_);
   std::signal(SIGPIPE, SIG_IGN);
   GatewayHostSettings hostSettings = platform::MakeHostSettings(*settings);
+  hostSettings.gateway_.policy_.mode_ =
+    aFlags.placement_ == "cost" ? PlacementMode::Cost : PlacementMode::Count;
   SetIncarnation(hostSettings);
   WorkerPool pool(1);
   GatewayProcess process(*settings, hostSettings, pool);
@@ -291,6 +300,7 @@
            "gateway started",
            { { "callers", settings->callerAddress_ },
              { "peers", settings->peerAddress_ },
+             { "placement", aFlags.placement_ },
              { "store", settings->storeAddress_ } });
   const int status = process.AwaitEnd();
   WriteLog(
--- a/src/app/gateway_cmd.h
+++ b/src/app/gateway_cmd.h
@@ -9,7 +9,8 @@
 /** Command-line settings; the others come from the platform's file. */
 struct GatewayFlags
 {
-  std::string logLevel_ = "info"; ///< Name of a LogLevel.
+  std::string logLevel_ = "info";   ///< Name of a LogLevel.
+  std::string placement_ = "count"; ///< Name of a PlacementMode.
 };
 
 /** Adds the gateway's flags to a command. */
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -240,7 +240,6 @@
   const std::uint64_t backend = ChooseBackend(aStep, *run, part, true);
   double repeatedError = 0.0;
   const bool wanted = attempt->cost_ == nullptr || backend == 0 ||
-
                       IsHedgeWorthwhile(state,
                                         *run,
                                         *attempt,
--- a/src/gateway/cost_model.cpp
+++ b/src/gateway/cost_model.cpp
@@ -24,7 +24,7 @@
 constexpr float kKeyWeight = 512.0F;
 constexpr float kCellWeight = 64.0F;
 /** Weight of the coarser distribution in that of a feature. */
-constexpr double kPriorWeight = 4.0;
+constexpr double kPriorWeight = 2.0;
 constexpr double kUnknownErrorWeight = 8.0;
 constexpr Duration kCellHalfLife = std::chrono::seconds(60);
 constexpr double kServiceGain = 0.02;
--- a/src/gateway/cost_placement.cpp
+++ b/src/gateway/cost_placement.cpp
@@ -19,7 +19,7 @@
 constexpr double kPauseShare = 0.04;
 /** Without reports the usual number fades too: a server that was avoided for
  * its reports is tried again. */
-constexpr Duration kOthersHalfLife = milliseconds(300);
+constexpr Duration kOthersHalfLife = milliseconds(400);
 /** Work left of a request of another daemon, as a share of the mean. */
 constexpr double kOthersRest = 0.75;
 constexpr double kSpeedFloor = 0.5;
@@ -45,10 +45,13 @@
  */
 constexpr double kEarliestCheck = 0.4;
 /** A hedge must be expected to be this much faster. */
-constexpr double kHedgeMargin = 1.0;
+constexpr double kHedgeMargin = 1.5;
 /** The same if the first server may miss the objective: gain in the probability
  * of an answer in time. */
 constexpr double kHedgeGain = 0.1;
+/** A server with a longer wait, as a share of the work, has no free slot. */
+constexpr double kFreeWaitShare = 0.5;
+constexpr double kSurePause = 0.5;
 /** Weight of a sample that may contain a pause. */
 constexpr double kUncertainWeight = 0.25;
 /** Less of the distribution is left beyond the age of an attempt without an
@@ -298,7 +301,7 @@
                 double aAhead)
 {
   const double perMicro =
-    aBackend.inFlight_ / std::max(aEstimate.work_ * aEstimate.speed_, 1.0) +
+    aBackend.inFlight_ / std::max(aEstimate.Total(), 1.0) +
     aBackend.opening_ / Micros(kNewConnectionCost);
   if (perMicro > 0.0) {
     return aAhead / perMicro;
@@ -358,12 +361,18 @@
   const double beyond = MeanBeyond(error, age);
   const double rest =
     std::max((beyond - age) * expected / 1000.0, pause * progress.silent_);
-  aRepeatedError = pause < 0.5 ? beyond : 0.0;
+  aRepeatedError = pause < kSurePause ? beyond : 0.0;
   const double repeated =
     std::max(cost.repeatable_ * (1.0 - pause) * (beyond - error.mean_), 0.0);
-  const double second =
-    EstimatePlacement(aState, aSecond, aAttempt.estimate_.work_, aNow).Total() /
-    1000.0;
+  const PlacementEstimate estimate =
+    EstimatePlacement(aState, aSecond, aAttempt.estimate_.work_, aNow);
+  // Under overload a hedge takes the capacity of a first send.
+  const bool isScarce = !aState.services_[aSecond.service_].queue_.empty() ||
+                        estimate.wait_ > kFreeWaitShare * estimate.work_;
+  if (isScarce && pause < kSurePause) {
+    return false;
+  }
+  const double second = estimate.Total() / 1000.0;
   if (rest > kHedgeMargin * second * (error.mean_ + repeated)) {
     return true;
   }
--- a/src/ops/gateway_metrics.cpp
+++ b/src/ops/gateway_metrics.cpp
@@ -38,6 +38,7 @@
   { "camphorfield_gateway_far_sends_total",        "Sends to servers of other failure domains",   &GatewayStats::crossDomainSends_ },
   { "camphorfield_gateway_budget_denied_total",    "Hedges and retries that the budget denied",   &GatewayStats::budgetDenied_ },
   { "camphorfield_gateway_connects_total",         "Connections to servers asked for",            &GatewayStats::connects_ },
+  { "camphorfield_gateway_abandoned_total",        "Unneeded requests left to finish at servers", &GatewayStats::abandoned_ },
   { "camphorfield_gateway_shed_total",             "Answers of servers that say not run",         &GatewayStats::shed_ },
   { "camphorfield_gateway_ejections_total",        "Servers set aside",                           &GatewayStats::ejections_ },
   { "camphorfield_gateway_garbled_total",          "Answers that belong to no request",           &GatewayStats::garbled_ },
@@ -147,6 +148,32 @@
            static_cast<double>(CountDroppedLines()));
 }
 
+/** Histogram of observed by expected answer times; empty by count. */
+prometheus::MetricFamily
+MakePlacementErrors(const PlacementState& aState)
+{
+  prometheus::MetricFamily family;
+  family.name = "camphorfield_gateway_placement_error";
+  family.help = "Observed by expected answer time of requests to servers";
+  family.type = prometheus::MetricType::Histogram;
+  prometheus::ClientMetric metric;
+  std::uint64_t count = 0;
+  for (std::size_t i = 0; i < aState.errorCounts_.size(); ++i) {
+    count += aState.errorCounts_[i];
+    metric.histogram.bucket.push_back(
+      { count,
+        i < kCostErrorBounds.size()
+          ? kCostErrorBounds[i]
+          : std::numeric_limits<double>::infinity() });
+  }
+  metric.histogram.sample_count = count;
+  metric.histogram.sample_sum = aState.errorSum_;
+  if (count > 0) {
+    family.metric.push_back(std::move(metric));
+  }
+  return family;
+}
+
 } // namespace
 
 std::string
@@ -181,6 +208,7 @@
     }
   }
   families.push_back(std::move(latency));
+  families.push_back(MakePlacementErrors(state.placement_));
   std::ostringstream text;
   prometheus::TextSerializer().Serialize(text, families);
   return text.str();
--- a/tests/gateway/placement_fixture.cpp
+++ b/tests/gateway/placement_fixture.cpp
@@ -175,6 +175,8 @@
       PreparePausingShards,
       { Load(kQuery, 60, milliseconds(28)) },
       {} },
+    // The servers of a shard can run 207 queries a second.
+    { "twice", PrepareShards, { Load(kQuery, 415, milliseconds(28)) }, {} },
     { "flips",
       PrepareFlips,
       { Load(kCheap, 200, milliseconds(8)), Load(kDear, 60, milliseconds(60)) },
@@ -281,12 +283,11 @@
     mean.kinds_.resize(run.kinds_.size());
     for (std::size_t i = 0; i < run.kinds_.size(); ++i) {
       mean.kinds_[i].target_ = run.kinds_[i].target_;
-      for (double PlacementFigures::*value :
-           { &PlacementFigures::p50_,
-             &PlacementFigures::p99_,
-             &PlacementFigures::onTime_,
-             &PlacementFigures::quality_,
-             &PlacementFigures::goodput_ }) {
+      for (double PlacementFigures::*value : { &PlacementFigures::p50_,
+                                               &PlacementFigures::p99_,
+                                               &PlacementFigures::onTime_,
+                                               &PlacementFigures::quality_,
+                                               &PlacementFigures::goodput_ }) {
         AddShare(mean.kinds_[i].*value, run.kinds_[i].*value, aSeeds);
       }
     }
