--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -5,9 +5,16 @@
 #include "core/pool.h"
 #include "core/rng_type.h"
 #include "core/timer_heap.h"
+#include "gateway/backend_work.h"
+#include "gateway/carried_ids.h"
+#include "gateway/cold_server.h"
+#include "gateway/cost_model.h"
+#include "gateway/evacuation.h"
+#include "gateway/fair_admission.h"
 #include "gateway/gateway_const.h"
 #include "gateway/gateway_type.h"
 #include "gateway/organisation.h"
+#include "gateway/organisation_stats.h"
 #include "gateway/rate_cap.h"
 #include "gateway/rate_limit.h"
 #include "gateway/retry_budget.h"
@@ -44,12 +51,15 @@
   bool partial_ = true;   ///< Partial answers just before the objective.
   bool admission_ = true; ///< Reject requests beyond the window.
   bool placement_ = true; ///< Choose by estimated latency; off: ignore it.
+  PlacementMode mode_ = PlacementMode::Count;
+  bool fair_ = true; ///< Divide full windows among organisations.
 };
 
 /** Settings of this daemon and limits of the platform. */
 struct GatewaySettings
 {
   std::string failureDomain_;
+  std::map<std::string, std::string> regionOf_; ///< By failure domain.
   double cpuShare_ = 1.0; ///< Processor share of this daemon, in cores.
   BudgetLimits budget_;
   GatewayPolicy policy_;
@@ -59,6 +69,10 @@
   Duration configApply_{};
   DaemonId self_;
   CapTolerance capTolerance_; ///< Rates of organisations.
+  /** Bound on the requests that reach a cold server in a second; both zero: no
+   * limit, whatever the configuration says. See MakeColdRate. */
+  double warmupOverage_ = 0.0;
+  double warmupSlack_ = 0.0;
 };
 
 /** State of a connection to a backend server. */
@@ -76,11 +90,13 @@
   std::uint64_t key_ = 0; ///< Value of its ConnectionId.
   std::uint64_t backend_ = 0;
   BackendConnState state_ = BackendConnState::Opening;
-  bool used_ = false;      ///< It has carried at least one answer.
-  bool echoesIds_ = false; ///< An answer on it had the request's id.
+  bool used_ = false; ///< It has carried at least one answer.
+  TimePoint openedAt_{};
   TimePoint usedAt_{};
-  TimePoint expiresAt_ = kNever; ///< When to close it if still idle.
-  std::uint64_t attempt_ = 0;    ///< Busy: the attempt in flight.
+  TimePoint expiresAt_ = kNever;  ///< When to close it if still idle.
+  std::uint64_t attempt_ = 0;     ///< Busy: the attempt in flight.
+  std::uint64_t requestHash_ = 0; ///< Of the id sent last; zero: no id.
+  CarriedIds carried_;
 };
 
 /** One incarnation of a backend server. */
@@ -110,12 +126,24 @@
   ReportedLoad load_;
   TimePoint loadAt_{};
   RateLimit rateLimit_;
-  bool leaving_ = false; ///< It said so in an answer.
-  bool crashed_ = false; ///< Cleared when a connection opens again.
+  bool echoesIds_ = false; ///< An answer had its request's id.
+  bool leaving_ = false;   ///< It said so in an answer.
+  bool crashed_ = false;   ///< Cleared when a connection opens again.
   /** Ends after which it accepted connections again, before its next entry was
    * known. */
   std::uint64_t restarts_ = 0;
   TimePoint pausedUntil_{}; ///< It wants no requests before.
+  bool evacuated_ = false;  ///< Its failure domain is.
+  ColdPhase cold_;
+  BackendWork work_; ///< PlacementMode::Cost only.
+};
+
+/** What an incarnation said of itself, while no entry lists it. */
+struct KeptGuidance
+{
+  TimePoint pausedUntil_{};
+  RateLimit rateLimit_;
+  TimePoint keptUntil_{};
 };
 
 /** Order of waiting parts: late requests last, then by priority, then by time;
@@ -128,10 +156,14 @@
 {
   std::string name_;
   std::uint32_t maxConnections_ = 1;
-  bool configured_ = false; ///< Used by a route of the configuration.
+  Duration warmup_{};            ///< See GatewayService.
+  double warmupPerSecond_ = 0.0; ///< Limit in force; zero: none.
+  bool configured_ = false;      ///< Used by a route of the configuration.
   std::vector<std::uint64_t> backends_; ///< Listed incarnations.
   std::set<QueueKey> queue_;
   RetryBudget budget_;
+  /** When rejected callers return that were told a slot of cold servers. */
+  std::multiset<TimePoint> coldPromises_;
   TimePoint wakeAt_{};  ///< Time of the latest QueueWake timer.
   bool marked_ = false; ///< Its queue is dispatched at the end of the step.
 };
@@ -165,6 +197,7 @@
   double answerTimeSum_ = 0.0; ///< Sum of all answer times, seconds.
   Duration callerTimeout_{};   ///< Longest recent timeout of a caller.
   TimePoint callerTimeoutAt_{};
+  FairAdmission fair_;
 };
 
 /** State of one shard of a query, or of a plain request. */
@@ -190,6 +223,7 @@
   std::vector<std::uint64_t> tried_; ///< Servers, in the order of the sends.
   std::string proof_;
   std::string body_;
+  PlacementNote note_; ///< Of its latest send; PlacementMode::Cost only.
 };
 
 /** Fingerprints under which evidence on a request is kept. */
@@ -219,6 +253,7 @@
   std::uint64_t cap_ = 0;      ///< Whose token it has; zero: none.
   bool revoked_ = false; ///< Its key is no longer valid: nothing more is sent.
   ContentKeys content_{};
+  std::uint64_t requestHash_ = 0; ///< Of its id; zero: it has none.
   TimePoint arrivedAt_{};
   Duration waitedBefore_{}; ///< Since the caller's first attempt.
   TimePoint deadline_{};
@@ -232,6 +267,7 @@
   bool late_ = false; ///< Past softAt_ without enough parts.
   std::vector<RequestPart> parts_;
   BackendAnswer failure_; ///< Latest complete answer that was a failure.
+  std::shared_ptr<const CostEstimate> cost_; ///< PlacementMode::Cost only.
 };
 
 /** A request that waits for a token of its organisation's rate. */
@@ -253,6 +289,12 @@
   TimePoint sentAt_{};
   Duration expected_{}; ///< Median latency of the route when it was sent.
   bool hedge_ = false;
+  std::shared_ptr<const CostEstimate> cost_{}; ///< PlacementMode::Cost only.
+  PlacementEstimate estimate_{};               ///< When it was sent.
+  /** Of a hedge: time in thousandths of the expected one, if the delay on the
+   * first server is due to the request alone; zero: unknown. */
+  double repeatedError_ = 0.0;
+  bool abandoned_ = false; ///< Unneeded, left to finish; it has no run.
 };
 
 /** Content that was in flight when servers crashed. */
@@ -304,7 +346,8 @@
   std::uint64_t crossDomainSends_ = 0; ///< To servers of other failure domains.
   std::uint64_t budgetDenied_ = 0;
   std::uint64_t connects_ = 0;
-  std::uint64_t shed_ = 0; ///< Answers that report "not run".
+  std::uint64_t abandoned_ = 0; ///< Unneeded attempts left to finish.
+  std::uint64_t shed_ = 0;      ///< Answers that report "not run".
   std::uint64_t ejections_ = 0;
   std::uint64_t garbled_ = 0; ///< Invalid or unrequested answers.
   std::uint64_t leavings_ =
@@ -319,6 +362,26 @@
   /** Unknown keys rejected as not ready, because the tables were stale. */
   std::uint64_t staleKeyRejections_ = 0;
   std::uint64_t revokedRuns_ = 0; ///< Requests whose key was withdrawn.
+  std::uint64_t evacuations_ = 0; ///< Evacuations that have begun.
+  /** Waiting parts that failed because all their servers are evacuated. */
+  std::uint64_t evacuatedParts_ = 0;
+  std::uint64_t coldPhases_ = 0; ///< Times that a server became cold.
+  std::uint64_t coldSends_ = 0;  ///< Requests sent to cold servers.
+};
+
+/** Upper bounds of the histogram of observed by expected answer times. */
+constexpr std::array<double, 9> kCostErrorBounds{ 0.25, 0.5, 0.75, 1.0, 1.5,
+                                                  2.0,  3.0, 5.0,  10.0 };
+
+/** Learned state of PlacementMode::Cost. */
+struct PlacementState
+{
+  CostModel costs_;
+  PlacementEstimate chosen_; ///< Of the latest choice, until it is sent.
+  PlacementNote note_;       ///< Of the latest choice, until it is sent.
+  /** Answers per bound; the last counter is beyond all bounds. */
+  std::array<std::uint64_t, kCostErrorBounds.size() + 1> errorCounts_{};
+  double errorSum_ = 0.0;
 };
 
 /** State of the gateway. */
@@ -335,6 +398,8 @@
   /** When servers said that they leave, by id and start. The store may list
    * them as ready again. */
   std::map<std::pair<std::string, std::int64_t>, TimePoint> leavingSince_;
+  /** By id and start, of servers whose entries are missing. */
+  std::map<std::pair<std::string, std::int64_t>, KeptGuidance> keptGuidance_;
   TimePoint malformedGuidanceLogAt_{}; ///< Earliest time of the next line.
   std::unordered_map<std::string, ServiceNumber> serviceNumber_;
   std::map<std::string, RouteLoad> loads_; ///< By name of the route.
@@ -360,7 +425,14 @@
   std::uint64_t sendsAtCpuLoad_ = 0; ///< Sends counted at cpuLoadAt_.
   PlannedStop stop_;
   bool preconnect_ = true; ///< Open connections ahead of requests.
+  Evacuations evacuations_;
+  ColdPlan coldPlan_;
+  /** Cold phases of servers that are not listed at the moment, by id and start:
+   * an entry may be malformed for a while. */
+  std::map<std::pair<std::string, std::int64_t>, ColdPhase> unlistedCold_;
   GatewayStats stats_;
+  PlacementState placement_;
+  std::map<std::string, OrganisationStats> organisationStats_; ///< By name.
 };
 
 } // namespace camphorfield
--- a/src/gateway/gateway_func.h
+++ b/src/gateway/gateway_func.h
@@ -6,6 +6,8 @@
 #include "machine/event_type.h"
 
 #include <cstdint>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace camphorfield {
@@ -53,6 +55,18 @@
                     Rng& aRng,
                     GatewayDecisions& aOut);
 
+/**
+ * Replaces the set of evacuated failure domains. Their servers get no further
+ * requests; requests in flight are completed.
+ * @return The domains that are new in the set, or no longer in it.
+ */
+EvacuationChange
+GatewayAdoptEvacuations(GatewayState& aState,
+                        const std::set<std::string>& aDomains,
+                        const Now& aNow,
+                        Rng& aRng,
+                        GatewayDecisions& aOut);
+
 /** Applies this daemon's role: its shares of connections and retry budget, and
  * whether connections are opened ahead of requests. */
 void
@@ -61,13 +75,15 @@
 /**
  * Joins another daemon's evidence on content that crashes servers.
  * @param aFingerprint Hash of the content.
+ * @param aLeft Time until the evidence expires, if that is known.
  * @return Whether the content is quarantined from now on.
  */
 bool
 GatewayAdoptSuspect(GatewayState& aState,
                     std::uint64_t aFingerprint,
                     const CrashEvidence& aEvidence,
-                    const Now& aNow);
+                    const Now& aNow,
+                    Duration aLeft = Duration::max());
 
 /** Rejects or forwards a request. Each gets exactly one ProxyAnswer, unless its
  * caller leaves. */
@@ -135,6 +151,10 @@
 TimePoint
 GatewayNextWake(const GatewayState& aState);
 
+/** Number of servers that are cold and whose services have a limit. */
+std::size_t
+CountColdServers(const GatewayState& aState);
+
 /** Estimated share of this daemon's processor in use, per mille. */
 std::uint32_t
 GatewayCpuLoad(const GatewayState& aState);
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -47,6 +48,8 @@
   std::uint32_t topRecords_ = 0;    ///< Queries: records in the answer.
   double minCoverage_ = 0.0;        ///< Queries: least share of shards.
   bool public_ = false;             ///< Requests need no key.
+  /** Regions whose servers may get its requests; empty: all. */
+  std::set<std::string> allowedRegions_;
 
   bool IsQuery() const { return !shards_.empty(); }
 };
@@ -56,6 +59,10 @@
 {
   std::string name_;
   std::uint32_t maxConnections_ = 1; ///< Per server, over all daemons.
+  Duration warmup_{}; ///< Length of a server's cold phase after its start.
+  /** Requests a second that a cold server takes from all daemons together;
+   * zero: no limit. */
+  double warmupPerSecond_ = 0.0;
 };
 
 /** A customer whose callers share keys, a priority and a rate. */
@@ -257,6 +264,8 @@
 {
   ConnectionId connection_;
   std::uint64_t backend_ = 0; ///< Key of its server.
+  /** Hash of the id of the request sent last on it; zero: it had none. */
+  std::uint64_t requestHash_ = 0;
 };
 
 /** Event: answer to a request that was cancelled. */
@@ -264,6 +273,7 @@
 {
   std::uint64_t backend_ = 0; ///< Key of the server.
   BackendAnswer answer_;
+  std::uint64_t requestHash_ = 0; ///< As in BackendDisconnect.
 };
 
 /** Log record of a finished request. */
--- a/src/gateway/request_admit.cpp
+++ b/src/gateway/request_admit.cpp
@@ -6,6 +6,9 @@
 #include "gateway/gateway_internal.h"
 #include "gateway/route_match.h"
 
+#include "core/hash_func.h"
+
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -139,6 +142,74 @@
   RejectRequest(aStep, aRequest, ProxyCode::NotReady, &aRoute, detail);
 }
 
+FairSender
+MakeFairSender(const GatewayState& aState,
+               const Sender& aSender,
+               const GatewayRoute& aRoute)
+{
+  FairSender fair;
+  fair.priority_ = aRoute.priority_;
+  if (aSender.organisation_ != kNoOrganisation) {
+    const Organisation& organisation =
+      (*aState.config_->organisations_)[aSender.organisation_];
+    fair.organisation_ = HashText(organisation.name_);
+    fair.weight_ = organisation.perSecond_;
+    fair.priority_ = organisation.priority_.value_or(aRoute.priority_);
+  }
+  return fair;
+}
+
+/** Rejects a request that finds the window of its route full; false if it may
+ * run. */
+bool
+RejectIfFull(GatewayStep& aStep,
+             const ProxyRequest& aRequest,
+             const GatewayRoute& aRoute,
+             const Sender& aSender)
+{
+  GatewayState& state = aStep.state_;
+  if (!state.settings_.policy_.admission_) {
+    return false;
+  }
+  RouteLoad& load = state.loads_[aRoute.name_];
+  const double guaranteed = GuaranteedWindow(state, aRoute);
+  if (!state.organisations_.configured_ || !state.settings_.policy_.fair_) {
+    if (IsAdmitted(load, guaranteed)) {
+      return false;
+    }
+    RejectRequest(aStep, aRequest, ProxyCode::Overloaded, &aRoute);
+    return true;
+  }
+  const FairSender sender = MakeFairSender(state, aSender, aRoute);
+  const FairVerdict verdict =
+    IsFairlyAdmitted(load.fair_,
+                     sender,
+                     load.inFlight_,
+                     std::max(load.window_, guaranteed),
+                     aStep.Time());
+  if (verdict.admitted_) {
+    return false;
+  }
+  RejectionDetail detail;
+  if (aSender.organisation_ != kNoOrganisation) {
+    detail.organisation_ =
+      (*state.config_->organisations_)[aSender.organisation_].name_;
+  }
+  detail.notBefore_ = ChooseFairReturn(load.fair_,
+                                       verdict,
+                                       ChooseRetryAfter(aRoute, aStep.rng_),
+                                       aStep.Time(),
+                                       aStep.rng_);
+  detail.reason_ = absl::StrCat("in flight ",
+                                load.inFlight_,
+                                " of ",
+                                std::floor(load.window_),
+                                verdict.entitled_ ? ", below" : ", above",
+                                " its part");
+  RejectRequest(aStep, aRequest, ProxyCode::Overloaded, &aRoute, detail);
+  return true;
+}
+
 GatewayRun&
 MakeRun(GatewayStep& aStep,
         const ProxyRequest& aRequest,
@@ -156,6 +227,8 @@
   run.message_ = aRequest.message_;
   run.caller_ = aRequest.caller_;
   run.content_ = aContent;
+  const std::string& requestId = aRequest.message_->requestId_;
+  run.requestHash_ = requestId.empty() ? 0 : HashText(requestId);
   run.keyDigest_ = aSender.keyDigest_;
   run.organisation_ = aSender.organisation_;
   run.priority_ = aRoute.priority_;
@@ -178,6 +251,11 @@
   }
   AddParts(state, run);
   ++run.load_->inFlight_;
+  ++run.load_->fair_.inFlight_[FairClass(run.priority_)];
+  if (state.organisations_.configured_) {
+    CountFairUse(
+      run.load_->fair_, MakeFairSender(state, aSender, aRoute), aStep.Time());
+  }
   state.runOf_[run.id_] = run.key_;
   return run;
 }
@@ -197,9 +275,10 @@
     const GatewayServiceState& service = aStep.state_.services_[part.service_];
     // The others suffice, see TimeUntilEnoughRoom.
     if (aRun.route_->IsQuery() &&
-        TimeUntilRoom(
-          aStep.state_, service, service.queue_.size(), aStep.Time()) >
-          aRun.softAt_ - aStep.Time()) {
+        (!HasAllowedServer(aStep.state_, *aRun.route_, service) ||
+         TimeUntilRoom(
+           aStep.state_, service, service.queue_.size(), aStep.Time()) >
+           aRun.softAt_ - aStep.Time())) {
       part.phase_ = PartPhase::Failed;
       ++aRun.failed_;
       continue;
@@ -217,8 +296,10 @@
   return static_cast<std::uint32_t>(std::count_if(
     aRun.parts_.begin(),
     aRun.parts_.end(),
-    [&aState, aNow](const RequestPart& aPart) {
-      return IsServiceDown(aState, aState.services_[aPart.service_], aNow);
+    [&aState, &aRun, aNow](const RequestPart& aPart) {
+      const GatewayServiceState& service = aState.services_[aPart.service_];
+      return IsServiceDown(aState, service, aNow) ||
+             !HasAllowedServer(aState, *aRun.route_, service);
     }));
 }
 
@@ -233,14 +314,27 @@
   waits.reserve(aRun.parts_.size());
   for (const RequestPart& part : aRun.parts_) {
     const GatewayServiceState& service = aState.services_[part.service_];
+    // A caller that returns was promised room before those that follow.
     waits.push_back(
-      TimeUntilRoom(aState, service, service.queue_.size(), aNow));
+      aRun.waitedBefore_ > Duration::zero()
+        ? TimeUntilRoom(aState, service, service.queue_.size(), aNow)
+        : TimeUntilUnpromisedRoom(aState, service, aNow));
   }
   const auto last = waits.begin() + (aRun.needed_ - 1);
   std::nth_element(waits.begin(), last, waits.end());
   return *last;
 }
 
+/** Longest time that a request waits for room at servers. Those that are late
+ * already would wait for cold servers until their deadline. */
+Duration
+LongestWait(const GatewayRun& aRun, bool aCold, TimePoint aNow)
+{
+  const Duration left = aRun.softAt_ - aNow;
+  const Duration objective = aRun.route_->objective_;
+  return aCold && objective.count() > 0 ? std::min(left, objective) : left;
+}
+
 } // namespace
 
 std::optional<std::string>
@@ -330,11 +424,14 @@
   }
   RouteLoad& load = state.loads_[route->name_];
   const Duration waited = TimeSinceFirstAttempt(aRequest, load, now);
-  if (state.settings_.policy_.admission_ &&
-      !IsAdmitted(load, GuaranteedWindow(state, *route))) {
-    reject(ProxyCode::Overloaded);
+  // With cold servers, the time until they have room is known.
+  const bool cold = HasColdShard(state, *route, now);
+  if (!cold && RejectIfFull(aStep, aRequest, *route, sender)) {
+    ReturnToken(aStep, aCap);
     return;
   }
+  const bool admitted = !cold || !state.settings_.policy_.admission_ ||
+                        IsAdmitted(load, GuaranteedWindow(state, *route));
   if (aCap == 0 && sender.organisation_ != kNoOrganisation) {
     RateCap* cap = FindCap(
       state.caps_, (*state.config_->organisations_)[sender.organisation_]);
@@ -351,9 +448,10 @@
     return;
   }
   const Duration wait = TimeUntilEnoughRoom(state, run, now);
-  if (wait > run.softAt_ - now) {
+  if (!admitted || wait > LongestWait(run, cold, now)) {
     ++state.stats_.limitRejections_;
-    FinishFailed(aStep, run, ProxyCode::NoServer, wait);
+    FinishFailed(
+      aStep, run, ProxyCode::NoServer, PromiseColdSlot(state, run, wait, now));
     return;
   }
   StartRun(aStep, run);
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -37,6 +37,37 @@
   }
 }
 
+/** Expected work of the latest send, then for the chosen server and for the
+ * others the expected time and the part of it that is work ahead. */
+void
+AppendPlacement(const GatewayState& aState,
+                const PlacementNote& aNote,
+                std::string& aText)
+{
+  if (aNote.work_ == 0.0F) {
+    return;
+  }
+  const auto whole = [](float aMicros) {
+    return static_cast<std::int64_t>(aMicros);
+  };
+  absl::StrAppend(&aText, " expected work ", whole(aNote.work_), " us:");
+  for (std::size_t i = 0; i < kNotedCandidates; ++i) {
+    const std::uint64_t key = aNote.servers_[i];
+    if (key == 0) {
+      continue;
+    }
+    const Backend& backend = aState.backends_.slots_[key & kSlotMask];
+    absl::StrAppend(&aText,
+                    i == 0 ? " chosen " : ", ",
+                    backend.key_ == key ? backend.entry_.id_ : "gone",
+                    " ",
+                    whole(aNote.total_[i]),
+                    " us with ",
+                    whole(aNote.wait_[i]),
+                    " ahead");
+  }
+}
+
 void
 AppendPart(const GatewayState& aState,
            const RequestPart& aPart,
@@ -59,6 +90,17 @@
     absl::StrAppend(
       &aText, " ", backend.key_ == key ? backend.entry_.id_ : "gone");
   }
+  AppendPlacement(aState, aPart.note_, aText);
+}
+
+/** Counts an outcome for its organisation, if it has one. */
+void
+CountOrganisation(GatewayState& aState, const RequestRecord& aRecord)
+{
+  if (!aRecord.organisation_.empty()) {
+    CountOutcome(aState.organisationStats_[aRecord.organisation_],
+                 aRecord.code_);
+  }
 }
 
 void
@@ -83,6 +125,7 @@
       AppendPart(aStep.state_, part, record.reason_);
     }
   }
+  CountOrganisation(aStep.state_, record);
   aStep.out_.emplace_back(std::move(record));
 }
 
@@ -105,6 +148,21 @@
   CloseRun(aStep, aRun);
 }
 
+/** Least time until a request's evacuated servers may return. */
+Duration
+TimeUntilReturn(const GatewayState& aState, const GatewayRun& aRun)
+{
+  const bool evacuated =
+    !aState.evacuations_.since_.empty() &&
+    std::any_of(aRun.parts_.begin(),
+                aRun.parts_.end(),
+                [&aState](const RequestPart& aPart) {
+                  return IsServiceEvacuated(aState,
+                                            aState.services_[aPart.service_]);
+                });
+  return evacuated ? kRetryAfterEvacuated : Duration::zero();
+}
+
 // A request counts as not run only if no server can have started it: an attempt
 // in flight or broken off may have run.
 bool
@@ -143,6 +201,7 @@
     ReturnToken(aStep, aRun.cap_);
   }
   --aRun.load_->inFlight_;
+  --aRun.load_->fair_.inFlight_[FairClass(aRun.priority_)];
   state.runOf_.erase(aRun.id_);
   const std::uint64_t key = aRun.key_;
   aRun = GatewayRun{};
@@ -188,8 +247,9 @@
   answer.code_ = aCode;
   if (!MayHaveRun(aRun)) {
     answer.code_ = aRun.sends_ > 0 ? ProxyCode::NotRun : ProxyCode::NoServer;
-    answer.retryAfter_ =
-      std::max(aNotBefore, ChooseRetryAfter(*aRun.route_, aStep.rng_));
+    answer.retryAfter_ = std::max({ aNotBefore,
+                                    ChooseRetryAfter(*aRun.route_, aStep.rng_),
+                                    TimeUntilReturn(aStep.state_, aRun) });
   }
   Finish(aStep, aRun, std::move(answer));
 }
@@ -255,6 +315,7 @@
   if (!aDetail.reason_.empty()) {
     record.reason_ = aDetail.reason_;
   }
+  CountOrganisation(aStep.state_, record);
   record.version_ =
     aStep.state_.config_ == nullptr ? 0 : aStep.state_.config_->version_;
   aStep.out_.emplace_back(std::move(record));
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,7 @@
 #include "cli/operator_cmd.h"
 #include "cli/settings_cmd.h"
 #include "settings_file.h"
+#include "settings_table.h"
 
 #include <CLI/CLI.hpp>
 #include <iostream>
@@ -92,7 +93,8 @@
 
   app.add_subcommand("settings", "Print all settings as a page")
     ->callback([&app]() {
-      std::cout << RenderSettings(app) << platform::DescribeLimits();
+      std::cout << RenderSettings(app) << platform::DescribeLimits()
+                << platform::RenderSettingsFile();
     });
 
   ExplainFlags explainFlags;
--- a/src/ops/gateway_metrics.cpp
+++ b/src/ops/gateway_metrics.cpp
@@ -2,7 +2,9 @@
 // failing servers.
 #include "ops/gateway_metrics.h"
 
+#include "gateway/gateway_func.h"
 #include "observe/log.h"
+#include "ops/organisation_metrics.h"
 #include "table/proxy_table.h"
 
 #include <limits>
@@ -16,6 +18,9 @@
 
 namespace {
 
+/** Label values are bounded: anyone may write objects to the store. */
+constexpr std::size_t kMaxDomainsShown = 32;
+
 /** Counter without labels. */
 struct CounterRow
 {
@@ -38,6 +43,7 @@
   { "camphorfield_gateway_far_sends_total",        "Sends to servers of other failure domains",   &GatewayStats::crossDomainSends_ },
   { "camphorfield_gateway_budget_denied_total",    "Hedges and retries that the budget denied",   &GatewayStats::budgetDenied_ },
   { "camphorfield_gateway_connects_total",         "Connections to servers asked for",            &GatewayStats::connects_ },
+  { "camphorfield_gateway_abandoned_total",        "Unneeded requests left to finish at servers", &GatewayStats::abandoned_ },
   { "camphorfield_gateway_shed_total",             "Answers of servers that say not run",         &GatewayStats::shed_ },
   { "camphorfield_gateway_ejections_total",        "Servers set aside",                           &GatewayStats::ejections_ },
   { "camphorfield_gateway_garbled_total",          "Answers that belong to no request",           &GatewayStats::garbled_ },
@@ -46,6 +52,10 @@
   { "camphorfield_gateway_malformed_guidance_total", "Answers of servers with unreadable guidance", &GatewayStats::malformedGuidance_ },
   { "camphorfield_gateway_limits_total",           "Times that a server began to name a limit",   &GatewayStats::limits_ },
   { "camphorfield_gateway_limit_rejections_total", "Requests rejected for limits of servers",     &GatewayStats::limitRejections_ },
+  { "camphorfield_gateway_evacuations_total",      "Evacuations of failure domains begun",        &GatewayStats::evacuations_ },
+  { "camphorfield_gateway_evacuated_parts_total",  "Waiting parts that lost all servers to evacuations", &GatewayStats::evacuatedParts_ },
+  { "camphorfield_gateway_cold_phases_total",      "Times that a server with a limit became cold", &GatewayStats::coldPhases_ },
+  { "camphorfield_gateway_cold_sends_total",       "Requests sent to cold servers",               &GatewayStats::coldSends_ },
   { "camphorfield_gateway_crashes_suspected_total", "Requests in flight when their server crashed",   &GatewayStats::crashesSuspected_ },
 };
 
@@ -125,6 +135,35 @@
     .Set(aValue);
 }
 
+void
+AddEvacuationGauges(prometheus::Registry& aRegistry, const GatewayHost& aHost)
+{
+  const GatewayState& state = aHost.State();
+  auto& domains = prometheus::BuildGauge()
+                    .Name("camphorfield_gateway_evacuated")
+                    .Help("Failure domains that are evacuated")
+                    .Register(aRegistry);
+  std::size_t shown = 0;
+  for (const auto& [domain, since] : state.evacuations_.since_) {
+    if (++shown > kMaxDomainsShown) {
+      break;
+    }
+    domains.Add({ { "domain", domain } }).Set(1.0);
+  }
+  AddGauge(aRegistry,
+           "camphorfield_gateway_evacuations_known",
+           "Whether the table of evacuations has been read, if there is one",
+           aHost.KnowsEvacuations() ? 1.0 : 0.0);
+  AddGauge(aRegistry,
+           "camphorfield_gateway_cold_servers",
+           "Servers with a limit that are cold",
+           static_cast<double>(CountColdServers(state)));
+  AddGauge(aRegistry,
+           "camphorfield_gateway_cold_owners",
+           "Daemons that share the slots of cold servers; 0: this one has none",
+           static_cast<double>(state.coldPlan_.owners_.size()));
+}
+
 void
 AddGauges(prometheus::Registry& aRegistry, const GatewayHost& aHost)
 {
@@ -168,12 +207,47 @@
            "camphorfield_gateway_holders",
            "Connections in the memory account",
            static_cast<double>(memory.holders_.size()));
+  AddGauge(aRegistry,
+           "camphorfield_gateway_evidence_calls",
+           "Calls to the store for crash evidence since the start",
+           static_cast<double>(aHost.Evidence().calls_));
+  AddGauge(aRegistry,
+           "camphorfield_gateway_evidence_calls_failed",
+           "Of these, refused, without an answer or in conflict",
+           static_cast<double>(aHost.Evidence().failedCalls_));
+  AddEvacuationGauges(aRegistry, aHost);
   AddGauge(aRegistry,
            "camphorfield_log_lines_dropped",
            "Lines not written since the start",
            static_cast<double>(CountDroppedLines()));
 }
 
+/** Histogram of observed by expected answer times; empty by count. */
+prometheus::MetricFamily
+MakePlacementErrors(const PlacementState& aState)
+{
+  prometheus::MetricFamily family;
+  family.name = "camphorfield_gateway_placement_error";
+  family.help = "Observed by expected answer time of requests to servers";
+  family.type = prometheus::MetricType::Histogram;
+  prometheus::ClientMetric metric;
+  std::uint64_t count = 0;
+  for (std::size_t i = 0; i < aState.errorCounts_.size(); ++i) {
+    count += aState.errorCounts_[i];
+    metric.histogram.bucket.push_back(
+      { count,
+        i < kCostErrorBounds.size()
+          ? kCostErrorBounds[i]
+          : std::numeric_limits<double>::infinity() });
+  }
+  metric.histogram.sample_count = count;
+  metric.histogram.sample_sum = aState.errorSum_;
+  if (count > 0) {
+    family.metric.push_back(std::move(metric));
+  }
+  return family;
+}
+
 } // namespace
 
 std::string
@@ -185,6 +259,7 @@
   AddCounterRows(registry, kSyncCounters, aHost.SyncStats());
   AddLimitCounters(registry, aHost.Memory());
   AddGauges(registry, aHost);
+  AddOrganisationMetrics(registry, state);
   std::vector<prometheus::MetricFamily> families = registry.Collect();
   prometheus::MetricFamily latency;
   latency.name = "camphorfield_gateway_request_seconds";
@@ -209,6 +284,7 @@
     }
   }
   families.push_back(std::move(latency));
+  families.push_back(MakePlacementErrors(state.placement_));
   std::ostringstream text;
   prometheus::TextSerializer().Serialize(text, families);
   return text.str();
--- a/src/runtime/backend_link.h
+++ b/src/runtime/backend_link.h
@@ -39,6 +39,7 @@
 
   void Connect(const BackendConnect& aConnect);
   void Send(const BackendSend& aSend);
+  /** Ends sending; reads for a moment longer if an answer is awaited. */
   void Disconnect(const BackendDisconnect& aDisconnect);
 
 private:
@@ -48,7 +49,8 @@
   boost::asio::io_context& context_;
   const GatewayCodec& codec_;
   BackendSink sink_;
-  MemoryAccount* account_; ///< Of answers and of requests not yet written.
+  MemoryAccount* account_;    ///< Of answers and of requests not yet written.
+  std::size_t lingering_ = 0; ///< Connections that only read.
   std::unordered_map<std::uint64_t, std::shared_ptr<class BackendLink>> links_;
 };
 
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -30,6 +30,18 @@
 /** After a longer suspension of the VM the tables are read anew. */
 constexpr Duration kMinSuspension = std::chrono::milliseconds(500);
 
+/** Kinds of the tables, in the order of their indices. */
+std::vector<std::string>
+MakeKinds(const GatewayHostSettings& aSettings)
+{
+  std::vector<std::string> kinds{ aSettings.configKind_,
+                                  aSettings.serversKind_ };
+  if (!aSettings.evacuationsKind_.empty()) {
+    kinds.push_back(aSettings.evacuationsKind_);
+  }
+  return kinds;
+}
+
 } // namespace
 
 GatewayHost::GatewayHost(const GatewayHostSettings& aSettings,
@@ -63,10 +75,17 @@
   , store_(aPool.At(0),
            adapter_.store_,
            aSettings.storeAddress_,
-           { aSettings.configKind_, aSettings.serversKind_ },
+           MakeKinds(aSettings),
            [this](std::size_t aTable, const TableChange& aChange) {
              OnTable(aTable, aChange);
            })
+  , evidence_(
+      aPool.At(0),
+      adapter_.evidence_,
+      aSettings.storeAddress_,
+      aSettings.storesEvidence_,
+      [this]() { return IsEvidenceKeeper(); },
+      [this](const EvidenceItems& aItems) { AdoptStoredEvidence(aItems); })
   , timer_(aPool.At(0).Context())
   , members_(MembershipMembers(membership_))
   , role_(MakeFleetRole(ReadClock().mono_))
@@ -85,6 +104,7 @@
   }
   pool_.At(0).Post([this]() {
     store_.Start();
+    evidence_.Start();
     OnTimer();
   });
   return absl::OkStatus();
@@ -156,6 +176,7 @@
         rumor.untilUnixMicros_ =
           ReadClock().unixMicros_ + Duration(kSuspectTtl).count();
         HandleMembershipEvent(SpreadRumor{ rumor });
+        evidence_.Record(aItem.fingerprint_, aItem.evidence_, true);
       } else if constexpr (std::is_same_v<Item, CapSend>) {
         SendCapMessage(aItem);
       } else if constexpr (std::is_same_v<Item, RequestRecord>) {
@@ -194,16 +215,47 @@
 GatewayHost::AdoptEvidence(const QuarantineRumor& aRumor)
 {
   const std::uint64_t fingerprint = aRumor.fingerprint_.value_;
+  evidence_.Record(fingerprint, aRumor.evidence_, false);
   if (GatewayAdoptSuspect(
         gateway_, fingerprint, aRumor.evidence_, ReadClock())) {
-    SuspicionRecord record;
-    record.event_ = SuspicionEvent::Quarantined;
-    record.fingerprint_ = fingerprint;
-    record.reason_ = "evidence of another daemon";
-    LogSuspicion(record);
+    LogQuarantine(fingerprint, "evidence of another daemon");
+  }
+}
+
+void
+GatewayHost::AdoptStoredEvidence(const EvidenceItems& aItems)
+{
+  const Now now = ReadClock();
+  for (const auto& [fingerprint, item] : aItems) {
+    if (GatewayAdoptSuspect(
+          gateway_,
+          fingerprint,
+          item.evidence_,
+          now,
+          Duration(item.untilUnixMicros_ - now.unixMicros_))) {
+      LogQuarantine(fingerprint, "evidence in the store");
+    }
   }
 }
 
+void
+GatewayHost::LogQuarantine(std::uint64_t aFingerprint, const char* aReason)
+{
+  SuspicionRecord record;
+  record.event_ = SuspicionEvent::Quarantined;
+  record.fingerprint_ = aFingerprint;
+  record.reason_ = aReason;
+  LogSuspicion(record);
+}
+
+// Any rule does on which daemons with the same view agree.
+bool
+GatewayHost::IsEvidenceKeeper() const
+{
+  return !stopping_ && !members_->empty() &&
+         members_->front().id_ == membership_.self_.id_;
+}
+
 void
 GatewayHost::SendToPeer(const SendPeer& aSend)
 {
@@ -414,8 +466,11 @@
     UpdateCapView();
     DropFollowersIfStale();
     RequestFeed();
-    if (DropLapsed(store_.Table(kServersTable), now).changed_) {
-      AdoptTables({ kServersTable });
+    EndServerWait();
+    for (std::size_t i = kServersTable; i < store_.Count(); ++i) {
+      if (DropLapsed(store_.Table(i), now).changed_) {
+        AdoptTables({ i });
+      }
     }
   }
   if (now >= MembershipNextWake(membership_)) {
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -10,6 +10,7 @@
 #include "machine/decision_type.h"
 #include "membership/membership_base.h"
 #include "runtime/backend_link.h"
+#include "runtime/evidence_store.h"
 #include "runtime/memory_account.h"
 #include "runtime/peer_link.h"
 #include "runtime/store_reader.h"
@@ -20,6 +21,7 @@
 #include <boost/fiber/future.hpp>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -30,6 +32,7 @@
 // Indices of the tables that are read from the store.
 constexpr std::size_t kConfigTable = 0;
 constexpr std::size_t kServersTable = 1;
+constexpr std::size_t kEvacuationsTable = 2; ///< Only where they are enabled.
 
 /** Settings of a GatewayHost. */
 struct GatewayHostSettings
@@ -43,6 +46,11 @@
   std::uint64_t seed_ = 0;   ///< Seed of the random number generator.
   std::uint64_t heldBytes_ = 256ULL << 20U; ///< Limit of the memory account.
   std::uint32_t maxPeerConnections_ = 0;    ///< Accepted ones; 0: no bound.
+  bool storesEvidence_ = false; ///< Keep crash evidence in the store.
+  /** Kind of the objects named after evacuated domains; empty: not read. */
+  std::string evacuationsKind_;
+  /** An evacuation is in force within this time where it can be known. */
+  Duration evacuateWithin_{};
 };
 
 /** Conversions that the platform's adapter provides. */
@@ -54,6 +62,7 @@
     const std::string& aText);
   absl::StatusOr<BackendEntry> (*decodeServer_)(const std::string& aId,
                                                 const std::string& aText);
+  EvidenceCodec evidence_;
 };
 
 /** Bytes sent to other daemons since the process started. */
@@ -117,6 +126,9 @@
    * and isn't stopping. */
   bool IsReady() const;
 
+  /** Whether evacuations are followed and their table has been read. */
+  bool KnowsEvacuations() const { return evacuationsKnown_; }
+
   /** Stops being ready, announces the shutdown to the other daemons and answers
    * all requests in time. */
   void BeginStop(const PlannedStop& aStop);
@@ -135,6 +147,7 @@
     return store_.UnreadableValues();
   }
   const TableSyncStats& SyncStats() const { return syncStats_; }
+  const EvidenceLog& Evidence() const { return evidence_.Log(); }
 
 private:
   using Promise = boost::fibers::promise<ProxyAnswer>;
@@ -148,6 +161,9 @@
   void ApplyDecision(GatewayDecision& aDecision);
   void ApplyMembershipDecisions();
   void AdoptEvidence(const QuarantineRumor& aRumor);
+  void AdoptStoredEvidence(const EvidenceItems& aItems);
+  void LogQuarantine(std::uint64_t aFingerprint, const char* aReason);
+  bool IsEvidenceKeeper() const;
   void SendToPeer(const SendPeer& aSend);
   void LogTraffic();
   void OnFrame(const std::string& aPayload);
@@ -156,6 +172,12 @@
   void AdoptTables(const std::vector<std::size_t>& aTables);
   void AdoptConfig();
   void AdoptServers();
+  void AdoptEvacuations();
+  void TakePeerEvacuations(const FeedMessage& aMessage);
+  bool MayUseServers();
+  void EndServerWait();
+  std::vector<TableSync*> Tables();
+  std::vector<const TableSync*> TablesToSend();
   void HandleFeedRequest(const PeerMessage& aMessage);
   void HandleFeed(const PeerMessage& aMessage);
   void PushFeed();
@@ -192,6 +214,7 @@
   BackendLinks backends_;
   PeerLinks peers_;
   StoreReader store_;
+  EvidenceStore evidence_;
   boost::asio::steady_timer timer_;
   TimePoint timerExpiry_ = kNever;
   TimePoint nextMaintenanceAt_{};
@@ -209,6 +232,13 @@
   std::map<std::string, std::pair<std::uint64_t, BackendEntry>> entries_;
   ConfigLag configLag_;
   Duration configLagTime_{}; ///< See UpdateConfigLag.
+  /** Evacuations that peers stated while the own table was not complete. */
+  std::set<std::string> peerEvacuations_;
+  bool evacuationsKnown_ = false; ///< The own table has been read.
+  /** A peer stated its table, or the wait for it is over. */
+  bool needsNoEvacuations_ = false;
+  /** Since when servers are known but not used, as evacuations are unknown. */
+  TimePoint serversWithheldSince_ = kNever;
   TableSyncStats syncStats_;
   FleetRole role_;
   TableFeed feed_; ///< Changes sent to followers.
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -134,6 +134,7 @@
     entry.failureDomain_ = server.domain_;
     entry.slots_ = server.slots_;
     entry.draining_ = server.draining_;
+    entry.warmupLeft_ = server.warmupLeft_;
     entry.sequence_ = config_.version_;
     entries.push_back(entry);
   }
@@ -148,6 +149,45 @@
   }
 }
 
+void
+Replay::LimitCold(double aPerSecond, Duration aWarmup)
+{
+  for (auto& [name, service] : config_.services_) {
+    service.warmupPerSecond_ = aPerSecond;
+    service.warmup_ = aWarmup;
+  }
+  for (ModelDaemon& daemon : daemons_) {
+    daemon.state_.settings_.warmupOverage_ = 1.5;
+    daemon.state_.settings_.warmupSlack_ = 5.0;
+  }
+  SetColdOwners(daemons_.size());
+}
+
+void
+Replay::SetColdOwners(std::size_t aOwners)
+{
+  std::vector<DaemonId> owners;
+  for (std::size_t i = 0; i < aOwners; ++i) {
+    owners.push_back(DaemonId{ i + 1 });
+  }
+  for (std::size_t i = 0; i < daemons_.size(); ++i) {
+    camphorfield::SetColdOwners(daemons_[i].state_.coldPlan_,
+                                DaemonId{ i + 1 },
+                                i < aOwners ? owners : std::vector<DaemonId>{});
+  }
+}
+
+void
+Replay::Evacuate(const std::set<std::string>& aDomains, std::size_t aFirst)
+{
+  for (std::size_t i = aFirst; i < daemons_.size(); ++i) {
+    GatewayDecisions decisions;
+    GatewayAdoptEvacuations(
+      daemons_[i].state_, aDomains, NowOf(), daemons_[i].rng_, decisions);
+    ApplyDecisions(i, decisions);
+  }
+}
+
 template<typename Item>
 void
 Replay::HandleEvent(std::size_t aDaemon, Item&& aItem)
@@ -299,12 +339,14 @@
     return;
   }
   const ModelConnection connection = found->second;
+  const bool begun =
+    connection.job_ != 0 && servers_[connection.server_].breaksInAnswers_;
   Drop(aConnection);
   const bool open =
     serialOf_.erase({ connection.daemon_, connection.key_ }) > 0;
   if (open) {
     HandleEvent(connection.daemon_,
-                BackendClosed{ ConnectionId{ connection.key_ }, aEnd, false });
+                BackendClosed{ ConnectionId{ connection.key_ }, aEnd, begun });
   }
 }
 
@@ -339,6 +381,10 @@
     At(kTrip, [this, aConnection]() { Break(aConnection, BackendEnd::Reset); });
     return;
   }
+  if (found->second.copy_) {
+    BackendAnswer copy = *std::exchange(found->second.copy_, std::nullopt);
+    Send(aConnection, std::move(copy));
+  }
   ++server.arrivals_;
   server.arrivalTimes_.push_back(now_);
   CountUnwanted(found->second.daemon_, server);
@@ -356,7 +402,9 @@
     Reply(aConnection, std::move(other));
     return;
   }
-  if (server.fault_ == ModelFault::Shed ||
+  const bool sheds = server.sheds_ > 0;
+  server.sheds_ -= sheds ? 1 : 0;
+  if (sheds || server.fault_ == ModelFault::Shed ||
       server.waiting_.size() >= server.queue_) {
     BackendAnswer shed;
     shed.status_ = 503;
@@ -372,8 +420,11 @@
   const std::uint64_t job = nextSerial_++;
   found->second.job_ = job;
   const Duration mean = workOf_[aSend.message_->path_];
+  const double factor = workFactor_ ? workFactor_(aSend) : 1.0;
+  const auto work =
+    static_cast<std::int64_t>(static_cast<double>(Work(mean).count()) * factor);
   jobs_[job] =
-    ModelJob{ found->second.server_, aConnection, aSend, Work(mean) };
+    ModelJob{ found->second.server_, aConnection, aSend, Duration(work) };
   server.waiting_.push_back(job);
   StartJobs(found->second.server_);
 }
@@ -432,6 +483,7 @@
     server.waiting_.pop_front();
     server.running_.push_back(key);
     ++server.ran_;
+    ++runsById_[jobs_.at(key).send_.message_->requestId_];
     ModelJob& job = jobs_.at(key);
     job.running_ = true;
     if (server.crashesOn_ &&
@@ -480,6 +532,9 @@
                   static_cast<std::uint32_t>(server.running_.size()),
                   static_cast<std::uint32_t>(server.waiting_.size()),
                   server.slots_ };
+  if (server.report_) {
+    server.report_(answer.load_);
+  }
   answer.requestLimit_ = server.limit_;
   answer.leaving_ = server.leaving_;
   answer.malformedGuidance_ = server.malformedGuidance_;
@@ -488,6 +543,7 @@
     case ModelFault::Silent:
       break;
     case ModelFault::Reset:
+      connection.job_ = server.breaksInAnswers_ ? aJob : 0;
       Break(job.connection_, BackendEnd::Reset);
       break;
     case ModelFault::Garble:
@@ -515,6 +571,23 @@
 
 void
 Replay::Reply(std::uint64_t aConnection, BackendAnswer aAnswer)
+{
+  const auto found = connections_.find(aConnection);
+  if (found == connections_.end()) {
+    return;
+  }
+  const ModelServer& server = servers_[found->second.server_];
+  if (server.hidesIds_) {
+    aAnswer.requestId_.clear();
+  }
+  if (server.lateCopies_) {
+    found->second.copy_ = aAnswer;
+  }
+  Send(aConnection, std::move(aAnswer));
+}
+
+void
+Replay::Send(std::uint64_t aConnection, BackendAnswer aAnswer)
 {
   At(kTrip, [this, aConnection, answer = std::move(aAnswer)]() mutable {
     const auto found = connections_.find(aConnection);
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -60,13 +61,22 @@
   bool leaving_ = false;           ///< Said in all its answers.
   bool malformedGuidance_ = false; ///< What it says can't be read.
   Duration retryAfter_{};          ///< Said in answers that it sheds.
-  std::int64_t incarnation_ = 1;   ///< Start, in its entry.
+  std::uint32_t sheds_ = 0;        ///< It sheds so many further requests.
+  /** Sends each answer again once the next request has come on the connection.
+   */
+  bool lateCopies_ = false;
+  bool hidesIds_ = false;        ///< Its answers have no id.
+  bool breaksInAnswers_ = false; ///< Part of an answer comes before a reset.
+  /** Changes the load that it reports; empty: the true one. */
+  std::function<void(ReportedLoad&)> report_;
+  std::int64_t incarnation_ = 1; ///< Start, in its entry.
   bool listed_ = true;
   std::map<std::size_t, ModelGuidance> told_; ///< By daemon.
   /** Requests of daemons that knew better for 100 ms. */
   std::uint32_t unwantedWhileLeaving_ = 0;
   std::uint32_t unwantedWhilePaused_ = 0;
   bool draining_ = false;
+  Duration warmupLeft_{};  ///< Stated in its entry.
   bool crashesOn_ = false; ///< Crashes on paths with "poison".
   std::uint32_t connections_ = 0;
   std::uint32_t peakConnections_ = 0; ///< Largest number of connections.
@@ -132,6 +142,11 @@
   void SetPolicy(const GatewayPolicy& aPolicy);
   /** Takes effect with the next Announce. */
   GatewayConfig& Config() { return config_; }
+  /** Factor on the work of a request that any server needs for it. */
+  void SetWorkFactor(std::function<double(const BackendSend&)> aFactor)
+  {
+    workFactor_ = std::move(aFactor);
+  }
   /** Sends routes and servers to the daemons and lets them connect. */
   void Publish();
   /** Offers loads for the given time; returns results by target. */
@@ -149,6 +164,12 @@
 
   /** Sends routes and servers to the daemons. */
   void Announce();
+  /** Rate that cold servers of all services take, with the usual bounds. */
+  void LimitCold(double aPerSecond, Duration aWarmup);
+  /** Makes the first aOwners daemons share the slots of cold servers. */
+  void SetColdOwners(std::size_t aOwners);
+  /** Replaces the evacuated domains at the daemons from aFirst on. */
+  void Evacuate(const std::set<std::string>& aDomains, std::size_t aFirst = 0);
   /** Resets a server's connections; from then on it has the given fault. */
   void Crash(std::size_t aServer, ModelFault aAfter = ModelFault::Down);
   /** Called after each crash by a request, instead of leaving it down. */
@@ -163,6 +184,11 @@
   GatewayState& Daemon(std::size_t aDaemon) { return daemons_[aDaemon].state_; }
   Duration Work(Duration aMean);
   std::uint64_t Sends() const;
+  /** Number of times that servers ran a request, by its id. */
+  const std::map<std::string, std::uint32_t>& RunsById() const
+  {
+    return runsById_;
+  }
   const std::vector<BackendSend>& SendsSeen() const { return sendsSeen_; }
   /** Number of log records of a change in the state of a server. */
   std::uint64_t RecordsSeen(const std::string& aChange)
@@ -186,6 +212,7 @@
     std::uint64_t job_ = 0;
     std::string lastId_; ///< Id of the request before.
     TimePoint idleSince_{};
+    std::optional<BackendAnswer> copy_; ///< To be sent again.
   };
   struct ModelJob
   {
@@ -218,6 +245,7 @@
   void StartJobs(std::size_t aServer);
   void EndJob(std::uint64_t aJob);
   void Reply(std::uint64_t aConnection, BackendAnswer aAnswer);
+  void Send(std::uint64_t aConnection, BackendAnswer aAnswer);
   void Break(std::uint64_t aConnection, BackendEnd aEnd);
   void Arm(std::size_t aDaemon);
   Now NowOf() const { return Now{ now_, now_.time_since_epoch().count() }; }
@@ -247,7 +275,9 @@
   std::map<std::string, std::uint64_t> recordsSeen_; ///< By change.
   std::vector<ModelCrash> crashes_;
   std::function<void(std::size_t)> onCrash_;
+  std::function<double(const BackendSend&)> workFactor_;
   double lostReports_ = 0.0;
+  std::map<std::string, std::uint32_t> runsById_;
 };
 
 } // namespace camphorfield
