Fix: time until room where a cold server has no connection either

Without a reachable server the time was the maximum, which overflowed when a slot was promised. Overload beside warm servers is a rejection by admission again.

--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -131,6 +131,13 @@
          aBackend.reconnect_ > kReconnectFloor * 2;
 }
 
+/** Whether a server counts for the time until a service has room. */
+bool
+GivesRoom(const Backend& aBackend, bool aSkipLost)
+{
+  return IsUsable(aBackend) && !(aSkipLost && HasNoConnection(aBackend));
+}
+
 /** Whether a part may be sent to a server, disregarding its capacity. */
 bool
 MayTry(const GatewayRun& aRun,
@@ -236,17 +243,21 @@
               std::size_t aAhead,
               TimePoint aNow)
 {
-  // Where cold servers are the only ones left, lost ones give no room.
-  const bool anyCold = HasColdServer(aState, aService, aNow);
-  const auto counts = [anyCold](const Backend& aBackend) {
-    return IsUsable(aBackend) && !(anyCold && HasNoConnection(aBackend));
+  const auto countUsable = [&aState, &aService](bool aSkipLost) {
+    return std::count_if(
+      aService.backends_.begin(),
+      aService.backends_.end(),
+      [&aState, aSkipLost](std::uint64_t aKey) {
+        return GivesRoom(aState.backends_.slots_[aKey & kSlotMask], aSkipLost);
+      });
   };
-  const auto usable =
-    std::count_if(aService.backends_.begin(),
-                  aService.backends_.end(),
-                  [&aState, &counts](std::uint64_t aKey) {
-                    return counts(aState.backends_.slots_[aKey & kSlotMask]);
-                  });
+  // Where cold servers are the only ones left, lost ones give no room.
+  bool skipLost = HasColdServer(aState, aService, aNow);
+  auto usable = countUsable(skipLost);
+  if (skipLost && usable == 0) {
+    skipLost = false;
+    usable = countUsable(false);
+  }
   Duration least = Duration::max();
   if (usable == 0) {
     return least;
@@ -254,7 +265,7 @@
   const std::size_t ahead = aAhead / static_cast<std::size_t>(usable);
   for (const std::uint64_t key : aService.backends_) {
     const Backend& backend = aState.backends_.slots_[key & kSlotMask];
-    if (counts(backend)) {
+    if (GivesRoom(backend, skipLost)) {
       least = std::min(least, TimeUntilWanted(aState, backend, ahead, aNow));
     }
   }
--- a/src/gateway/cold_phase.cpp
+++ b/src/gateway/cold_phase.cpp
@@ -177,17 +177,22 @@
 }
 
 bool
-HasColdShard(const GatewayState& aState,
-             const GatewayRoute& aRoute,
-             TimePoint aNow)
+HasOnlyColdRoom(const GatewayState& aState,
+                const GatewayRoute& aRoute,
+                TimePoint aNow)
 {
   if (aState.coldPlan_.slots_.empty()) {
     return false;
   }
   const auto isCold = [&aState, aNow](const std::string& aName) {
     const auto number = aState.serviceNumber_.find(aName);
-    return number != aState.serviceNumber_.end() &&
-           HasColdServer(aState, aState.services_[number->second], aNow);
+    if (number == aState.serviceNumber_.end()) {
+      return false;
+    }
+    const GatewayServiceState& service = aState.services_[number->second];
+    return HasColdServer(aState, service, aNow) &&
+           TimeUntilRoom(aState, service, service.queue_.size() + 1, aNow) >
+             Duration::zero();
   };
   return std::any_of(aRoute.shards_.begin(), aRoute.shards_.end(), isCold) ||
          std::any_of(aRoute.to_.begin(),
@@ -231,6 +236,9 @@
                 Duration aWait,
                 TimePoint aNow)
 {
+  if (aWait == Duration::max()) {
+    return Duration::zero();
+  }
   Duration wait = aWait;
   bool isFirst = true;
   for (const RequestPart& part : aRun.parts_) {
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -109,11 +109,11 @@
               const GatewayServiceState& aService,
               TimePoint aNow);
 
-/** Whether a service that a route sends to has such a server. */
+/** Whether a service that a route sends to has room at cold servers only. */
 bool
-HasColdShard(const GatewayState& aState,
-             const GatewayRoute& aRoute,
-             TimePoint aNow);
+HasOnlyColdRoom(const GatewayState& aState,
+                const GatewayRoute& aRoute,
+                TimePoint aNow);
 
 /** Like TimeUntilRoom behind the queue of a service, and behind the callers
  * that have been told to return for slots of its cold servers. */
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -246,7 +246,7 @@
   }
   RouteLoad& load = aState.loads_[route->name_];
   const Duration waited = TimeSinceFirstAttempt(aRequest, load, aNow.mono_);
-  const bool cold = HasColdShard(aState, *route, aNow.mono_);
+  const bool cold = HasOnlyColdRoom(aState, *route, aNow.mono_);
   const bool admitted = !aState.settings_.policy_.admission_ ||
                         IsAdmitted(load, GuaranteedWindow(aState, *route));
   // With cold servers, the time until they have room is known.
