--- a/src/gateway/request_admit.cpp
+++ b/src/gateway/request_admit.cpp
@@ -425,7 +425,7 @@
   RouteLoad& load = state.loads_[route->name_];
   const Duration waited = TimeSinceFirstAttempt(aRequest, load, now);
   // With cold servers, the time until they have room is known.
-  const bool cold = HasColdShard(state, *route, now);
+  const bool cold = HasOnlyColdRoom(state, *route, now);
   if (!cold && RejectIfFull(aStep, aRequest, *route, sender)) {
     ReturnToken(aStep, aCap);
     return;
