Fix: a fleet that is made smaller for good grants tokens again

Cause: the largest fleet since the start decided on the majority, so that an owner in a fleet of less than half of it would never have granted again. Change: the largest fleet of the last 10 minutes; Retry-After of at most 5 s.

--- /dev/null
+++ b/src/gateway/fleet_majority.h
@@ -0,0 +1,21 @@
+/** Whether this daemon is on the larger side of a partition. */
+#pragma once
+
+#include "core/time_type.h"
+
+#include <cstddef>
+
+namespace camphorfield {
+
+/** Recent size of the fleet. */
+struct FleetSize
+{
+  std::size_t largest_ = 0;
+  TimePoint reachedAt_{}; ///< Latest time with as many members.
+};
+
+/** Whether the live members are more than half of the recent fleet. */
+bool
+SeesMajority(FleetSize& aSize, std::size_t aAlive, TimePoint aNow);
+
+} // namespace camphorfield
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -46,7 +46,7 @@
   bool partial_ = true;   ///< Partial answers just before the objective.
   bool admission_ = true; ///< Reject requests beyond the window.
   bool placement_ = true; ///< Choose by estimated latency; off: ignore it.
-  bool fair_ = true; ///< Divide full windows among organisations.
+  bool fair_ = true;      ///< Divide full windows among organisations.
 };
 
 /** Settings of this daemon and limits of the platform. */
--- a/src/gateway/rate_cap_internal.h
+++ b/src/gateway/rate_cap_internal.h
@@ -5,8 +5,9 @@
 
 namespace camphorfield {
 
-/** Longest Retry-After: callers that are far above their cap. */
-constexpr Duration kMaxRetryAfter = std::chrono::seconds(30);
+/** Longest Retry-After. Callers that give up before leave their place to
+ * others, which would then wait for nothing. */
+constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
 
 inline double
 Seconds(Duration aTime)
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -5,6 +5,7 @@
 #include "discovery/table_feed.h"
 #include "discovery/table_sync.h"
 #include "gateway/config_lag.h"
+#include "gateway/fleet_majority.h"
 #include "gateway/fleet_role.h"
 #include "gateway/gateway_base.h"
 #include "machine/decision_type.h"
@@ -204,7 +205,8 @@
   Duration configLagTime_{}; ///< See UpdateConfigLag.
   TableSyncStats syncStats_;
   FleetRole role_;
-  TableFeed feed_; ///< Changes sent to followers.
+  FleetSize fleetSize_; ///< While there are caps.
+  TableFeed feed_;      ///< Changes sent to followers.
   std::map<DaemonId, FeedFollower> followers_;
   std::string encodedFeed_; ///< Latest message, cached.
   /** Key of encodedFeed_: newest change, whether it holds whole tables, after
--- a/tests/gateway/rate_cap_test.cpp
+++ b/tests/gateway/rate_cap_test.cpp
@@ -2,6 +2,7 @@
 // that die, pause, are cut off or change. In every window the sum stays within
 // the tolerance; hardly any request below the cap is refused.
 #include "gateway/cap_replay_fixture.h"
+#include "gateway/fleet_majority.h"
 
 #include <CppUTest/TestHarness.h>
 #include <string>
@@ -164,3 +165,30 @@
     CHECK_TEXT(result.lossShare_ <= item.loss_ + outage, item.name_);
   }
 }
+
+// Guards against two sides of a partition that both grant, and against a fleet
+// that is made smaller for good and never grants again.
+TEST(RateCap, MajorityOfTheRecentFleet)
+{
+  struct Step
+  {
+    Duration at_;
+    std::size_t alive_;
+    bool majority_;
+  };
+  const std::vector<Step> steps{
+    { seconds(0), 1, true },    { seconds(1), 20, true },
+    { seconds(2), 11, true },   { seconds(3), 10, false },
+    { seconds(60), 6, false },  { seconds(90), 20, true },
+    { seconds(100), 8, false }, { seconds(689), 8, false },
+    { seconds(691), 8, true },  { seconds(692), 4, false },
+    { seconds(693), 20, true },
+  };
+  FleetSize size;
+  for (const Step& step : steps) {
+    const TimePoint now = TimePoint{ seconds(1000) } + step.at_;
+    CHECK_EQUAL_TEXT(step.majority_,
+                     SeesMajority(size, step.alive_, now),
+                     std::to_string(step.at_.count()).c_str());
+  }
+}
