--- a/src/gateway/rate_cap.cpp
+++ b/src/gateway/rate_cap.cpp
@@ -313,46 +313,6 @@
   }
 }
 
-// The change of one member costs one hash for each cap, and a search over all
-// members only for the caps that it owned.
-void
-CapsAdoptView(RateCaps& aCaps,
-              const CapView& aView,
-              TimePoint aNow,
-              CapOutput& aOut)
-{
-  const std::vector<DaemonId> before = std::move(aCaps.view_.members_);
-  aCaps.view_ = aView;
-  aCaps.mostEntryDaemons_ =
-    std::max(aCaps.mostEntryDaemons_, aView.entryDaemons_);
-  std::vector<DaemonId> added;
-  std::set_difference(aView.members_.begin(),
-                      aView.members_.end(),
-                      before.begin(),
-                      before.end(),
-                      std::back_inserter(added));
-  const bool removed = before.size() + added.size() > aView.members_.size();
-  if (added.empty() && !removed) {
-    return;
-  }
-  for (auto& [organisation, cap] : aCaps.caps_) {
-    cap.hint_ = DaemonId{};
-    if (removed && !std::binary_search(aView.members_.begin(),
-                                       aView.members_.end(),
-                                       cap.owner_)) {
-      ChooseOwner(aCaps, cap);
-    }
-    for (const DaemonId member : added) {
-      const std::uint64_t rank = Rank(organisation, member);
-      if (rank > cap.ownerRank_) {
-        cap.owner_ = member;
-        cap.ownerRank_ = rank;
-      }
-    }
-    ApplyOwner(aCaps, cap, aNow, aOut);
-  }
-}
-
 RateCap*
 FindCap(RateCaps& aCaps, std::uint64_t aOrganisation)
 {
--- a/tests/gateway/cap_replay_fixture.cpp
+++ b/tests/gateway/cap_replay_fixture.cpp
@@ -3,14 +3,11 @@
 
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
-#include <cstdlib>
 
 namespace camphorfield {
 
 namespace {
 
-constexpr Duration kWindow = std::chrono::seconds(5);
 constexpr double kOverage = 0.1;
 constexpr double kSlack = 20.0;
 constexpr std::size_t kEntryDaemons = 24;
@@ -38,25 +35,6 @@
 
 } // namespace
 
-void
-ReportCapFigures(const char* aName, const CapReplayResult& aResult)
-{
-  if (std::getenv("CAMPHORFIELD_FIGURES") == nullptr) {
-    return;
-  }
-  std::printf("%-24s asked %.0f admitted %.0f refused below the cap %.2f%%, "
-              "with fixed shares %.2f%%, nearest to the bound %.1f requests, "
-              "%.2f messages a request, owners of %.0f%% lost\n",
-              aName,
-              aResult.asked_,
-              aResult.admitted_,
-              aResult.lossShare_ * 100.0,
-              aResult.fixedLossShare_ * 100.0,
-              aResult.excess_,
-              aResult.messagesPerRequest_,
-              aResult.affected_ * 100.0);
-}
-
 CapReplay::CapReplay(std::size_t aDaemons, std::uint64_t aSeed)
   : rng_(aSeed)
   , entries_(std::min(aDaemons, kEntryDaemons))
@@ -100,7 +78,7 @@
 {
   Daemon daemon;
   daemon.rng_ = Rng(aSeed);
-  daemon.caps_ = MakeRateCaps({ kWindow, kOverage, kSlack }, IdOf(aIndex));
+  daemon.caps_ = MakeRateCaps({ kCapWindow, kOverage, kSlack }, IdOf(aIndex));
   CapOutput nothing;
   CapsOnTick(daemon.caps_, now_, daemon.rng_, nothing);
   CapsAdoptConfig(daemon.caps_, config_, now_, nothing);
@@ -112,7 +90,7 @@
 {
   const Organisation& organisation = aCustomer.organisation_;
   aCustomer.allowed_ =
-    (organisation.perSecond_ * Seconds(kWindow) + organisation.burst_) *
+    (organisation.perSecond_ * Seconds(kCapWindow) + organisation.burst_) *
       (1.0 + kOverage) +
     kSlack;
 }
@@ -193,7 +171,7 @@
     Customer& customer = customers_[customerOf_.at(verdict.request_)];
     if (verdict.admitted_) {
       customer.sent_.push_back(now_);
-      customer.windows_[(now_ - begun_) / kWindow][1] += 1.0;
+      customer.windows_[(now_ - begun_) / kCapWindow][1] += 1.0;
     }
     customerOf_.erase(verdict.request_);
   }
@@ -309,7 +287,7 @@
     return;
   }
   asked_ += 1.0;
-  auto& window = customer.windows_[(now_ - begun_) / kWindow];
+  auto& window = customer.windows_[(now_ - begun_) / kCapWindow];
   window[0] +=
     TakeReference(customer.organisation_, 1.0, customer.reference_) ? 1 : 0;
   const double share = 1.0 / static_cast<double>(entries_);
@@ -479,44 +457,10 @@
   // It binds one window after it is in force everywhere.
   At(kSpread, [this]() {
     for (std::size_t i = 0; i < customers_.size(); ++i) {
-      customers_[i].allowedFrom_ = now_ + kWindow;
+      customers_[i].allowedFrom_ = now_ + kCapWindow;
       SetAllowed(customers_[i]);
     }
   });
 }
 
-CapReplayResult
-CapReplay::Result() const
-{
-  CapReplayResult result;
-  double reference = 0.0;
-  double missing = 0.0;
-  double fixedMissing = 0.0;
-  for (const Customer& customer : customers_) {
-    result.admitted_ += static_cast<double>(customer.sent_.size());
-    std::size_t first = 0;
-    for (std::size_t i = 0; i < customer.sent_.size(); ++i) {
-      while (customer.sent_[i] - customer.sent_[first] >= kWindow) {
-        ++first;
-      }
-      if (customer.sent_[first] >= customer.allowedFrom_) {
-        result.excess_ =
-          std::max(result.excess_,
-                   static_cast<double>(i - first + 1) - customer.allowed_);
-      }
-    }
-    for (const auto& [number, window] : customer.windows_) {
-      reference += window[0];
-      missing += std::max(window[0] - window[1], 0.0);
-      fixedMissing += std::max(window[0] - window[2], 0.0);
-    }
-  }
-  result.asked_ = asked_;
-  result.affected_ = affected_;
-  result.lossShare_ = missing / std::max(reference, 1.0);
-  result.fixedLossShare_ = fixedMissing / std::max(reference, 1.0);
-  result.messagesPerRequest_ = static_cast<double>(messages_) / asked_;
-  return result;
-}
-
 } // namespace camphorfield
--- a/tests/gateway/cap_replay_fixture.h
+++ b/tests/gateway/cap_replay_fixture.h
@@ -15,6 +15,9 @@
 
 namespace camphorfield {
 
+/** Requests of an organisation are counted over this time. */
+constexpr Duration kCapWindow = std::chrono::seconds(5);
+
 /** What callers got, over the whole replay. */
 struct CapReplayResult
 {
