--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The README's commands. Each installs what it needs, builds and runs.
 BUILD ?= build
-.PHONY: packages build test demo bench soak gateway-soak lint format
+.PHONY: packages build test demo bench soak gateway-soak sanitize lint format
 
 packages:
 	@.ci/install
@@ -24,6 +24,14 @@
 gateway-soak: build
 	python3 tests/soak/soak.py --build $(BUILD) --seeds 50
 
+# The decoders' tests, with mutated input, under the sanitizers.
+sanitize: packages
+	cmake -S . -B $(BUILD)/sanitize -G Ninja -DCAMPHORFIELD_ASAN=ON >/dev/null
+	cmake --build $(BUILD)/sanitize --target object_test peer_test adapter_test
+	$(BUILD)/sanitize/tests/object_test -g Json
+	$(BUILD)/sanitize/tests/peer_test
+	$(BUILD)/sanitize/tests/adapter_test
+
 lint:
 	.ci/lint $(BUILD)
 
