--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -62,7 +62,7 @@
 /** A read of a body; smaller ones cost more processor time. */
 constexpr std::size_t kBodyReadBytes = 65536;
 /** Of one connection without a request: touched pages of its fiber's stack,
- * session and first read buffer; 17 KB were measured. */
+ * session and first read buffer; 18 KB were measured. */
 constexpr std::uint64_t kSessionBytes = 24ULL * 1024;
 /** Bounds on reading the rest of a rejected request: closing with unread bytes
  * resets the connection, and the client may lose the answer. */
