Change: a query that may crash its servers runs on one shard first

A query goes to all shards at once, so each request that crashes servers crashed one or two servers of every shard, again with each resend, and the others found no servers. Now a query with evidence against its content, and each query within 10 s of two servers crashed under one content, is sent to one shard and to the others once that one has answered. Where servers break off under a query before any shard has answered, one part is sent again instead of all.

Evidence against a query that other shards have answered is kept by shard: content beside crashing requests was quarantined by crashes of different shards.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -211,7 +211,7 @@
     return;
   }
   if (part.mayHaveRun_ + 1U >= kMaxRuns || part.sends_ >= kMaxSends ||
-      IsSuspected(state, run->content_)) {
+      MayCrashServers(*run) || IsSuspected(state, run->content_)) {
     return;
   }
   const std::uint64_t backend = ChooseBackend(aStep, *run, part, true);
--- a/src/gateway/attempt_answer.cpp
+++ b/src/gateway/attempt_answer.cpp
@@ -91,18 +91,6 @@
          TakeExtraSend(aStep, aPart);
 }
 
-void
-RetryOrFail(GatewayStep& aStep, GatewayRun& aRun, std::uint32_t aPart)
-{
-  const RequestPart& part = aRun.parts_[aPart];
-  if (!TakeRetry(aStep, aRun, part, part.mayHaveRun_)) {
-    FailPart(aStep, aRun, aPart);
-    return;
-  }
-  ++aStep.state_.stats_.retries_;
-  EnqueuePart(aStep, aRun, aPart);
-}
-
 /** Whether an answer belongs to an earlier request on its connection. The
  * connection has carried each id once. A server that echoes ids does so in each
  * answer. */
@@ -191,13 +179,32 @@
   if (aAnswer != nullptr) {
     run->failure_ = std::move(*aAnswer);
   }
-  if (part.phase_ == PartPhase::Running && !HasAttempts(part)) {
-    RetryOrFail(aStep, *run, aAttempt.part_);
+  run->broken_ += aEnd == AttemptEnd::Broken ? 1 : 0;
+  if (part.phase_ != PartPhase::Running || HasAttempts(part)) {
+    return;
   }
+  if (aEnd == AttemptEnd::Broken && MayCrashServers(*run)) {
+    part.phase_ = PartPhase::Held;
+    AdvanceProbe(aStep, *run);
+    return;
+  }
+  RetryOrFail(aStep, *run, aAttempt.part_);
 }
 
 } // namespace
 
+void
+RetryOrFail(GatewayStep& aStep, GatewayRun& aRun, std::uint32_t aPart)
+{
+  const RequestPart& part = aRun.parts_[aPart];
+  if (!TakeRetry(aStep, aRun, part, part.mayHaveRun_)) {
+    FailPart(aStep, aRun, aPart);
+    return;
+  }
+  ++aStep.state_.stats_.retries_;
+  EnqueuePart(aStep, aRun, aPart);
+}
+
 void
 EndAttempt(GatewayStep& aStep, std::uint64_t aAttempt, AttemptEnd aEnd)
 {
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -43,6 +43,34 @@
     aBackend.restarts_);
 }
 
+/** Bits of a key that content alone determines. */
+constexpr std::uint64_t kContentBits = ~std::uint64_t{ 0xffffffff };
+
+/** Key of evidence against content on one shard. A request that other shards
+ * answer doesn't crash each server: without this, content that is in flight
+ * while others crash servers here and there would soon seem to. */
+std::uint64_t
+PartKey(std::uint64_t aContent, std::uint64_t aService)
+{
+  return (aContent & kContentBits) | (aService & ~kContentBits);
+}
+
+/** Whether a condition holds for some record of content or of its parts. */
+template<typename Suspects, typename Function>
+bool
+AnyRecord(Suspects& aSuspects, std::uint64_t aKey, const Function& aFunction)
+{
+  for (auto at = aSuspects.lower_bound(aKey & kContentBits);
+       at != aSuspects.end() &&
+       (at->first & kContentBits) == (aKey & kContentBits);
+       ++at) {
+    if (aFunction(at->first, at->second)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::array<std::uint64_t, 4>
 AllKeys(const ContentKeys& aContent)
 {
@@ -77,12 +105,27 @@
   return aState.suspects_[aFingerprint];
 }
 
+/** Other content may crash servers, too, from now on. */
+void
+NoteCrashWave(GatewayState& aState,
+              const CrashEvidence& aEvidence,
+              TimePoint aNow)
+{
+  const std::size_t servers = aEvidence.servers_.size();
+  if (servers >= kServersOfWave ||
+      (servers > 0 && aNow < aState.crashWaveUntil_)) {
+    aState.crashWaveUntil_ = aNow + kCrashWaveTime;
+  }
+}
+
 void
 AddEvidence(GatewayStep& aStep, const BrokenConnection& aBroken)
 {
   bool quarantined = false;
-  for (const std::uint64_t key : AllKeys(aBroken.content_)) {
-    const bool shared = key != aBroken.content_.exact_;
+  for (const std::uint64_t content : AllKeys(aBroken.content_)) {
+    const bool shared = content != aBroken.content_.exact_;
+    const std::uint64_t key =
+      aBroken.isPartial_ ? PartKey(content, aBroken.service_) : content;
     SuspectContent& suspect = FindOrAddSuspect(aStep.state_, key, aStep.Time());
     const bool before = IsConclusive(suspect.evidence_);
     AddCrash(suspect.evidence_,
@@ -91,6 +134,9 @@
                shared ? aBroken.moment_ : aBroken.moment_ | kExactMoment });
     suspect.until_ = aStep.Time() + EvidenceTimeToLive(suspect.evidence_);
     aStep.out_.emplace_back(SuspectFound{ key, suspect.evidence_ });
+    if (!aBroken.isPartial_) {
+      NoteCrashWave(aStep.state_, suspect.evidence_, aStep.Time());
+    }
     quarantined = quarantined || (!before && IsConclusive(suspect.evidence_));
   }
   if (quarantined) {
@@ -137,14 +183,30 @@
   const auto keys = AllKeys(aContent);
   return std::any_of(
     keys.begin(), keys.end(), [&aState, aNow](std::uint64_t aKey) {
-      const auto found = aState.suspects_.find(aKey);
-      return found != aState.suspects_.end() && aNow < found->second.until_ &&
-             IsConclusive(found->second.evidence_);
+      return AnyRecord(aState.suspects_,
+                       aKey,
+                       [aNow](std::uint64_t, const SuspectContent& aSuspect) {
+                         return aNow < aSuspect.until_ &&
+                                IsConclusive(aSuspect.evidence_);
+                       });
     });
 }
 
 bool
 IsSuspected(const GatewayState& aState, const ContentKeys& aContent)
+{
+  const auto keys = AllKeys(aContent);
+  return std::any_of(keys.begin(), keys.end(), [&aState](std::uint64_t aKey) {
+    return AnyRecord(aState.suspects_,
+                     aKey,
+                     [](std::uint64_t, const SuspectContent& aSuspect) {
+                       return !aSuspect.evidence_.servers_.empty();
+                     });
+  });
+}
+
+bool
+IsSuspectedOnAllShards(const GatewayState& aState, const ContentKeys& aContent)
 {
   const auto keys = AllKeys(aContent);
   return std::any_of(keys.begin(), keys.end(), [&aState](std::uint64_t aKey) {
@@ -177,6 +239,8 @@
   one.run_ = aRun.key_;
   one.part_ = aPart;
   one.content_ = aRun.content_;
+  one.service_ =
+    HashText(aStep.state_.services_[aRun.parts_[aPart].service_].name_);
   one.moment_ =
     static_cast<std::uint64_t>(aStep.now_.unixMicros_ / kMomentLength.count());
   one.requestId_ = message.requestId_;
@@ -235,7 +299,9 @@
 {
   SuspectContent& suspect = FindOrAddSuspect(aState, aFingerprint, aNow.mono_);
   const bool before = IsConclusive(suspect.evidence_);
-  JoinEvidence(suspect.evidence_, aEvidence);
+  if (JoinEvidence(suspect.evidence_, aEvidence)) {
+    NoteCrashWave(aState, suspect.evidence_, aNow.mono_);
+  }
   const Duration left = std::min(aLeft, EvidenceTimeToLive(suspect.evidence_));
   suspect.until_ = std::max(suspect.until_, aNow.mono_ + left);
   return !before && IsConclusive(suspect.evidence_);
@@ -249,11 +315,15 @@
     return aOne.content_ == aRun.content_;
   });
   for (const std::uint64_t key : AllKeys(aRun.content_)) {
-    const auto found = state.suspects_.find(key);
-    if (found != state.suspects_.end() &&
-        RefuteEvidence(found->second.evidence_)) {
-      aStep.out_.emplace_back(SuspectFound{ key, found->second.evidence_ });
-    }
+    AnyRecord(
+      state.suspects_,
+      key,
+      [&aStep](std::uint64_t aKey, SuspectContent& aSuspect) {
+        if (RefuteEvidence(aSuspect.evidence_)) {
+          aStep.out_.emplace_back(SuspectFound{ aKey, aSuspect.evidence_ });
+        }
+        return false;
+      });
   }
 }
 
@@ -270,6 +340,7 @@
       continue;
     }
     broken.run_ = 0;
+    broken.isPartial_ = aRun.done_ > 0;
     if (broken.crashed_) {
       AddEvidence(aStep, broken);
     }
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -175,6 +175,7 @@
 enum class PartPhase : std::uint8_t
 {
   Waiting, ///< In a queue.
+  Held,    ///< Not sent until another part is answered, see query_probe.cpp.
   Running, ///< One or two attempts are in flight.
   Done,
   Failed,
@@ -228,6 +229,8 @@
   std::uint32_t failed_ = 0;
   std::uint32_t sends_ = 0;
   std::uint32_t hedges_ = 0;
+  std::uint32_t broken_ = 0; ///< Attempts whose connection broke.
+  std::uint32_t probes_ = 0; ///< Parts sent while the others were held.
   bool mayHaveRun_ = false;
   bool late_ = false; ///< Past softAt_ without enough parts.
   std::vector<RequestPart> parts_;
@@ -265,8 +268,10 @@
   std::uint64_t run_ = 0;        ///< Zero once the request has ended.
   std::uint32_t part_ = 0;
   ContentKeys content_{};
-  std::uint64_t moment_ = 0; ///< Of the break, see ServerCrash.
-  bool crashed_ = false;     ///< The server turned out to have crashed.
+  std::uint64_t service_ = 0; ///< Hash of the part's service.
+  bool isPartial_ = false;    ///< Other parts of the request were answered.
+  std::uint64_t moment_ = 0;  ///< Of the break, see ServerCrash.
+  bool crashed_ = false;      ///< The server turned out to have crashed.
   std::string requestId_;
   std::string caller_;
   std::string target_; ///< Host, path and query.
@@ -336,6 +341,8 @@
   BasicTimerHeap<GatewayTimer> timers_;
   std::map<std::uint64_t, SuspectContent> suspects_; ///< By fingerprint.
   std::deque<BrokenConnection> broken_;
+  /** Until then each query runs on one shard first, see query_probe.cpp. */
+  TimePoint crashWaveUntil_{};
   std::uint32_t daemons_ = 1;  ///< Daemons sharing servers' connections.
   double slackFraction_ = 0.0; ///< Own part of the retry budget's slack.
   double limitShare_ = 1.0;    ///< Own part of servers' request limits.
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -142,6 +142,14 @@
  * concerns more callers. */
 constexpr Duration kSharedSuspectTtl = seconds(60);
 constexpr std::size_t kMaxSuspects = 1024;
+/** Time after new evidence in which other content is likely to crash servers,
+ * too: callers send such requests in series of many seconds. */
+constexpr Duration kCrashWaveTime = seconds(10);
+/** Crashed servers under one content with which such a time begins. */
+constexpr std::size_t kServersOfWave = 2;
+/** Usual latencies that must be left before the objective for asking one shard
+ * before the others. */
+constexpr int kLatenciesToProbe = 4;
 
 /** Interval of the periodic maintenance of connections. */
 constexpr Duration kMaintenanceInterval = milliseconds(100);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -195,6 +195,10 @@
 void
 EndAttempt(GatewayStep& aStep, std::uint64_t aAttempt, AttemptEnd aEnd);
 
+/** Sends a part again, or fails it. */
+void
+RetryOrFail(GatewayStep& aStep, GatewayRun& aRun, std::uint32_t aPart);
+
 /** Cancels an attempt whose answer is no longer needed. */
 void
 CancelAttempt(GatewayStep& aStep, std::uint64_t aAttempt);
@@ -208,6 +212,26 @@
 void
 EndSilentAttempt(GatewayStep& aStep, std::uint64_t aAttempt);
 
+// query_probe.cpp
+
+/** Whether servers broke off under a query that no shard has answered. */
+bool
+MayCrashServers(const GatewayRun& aRun);
+
+/** Holds all parts of a new query if there is evidence against its content. */
+void
+ProbeFirst(GatewayStep& aStep, GatewayRun& aRun);
+
+/** Sends one of the held parts, or fails them, if no part is on its way. The
+ * run may finish. */
+void
+AdvanceProbe(GatewayStep& aStep, GatewayRun& aRun);
+
+/** Sends the held parts of a query that a shard has answered. The run may
+ * finish. */
+void
+ReleaseHeld(GatewayStep& aStep, GatewayRun& aRun);
+
 // request_run.cpp
 
 /** Stores the answer of a part; the run may finish. */
@@ -321,10 +345,14 @@
 Duration
 EvidenceTimeToLive(const CrashEvidence& aEvidence);
 
-/** Whether there is evidence against content. */
+/** Whether there is evidence against content, or its part for some shard. */
 bool
 IsSuspected(const GatewayState& aState, const ContentKeys& aContent);
 
+/** Whether there is evidence that content crashes servers of all shards. */
+bool
+IsSuspectedOnAllShards(const GatewayState& aState, const ContentKeys& aContent);
+
 /** Records a connection that broke with a request in flight. */
 void
 RecordBrokenConnection(GatewayStep& aStep,
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -44,7 +44,7 @@
 {
   static constexpr std::array<const char*,
                               static_cast<std::size_t>(PartPhase::End)>
-    kPhaseNames{ "queued", "unanswered", "answered", "failed" };
+    kPhaseNames{ "queued", "held", "unanswered", "answered", "failed" };
   absl::StrAppend(&aText,
                   aText.empty() ? "" : "; ",
                   aState.services_[aPart.service_].name_,
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -137,6 +137,7 @@
     AddTimer(timers,
              { aRun.softAt_, aRun.key_, 0, GatewayTimer::RequestSoftDeadline });
   }
+  ProbeFirst(aStep, aRun);
   for (std::uint32_t i = 0; i < aRun.parts_.size(); ++i) {
     RequestPart& part = aRun.parts_[i];
     const GatewayServiceState& service = aStep.state_.services_[part.service_];
@@ -149,8 +150,11 @@
       ++aRun.failed_;
       continue;
     }
-    EnqueuePart(aStep, aRun, i);
+    if (part.phase_ != PartPhase::Held) {
+      EnqueuePart(aStep, aRun, i);
+    }
   }
+  AdvanceProbe(aStep, aRun);
 }
 
 /** Number of parts whose service has no available server. */
@@ -306,7 +310,11 @@
                  aRun.route_->objective_,
                  aStep.Time());
   }
+  const std::uint64_t key = aRun.key_;
   FinishIfDecided(aStep, aRun);
+  if (GatewayRun* run = FindSlot(aStep.state_.runs_, key)) {
+    ReleaseHeld(aStep, *run);
+  }
 }
 
 void
@@ -315,7 +323,11 @@
   aRun.parts_[aPart].phase_ = PartPhase::Failed;
   ++aRun.failed_;
   if (aRun.route_->IsQuery()) {
+    const std::uint64_t key = aRun.key_;
     FinishIfDecided(aStep, aRun);
+    if (GatewayRun* run = FindSlot(aStep.state_.runs_, key)) {
+      AdvanceProbe(aStep, *run);
+    }
     return;
   }
   // A failure answer of a server is forwarded unchanged, unless it reports that
