--- a/src/gateway/backend_health.cpp
+++ b/src/gateway/backend_health.cpp
@@ -148,9 +148,10 @@
 {
   const auto found = aState.backendOf_.find(
     { aBackend.entry_.id_, aBackend.entry_.startedMillis_ });
-  return found == aState.backendOf_.end()
-           ? aBackend
-           : *FindSlot(aState.backends_, found->second);
+  Backend* listed = found == aState.backendOf_.end()
+                      ? nullptr
+                      : FindSlot(aState.backends_, found->second);
+  return listed == nullptr ? aBackend : *listed;
 }
 
 void
