--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -1,5 +1,6 @@
 // Sends parts to servers, and hedges to a second server when the first one
 // pauses, within the retry budget that all daemons share.
+#include "gateway/connection_use.h"
 #include "gateway/cost_placement.h"
 #include "gateway/gateway_internal.h"
 #include "gateway/route_times.h"
--- a/src/gateway/attempt_answer.cpp
+++ b/src/gateway/attempt_answer.cpp
@@ -1,6 +1,7 @@
 // Handles the end of an attempt. When a server fails, rejects or loses an
 // answer, idempotent requests and requests that did not run are sent again,
 // within the retry budget that all daemons share.
+#include "gateway/connection_use.h"
 #include "gateway/cost_placement.h"
 #include "gateway/gateway_func.h"
 #include "gateway/gateway_internal.h"
@@ -42,7 +43,7 @@
 {
   GatewayState& state = aStep.state_;
   Attempt& slot = *FindSlot(state.attempts_, aAttempt);
-  const Attempt attempt = slot;
+  Attempt attempt = slot;
   FreeSlot(state.attempts_, slot);
   if (RequestPart* part = FindPart(state, attempt)) {
     for (std::uint64_t& key : part->attempts_) {
--- a/src/gateway/backend_conn.cpp
+++ b/src/gateway/backend_conn.cpp
@@ -1,6 +1,7 @@
 // Connection pool for servers that accept few connections in total and spend a
 // slot on each new one. Every daemon stays within its share and keeps spare
 // connections open.
+#include "gateway/connection_use.h"
 #include "gateway/cost_placement.h"
 #include "gateway/gateway_func.h"
 #include "gateway/gateway_internal.h"
--- a/src/gateway/backend_work.h
+++ b/src/gateway/backend_work.h
@@ -45,15 +45,15 @@
 {
   double ratio_ = 1.0; ///< Observed time relative to the expected one.
   TimePoint ratioAt_{};
-  double slowness_ = 1.0;   ///< Moving average of the reported slowness.
-  double others_ = 0.0;     ///< Other daemons' requests in the latest report.
-  double othersMean_ = 0.0; ///< Moving average of others_.
+  double slowness_ = 1.0;     ///< Moving average of the reported slowness.
+  double others_ = 0.0;       ///< Other daemons' requests in the latest report.
+  double othersMean_ = 0.0;   ///< Moving average of others_.
   std::uint32_t reports_ = 0; ///< In the averages.
-  double trust_ = 1.0;      ///< In its reports of waiting requests, 0 to 1.
-  double work_ = 0.0;       ///< Mean work of a request; zero: unknown.
-  TimePoint answeredAt_{};  ///< Latest answer.
-  double peak_ = 0.0;       ///< Decaying maximum of own requests in flight.
-  TimePoint peakAt_{};      ///< Latest time with own requests in flight.
+  double trust_ = 1.0;        ///< In its reports of waiting requests, 0 to 1.
+  double work_ = 0.0;         ///< Mean work of a request; zero: unknown.
+  TimePoint answeredAt_{};    ///< Latest answer.
+  double peak_ = 0.0;         ///< Decaying maximum of own requests in flight.
+  TimePoint peakAt_{};        ///< Latest time with own requests in flight.
 };
 
 } // namespace camphorfield
--- a/src/gateway/cost_placement.cpp
+++ b/src/gateway/cost_placement.cpp
@@ -57,10 +57,6 @@
 /** Less of the distribution is left beyond the age of an attempt without an
  * answer: its age says something of the work. */
 constexpr double kInformativeSurvival = 0.5;
-constexpr Duration kPeakHalfLife = seconds(3);
-/** An idle connection is replaced while the server was used within this time.
- */
-constexpr Duration kRecentUse = seconds(10);
 
 double
 Micros(Duration aTime)
@@ -473,51 +469,4 @@
   }
 }
 
-bool
-IsWorthFinishing(const GatewayState& aState,
-                 const Backend& aBackend,
-                 const Attempt& aAttempt,
-                 TimePoint aNow)
-{
-  return IsCostMode(aState) && aAttempt.cost_ != nullptr &&
-         IsUsable(aBackend) &&
-         ExpectedRest(aState, aAttempt, aNow) < Micros(kNewConnectionCost);
-}
-
-// A server of the own failure domain keeps one connection, so that the first
-// request after a quiet time needs no handshake. Others are opened on use.
-std::uint32_t
-JustifiedConnections(const GatewayState& aState,
-                     const Backend& aBackend,
-                     std::uint32_t aSpare,
-                     TimePoint aNow)
-{
-  const BackendWork& work = aBackend.work_;
-  const double peak = work.peak_ * Decay(aNow - work.peakAt_, kPeakHalfLife);
-  const bool recent = work.peak_ > 0.0 && aNow - work.peakAt_ < kRecentUse;
-  const std::uint32_t least = recent || IsSameDomain(aState, aBackend) ? 1 : 0;
-  const auto used = static_cast<std::uint32_t>(std::lround(peak));
-  return std::max(
-    { aBackend.inFlight_, std::min(used, aBackend.inFlight_ + aSpare), least });
-}
-
-void
-RecordUse(Backend& aBackend, TimePoint aNow)
-{
-  if (aBackend.inFlight_ == 0) {
-    return;
-  }
-  BackendWork& work = aBackend.work_;
-  work.peak_ = std::max(work.peak_ * Decay(aNow - work.peakAt_, kPeakHalfLife),
-                        static_cast<double>(aBackend.inFlight_));
-  work.peakAt_ = aNow;
-}
-
-void
-RecordWanted(Backend& aBackend, TimePoint aNow)
-{
-  aBackend.work_.peak_ = std::max(aBackend.work_.peak_, 1.0);
-  aBackend.work_.peakAt_ = aNow;
-}
-
 } // namespace camphorfield
--- a/src/gateway/cost_placement.h
+++ b/src/gateway/cost_placement.h
@@ -1,19 +1,13 @@
 /** Placement by the expected work of requests, PlacementMode::Cost. */
 #pragma once
 
+#include "gateway/connection_use.h"
 #include "gateway/gateway_base.h"
 
 namespace camphorfield {
 
 struct GatewayStep;
 
-/** Slot time that a new connection costs its server. */
-constexpr Duration kNewConnectionCost = milliseconds(6);
-
-/** An unneeded attempt is closed after this time at the latest: its server
- * pauses. A caller that left has its work cancelled within half a second. */
-constexpr Duration kMaxAbandonedTime = kNewConnectionCost * 4;
-
 /** Whether servers are chosen by cost. */
 bool
 IsCostMode(const GatewayState& aState);
@@ -93,30 +87,4 @@
                  const Attempt& aAttempt,
                  bool aCancelled);
 
-/** Whether an unneeded attempt costs its server less than the new connection
- * that takes the place of a closed one. */
-bool
-IsWorthFinishing(const GatewayState& aState,
-                 const Backend& aBackend,
-                 const Attempt& aAttempt,
-                 TimePoint aNow);
-
-/**
- * Connections that recent use justifies.
- * @param aSpare Most connections beyond those in use.
- */
-std::uint32_t
-JustifiedConnections(const GatewayState& aState,
-                     const Backend& aBackend,
-                     std::uint32_t aSpare,
-                     TimePoint aNow);
-
-/** Records the number of own requests in flight. */
-void
-RecordUse(Backend& aBackend, TimePoint aNow);
-
-/** Records that a request could have used a connection. */
-void
-RecordWanted(Backend& aBackend, TimePoint aNow);
-
 } // namespace camphorfield
