--- a/src/gateway/attempt_answer.cpp
+++ b/src/gateway/attempt_answer.cpp
@@ -265,7 +265,7 @@
     return;
   }
   if (attempt.cost_ != nullptr) {
-    LearnFromPending(aStep, backend, attempt, true);
+    LearnFromCancelled(aStep, backend, attempt);
   }
   CloseConnection(aStep, Detach(aStep, aAttempt).connection_);
 }
--- a/src/gateway/cost_placement.cpp
+++ b/src/gateway/cost_placement.cpp
@@ -433,10 +433,9 @@
 }
 
 void
-LearnFromPending(GatewayStep& aStep,
-                 Backend& aBackend,
-                 const Attempt& aAttempt,
-                 bool aCancelled)
+LearnFromCancelled(GatewayStep& aStep,
+                   Backend& aBackend,
+                   const Attempt& aAttempt)
 {
   const TimePoint now = aStep.Time();
   const PlacementEstimate& sent = aAttempt.estimate_;
@@ -453,14 +452,11 @@
     AddRatio(work, ratio, now);
   }
   const double weight = 1.0 - PauseProbability(progress.explained_);
-  if (aCancelled) {
-    const double error =
-      Micros(now - aAttempt.sentAt_) / std::max(sent.Total(), 1.0) * 1000.0;
-    AddError(aStep.state_.placement_.costs_,
-             cost.keys_,
-             MeanBeyond(cost.error_, error));
-  }
-  if (aCancelled && weight > kUncertainWeight) {
+  const double error =
+    Micros(now - aAttempt.sentAt_) / std::max(sent.Total(), 1.0) * 1000.0;
+  AddError(
+    aStep.state_.placement_.costs_, cost.keys_, MeanBeyond(cost.error_, error));
+  if (weight > kUncertainWeight) {
     AddCost(aStep.state_.placement_.costs_,
             cost.keys_,
             MeanBeyond(cost.work_, progress.worked_),
--- a/src/gateway/cost_placement.h
+++ b/src/gateway/cost_placement.h
@@ -79,12 +79,11 @@
                 const Attempt& aAttempt,
                 const BackendAnswer& aAnswer);
 
-/** Learns from the age of an attempt that has no answer.
- * @param aCancelled It gets none: its age is a lower bound of its time. */
+/** Learns from the age of an attempt that is cancelled, as a lower bound of its
+ * time. */
 void
-LearnFromPending(GatewayStep& aStep,
-                 Backend& aBackend,
-                 const Attempt& aAttempt,
-                 bool aCancelled);
+LearnFromCancelled(GatewayStep& aStep,
+                   Backend& aBackend,
+                   const Attempt& aAttempt);
 
 } // namespace camphorfield
