--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend_choice.cpp
@@ -172,7 +172,7 @@
     candidate.micros_ *= ReturnFactor(
       state.evacuations_, backend.entry_.failureDomain_, aStep.Time());
     if (candidate.needsConnection_) {
-      candidate.micros_ += static_cast<double>(kNewConnectionCost.count());
+      candidate.micros_ += static_cast<double>(kConnectPenalty.count());
     } else if (!candidate.room_ && work == 0.0) {
       // Parts in the queue would be sent there first.
       const auto ahead = static_cast<double>(service.queue_.size() + 1);
