Change: answers go at most a quarter beyond the limit; merges reserve their records

Cause: an answer that had been read was held whatever the limit, and the merge of a body of megabytes doubled its list of records: server_answers took 36 to 82 MB.

--- a/src/gateway/topk_merge.cpp
+++ b/src/gateway/topk_merge.cpp
@@ -11,6 +11,11 @@
                 std::uint32_t aLimit)
 {
   std::vector<std::string_view> records;
+  std::size_t bytes = 0;
+  for (const std::string_view part : aParts) {
+    bytes += part.size();
+  }
+  records.reserve(bytes / kRecordBytes);
   for (const std::string_view part : aParts) {
     for (std::size_t at = 0; at + kRecordBytes <= part.size();
          at += kRecordBytes) {
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -351,11 +351,10 @@
   message.keep_alive(aKeepAlive);
   message.body() = std::move(aResponse.body_);
   message.prepare_payload();
-  // An answer is there already; it is held even if that is beyond the limit.
-  const std::uint64_t bytes =
-    kSessionBytes + buffer_.capacity() + message.body().capacity();
-  if (!hold_.Reserve(bytes)) {
-    hold_.Set(bytes);
+  if (!hold_.ReserveOrExceed(kSessionBytes + buffer_.capacity() +
+                             message.body().capacity())) {
+    CountLimit(server_->account_, MemoryLimit::Answer);
+    return false;
   }
   hold_.Enter(HolderState::Writing);
   stream_.expires_after(kWriteTimeout);
--- a/src/runtime/memory_account.cpp
+++ b/src/runtime/memory_account.cpp
@@ -132,6 +132,22 @@
   return true;
 }
 
+bool
+MemoryHold::ReserveOrExceed(std::uint64_t aBytes)
+{
+  if (Reserve(aBytes)) {
+    return true;
+  }
+  const MemoryBudget& budget = account_->budget_;
+  if (isClosed_ ||
+      (aBytes > kSmallHolderBytes &&
+       budget.used_ - bytes_ + aBytes > budget.limit_ + budget.limit_ / 4)) {
+    return false;
+  }
+  Set(aBytes);
+  return true;
+}
+
 void
 MemoryHold::Set(std::uint64_t aBytes)
 {
--- a/src/runtime/memory_account.h
+++ b/src/runtime/memory_account.h
@@ -96,6 +96,10 @@
   /** Sets the bytes held; false if there is no room: nothing has changed. */
   bool Reserve(std::uint64_t aBytes);
 
+  /** The same, but up to a quarter beyond the limit, and small holders in any
+   * case: for what is in memory already. */
+  bool ReserveOrExceed(std::uint64_t aBytes);
+
   /** Sets the bytes held, also beyond the limit. */
   void Set(std::uint64_t aBytes);
 
