--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -1,5 +1,6 @@
 // Sends parts to servers, and hedges to a second server when the first one
 // pauses, within the retry budget that all daemons share.
+#include "gateway/connection_use.h"
 #include "gateway/cost_placement.h"
 #include "gateway/gateway_internal.h"
 #include "gateway/route_times.h"
@@ -239,7 +240,8 @@
     return;
   }
   if (part.mayHaveRun_ + 1U >= kMaxRuns || part.sends_ >= kMaxSends ||
-      run->revoked_ || IsSuspected(state, run->content_)) {
+      run->revoked_ || MayCrashServers(*run) ||
+      IsSuspected(state, run->content_)) {
     return;
   }
   const std::uint64_t backend = ChooseBackend(aStep, *run, part, true);
--- a/src/gateway/attempt_answer.cpp
+++ b/src/gateway/attempt_answer.cpp
@@ -1,6 +1,7 @@
 // Handles the end of an attempt. When a server fails, rejects or loses an
 // answer, idempotent requests and requests that did not run are sent again,
 // within the retry budget that all daemons share.
+#include "gateway/connection_use.h"
 #include "gateway/cost_placement.h"
 #include "gateway/gateway_func.h"
 #include "gateway/gateway_internal.h"
@@ -44,7 +45,7 @@
 {
   GatewayState& state = aStep.state_;
   Attempt& slot = *FindSlot(state.attempts_, aAttempt);
-  const Attempt attempt = slot;
+  Attempt attempt = slot;
   FreeSlot(state.attempts_, slot);
   if (RequestPart* part = FindPart(state, attempt)) {
     for (std::uint64_t& key : part->attempts_) {
@@ -94,18 +95,6 @@
          TakeExtraSend(aStep, aPart);
 }
 
-void
-RetryOrFail(GatewayStep& aStep, GatewayRun& aRun, std::uint32_t aPart)
-{
-  const RequestPart& part = aRun.parts_[aPart];
-  if (!TakeRetry(aStep, aRun, part, part.mayHaveRun_)) {
-    FailPart(aStep, aRun, aPart);
-    return;
-  }
-  ++aStep.state_.stats_.retries_;
-  EnqueuePart(aStep, aRun, aPart);
-}
-
 /** Whether an answer belongs to an earlier request on its connection. The
  * connection has carried each id once. A server that echoes ids does so in each
  * answer. */
@@ -194,13 +183,32 @@
   if (aAnswer != nullptr) {
     run->failure_ = std::move(*aAnswer);
   }
-  if (part.phase_ == PartPhase::Running && !HasAttempts(part)) {
-    RetryOrFail(aStep, *run, aAttempt.part_);
+  run->broken_ += aEnd == AttemptEnd::Broken ? 1 : 0;
+  if (part.phase_ != PartPhase::Running || HasAttempts(part)) {
+    return;
   }
+  if (aEnd == AttemptEnd::Broken && MayCrashServers(*run)) {
+    part.phase_ = PartPhase::Held;
+    AdvanceProbe(aStep, *run);
+    return;
+  }
+  RetryOrFail(aStep, *run, aAttempt.part_);
 }
 
 } // namespace
 
+void
+RetryOrFail(GatewayStep& aStep, GatewayRun& aRun, std::uint32_t aPart)
+{
+  const RequestPart& part = aRun.parts_[aPart];
+  if (!TakeRetry(aStep, aRun, part, part.mayHaveRun_)) {
+    FailPart(aStep, aRun, aPart);
+    return;
+  }
+  ++aStep.state_.stats_.retries_;
+  EnqueuePart(aStep, aRun, aPart);
+}
+
 void
 EndAttempt(GatewayStep& aStep, std::uint64_t aAttempt, AttemptEnd aEnd)
 {
@@ -293,7 +301,7 @@
     return;
   }
   if (attempt.cost_ != nullptr) {
-    LearnFromPending(aStep, backend, attempt, true);
+    LearnFromCancelled(aStep, backend, attempt);
   }
   CloseConnection(aStep, Detach(aStep, aAttempt).connection_);
 }
--- a/src/gateway/request_admit.cpp
+++ b/src/gateway/request_admit.cpp
@@ -270,6 +270,7 @@
     AddTimer(timers,
              { aRun.softAt_, aRun.key_, 0, GatewayTimer::RequestSoftDeadline });
   }
+  ProbeFirst(aStep, aRun);
   for (std::uint32_t i = 0; i < aRun.parts_.size(); ++i) {
     RequestPart& part = aRun.parts_[i];
     const GatewayServiceState& service = aStep.state_.services_[part.service_];
@@ -283,8 +284,11 @@
       ++aRun.failed_;
       continue;
     }
-    EnqueuePart(aStep, aRun, i);
+    if (part.phase_ != PartPhase::Held) {
+      EnqueuePart(aStep, aRun, i);
+    }
   }
+  AdvanceProbe(aStep, aRun);
 }
 
 /** Number of parts whose service has no available server. */
@@ -425,7 +429,7 @@
   RouteLoad& load = state.loads_[route->name_];
   const Duration waited = TimeSinceFirstAttempt(aRequest, load, now);
   // With cold servers, the time until they have room is known.
-  const bool cold = HasColdShard(state, *route, now);
+  const bool cold = HasOnlyColdRoom(state, *route, now);
   if (!cold && RejectIfFull(aStep, aRequest, *route, sender)) {
     ReturnToken(aStep, aCap);
     return;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -88,7 +88,11 @@
                  aRun.route_->objective_,
                  aStep.Time());
   }
+  const std::uint64_t key = aRun.key_;
   FinishIfDecided(aStep, aRun);
+  if (GatewayRun* run = FindSlot(aStep.state_.runs_, key)) {
+    ReleaseHeld(aStep, *run);
+  }
 }
 
 void
@@ -97,7 +101,11 @@
   aRun.parts_[aPart].phase_ = PartPhase::Failed;
   ++aRun.failed_;
   if (aRun.route_->IsQuery()) {
+    const std::uint64_t key = aRun.key_;
     FinishIfDecided(aStep, aRun);
+    if (GatewayRun* run = FindSlot(aStep.state_.runs_, key)) {
+      AdvanceProbe(aStep, *run);
+    }
     return;
   }
   // A failure answer of a server is forwarded unchanged, unless it reports that
