Change: the keyed hash of keys is OpenSSL's SipHash

Cause: the project had its own SipHash, although the library is linked. Change: EVP_MAC with SIPHASH; without it requests fail instead of being admitted.

--- a/src/core/keyed_hash.cpp
+++ b/src/core/keyed_hash.cpp
@@ -1,55 +1,32 @@
-// SipHash-2-4 as its authors specify it. xxHash isn't used here: its seed isn't
-// meant to be secret.
+// xxHash isn't used here: its seed isn't meant to be secret.
 #include "core/keyed_hash.h"
 
-#include <bit>
+#include <memory>
+#include <openssl/core_names.h>
+#include <openssl/evp.h>
+#include <openssl/params.h>
+#include <stdexcept>
 
 namespace camphorfield {
 
 namespace {
 
-struct SipState
-{
-  std::uint64_t v0_;
-  std::uint64_t v1_;
-  std::uint64_t v2_;
-  std::uint64_t v3_;
-};
+constexpr std::size_t kWordBytes = 8;
+constexpr unsigned kBitsPerByte = 8;
 
-void
-Round(SipState& aState)
-{
-  aState.v0_ += aState.v1_;
-  aState.v1_ = std::rotl(aState.v1_, 13) ^ aState.v0_;
-  aState.v0_ = std::rotl(aState.v0_, 32);
-  aState.v2_ += aState.v3_;
-  aState.v3_ = std::rotl(aState.v3_, 16) ^ aState.v2_;
-  aState.v0_ += aState.v3_;
-  aState.v3_ = std::rotl(aState.v3_, 21) ^ aState.v0_;
-  aState.v2_ += aState.v1_;
-  aState.v1_ = std::rotl(aState.v1_, 17) ^ aState.v2_;
-  aState.v2_ = std::rotl(aState.v2_, 32);
-}
+using Context = std::unique_ptr<EVP_MAC_CTX, decltype(&EVP_MAC_CTX_free)>;
+using Bytes = std::array<unsigned char, 2 * kWordBytes>;
 
-void
-AddWord(SipState& aState, std::uint64_t aWord)
-{
-  aState.v3_ ^= aWord;
-  Round(aState);
-  Round(aState);
-  aState.v0_ ^= aWord;
-}
-
-/** Up to eight bytes as a number, least significant first. */
-std::uint64_t
-ReadWord(std::string_view aBytes)
+/** Words as bytes, least significant first, as SipHash defines its key. */
+Bytes
+ToBytes(const HashKey& aKey)
 {
-  std::uint64_t word = 0;
-  for (std::size_t i = 0; i < aBytes.size(); ++i) {
-    word |= static_cast<std::uint64_t>(static_cast<unsigned char>(aBytes[i]))
-            << (8 * i);
+  Bytes bytes{};
+  for (std::size_t i = 0; i < bytes.size(); ++i) {
+    bytes.at(i) = static_cast<unsigned char>(aKey.at(i / kWordBytes) >>
+                                             (kBitsPerByte * (i % kWordBytes)));
   }
-  return word;
+  return bytes;
 }
 
 } // namespace
@@ -57,22 +34,29 @@
 std::uint64_t
 HashKeyed(std::string_view aText, const HashKey& aKey)
 {
-  constexpr std::size_t kWordBytes = 8;
-  SipState state{ aKey[0] ^ 0x736f6d6570736575ULL,
-                  aKey[1] ^ 0x646f72616e646f6dULL,
-                  aKey[0] ^ 0x6c7967656e657261ULL,
-                  aKey[1] ^ 0x7465646279746573ULL };
-  std::string_view rest = aText;
-  for (; rest.size() >= kWordBytes; rest.remove_prefix(kWordBytes)) {
-    AddWord(state, ReadWord(rest.substr(0, kWordBytes)));
+  static EVP_MAC* const kSipHash = EVP_MAC_fetch(nullptr, "SIPHASH", nullptr);
+  const Context context(EVP_MAC_CTX_new(kSipHash), EVP_MAC_CTX_free);
+  std::size_t size = kWordBytes;
+  const OSSL_PARAM parameters[] = {
+    OSSL_PARAM_construct_size_t(OSSL_MAC_PARAM_SIZE, &size),
+    OSSL_PARAM_construct_end(),
+  };
+  const Bytes key = ToBytes(aKey);
+  std::array<unsigned char, kWordBytes> out{};
+  if (context == nullptr ||
+      EVP_MAC_init(context.get(), key.data(), key.size(), parameters) != 1 ||
+      EVP_MAC_update(context.get(),
+                     reinterpret_cast<const unsigned char*>(aText.data()),
+                     aText.size()) != 1 ||
+      EVP_MAC_final(context.get(), out.data(), &size, out.size()) != 1) {
+    // A hash that doesn't depend on the text would admit every key.
+    throw std::runtime_error("SipHash is not available");
   }
-  AddWord(state,
-          ReadWord(rest) | static_cast<std::uint64_t>(aText.size()) << 56U);
-  state.v2_ ^= 0xffU;
-  for (int i = 0; i < 4; ++i) {
-    Round(state);
+  std::uint64_t hash = 0;
+  for (std::size_t i = 0; i < out.size(); ++i) {
+    hash |= static_cast<std::uint64_t>(out.at(i)) << (kBitsPerByte * i);
   }
-  return state.v0_ ^ state.v1_ ^ state.v2_ ^ state.v3_;
+  return hash;
 }
 
 } // namespace camphorfield
