--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -155,6 +155,37 @@
   }
 }
 
+// The goals of the mode, missed so far (KNOWN-RED.txt): no kind may be served
+// less than with count, in any pattern and fleet.
+IGNORE_TEST(Placement, NoKindIsServedLessThanWithCount)
+{
+  for (const PlacementPattern& pattern : GetPlacementPatterns()) {
+    for (const std::size_t daemons : { 6UL, 76UL, 295UL }) {
+      const std::size_t seeds = daemons > 100 ? 4 : 10;
+      const PlacementRun count =
+        RunPlacement(pattern, daemons, PlacementMode::Count, seeds);
+      const PlacementRun cost =
+        RunPlacement(pattern, daemons, PlacementMode::Cost, seeds);
+      const std::string name =
+        pattern.name_ + std::string(" ") + std::to_string(daemons);
+      for (std::size_t i = 0; i < count.kinds_.size(); ++i) {
+        CHECK_TEXT(cost.kinds_[i].onTime_ >= count.kinds_[i].onTime_,
+                   name.c_str());
+      }
+    }
+  }
+}
+
+// At twice the load, 95% of the 207 queries a second that the servers can run.
+IGNORE_TEST(Placement, GoodputIsNearCapacityAtTwiceTheLoad)
+{
+  for (const std::size_t daemons : { 6UL, 76UL, 295UL }) {
+    const PlacementRun run = RunPlacement(
+      GetPlacementPattern("twice"), daemons, PlacementMode::Cost, 4);
+    CHECK_TRUE(run.kinds_[0].goodput_ >= 0.95 * 207.0);
+  }
+}
+
 // Connections that were opened ahead and expired unused, and those that
 // replaced the ones of cancelled attempts, cost servers 6 ms of a slot each.
 TEST(Placement, FewerConnectionsAreOpened)
