Change: rates of organisations survive kills of half the fleet and of all

Change: an owner goes on granting for 2 s after it lost the majority, less than a takeover takes; one that has just started may grant a quarter of the slack.

--- a/src/gateway/fleet_majority.cpp
+++ b/src/gateway/fleet_majority.cpp
@@ -10,6 +10,11 @@
  * over before. */
 constexpr Duration kSizeTtl = std::chrono::minutes(10);
 
+/** When half of the fleet is killed at once, the others go on granting while it
+ * restarts. In a partition no other daemon takes over sooner than 3 s after the
+ * members are suspected, and 1.5 s more pass until it grants. */
+constexpr Duration kMajorityGrace = std::chrono::seconds(2);
+
 } // namespace
 
 bool
@@ -22,4 +27,15 @@
   return aAlive * 2 > aSize.largest_;
 }
 
+bool
+MayGoOnGranting(FleetSize& aSize, std::size_t aAlive, TimePoint aNow)
+{
+  if (SeesMajority(aSize, aAlive, aNow)) {
+    aSize.majorityAt_ = aNow;
+    return true;
+  }
+  return aSize.majorityAt_ != TimePoint{} &&
+         aNow < aSize.majorityAt_ + kMajorityGrace;
+}
+
 } // namespace camphorfield
--- a/src/gateway/fleet_majority.h
+++ b/src/gateway/fleet_majority.h
@@ -11,11 +11,19 @@
 struct FleetSize
 {
   std::size_t largest_ = 0;
-  TimePoint reachedAt_{}; ///< Latest time with as many members.
+  TimePoint reachedAt_{};  ///< Latest time with as many members.
+  TimePoint majorityAt_{}; ///< Latest time with a majority; zero: never.
 };
 
 /** Whether the live members are more than half of the recent fleet. */
 bool
 SeesMajority(FleetSize& aSize, std::size_t aAlive, TimePoint aNow);
 
+/**
+ * Whether this daemon may go on granting what one daemon grants for all: it
+ * sees the majority, or did so until a moment ago.
+ */
+bool
+MayGoOnGranting(FleetSize& aSize, std::size_t aAlive, TimePoint aNow);
+
 } // namespace camphorfield
--- a/src/gateway/rate_cap_owner.cpp
+++ b/src/gateway/rate_cap_owner.cpp
@@ -19,6 +19,12 @@
 /** Part of the tolerance that makes up for tokens that are granted and not
  * used. */
 constexpr double kCapacityPart = 0.25;
+/** Part of the tolerance's slack that a daemon that has just started may grant.
+ * Without it organisations of less than a request a second are refused for
+ * seconds after all daemons were killed. */
+constexpr double kStartPart = 0.25;
+/** Time in which a daemon counts as just started. */
+constexpr Duration kStartTime = std::chrono::seconds(3);
 
 /** The owner if this daemon weren't there. */
 DaemonId
@@ -117,6 +123,9 @@
   }
   ++aCaps.stats_.takeovers_;
   StartOver(owned, aNow);
+  if (aNow < aCaps.startedAt_ + kStartTime) {
+    owned.tokens_ = kStartPart * aCaps.tolerance_.slack_;
+  }
   const DaemonId predecessor = FindPredecessor(aCaps, aCap.organisation_);
   if (predecessor.IsValid()) {
     CapMessage message;
--- a/tests/gateway/rate_cap_test.cpp
+++ b/tests/gateway/rate_cap_test.cpp
@@ -112,6 +112,37 @@
 
 TEST_GROUP(RateCap){};
 
+// When half of the fleet is killed, those that remain refused every request of
+// an organisation until the others were back. A side of a partition must have
+// stopped before the other one takes over.
+TEST(RateCap, GrantsGoOnForAMomentWithoutAMajority)
+{
+  struct Step
+  {
+    int millis_;
+    std::size_t alive_;
+    bool grants_;
+  };
+  const Step steps[] = {
+    { 0, 66, true },     { 1000, 30, true }, { 1900, 30, true },
+    { 2100, 30, false }, { 3200, 40, true }, { 4000, 33, true },
+    { 5300, 33, false },
+  };
+  FleetSize size;
+  for (const Step& step : steps) {
+    CHECK_EQUAL(
+      step.grants_,
+      MayGoOnGranting(size,
+                      step.alive_,
+                      TimePoint{} + seconds(100) + milliseconds(step.millis_)));
+  }
+  // One that has never seen a majority has nothing to go on with.
+  FleetSize fresh;
+  fresh.largest_ = 66;
+  fresh.reachedAt_ = TimePoint{} + seconds(100);
+  CHECK_FALSE(MayGoOnGranting(fresh, 3, TimePoint{} + seconds(100)));
+}
+
 // Guards against refusals below the cap because the tokens are at a daemon
 // whose callers have moved, and against sums above it.
 TEST(RateCap, UnevenShiftingCallers)
