Codechange: divide src/gateway by subject

Cause: 69 files in one folder, and one internal header of 531 lines for all of them, hid which sources belong together. Change: folders request, backend, guidance, admission, crash and fleet, each with the declarations that its sources share; src/gateway keeps the common types. Result: no behaviour changes; checked by the build and the tests.

--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission/admission.cpp
@@ -2,7 +2,8 @@
 // route has a window of requests in flight, which shrinks when answers get
 // close to the objective. Excess requests are rejected on arrival and reach no
 // server.
-#include "gateway/gateway_internal.h"
+#include "gateway/admission/admission_internal.h"
+#include "gateway/backend/backend_internal.h"
 
 #include <algorithm>
 
--- a/src/gateway/cap_admit.cpp
+++ b/src/gateway/admission/cap_admit.cpp
@@ -1,9 +1,10 @@
 // Requests under a cap that wait for the owner's answer. Meanwhile their caller
 // may leave, and the configuration may change: they are admitted anew once they
 // have a token, and return it if they are rejected or end without a send.
+#include "gateway/admission/admission_internal.h"
 #include "gateway/gateway_func.h"
-#include "gateway/gateway_internal.h"
-#include "gateway/route_match.h"
+#include "gateway/request/request_internal.h"
+#include "gateway/request/route_match.h"
 
 #include <utility>
 
--- a/src/gateway/fair_admission.cpp
+++ b/src/gateway/admission/fair_admission.cpp
@@ -6,7 +6,7 @@
 // Those that had less than their part are admitted a bit beyond the window;
 // this room is taken from those above their part, but only while there is such
 // need, so that no capacity is left unused.
-#include "gateway/fair_admission.h"
+#include "gateway/admission/fair_admission.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/organisation.cpp
+++ b/src/gateway/admission/organisation.cpp
@@ -2,7 +2,7 @@
 // how long it takes tells nothing about the keys, since only digests under a
 // secret of this process are compared. Digests also keep the keys themselves
 // out of the state of requests.
-#include "gateway/organisation.h"
+#include "gateway/admission/organisation.h"
 
 namespace camphorfield {
 
--- a/src/gateway/organisation_stats.cpp
+++ b/src/gateway/admission/organisation_stats.cpp
@@ -1,6 +1,6 @@
 // Thousands of organisations must not become as many time series; those that
 // are refused most are the ones that operators are asked about.
-#include "gateway/organisation_stats.h"
+#include "gateway/admission/organisation_stats.h"
 
 #include <algorithm>
 
--- a/src/gateway/rate_cap.cpp
+++ b/src/gateway/admission/rate_cap.cpp
@@ -10,7 +10,7 @@
 // dead, grants nothing for kTakeoverTime, in which the other's view changes,
 // too. Its bucket starts empty, since the other may have granted the burst just
 // before. On a minority's side of a partition there is no owner.
-#include "gateway/rate_cap_internal.h"
+#include "gateway/admission/rate_cap_internal.h"
 
 #include "core/hash_func.h"
 
--- a/src/gateway/rate_cap_internal.h
+++ b/src/gateway/admission/rate_cap_internal.h
@@ -1,7 +1,7 @@
 /** Functions that the sources of rate caps share. */
 #pragma once
 
-#include "gateway/rate_cap.h"
+#include "gateway/admission/rate_cap.h"
 
 namespace camphorfield {
 
--- a/src/gateway/rate_cap_owner.cpp
+++ b/src/gateway/admission/rate_cap_owner.cpp
@@ -1,6 +1,6 @@
 // The owner's side of rate caps, see rate_cap.cpp: a token bucket, and its
 // transfer to the next owner while views of the fleet differ.
-#include "gateway/rate_cap_internal.h"
+#include "gateway/admission/rate_cap_internal.h"
 
 #include "core/hash_func.h"
 
--- a/src/gateway/backend_choice.cpp
+++ b/src/gateway/backend/backend_choice.cpp
@@ -1,10 +1,11 @@
 // Chooses a server when servers differ in speed, pause, or are slow or fail for
 // a while. A request goes to the server with the earliest estimated answer,
 // which may mean waiting for a busy server although a slow one is idle.
-#include "gateway/cost_placement.h"
-#include "gateway/gateway_internal.h"
-#include "gateway/route_times.h"
-#include "gateway/work_estimate.h"
+#include "gateway/backend/backend_internal.h"
+#include "gateway/backend/cost_placement.h"
+#include "gateway/backend/work_estimate.h"
+#include "gateway/guidance/guidance_internal.h"
+#include "gateway/request/route_times.h"
 
 #include <algorithm>
 
--- a/src/gateway/backend_conn.cpp
+++ b/src/gateway/backend/backend_conn.cpp
@@ -1,10 +1,13 @@
 // Connection pool for servers that accept few connections in total and spend a
 // slot on each new one. Every daemon stays within its share and keeps spare
 // connections open.
-#include "gateway/connection_use.h"
-#include "gateway/cost_placement.h"
+#include "gateway/backend/backend_internal.h"
+#include "gateway/backend/connection_use.h"
+#include "gateway/backend/cost_placement.h"
+#include "gateway/crash/crash_guard.h"
 #include "gateway/gateway_func.h"
-#include "gateway/gateway_internal.h"
+#include "gateway/guidance/guidance_internal.h"
+#include "gateway/request/request_internal.h"
 
 #include <algorithm>
 
--- a/src/gateway/backend_health.cpp
+++ b/src/gateway/backend/backend_health.cpp
@@ -1,8 +1,9 @@
 // Tracks server health by the outcomes of requests alone, because servers
 // crash, fail part of their requests or get slow while their health check stays
 // good.
-#include "gateway/cost_placement.h"
-#include "gateway/gateway_internal.h"
+#include "gateway/backend/backend_internal.h"
+#include "gateway/backend/cost_placement.h"
+#include "gateway/crash/crash_guard.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend/backend_table.cpp
@@ -1,7 +1,10 @@
 // Applies the list of backend servers. Servers restart, move and drain, and
 // lists may arrive out of order: stale entries never replace newer ones.
+#include "gateway/backend/backend_internal.h"
+#include "gateway/crash/crash_guard.h"
 #include "gateway/gateway_func.h"
-#include "gateway/gateway_internal.h"
+#include "gateway/guidance/guidance_internal.h"
+#include "gateway/request/request_internal.h"
 
 #include <algorithm>
 #include <set>
--- a/src/gateway/carried_ids.cpp
+++ b/src/gateway/backend/carried_ids.cpp
@@ -1,7 +1,7 @@
 // Servers may send an answer twice, the second copy where the next answer on
 // the connection is expected. A request id names an answer only on a connection
 // that carries it once.
-#include "gateway/carried_ids.h"
+#include "gateway/backend/carried_ids.h"
 
 namespace camphorfield {
 
--- a/src/gateway/connection_use.cpp
+++ b/src/gateway/backend/connection_use.cpp
@@ -1,10 +1,10 @@
 // Connections to servers that spend 6 ms of a slot on each new one, while
 // unneeded requests are cancelled by closing theirs, and idle ones expire.
-#include "gateway/connection_use.h"
+#include "gateway/backend/connection_use.h"
 
-#include "gateway/cost_placement.h"
-#include "gateway/gateway_internal.h"
-#include "gateway/work_estimate.h"
+#include "gateway/backend/backend_internal.h"
+#include "gateway/backend/cost_placement.h"
+#include "gateway/backend/work_estimate.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/cost_model.cpp
+++ b/src/gateway/backend/cost_model.cpp
@@ -1,7 +1,7 @@
 // Learns the work of requests whose cost differs widely: bimodal by content,
 // heavy-tailed, or changing tenfold within seconds. Requests with known content
 // get that content's distribution, others the one of their route.
-#include "gateway/cost_model.h"
+#include "gateway/backend/cost_model.h"
 
 #include "core/hash_func.h"
 
--- a/src/gateway/cost_placement.cpp
+++ b/src/gateway/backend/cost_placement.cpp
@@ -1,12 +1,12 @@
 // Chooses servers when requests that look alike cost very different amounts of
 // work: one in a hundred five times as much, or two kinds on one route. A
 // number of requests ahead then says little about the time until an answer.
-#include "gateway/cost_placement.h"
+#include "gateway/backend/cost_placement.h"
 
 #include "core/hash_func.h"
-#include "gateway/gateway_internal.h"
-#include "gateway/route_times.h"
-#include "gateway/work_estimate.h"
+#include "gateway/backend/backend_internal.h"
+#include "gateway/backend/work_estimate.h"
+#include "gateway/request/route_times.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/cost_placement.h
+++ b/src/gateway/backend/cost_placement.h
@@ -1,7 +1,7 @@
 /** Placement by the expected work of requests, PlacementMode::Cost. */
 #pragma once
 
-#include "gateway/connection_use.h"
+#include "gateway/backend/connection_use.h"
 #include "gateway/gateway_base.h"
 
 namespace camphorfield {
--- a/src/gateway/route_region.cpp
+++ b/src/gateway/backend/route_region.cpp
@@ -1,6 +1,6 @@
 // Keeps requests of a route within the regions that it allows, also while all
 // servers there are lost or overloaded.
-#include "gateway/gateway_internal.h"
+#include "gateway/backend/backend_internal.h"
 
 #include <algorithm>
 
--- a/src/gateway/work_estimate.cpp
+++ b/src/gateway/backend/work_estimate.cpp
@@ -1,8 +1,8 @@
 // Estimates a server's answer time when servers differ in speed, pause, or are
 // slow or fail for a while.
-#include "gateway/work_estimate.h"
+#include "gateway/backend/work_estimate.h"
 
-#include "gateway/gateway_internal.h"
+#include "gateway/backend/backend_internal.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash/crash_guard.cpp
@@ -2,8 +2,8 @@
 // retried by its caller. Evidence against content is a server that crashed
 // while it ran a request which then got no answer; an answer refutes it. The
 // daemons join their evidence, since retries reach different ones.
+#include "gateway/crash/crash_guard.h"
 #include "gateway/gateway_func.h"
-#include "gateway/gateway_internal.h"
 
 #include "core/hash_func.h"
 #include "table/suspicion_table.h"
--- a/src/gateway/evidence_log.cpp
+++ b/src/gateway/crash/evidence_log.cpp
@@ -2,9 +2,9 @@
 // The store bills each call and may refuse, be slow, lose replies or go back to
 // an older copy, so what is there is joined with what is known, seldom, and
 // nothing waits for it.
-#include "gateway/evidence_log.h"
+#include "gateway/crash/evidence_log.h"
 
-#include "gateway/gateway_internal.h"
+#include "gateway/crash/crash_guard.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/gateway/config_lag.cpp
+++ b/src/gateway/fleet/config_lag.cpp
@@ -1,6 +1,6 @@
 // Measures the lag of each version on its own: in a series of changes there is
 // always a newer one that is still on its way.
-#include "gateway/config_lag.h"
+#include "gateway/fleet/config_lag.h"
 
 namespace camphorfield {
 
--- a/src/gateway/directory.cpp
+++ b/src/gateway/fleet/directory.cpp
@@ -1,7 +1,7 @@
 // Selects entry daemons and watchers in fleets of VMs of unequal size. A query
 // goes to every shard, so entry daemons need connections to all servers, which
 // accept few; the daemons with the most capacity answer soonest.
-#include "gateway/directory.h"
+#include "gateway/fleet/directory.h"
 
 #include "core/hash_func.h"
 #include "gateway/gateway_const.h"
--- a/src/gateway/feed_source.cpp
+++ b/src/gateway/fleet/feed_source.cpp
@@ -1,8 +1,8 @@
 // Chooses whose feed of the tables a daemon follows while watchers stop, lose
 // the store, or go on with a watch that tells them nothing.
-#include "gateway/feed_source.h"
+#include "gateway/fleet/feed_source.h"
 
-#include "gateway/directory.h"
+#include "gateway/fleet/directory.h"
 
 #include <algorithm>
 #include <bit>
--- a/src/gateway/fleet_majority.cpp
+++ b/src/gateway/fleet/fleet_majority.cpp
@@ -1,6 +1,6 @@
 // Partitions, in which the smaller side must not use what the larger one uses,
 // too, and fleets that are made smaller for good, which must not stay without.
-#include "gateway/fleet_majority.h"
+#include "gateway/fleet/fleet_majority.h"
 
 namespace camphorfield {
 
--- a/src/gateway/fleet_role.cpp
+++ b/src/gateway/fleet/fleet_role.cpp
@@ -8,7 +8,7 @@
 // window of the budget. Whatever the former owner of the part, or this daemon
 // before a restart, has spent has left the window by then. At most one side of
 // a partition has the majority.
-#include "gateway/fleet_role.h"
+#include "gateway/fleet/fleet_role.h"
 
 #include <algorithm>
 
--- a/src/gateway/fleet_role.h
+++ b/src/gateway/fleet/fleet_role.h
@@ -1,7 +1,7 @@
 /** Roles and shares of one daemon, derived from its view of the fleet. */
 #pragma once
 
-#include "gateway/directory.h"
+#include "gateway/fleet/directory.h"
 
 #include <map>
 #include <vector>
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,7 +1,10 @@
 // Configuration, timers and periodic maintenance of the gateway. Connections
 // are opened ahead of load, and the daemon's processor load is estimated.
+#include "gateway/admission/admission_internal.h"
+#include "gateway/backend/backend_internal.h"
 #include "gateway/gateway_func.h"
-#include "gateway/gateway_internal.h"
+#include "gateway/guidance/guidance_internal.h"
+#include "gateway/request/request_internal.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/gateway_func.h
+++ b/src/gateway/gateway_func.h
@@ -1,7 +1,7 @@
 /** Entry points of the gateway's decision core. */
 #pragma once
 
-#include "gateway/fleet_role.h"
+#include "gateway/fleet/fleet_role.h"
 #include "gateway/gateway_base.h"
 #include "machine/event_type.h"
 
--- a/src/gateway/cold_phase.cpp
+++ b/src/gateway/guidance/cold_phase.cpp
@@ -1,9 +1,10 @@
 // Tracks which servers are cold: after their start, when they say so later,
 // after an evacuation, and after a restart that their entries don't show yet.
 // Each of these may strike all servers of a failure domain at once.
+#include "gateway/backend/backend_internal.h"
 #include "gateway/gateway_func.h"
-#include "gateway/gateway_internal.h"
-#include "gateway/route_times.h"
+#include "gateway/guidance/guidance_internal.h"
+#include "gateway/request/route_times.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
--- a/src/gateway/cold_server.cpp
+++ b/src/gateway/guidance/cold_server.cpp
@@ -12,7 +12,7 @@
 // belong to slots that begin within 1 s + hold: at most rate x (1 + hold) + 1.
 // What the bound allows above that covers clocks that differ, and the time that
 // requests spend on the way.
-#include "gateway/cold_server.h"
+#include "gateway/guidance/cold_server.h"
 
 #include "core/hash_func.h"
 
--- a/src/gateway/evacuation.cpp
+++ b/src/gateway/guidance/evacuation.cpp
@@ -1,10 +1,12 @@
 // Takes load off whole failure domains and returns it: operators evacuate a
 // domain under load, end the evacuation while its servers are cold, and may do
 // both again at any moment, during an outage of the store too.
-#include "gateway/evacuation.h"
+#include "gateway/guidance/evacuation.h"
 
+#include "gateway/backend/backend_internal.h"
 #include "gateway/gateway_func.h"
-#include "gateway/gateway_internal.h"
+#include "gateway/guidance/guidance_internal.h"
+#include "gateway/request/request_internal.h"
 
 #include <algorithm>
 
--- a/src/gateway/rate_limit.cpp
+++ b/src/gateway/guidance/rate_limit.cpp
@@ -1,7 +1,7 @@
 // Keeps all daemons together within the request rate that a server in need has
 // named. Each daemon uses an equal part of it, since callers spread over the
 // entry daemons evenly, so that nothing has to be agreed on.
-#include "gateway/rate_limit.h"
+#include "gateway/guidance/rate_limit.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/request/attempt.cpp
@@ -1,9 +1,12 @@
 // Sends parts to servers, and hedges to a second server when the first one
 // pauses, within the retry budget that all daemons share.
-#include "gateway/connection_use.h"
-#include "gateway/cost_placement.h"
-#include "gateway/gateway_internal.h"
-#include "gateway/route_times.h"
+#include "gateway/backend/backend_internal.h"
+#include "gateway/backend/connection_use.h"
+#include "gateway/backend/cost_placement.h"
+#include "gateway/crash/crash_guard.h"
+#include "gateway/guidance/guidance_internal.h"
+#include "gateway/request/request_internal.h"
+#include "gateway/request/route_times.h"
 
 #include <algorithm>
 
--- a/src/gateway/attempt_answer.cpp
+++ b/src/gateway/request/attempt_answer.cpp
@@ -1,11 +1,14 @@
 // Handles the end of an attempt. When a server fails, rejects or loses an
 // answer, idempotent requests and requests that did not run are sent again,
 // within the retry budget that all daemons share.
-#include "gateway/connection_use.h"
-#include "gateway/cost_placement.h"
+#include "gateway/backend/backend_internal.h"
+#include "gateway/backend/connection_use.h"
+#include "gateway/backend/cost_placement.h"
+#include "gateway/crash/crash_guard.h"
 #include "gateway/gateway_func.h"
-#include "gateway/gateway_internal.h"
-#include "gateway/route_times.h"
+#include "gateway/guidance/guidance_internal.h"
+#include "gateway/request/request_internal.h"
+#include "gateway/request/route_times.h"
 
 #include "core/hash_func.h"
 
--- a/src/gateway/planned_stop.cpp
+++ b/src/gateway/request/planned_stop.cpp
@@ -3,7 +3,7 @@
 // Every request that is taken gets an answer before the process ends, and one
 // that could hardly be finished is left to another daemon.
 #include "gateway/gateway_func.h"
-#include "gateway/gateway_internal.h"
+#include "gateway/request/request_internal.h"
 
 #include <algorithm>
 
--- a/src/gateway/query_probe.cpp
+++ b/src/gateway/request/query_probe.cpp
@@ -3,8 +3,10 @@
 // servers broke off under it before any shard has answered. One query would
 // otherwise crash one or two servers of each shard. The first answer shows that
 // the others can be asked, too.
-#include "gateway/gateway_internal.h"
-#include "gateway/route_times.h"
+#include "gateway/backend/backend_internal.h"
+#include "gateway/crash/crash_guard.h"
+#include "gateway/request/request_internal.h"
+#include "gateway/request/route_times.h"
 
 #include <algorithm>
 #include <vector>
--- a/src/gateway/request_admit.cpp
+++ b/src/gateway/request/request_admit.cpp
@@ -2,9 +2,13 @@
 // little and learn nothing, a key that is too new to be known here must not be
 // refused for good, and requests of a key that is withdrawn while they wait in
 // queues must not run.
+#include "gateway/admission/admission_internal.h"
+#include "gateway/backend/backend_internal.h"
+#include "gateway/crash/crash_guard.h"
 #include "gateway/gateway_func.h"
-#include "gateway/gateway_internal.h"
-#include "gateway/route_match.h"
+#include "gateway/guidance/guidance_internal.h"
+#include "gateway/request/request_internal.h"
+#include "gateway/request/route_match.h"
 
 #include "core/hash_func.h"
 
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request/request_answer.cpp
@@ -1,7 +1,10 @@
 // Finishes requests: builds the answer for the caller, the log record and the
 // counters.
-#include "gateway/gateway_internal.h"
-#include "gateway/topk_merge.h"
+#include "gateway/admission/admission_internal.h"
+#include "gateway/crash/crash_guard.h"
+#include "gateway/guidance/guidance_internal.h"
+#include "gateway/request/request_internal.h"
+#include "gateway/request/topk_merge.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request/request_run.cpp
@@ -1,9 +1,10 @@
 // Runs a request from arrival to answer. When shards are slow or lost, a query
 // gets a partial answer just before its objective if enough shards have
 // answered, and fails at once when enough shards are no longer possible.
+#include "gateway/admission/admission_internal.h"
 #include "gateway/gateway_func.h"
-#include "gateway/gateway_internal.h"
-#include "gateway/topk_merge.h"
+#include "gateway/request/request_internal.h"
+#include "gateway/request/topk_merge.h"
 
 #include <utility>
 
--- a/src/gateway/retry_budget.cpp
+++ b/src/gateway/request/retry_budget.cpp
@@ -2,7 +2,7 @@
 // all daemons together do not multiply the load of an overloaded service. The
 // part proportional to requests needs no coordination; the slack is divided
 // among the entry daemons (fleet_role).
-#include "gateway/retry_budget.h"
+#include "gateway/request/retry_budget.h"
 
 #include <algorithm>
 
--- a/src/gateway/route_match.cpp
+++ b/src/gateway/request/route_match.cpp
@@ -1,6 +1,6 @@
 // Matches requests to routes by host and path prefix, and splits the requests
 // of a weighted route exactly, also when they are few.
-#include "gateway/route_match.h"
+#include "gateway/request/route_match.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
--- a/src/gateway/route_times.cpp
+++ b/src/gateway/request/route_times.cpp
@@ -2,7 +2,7 @@
 // a daemon that has just started knows none of them. Until enough answers are
 // known, delays derive from the route's objective, and no attempt is given up
 // for its silence: a constant would never serve a slower service.
-#include "gateway/route_times.h"
+#include "gateway/request/route_times.h"
 
 #include <algorithm>
 
--- a/src/gateway/topk_merge.cpp
+++ b/src/gateway/request/topk_merge.cpp
@@ -1,5 +1,5 @@
 // Merges the records of wide queries: only the records wanted are sorted.
-#include "gateway/topk_merge.h"
+#include "gateway/request/topk_merge.h"
 
 #include <algorithm>
 #include <functional>
--- a/src/preflight/config_check.cpp
+++ b/src/preflight/config_check.cpp
@@ -3,7 +3,7 @@
 // callers are rejected.
 #include "preflight/config_check.h"
 
-#include "gateway/directory.h"
+#include "gateway/fleet/directory.h"
 #include "gateway/gateway_const.h"
 
 #include <absl/strings/ascii.h>
--- a/src/runtime/evidence_store.h
+++ b/src/runtime/evidence_store.h
@@ -1,7 +1,7 @@
 /** Reads and writes the store's object of crash evidence. */
 #pragma once
 
-#include "gateway/evidence_log.h"
+#include "gateway/crash/evidence_log.h"
 #include "runtime/http_client.h"
 #include "runtime/worker.h"
 
--- a/src/runtime/gateway_caps.cpp
+++ b/src/runtime/gateway_caps.cpp
@@ -1,6 +1,6 @@
 // Rates of organisations between daemons: tells the core which daemons may own
 // a cap, and carries its messages.
-#include "gateway/directory.h"
+#include "gateway/fleet/directory.h"
 #include "gateway/gateway_func.h"
 #include "runtime/clock.h"
 #include "runtime/gateway_host.h"
--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -4,8 +4,8 @@
 #include "runtime/gateway_host.h"
 
 #include "discovery/stale_evacuations.h"
-#include "gateway/directory.h"
-#include "gateway/feed_source.h"
+#include "gateway/fleet/directory.h"
+#include "gateway/fleet/feed_source.h"
 #include "gateway/gateway_func.h"
 #include "membership/membership_func.h"
 #include "observe/log.h"
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -2,7 +2,7 @@
 // Detects suspension of the VM, after which the tables may be outdated.
 #include "runtime/gateway_host.h"
 
-#include "gateway/directory.h"
+#include "gateway/fleet/directory.h"
 #include "gateway/gateway_const.h"
 #include "gateway/gateway_func.h"
 #include "membership/membership_func.h"
--- a/tests/gateway/cap_replay_fixture.h
+++ b/tests/gateway/cap_replay_fixture.h
@@ -1,7 +1,7 @@
 /** Simulation of daemons that keep caps together, and of their callers. */
 #pragma once
 
-#include "gateway/rate_cap.h"
+#include "gateway/admission/rate_cap.h"
 
 #include <array>
 #include <deque>
--- a/tests/gateway/crash_test.cpp
+++ b/tests/gateway/crash_test.cpp
@@ -1,6 +1,6 @@
 // Requests that crash the servers that run them: all daemons together must stop
 // sending such content, and must go on serving all other content.
-#include "gateway/gateway_internal.h"
+#include "gateway/crash/crash_guard.h"
 #include "gateway/replay_fixture.h"
 
 #include <CppUTest/TestHarness.h>
--- a/tests/gateway/directory_test.cpp
+++ b/tests/gateway/directory_test.cpp
@@ -1,5 +1,5 @@
 // Choice of entry daemons in fleets of VMs of unequal size.
-#include "gateway/directory.h"
+#include "gateway/fleet/directory.h"
 
 #include <CppUTest/TestHarness.h>
 #include <string>
--- a/tests/gateway/evidence_log_test.cpp
+++ b/tests/gateway/evidence_log_test.cpp
@@ -1,6 +1,6 @@
 // Evidence in the store: it must outlive a kill of all daemons, whatever the
 // store does meanwhile, at a bounded number of calls.
-#include "gateway/evidence_log.h"
+#include "gateway/crash/evidence_log.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
--- a/tests/gateway/fair_test.cpp
+++ b/tests/gateway/fair_test.cpp
@@ -1,6 +1,6 @@
 // Fair admission: 75 organisations, a few of them large, one of which sends
 // seven times its usual rate.
-#include "gateway/organisation_stats.h"
+#include "gateway/admission/organisation_stats.h"
 #include "gateway/replay_fixture.h"
 
 #include <CppUTest/TestHarness.h>
--- a/tests/gateway/feed_source_test.cpp
+++ b/tests/gateway/feed_source_test.cpp
@@ -1,7 +1,7 @@
 // Choice of the daemon whose feed of table changes is followed.
-#include "gateway/config_lag.h"
-#include "gateway/directory.h"
-#include "gateway/feed_source.h"
+#include "gateway/fleet/config_lag.h"
+#include "gateway/fleet/directory.h"
+#include "gateway/fleet/feed_source.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -1,9 +1,9 @@
 // Roles and budget shares of hundreds of daemons whose views of the fleet
 // differ: late, partitioned, or during starts, kills and joins.
 #include "core/rng_type.h"
-#include "gateway/cold_server.h"
-#include "gateway/fleet_role.h"
-#include "gateway/retry_budget.h"
+#include "gateway/fleet/fleet_role.h"
+#include "gateway/guidance/cold_server.h"
+#include "gateway/request/retry_budget.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
--- a/tests/gateway/parts_test.cpp
+++ b/tests/gateway/parts_test.cpp
@@ -1,9 +1,9 @@
 // Tests of the small parts of the gateway: merge of records, route match, retry
 // budget and directory.
-#include "gateway/directory.h"
-#include "gateway/retry_budget.h"
-#include "gateway/route_match.h"
-#include "gateway/topk_merge.h"
+#include "gateway/fleet/directory.h"
+#include "gateway/request/retry_budget.h"
+#include "gateway/request/route_match.h"
+#include "gateway/request/topk_merge.h"
 
 #include <CppUTest/TestHarness.h>
 #include <map>
--- a/tests/gateway/rate_cap_test.cpp
+++ b/tests/gateway/rate_cap_test.cpp
@@ -2,7 +2,7 @@
 // that die, pause, are cut off or change. In every window the sum stays within
 // the tolerance; hardly any request below the cap is refused.
 #include "gateway/cap_replay_fixture.h"
-#include "gateway/fleet_majority.h"
+#include "gateway/fleet/fleet_majority.h"
 
 #include <CppUTest/TestHarness.h>
 #include <string>
--- a/tests/gateway/route_times_test.cpp
+++ b/tests/gateway/route_times_test.cpp
@@ -1,6 +1,6 @@
 // Times that a daemon learns, and services that are slower than it knows.
 #include "gateway/replay_fixture.h"
-#include "gateway/route_times.h"
+#include "gateway/request/route_times.h"
 
 #include <CppUTest/TestHarness.h>
 #include <string>
