Fix: crash evidence waits behind weak evidence in gossip

Cause: a crash of servers of many shards leaves evidence against each query in flight there, for each of its shards and under four keys. These rumors shared one queue, and 7,000 bytes of gossip a second spread some ten of them. Change: rumors of several servers or requests are urgent: they go first and in bursts. Those of a single broken connection are sent with what is left of the budget, until another daemon's evidence joins them.

--- a/src/membership/join.cpp
+++ b/src/membership/join.cpp
@@ -161,7 +161,8 @@
   if (state.syncBudget_ <= 0) {
     return DaemonId{};
   }
-  AddRumors(state, aPayload, kMessageBytes);
+  AddRumors(state, aPayload, true, kMessageBytes);
+  AddRotatedRumor(state, aPayload, kMessageBytes);
   const std::size_t before = aPayload.bytes_;
   DaemonId last = kSyncEnd;
   for (auto next = state.members_.upper_bound(aAfter);
--- a/src/membership/membership_base.h
+++ b/src/membership/membership_base.h
@@ -60,6 +60,7 @@
   Rumor rumor_;
   std::int64_t expiresUnixMicros_ = 0;
   std::uint8_t sendsLeft_ = 0;
+  bool isUrgent_ = false; ///< Sent before the others, and in bursts.
 };
 
 /** Membership as one daemon sees it. Containers are ordered, so that a run can
@@ -99,7 +100,8 @@
                              ///< views that differ.
   std::vector<DaemonId> recordRequests_;
   std::map<std::uint64_t, KnownRumor> rumors_; ///< By hash of the subject.
-  std::deque<std::uint64_t> rumorQueue_;
+  std::deque<std::uint64_t> urgentRumors_;     ///< Keys, those to send first.
+  std::deque<std::uint64_t> slowRumors_;       ///< The same of the others.
   std::uint64_t rumorRotation_ = 0;
   Generation newestGeneration_;  ///< Largest known, of any member.
   TimePoint newestGenerationAt_; ///< When it became known here.
--- a/src/membership/membership_internal.h
+++ b/src/membership/membership_internal.h
@@ -244,12 +244,19 @@
 bool
 LearnRumor(MembershipStep& aStep, const Rumor& aRumor);
 
-/** Adds queued rumors to a message. */
+/** Adds the queued rumors that are urgent, or those that aren't. */
 void
 AddRumors(MembershipState& aState,
           GossipPayload& aPayload,
+          bool aUrgent,
           std::size_t aBudget);
 
+/** Adds the next rumor in rotation, for daemons that missed or never had it. */
+void
+AddRotatedRumor(MembershipState& aState,
+                GossipPayload& aPayload,
+                std::size_t aBudget);
+
 /** Removes expired rumors. */
 void
 RemoveExpiredRumors(MembershipStep& aStep);
--- a/src/membership/payload.cpp
+++ b/src/membership/payload.cpp
@@ -116,13 +116,15 @@
     return;
   }
   const std::size_t before = aPayload.bytes_;
-  AddRumors(state, aPayload, kMessageBytes);
+  AddRumors(state, aPayload, true, kMessageBytes);
+  AddRotatedRumor(state, aPayload, kMessageBytes);
   AddQueued(state,
             state.urgentQueue_,
             &Member::urgentSendsLeft_,
             aPayload,
             kMessageBytes);
   if (!aUrgentOnly && state.gossipBudget_ >= kUrgentReserveBytes) {
+    AddRumors(state, aPayload, false, kMessageBytes);
     AddQueued(state,
               state.slowQueue_,
               &Member::slowSendsLeft_,
--- a/src/membership/rumor.cpp
+++ b/src/membership/rumor.cpp
@@ -1,6 +1,10 @@
 // Rumors of leaving servers and quarantined content: merged, sent a limited
 // number of times, then in rotation for daemons that missed them or joined
 // later.
+//
+// A crash of servers of many shards leaves weak evidence against each query in
+// flight there, hundreds of rumors at once, which the budget delays by seconds.
+// Evidence that is close to a decision goes first.
 
 #include "core/hash_func.h"
 #include "membership/membership_internal.h"
@@ -74,6 +78,17 @@
   return true;
 }
 
+/** Whether a rumor may decide on requests soon: evidence from several servers
+ * or requests, but not that of one broken connection. */
+bool
+IsUrgent(const Rumor& aRumor)
+{
+  const auto* quarantine = std::get_if<QuarantineRumor>(&aRumor);
+  return quarantine == nullptr || quarantine->crashes_ > 0 ||
+         quarantine->evidence_.servers_.size() > 1 ||
+         quarantine->evidence_.requests_.size() > 1;
+}
+
 std::size_t
 RumorBytes(const Rumor& aRumor)
 {
@@ -98,22 +113,6 @@
   return true;
 }
 
-/** Adds the next rumor in rotation, for daemons that missed or never had it. */
-void
-AddRotatedRumor(MembershipState& aState,
-                GossipPayload& aPayload,
-                std::size_t aBudget)
-{
-  auto next = aState.rumors_.upper_bound(aState.rumorRotation_);
-  if (next == aState.rumors_.end()) {
-    next = aState.rumors_.begin();
-  }
-  if (next != aState.rumors_.end() && next->second.sendsLeft_ == 0 &&
-      AddRumor(aPayload, next->second.rumor_, aBudget)) {
-    aState.rumorRotation_ = next->first;
-  }
-}
-
 } // namespace
 
 bool
@@ -136,36 +135,58 @@
   }
   KnownRumor& known = state.rumors_[key];
   known.expiresUnixMicros_ = ExpiryOf(known.rumor_);
-  if (known.sendsLeft_ == 0) {
-    state.rumorQueue_.push_front(key);
+  // A refutation of urgent evidence is urgent, too.
+  const bool becomesUrgent = !known.isUrgent_ && IsUrgent(known.rumor_);
+  known.isUrgent_ = known.isUrgent_ || becomesUrgent;
+  if (known.sendsLeft_ == 0 || becomesUrgent) {
+    (known.isUrgent_ ? state.urgentRumors_ : state.slowRumors_).push_front(key);
   }
   known.sendsLeft_ = RetransmitLimit(state, kRetransmitFactor);
-  state.burstPending_ = true;
+  state.burstPending_ = state.burstPending_ || known.isUrgent_;
   return true;
 }
 
 void
-AddRumors(MembershipState& aState, GossipPayload& aPayload, std::size_t aBudget)
+AddRumors(MembershipState& aState,
+          GossipPayload& aPayload,
+          bool aUrgent,
+          std::size_t aBudget)
 {
+  std::deque<std::uint64_t>& queue =
+    aUrgent ? aState.urgentRumors_ : aState.slowRumors_;
   std::vector<std::uint64_t> requeued;
-  while (!aState.rumorQueue_.empty()) {
-    const std::uint64_t key = aState.rumorQueue_.front();
+  while (!queue.empty()) {
+    const std::uint64_t key = queue.front();
     const auto found = aState.rumors_.find(key);
-    if (found == aState.rumors_.end() || found->second.sendsLeft_ == 0) {
-      aState.rumorQueue_.pop_front();
+    if (found == aState.rumors_.end() || found->second.sendsLeft_ == 0 ||
+        found->second.isUrgent_ != aUrgent) {
+      queue.pop_front();
       continue;
     }
     if (!AddRumor(aPayload, found->second.rumor_, aBudget)) {
       break;
     }
-    aState.rumorQueue_.pop_front();
+    queue.pop_front();
     if (--found->second.sendsLeft_ > 0) {
       requeued.push_back(key);
     }
   }
-  aState.rumorQueue_.insert(
-    aState.rumorQueue_.end(), requeued.begin(), requeued.end());
-  AddRotatedRumor(aState, aPayload, aBudget);
+  queue.insert(queue.end(), requeued.begin(), requeued.end());
+}
+
+void
+AddRotatedRumor(MembershipState& aState,
+                GossipPayload& aPayload,
+                std::size_t aBudget)
+{
+  auto next = aState.rumors_.upper_bound(aState.rumorRotation_);
+  if (next == aState.rumors_.end()) {
+    next = aState.rumors_.begin();
+  }
+  if (next != aState.rumors_.end() && next->second.sendsLeft_ == 0 &&
+      AddRumor(aPayload, next->second.rumor_, aBudget)) {
+    aState.rumorRotation_ = next->first;
+  }
 }
 
 void
--- a/tests/membership/spread_test.cpp
+++ b/tests/membership/spread_test.cpp
@@ -182,6 +182,44 @@
   }
 }
 
+// Servers of 90 shards crash under five queries, each of which leaves weak
+// evidence for each shard under four keys; the conclusive evidence must not
+// wait behind it.
+TEST(Spread, ConclusiveEvidenceOvertakesWeakEvidence)
+{
+  Fleet fleet(6, 3, 27);
+  Converge(fleet);
+  const std::int64_t until = fleet.GetNow().unixMicros_ + Duration(60s).count();
+  const auto spread = [&](std::uint64_t aContent, std::uint64_t aCrashes) {
+    CrashEvidence seen;
+    for (std::uint64_t i = 0; i < aCrashes; ++i) {
+      AddCrash(seen, { 100 + i, 200 + i, 300 + i });
+    }
+    for (std::size_t i = 0; i < fleet.nodes_.size(); ++i) {
+      // The conclusive one is found by one daemon.
+      if (aCrashes == 1 || i == 0) {
+        fleet.Spread(
+          i, QuarantineRumor{ Fingerprint{ aContent }, 0, until, seen });
+      }
+    }
+  };
+  for (std::uint64_t i = 0; i < 5 * 90 * 4; ++i) {
+    spread(1000 + i, 1);
+  }
+  spread(7, 3);
+  fleet.Run(500ms);
+  for (const FleetNode& node : fleet.nodes_) {
+    const auto knows = std::any_of(
+      node.state_.rumors_.begin(),
+      node.state_.rumors_.end(),
+      [](const auto& aItem) {
+        const auto* rumor = std::get_if<QuarantineRumor>(&aItem.second.rumor_);
+        return rumor != nullptr && rumor->fingerprint_ == Fingerprint{ 7 };
+      });
+    CHECK_TRUE(knows);
+  }
+}
+
 TEST(Spread, DaemonThatJoinsLaterLearnsRumors)
 {
   Fleet fleet(20, 4, 24);
@@ -213,7 +251,8 @@
   CHECK_TRUE(fleet.nodes_[1].state_.rumors_.size() <= kMaxRumors);
   fleet.Run(kLeavingRumorLifetime + 1s);
   CHECK_TRUE(fleet.nodes_[0].state_.rumors_.empty());
-  CHECK_TRUE(fleet.nodes_[0].state_.rumorQueue_.empty());
+  CHECK_TRUE(fleet.nodes_[0].state_.urgentRumors_.empty());
+  CHECK_TRUE(fleet.nodes_[0].state_.slowRumors_.empty());
 }
 
 TEST(Spread, GenerationSpreadsToAllInTime)
