Change: owners of rate caps that restart grant after 0.5 s

Cause: after a kill of all daemons each new owner waited 1.5 s before it granted tokens, the time by which the detection of a loss differs. Change: a daemon that becomes the owner by its own start waits 0.5 s since its view last grew by 5%, and never longer than before. A lost owner still takes 1.5 s. The retry budget, cold servers and rate caps use one notion of a majority of the fleet: FleetSize, the largest fleet of the last 10 minutes.

--- a/src/gateway/admission/rate_cap.cpp
+++ b/src/gateway/admission/rate_cap.cpp
@@ -306,7 +306,7 @@
     cap.burst_ = organisation->burst_;
     if (isNew) {
       ChooseOwner(aCaps, cap);
-      ApplyOwner(aCaps, cap, aNow, aOut);
+      ApplyOwner(aCaps, cap, false, aNow, aOut);
     }
     // Tokens of the former burst must not outlive it.
     Refill(aCaps, cap, aNow);
@@ -459,7 +459,7 @@
   for (auto& [organisation, cap] : aCaps.caps_) {
     cap.borrowed_.tokens_ = 0.0;
     if (cap.owned_.active_) {
-      StartOver(cap.owned_, aNow);
+      StartOver(cap.owned_, kTakeoverTime, aNow);
     }
   }
 }
--- a/src/gateway/admission/rate_cap.h
+++ b/src/gateway/admission/rate_cap.h
@@ -35,7 +35,9 @@
 {
   bool active_ = false;    ///< This daemon is the owner in its own view.
   TimePoint grantsFrom_{}; ///< Another daemon may grant until then.
-  double tokens_ = 0.0;    ///< At tokensAt_.
+  /** When it became the owner, if that was by its own start; else zero. */
+  TimePoint joinedAt_{};
+  double tokens_ = 0.0; ///< At tokensAt_.
   TimePoint tokensAt_{};
   TimePoint nextFree_{}; ///< When the callers told so far have returned.
   TimePoint endedAt_{};  ///< When it was owner last; zero: never.
@@ -107,6 +109,7 @@
   DaemonId self_;
   CapView view_;
   std::uint32_t mostEntryDaemons_ = 0; ///< Since the start.
+  std::size_t grownTo_ = 0; ///< Members after the latest growth by a part.
   TimePoint startedAt_{};
   TimePoint seenAt_{}; ///< Latest event, to detect pauses of this daemon.
   std::map<std::uint64_t, RateCap> caps_; ///< By hash of the name.
--- a/src/gateway/admission/rate_cap_internal.h
+++ b/src/gateway/admission/rate_cap_internal.h
@@ -37,14 +37,24 @@
 void
 ChooseOwner(const RateCaps& aCaps, RateCap& aCap);
 
-/** Starts or ends being the owner, if the view says so. */
+/** Starts or ends being the owner, if the view says so.
+ * @param aOwnerLost The owner before has left the view. */
 void
-ApplyOwner(RateCaps& aCaps, RateCap& aCap, TimePoint aNow, CapOutput& aOut);
-
-/** Starts with an empty bucket, after the time in which another daemon may
- * still grant. */
+ApplyOwner(RateCaps& aCaps,
+           RateCap& aCap,
+           bool aOwnerLost,
+           TimePoint aNow,
+           CapOutput& aOut);
+
+/** Time in which another daemon may still grant, because the views of a change
+ * differ for about as long: detection of a loss takes longer at some daemons.
+ */
+constexpr Duration kTakeoverTime = std::chrono::milliseconds(1500);
+
+/** Starts with an empty bucket.
+ * @param aWait Time in which another daemon may still grant. */
 void
-StartOver(OwnedCap& aOwned, TimePoint aNow);
+StartOver(OwnedCap& aOwned, Duration aWait, TimePoint aNow);
 
 /** Whether this daemon may grant tokens now. */
 bool
--- a/src/gateway/admission/rate_cap_owner.cpp
+++ b/src/gateway/admission/rate_cap_owner.cpp
@@ -11,8 +11,13 @@
 
 namespace {
 
-/** Views of a change differ for about as long. Also the time after a start. */
-constexpr Duration kTakeoverTime = std::chrono::milliseconds(1500);
+/** The same when the change is the start of this daemon: the others have
+ * received the gossip of it, and the view of a starting fleet has grown to its
+ * size. Gossip reaches all of 600 daemons in 0.2 s (docs/CAPACITY.md). */
+constexpr Duration kJoinTime = std::chrono::milliseconds(500);
+/** Growth of the view that counts. The last members of a large fleet become
+ * known one by one. */
+constexpr double kMinGrowth = 1.05;
 /** A daemon that has released a cap and is still the owner in its own view does
  * not grant for this time. */
 constexpr Duration kReleaseTime = std::chrono::seconds(5);
@@ -42,6 +47,19 @@
   return best;
 }
 
+/** Waits longer while this daemon gets to know the members of the fleet. */
+void
+AwaitMembers(OwnedCap& aOwned, TimePoint aNow)
+{
+  if (aOwned.joinedAt_ == TimePoint{} || aNow >= aOwned.grantsFrom_) {
+    return;
+  }
+  aOwned.grantsFrom_ =
+    std::min(aNow + kJoinTime, aOwned.joinedAt_ + kTakeoverTime);
+  aOwned.tokensAt_ = aOwned.grantsFrom_;
+  aOwned.nextFree_ = aOwned.grantsFrom_;
+}
+
 /** When callers that are refused now should return, one after the other. */
 Duration
 QueueRefused(RateCap& aCap, std::uint32_t aRefused, TimePoint aNow)
@@ -100,16 +118,24 @@
 }
 
 void
-StartOver(OwnedCap& aOwned, TimePoint aNow)
+StartOver(OwnedCap& aOwned, Duration aWait, TimePoint aNow)
 {
-  aOwned.grantsFrom_ = aNow + kTakeoverTime;
+  aOwned.grantsFrom_ = aNow + aWait;
+  aOwned.joinedAt_ = TimePoint{};
   aOwned.tokens_ = 0.0;
   aOwned.tokensAt_ = aOwned.grantsFrom_;
   aOwned.nextFree_ = aOwned.grantsFrom_;
 }
 
+// A daemon that was killed and comes back at once has stayed the owner in the
+// others' views, and one that is new outranks the owner before as soon as that
+// one hears of it.
 void
-ApplyOwner(RateCaps& aCaps, RateCap& aCap, TimePoint aNow, CapOutput& aOut)
+ApplyOwner(RateCaps& aCaps,
+           RateCap& aCap,
+           bool aOwnerLost,
+           TimePoint aNow,
+           CapOutput& aOut)
 {
   OwnedCap& owned = aCap.owned_;
   const bool owner = aCap.owner_ == aCaps.self_ && aCaps.self_.IsValid();
@@ -122,8 +148,11 @@
     return;
   }
   ++aCaps.stats_.takeovers_;
-  StartOver(owned, aNow);
-  if (aNow < aCaps.startedAt_ + kStartTime) {
+  const bool starts = aNow < aCaps.startedAt_ + kStartTime;
+  const bool joins = starts && !aOwnerLost;
+  StartOver(owned, joins ? kJoinTime : kTakeoverTime, aNow);
+  owned.joinedAt_ = joins ? aNow : TimePoint{};
+  if (starts) {
     owned.tokens_ = kStartPart * aCaps.tolerance_.slack_;
   }
   const DaemonId predecessor = FindPredecessor(aCaps, aCap.organisation_);
@@ -238,13 +267,23 @@
   if (added.empty() && !removed) {
     return;
   }
+  const bool grows = static_cast<double>(aView.members_.size()) >
+                     kMinGrowth * static_cast<double>(aCaps.grownTo_);
+  if (grows) {
+    aCaps.grownTo_ = aView.members_.size();
+  }
   for (auto& [organisation, cap] : aCaps.caps_) {
     cap.hint_ = DaemonId{};
-    if (removed && !std::binary_search(aView.members_.begin(),
-                                       aView.members_.end(),
-                                       cap.owner_)) {
+    const bool ownerLost = removed && cap.owner_.IsValid() &&
+                           !std::binary_search(aView.members_.begin(),
+                                               aView.members_.end(),
+                                               cap.owner_);
+    if (ownerLost) {
       ChooseOwner(aCaps, cap);
     }
+    if (grows) {
+      AwaitMembers(cap.owned_, aNow);
+    }
     for (const DaemonId member : added) {
       const std::uint64_t rank = Rank(organisation, member);
       if (rank > cap.ownerRank_) {
@@ -252,7 +291,7 @@
         cap.ownerRank_ = rank;
       }
     }
-    ApplyOwner(aCaps, cap, aNow, aOut);
+    ApplyOwner(aCaps, cap, ownerLost, aNow, aOut);
   }
 }
 
--- a/src/gateway/fleet/fleet_role.cpp
+++ b/src/gateway/fleet/fleet_role.cpp
@@ -4,7 +4,7 @@
 // Connections: divided by the largest recent number of daemons that may serve.
 //
 // Slack of the retry budget: a daemon uses its part only after it has been an
-// entry daemon, and has seen more than half of the largest fleet, for a whole
+// entry daemon, and has seen more than half of the recent fleet, for a whole
 // window of the budget. Whatever the former owner of the part, or this daemon
 // before a restart, has spent has left the window by then. At most one side of
 // a partition has the majority.
@@ -70,14 +70,13 @@
     });
 }
 
-bool
-SeesMajority(const FleetRole& aRole, const std::vector<MemberRecord>& aMembers)
+std::size_t
+CountAlive(const std::vector<MemberRecord>& aMembers)
 {
-  const auto alive =
+  return static_cast<std::size_t>(
     std::count_if(aMembers.begin(), aMembers.end(), [](const auto& aMember) {
       return aMember.state_ == MemberState::Alive;
-    });
-  return alive * 2 > static_cast<std::ptrdiff_t>(aRole.largestFleet_);
+    }));
 }
 
 void
@@ -150,7 +149,6 @@
     aRole.grownAt_ = aNow;
     aRole.grownTo_ = count;
   }
-  aRole.largestFleet_ = std::max(aRole.largestFleet_, count);
   aRole.daemonCounts_[aNow] = count;
 }
 
@@ -185,7 +183,8 @@
   aRole.limitShare_ = 1.0 / (aNow < aRole.startedAt_ + kStartupPeriod
                                ? std::max(entryCount, kInitialFleetSize)
                                : entryCount);
-  const bool isEligible = isListed && SeesMajority(aRole, aMembers);
+  const bool majority = SeesMajority(aRole.size_, CountAlive(aMembers), aNow);
+  const bool isEligible = isListed && majority;
   UpdateSlack(aRole, isEligible, aBudgetWindow, aNow);
   aRole.self_ = aSelf;
   UpdateColdOwners(aRole, entryDaemons, isEligible, aNow);
--- a/src/gateway/fleet/fleet_role.h
+++ b/src/gateway/fleet/fleet_role.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/fleet/directory.h"
+#include "gateway/fleet/fleet_majority.h"
 
 #include <map>
 #include <vector>
@@ -27,7 +28,7 @@
   TimePoint startedAt_{};
   TimePoint grownAt_{};       ///< Latest growth of the member list by a part.
   std::uint32_t grownTo_ = 0; ///< Its size then.
-  std::uint32_t largestFleet_ = 0; ///< Since the start of the process.
+  FleetSize size_;            ///< Live members.
   /** Start of the present time as an entry daemon in a majority; kNever
    * otherwise. */
   TimePoint slackEarnedSince_ = kNever;
--- a/src/runtime/gateway_caps.cpp
+++ b/src/runtime/gateway_caps.cpp
@@ -28,7 +28,7 @@
     }
   }
   std::sort(view.members_.begin(), view.members_.end());
-  view.majority_ = MayGoOnGranting(fleetSize_, alive, ReadClock().mono_);
+  view.majority_ = MayGoOnGranting(role_.size_, alive, ReadClock().mono_);
   view.entryDaemons_ = static_cast<std::uint32_t>(
     ChooseEntryDaemons(*members_, MaxEntryDaemons(gateway_), EntryScope::Ready)
       .size());
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -5,7 +5,6 @@
 #include "discovery/table_feed.h"
 #include "discovery/table_sync.h"
 #include "gateway/fleet/config_lag.h"
-#include "gateway/fleet/fleet_majority.h"
 #include "gateway/fleet/fleet_role.h"
 #include "gateway/gateway_base.h"
 #include "machine/decision_type.h"
@@ -242,8 +241,7 @@
   TimePoint serversWithheldSince_ = kNever;
   TableSyncStats syncStats_;
   FleetRole role_;
-  FleetSize fleetSize_; ///< While there are caps.
-  TableFeed feed_;      ///< Changes sent to followers.
+  TableFeed feed_; ///< Changes sent to followers.
   std::map<DaemonId, FeedFollower> followers_;
   std::string encodedFeed_; ///< Latest message, cached.
   /** Key of encodedFeed_: newest change, whether it holds whole tables, after
--- a/tests/gateway/cap_replay_fixture.cpp
+++ b/tests/gateway/cap_replay_fixture.cpp
@@ -431,6 +431,29 @@
   }
 }
 
+void
+CapReplay::RestartSome(double aShare)
+{
+  const auto restarted =
+    static_cast<std::size_t>(aShare * static_cast<double>(daemons_.size()));
+  for (std::size_t i = 0; i < restarted; ++i) {
+    affected_ += OwnedShare(i);
+    const int side = daemons_[i].side_;
+    daemons_[i] = MakeDaemon(i, order_ + i);
+    daemons_[i].side_ = side;
+    daemons_[i].lists_.assign(daemons_.size(), false);
+    daemons_[i].lists_[i] = true;
+    SetView(i);
+    for (std::size_t j = 0; j < daemons_.size(); ++j) {
+      List(i,
+           j,
+           true,
+           Duration(static_cast<std::int64_t>(
+             Chance() * static_cast<double>(kJoinViews.count()))));
+    }
+  }
+}
+
 // The demand stays as it was: far above the new cap.
 void
 CapReplay::ScaleCaps(double aFactor)
--- a/tests/gateway/cap_replay_fixture.h
+++ b/tests/gateway/cap_replay_fixture.h
@@ -18,6 +18,10 @@
 /** Requests of an organisation are counted over this time. */
 constexpr Duration kCapWindow = std::chrono::seconds(5);
 
+/** A daemon that joins knows the others, and they it, after this time: 0.18 s
+ * at 66 daemons that all start. */
+constexpr Duration kJoinViews = std::chrono::milliseconds(200);
+
 /** What callers got, over the whole replay. */
 struct CapReplayResult
 {
@@ -60,6 +64,9 @@
   void Heal();
   void Join();
   void RestartAll();
+  /** The first daemons lose their state and come back at once, as after a kill;
+   * the others don't notice. Views are known within kJoinViews. */
+  void RestartSome(double aShare);
   void ScaleCaps(double aFactor);
   void LoseMessages(double aShare) { lost_ = aShare; }
 
--- a/tests/gateway/rate_cap_test.cpp
+++ b/tests/gateway/rate_cap_test.cpp
@@ -36,6 +36,9 @@
 constexpr double kAskingSeconds = 33.0;
 /** Detection and gossip of the replay, and the time until a takeover. */
 constexpr double kTakeoverSeconds = 3.0 + 0.8 + 1.5;
+/** Time in which a fleet that was killed is to serve again: views, then half a
+ * second in which they agree. */
+constexpr double kRejoinSeconds = 0.2 + 0.5;
 
 void
 KillOwners(CapReplay& aReplay)
@@ -96,6 +99,27 @@
   aReplay.At(seconds(20), [&aReplay]() { aReplay.RestartAll(); });
 }
 
+void
+RestartHalf(CapReplay& aReplay)
+{
+  aReplay.At(seconds(20), [&aReplay]() { aReplay.RestartSome(0.55); });
+}
+
+void
+RestartAtOnce(CapReplay& aReplay)
+{
+  aReplay.At(seconds(20), [&aReplay]() { aReplay.RestartSome(1.0); });
+}
+
+// The second time strikes owners that wait or have just begun.
+void
+RestartTwice(CapReplay& aReplay)
+{
+  RestartAtOnce(aReplay);
+  aReplay.At(milliseconds(20600), [&aReplay]() { aReplay.RestartSome(1.0); });
+  aReplay.At(milliseconds(24000), [&aReplay]() { aReplay.RestartSome(0.55); });
+}
+
 void
 LowerCaps(CapReplay& aReplay)
 {
@@ -172,6 +196,8 @@
     (1 - kCut) * kCut * (kTakeoverSeconds + 1) / kAskingSeconds;
   // Views take 1.2 s, then the time until a takeover passes.
   constexpr double kRestartLoss = (1.2 + 1.5) / kAskingSeconds;
+  // The bursts, a second of each cap, may have been used before the restart.
+  constexpr double kEmptyBuckets = 1.0 / kAskingSeconds;
   const std::vector<FaultCase> cases{
     { "owner killed", KillOwners, 66, kTakeoverSeconds, 0.01 },
     { "owner of six killed", KillOwners, 6, kTakeoverSeconds, 0.02 },
@@ -181,6 +207,17 @@
     { "views that differ", DifferingViews, 66, 0.0, 0.03 },
     { "many join", ManyJoin, 66, 0.0, 0.05 },
     { "all restart", AllRestart, 66, 0.0, 0.01 + kRestartLoss },
+    { "half restart at once",
+      RestartHalf,
+      66,
+      kRejoinSeconds,
+      kEmptyBuckets * 0.55 },
+    { "all restart at once", RestartAtOnce, 66, kRejoinSeconds, kEmptyBuckets },
+    { "all restart twice",
+      RestartTwice,
+      66,
+      kRejoinSeconds,
+      3 * kEmptyBuckets },
     { "caps lowered", LowerCaps, 66, 0.0, 0.01 },
     { "messages lost", LoseMessages, 66, 0.0, 0.10 },
   };
