--- a/src/gateway/fleet_role.h
+++ b/src/gateway/fleet/fleet_role.h
@@ -1,7 +1,8 @@
 /** Roles and shares of one daemon, derived from its view of the fleet. */
 #pragma once
 
-#include "gateway/directory.h"
+#include "gateway/fleet/directory.h"
+#include "gateway/fleet/fleet_majority.h"
 
 #include <map>
 #include <vector>
@@ -27,7 +28,7 @@
   TimePoint startedAt_{};
   TimePoint grownAt_{};       ///< Latest growth of the member list by a part.
   std::uint32_t grownTo_ = 0; ///< Its size then.
-  std::uint32_t largestFleet_ = 0; ///< Since the start of the process.
+  FleetSize size_;            ///< Live members.
   /** Start of the present time as an entry daemon in a majority; kNever
    * otherwise. */
   TimePoint slackEarnedSince_ = kNever;
--- a/src/runtime/gateway_caps.cpp
+++ b/src/runtime/gateway_caps.cpp
@@ -1,6 +1,6 @@
 // Rates of organisations between daemons: tells the core which daemons may own
 // a cap, and carries its messages.
-#include "gateway/directory.h"
+#include "gateway/fleet/directory.h"
 #include "gateway/gateway_func.h"
 #include "runtime/clock.h"
 #include "runtime/gateway_host.h"
@@ -28,7 +28,7 @@
     }
   }
   std::sort(view.members_.begin(), view.members_.end());
-  view.majority_ = MayGoOnGranting(fleetSize_, alive, ReadClock().mono_);
+  view.majority_ = MayGoOnGranting(role_.size_, alive, ReadClock().mono_);
   view.entryDaemons_ = static_cast<std::uint32_t>(
     ChooseEntryDaemons(*members_, MaxEntryDaemons(gateway_), EntryScope::Ready)
       .size());
