Fix: evidence of single requests uses up the budget of gossip

Cause: after a crash of servers of all shards each query in flight leaves evidence of several servers, under one request, and these rumors were as urgent as evidence that two requests have left. Change: three ranks of rumors. Only evidence from two requests may use the whole budget; that from several servers goes in bursts within the part beyond the reserve, the rest with pings.

--- a/src/membership/join.cpp
+++ b/src/membership/join.cpp
@@ -161,7 +161,7 @@
   if (state.syncBudget_ <= 0) {
     return DaemonId{};
   }
-  AddRumors(state, aPayload, true, kMessageBytes);
+  AddRumors(state, aPayload, RumorRank::First, kMessageBytes);
   AddRotatedRumor(state, aPayload, kMessageBytes);
   const std::size_t before = aPayload.bytes_;
   DaemonId last = kSyncEnd;
--- a/src/membership/membership_base.h
+++ b/src/membership/membership_base.h
@@ -4,6 +4,7 @@
 #include "core/rng_type.h"
 #include "membership/membership_type.h"
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -54,13 +55,22 @@
   Duration variation_{};
 };
 
+/** How soon a rumor is sent. */
+enum class RumorRank : std::uint8_t
+{
+  First,  ///< In bursts, with the whole budget.
+  Second, ///< In bursts, within a part of the budget.
+  Last,   ///< In pings and acks, within a part of the budget.
+  End     ///< Number of ranks.
+};
+
 /** A rumor, its expiry and the sends left. */
 struct KnownRumor
 {
   Rumor rumor_;
   std::int64_t expiresUnixMicros_ = 0;
   std::uint8_t sendsLeft_ = 0;
-  bool isUrgent_ = false; ///< Sent before the others, and in bursts.
+  RumorRank rank_ = RumorRank::End;
 };
 
 /** Membership as one daemon sees it. Containers are ordered, so that a run can
@@ -100,8 +110,10 @@
                              ///< views that differ.
   std::vector<DaemonId> recordRequests_;
   std::map<std::uint64_t, KnownRumor> rumors_; ///< By hash of the subject.
-  std::deque<std::uint64_t> urgentRumors_;     ///< Keys, those to send first.
-  std::deque<std::uint64_t> slowRumors_;       ///< The same of the others.
+  /** Keys of rumors to send, by rank. */
+  std::array<std::deque<std::uint64_t>,
+             static_cast<std::size_t>(RumorRank::End)>
+    rumorQueues_;
   std::uint64_t rumorRotation_ = 0;
   Generation newestGeneration_;  ///< Largest known, of any member.
   TimePoint newestGenerationAt_; ///< When it became known here.
--- a/src/membership/membership_internal.h
+++ b/src/membership/membership_internal.h
@@ -244,11 +244,11 @@
 bool
 LearnRumor(MembershipStep& aStep, const Rumor& aRumor);
 
-/** Adds the queued rumors that are urgent, or those that aren't. */
+/** Adds the queued rumors of a rank. */
 void
 AddRumors(MembershipState& aState,
           GossipPayload& aPayload,
-          bool aUrgent,
+          RumorRank aRank,
           std::size_t aBudget);
 
 /** Adds the next rumor in rotation, for daemons that missed or never had it. */
--- a/src/membership/payload.cpp
+++ b/src/membership/payload.cpp
@@ -14,7 +14,8 @@
 constexpr std::size_t kBriefRecordBytes = 34; ///< Record without texts.
 constexpr std::size_t kTextOverheadBytes = 2; ///< Per text.
 
-/** Part of the budget that only rumors and urgent records may use. */
+/** Part of the budget that only rumors of the first rank and urgent records may
+ * use. */
 constexpr std::int64_t kUrgentReserveBytes = kMaxGossipBudget / 2;
 
 /** Above this queue length, as when a region comes back, sync pages and
@@ -116,15 +117,19 @@
     return;
   }
   const std::size_t before = aPayload.bytes_;
-  AddRumors(state, aPayload, true, kMessageBytes);
+  AddRumors(state, aPayload, RumorRank::First, kMessageBytes);
   AddRotatedRumor(state, aPayload, kMessageBytes);
   AddQueued(state,
             state.urgentQueue_,
             &Member::urgentSendsLeft_,
             aPayload,
             kMessageBytes);
-  if (!aUrgentOnly && state.gossipBudget_ >= kUrgentReserveBytes) {
-    AddRumors(state, aPayload, false, kMessageBytes);
+  const bool hasReserve = state.gossipBudget_ >= kUrgentReserveBytes;
+  if (hasReserve) {
+    AddRumors(state, aPayload, RumorRank::Second, kMessageBytes);
+  }
+  if (!aUrgentOnly && hasReserve) {
+    AddRumors(state, aPayload, RumorRank::Last, kMessageBytes);
     AddQueued(state,
               state.slowQueue_,
               &Member::slowSendsLeft_,
--- a/src/membership/rumor.cpp
+++ b/src/membership/rumor.cpp
@@ -4,7 +4,8 @@
 //
 // A crash of servers of many shards leaves weak evidence against each query in
 // flight there, hundreds of rumors at once, which the budget delays by seconds.
-// Evidence that is close to a decision goes first.
+// Evidence that is close to a decision goes first, and has a part of the budget
+// for itself.
 
 #include "core/hash_func.h"
 #include "membership/membership_internal.h"
@@ -78,15 +79,20 @@
   return true;
 }
 
-/** Whether a rumor may decide on requests soon: evidence from several servers
- * or requests, but not that of one broken connection. */
-bool
-IsUrgent(const Rumor& aRumor)
+/** Evidence is conclusive with crashes under two requests for a content. One
+ * request that was in flight on many servers when they crashed is frequent, but
+ * its content is to be probed if it comes again. */
+RumorRank
+RankOf(const Rumor& aRumor)
 {
   const auto* quarantine = std::get_if<QuarantineRumor>(&aRumor);
-  return quarantine == nullptr || quarantine->crashes_ > 0 ||
-         quarantine->evidence_.servers_.size() > 1 ||
-         quarantine->evidence_.requests_.size() > 1;
+  if (quarantine == nullptr || quarantine->crashes_ > 0) {
+    return RumorRank::First;
+  }
+  const CrashEvidence& evidence = quarantine->evidence_;
+  return evidence.requests_.size() > 1  ? RumorRank::First
+         : evidence.servers_.size() > 1 ? RumorRank::Second
+                                        : RumorRank::Last;
 }
 
 std::size_t
@@ -135,31 +141,31 @@
   }
   KnownRumor& known = state.rumors_[key];
   known.expiresUnixMicros_ = ExpiryOf(known.rumor_);
-  // A refutation of urgent evidence is urgent, too.
-  const bool becomesUrgent = !known.isUrgent_ && IsUrgent(known.rumor_);
-  known.isUrgent_ = known.isUrgent_ || becomesUrgent;
-  if (known.sendsLeft_ == 0 || becomesUrgent) {
-    (known.isUrgent_ ? state.urgentRumors_ : state.slowRumors_).push_front(key);
+  // A refutation spreads like the evidence.
+  const RumorRank rank = std::min(known.rank_, RankOf(known.rumor_));
+  if (known.sendsLeft_ == 0 || rank != known.rank_) {
+    state.rumorQueues_[static_cast<std::size_t>(rank)].push_front(key);
   }
+  known.rank_ = rank;
   known.sendsLeft_ = RetransmitLimit(state, kRetransmitFactor);
-  state.burstPending_ = state.burstPending_ || known.isUrgent_;
+  state.burstPending_ = state.burstPending_ || rank != RumorRank::Last;
   return true;
 }
 
 void
 AddRumors(MembershipState& aState,
           GossipPayload& aPayload,
-          bool aUrgent,
+          RumorRank aRank,
           std::size_t aBudget)
 {
   std::deque<std::uint64_t>& queue =
-    aUrgent ? aState.urgentRumors_ : aState.slowRumors_;
+    aState.rumorQueues_[static_cast<std::size_t>(aRank)];
   std::vector<std::uint64_t> requeued;
   while (!queue.empty()) {
     const std::uint64_t key = queue.front();
     const auto found = aState.rumors_.find(key);
     if (found == aState.rumors_.end() || found->second.sendsLeft_ == 0 ||
-        found->second.isUrgent_ != aUrgent) {
+        found->second.rank_ != aRank) {
       queue.pop_front();
       continue;
     }
--- a/tests/membership/spread_test.cpp
+++ b/tests/membership/spread_test.cpp
@@ -182,41 +182,54 @@
   }
 }
 
-// Servers of 90 shards crash under five queries, each of which leaves weak
-// evidence for each shard under four keys; the conclusive evidence must not
-// wait behind it.
+struct FloodCase
+{
+  const char* name_;
+  std::uint64_t servers_; ///< Crashed under each query of the flood.
+  std::size_t contents_;
+};
+
+// When servers of all shards crash, each query in flight leaves evidence under
+// four keys, for each shard or for several servers. The conclusive evidence,
+// which two requests for the same content have left, must not wait behind it.
 TEST(Spread, ConclusiveEvidenceOvertakesWeakEvidence)
 {
-  Fleet fleet(6, 3, 27);
-  Converge(fleet);
-  const std::int64_t until = fleet.GetNow().unixMicros_ + Duration(60s).count();
-  const auto spread = [&](std::uint64_t aContent, std::uint64_t aCrashes) {
-    CrashEvidence seen;
-    for (std::uint64_t i = 0; i < aCrashes; ++i) {
-      AddCrash(seen, { 100 + i, 200 + i, 300 + i });
-    }
-    for (std::size_t i = 0; i < fleet.nodes_.size(); ++i) {
-      // The conclusive one is found by one daemon.
-      if (aCrashes == 1 || i == 0) {
-        fleet.Spread(
-          i, QuarantineRumor{ Fingerprint{ aContent }, 0, until, seen });
+  const std::vector<FloodCase> cases{
+    { "one server each, five queries of 90 shards", 1, 5 * 90 * 4 },
+    { "several servers each, 200 queries", 3, 200 * 4 },
+  };
+  for (const FloodCase& item : cases) {
+    Fleet fleet(6, 3, 27);
+    Converge(fleet);
+    const std::int64_t until =
+      fleet.GetNow().unixMicros_ + Duration(60s).count();
+    for (std::uint64_t i = 0; i < item.contents_; ++i) {
+      CrashEvidence weak;
+      for (std::uint64_t server = 0; server < item.servers_; ++server) {
+        AddCrash(weak, { 100 + server, 200 + i, 300 });
       }
+      fleet.Spread(i % fleet.nodes_.size(),
+                   QuarantineRumor{ Fingerprint{ 1000 + i }, 0, until, weak });
+    }
+    fleet.Run(2s);
+    CrashEvidence conclusive;
+    for (std::uint64_t i = 0; i < 3; ++i) {
+      AddCrash(conclusive, { 100 + i, 200 + i, 300 + i });
+    }
+    fleet.Spread(0, QuarantineRumor{ Fingerprint{ 7 }, 0, until, conclusive });
+    fleet.Run(500ms);
+    for (const FleetNode& node : fleet.nodes_) {
+      CHECK_TRUE_TEXT(
+        std::any_of(node.state_.rumors_.begin(),
+                    node.state_.rumors_.end(),
+                    [](const auto& aItem) {
+                      const auto* rumor =
+                        std::get_if<QuarantineRumor>(&aItem.second.rumor_);
+                      return rumor != nullptr &&
+                             rumor->fingerprint_ == Fingerprint{ 7 };
+                    }),
+        item.name_);
     }
-  };
-  for (std::uint64_t i = 0; i < 5 * 90 * 4; ++i) {
-    spread(1000 + i, 1);
-  }
-  spread(7, 3);
-  fleet.Run(500ms);
-  for (const FleetNode& node : fleet.nodes_) {
-    const auto knows = std::any_of(
-      node.state_.rumors_.begin(),
-      node.state_.rumors_.end(),
-      [](const auto& aItem) {
-        const auto* rumor = std::get_if<QuarantineRumor>(&aItem.second.rumor_);
-        return rumor != nullptr && rumor->fingerprint_ == Fingerprint{ 7 };
-      });
-    CHECK_TRUE(knows);
   }
 }
 
@@ -251,8 +264,9 @@
   CHECK_TRUE(fleet.nodes_[1].state_.rumors_.size() <= kMaxRumors);
   fleet.Run(kLeavingRumorLifetime + 1s);
   CHECK_TRUE(fleet.nodes_[0].state_.rumors_.empty());
-  CHECK_TRUE(fleet.nodes_[0].state_.urgentRumors_.empty());
-  CHECK_TRUE(fleet.nodes_[0].state_.slowRumors_.empty());
+  for (const auto& queue : fleet.nodes_[0].state_.rumorQueues_) {
+    CHECK_TRUE(queue.empty());
+  }
 }
 
 TEST(Spread, GenerationSpreadsToAllInTime)
