Fix: a crashing path is known only after crashes at three moments

Cause: evidence under a key that many requests share needed crashes at three moments of 0.5 s. Change: two moments at least 2 s apart suffice. A crash that completes the evidence counts at once, while its request goes on to a second server.

--- a/src/core/crash_evidence.cpp
+++ b/src/core/crash_evidence.cpp
@@ -30,7 +30,8 @@
   if ((aMoments.front() & kExactMoment) != 0) {
     return aMoments.back() - aMoments.front() > 1;
   }
-  return aMoments.size() >= kMomentsToQuarantine;
+  return aMoments.size() >= kMomentsToQuarantine ||
+         aMoments.back() - aMoments.front() >= kDistantMoments;
 }
 
 } // namespace
--- a/src/core/crash_evidence.h
+++ b/src/core/crash_evidence.h
@@ -15,6 +15,10 @@
 /** Moments at which servers crashed, for content that many requests share:
  * those in flight when servers crash together have one or two in common. */
 constexpr std::size_t kMomentsToQuarantine = 3;
+/** Distance at which two moments suffice: a loss of power, or of a network,
+ * does not strike servers for so long. The servers of a service may all be down
+ * between two series of tries, so that a third moment takes until the next. */
+constexpr std::uint64_t kDistantMoments = 4;
 /** Set in the moments of content that only equal requests share. Two crashes
  * suffice there that are more than one moment apart: a loss of power lasts less
  * and would otherwise condemn what one caller repeats. */
--- a/src/gateway/crash/crash_guard.cpp
+++ b/src/gateway/crash/crash_guard.cpp
@@ -118,20 +118,48 @@
   }
 }
 
+/** What a broken connection adds to the evidence under a key. */
+ServerCrash
+CrashUnder(const BrokenConnection& aBroken, std::uint64_t aContent)
+{
+  const bool exact = aContent == aBroken.content_.exact_;
+  return { aBroken.serverHash_,
+           HashText(aBroken.requestId_),
+           exact ? aBroken.moment_ | kExactMoment : aBroken.moment_ };
+}
+
+/** Whether a crash under a run without any answer completes the evidence. The
+ * run may go on to crash a second server, and others follow it meanwhile. */
+bool
+CompletesEvidence(GatewayState& aState, const BrokenConnection& aBroken)
+{
+  const GatewayRun* run = FindSlot(aState.runs_, aBroken.run_);
+  if (run == nullptr || run->done_ > 0) {
+    return false;
+  }
+  const auto keys = AllKeys(aBroken.content_);
+  return std::any_of(
+    keys.begin(), keys.end(), [&aState, &aBroken](std::uint64_t aKey) {
+      const auto found = aState.suspects_.find(aKey);
+      if (found == aState.suspects_.end()) {
+        return false;
+      }
+      CrashEvidence evidence = found->second.evidence_;
+      AddCrash(evidence, CrashUnder(aBroken, aKey));
+      return IsConclusive(evidence);
+    });
+}
+
 void
 AddEvidence(GatewayStep& aStep, const BrokenConnection& aBroken)
 {
   bool quarantined = false;
   for (const std::uint64_t content : AllKeys(aBroken.content_)) {
-    const bool shared = content != aBroken.content_.exact_;
     const std::uint64_t key =
       aBroken.isPartial_ ? PartKey(content, aBroken.service_) : content;
     SuspectContent& suspect = FindOrAddSuspect(aStep.state_, key, aStep.Time());
     const bool before = IsConclusive(suspect.evidence_);
-    AddCrash(suspect.evidence_,
-             { aBroken.serverHash_,
-               HashText(aBroken.requestId_),
-               shared ? aBroken.moment_ : aBroken.moment_ | kExactMoment });
+    AddCrash(suspect.evidence_, CrashUnder(aBroken, content));
     suspect.until_ = aStep.Time() + EvidenceTimeToLive(suspect.evidence_);
     aStep.out_.emplace_back(SuspectFound{ key, suspect.evidence_ });
     if (!aBroken.isPartial_) {
@@ -272,7 +300,7 @@
     broken.crashed_ = true;
     ++aStep.state_.stats_.crashesSuspected_;
     Report(aStep, SuspicionEvent::Crashed, broken, aReason);
-    if (broken.run_ == 0) {
+    if (broken.run_ == 0 || CompletesEvidence(aStep.state_, broken)) {
       AddEvidence(aStep, broken);
     }
   }
--- a/tests/gateway/crash_test.cpp
+++ b/tests/gateway/crash_test.cpp
@@ -23,6 +23,8 @@
 
 constexpr Duration kTime = seconds(40);
 constexpr Duration kPoisonEvery = milliseconds(450);
+constexpr std::size_t kGroup = 5;
+constexpr Duration kGroupStep = milliseconds(250);
 constexpr Duration kGoodEvery = milliseconds(40);
 
 /** What crashes servers, and what becomes of them. */
@@ -40,6 +42,8 @@
   bool variesCaller_ = false;      ///< Tries come from many addresses.
   bool resets_ = false;    ///< Other servers lose a part of their answers.
   bool inAnswers_ = false; ///< Crashes and resets come in answers.
+  /** Tries come in groups of kGroup, kGroupStep apart, as often as this. */
+  Duration groupEvery_{};
 };
 
 GatewayRoute
@@ -88,10 +92,15 @@
   void Run()
   {
     const std::string prefix = case_.shards_ == 0 ? "/plain/" : "/query/";
-    for (Duration at{}; at < kTime; at += kPoisonEvery) {
+    const bool grouped = case_.groupEvery_ > Duration::zero();
+    for (Duration at{}; at < kTime;
+         at += grouped ? case_.groupEvery_ : kPoisonEvery) {
       const std::string query =
         case_.variesQuery_ ? "?page=" + std::to_string(at.count()) : "";
-      Send(at, std::string(prefix).append("poison").append(query));
+      for (std::size_t i = 0; i < (grouped ? kGroup : 1); ++i) {
+        Send(at + i * kGroupStep,
+             std::string(prefix).append("poison").append(query));
+      }
     }
     for (Duration at{}; at < kTime; at += kGoodEvery) {
       // Some contents are repeated, some are not.
@@ -184,6 +193,8 @@
     { "in the answer", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), true, 0.0, 0, 0, true, false, true },
     { "in the answer, and answers are lost", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), true, 0.0, 0, 0, true, true, true },
     { "a query, all shards, in the answer", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), true, 0.0, 8, 0, true, false, true },
+    { "tries in groups while servers are down in between", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), false, 0.0, 0, 0, true, false, false, milliseconds(5200) },
+    { "the same, a query, all shards", 6, ModelFault::Down, milliseconds(3600), milliseconds(4500), false, 0.0, 8, 0, true, false, false, milliseconds(5200) },
     { "twenty daemons", 20, ModelFault::Silent, milliseconds(3600), milliseconds(4500), true, 0.0, 0, 0, true },
   };
   // clang-format on
