Fix: evacuations and the end of cold phases with many daemons

Cause, shown by tables of event sequences on the paused clock: - A daemon that started while the store did not list evacuations was told them by others, and did not pass them on. After a rolling release in that time no daemon was left that had read the table, and daemons that started last used the evacuated domain after 5 s. - Callers that a cold service rejected were told to return when its servers are warm, one after the other at each daemon, but the first one of each daemon at the same moment. The queries of many daemons then found the servers full. Change: feeds carry the evacuations that others stated to a sender that has not read their table ("stated-evacuations", absent otherwise). The domains in force are chosen by a free function, EvacuationsInForce. Callers that return after a cold phase are spread over one interval of their daemon from the first one on.

--- a/src/discovery/stale_evacuations.h
+++ b/src/discovery/stale_evacuations.h
@@ -21,9 +21,15 @@
                const std::string& aKind,
                const std::vector<const TableSync*>& aTables);
 
-/** Names of the domains in such a message; nothing if its sender doesn't know
- * the evacuations. */
+/** Names of the domains in such a message, or that others stated to the sender
+ * of any message; nothing if it doesn't know the evacuations. */
 std::optional<std::set<std::string>>
 FindEvacuations(const FeedMessage& aMessage, const std::string& aKind);
 
+/** Domains that are evacuated for a daemon: those in its table once it has read
+ * it, else those that others stated. */
+std::set<std::string>
+EvacuationsInForce(const TableSync& aTable,
+                   const std::optional<std::set<std::string>>& aStated);
+
 } // namespace camphorfield
--- a/src/discovery/table_feed.cpp
+++ b/src/discovery/table_feed.cpp
@@ -325,16 +325,20 @@
   for (const FeedChange& change : aMessage.changes_) {
     changes.push_back(EncodeChange(change));
   }
-  return Compress(
-    json::serialize(json::object{ { "life", aMessage.incarnation_ },
-                                  { "number", aMessage.number_ },
-                                  { "follows", aMessage.follows_ },
-                                  { "whole", aMessage.whole_ },
-                                  { "behind", aMessage.storeUnavailable_ },
-                                  { "age", aMessage.age_.count() },
-                                  { "revisions", std::move(revisions) },
-                                  { "eras", std::move(eras) },
-                                  { "changes", std::move(changes) } }));
+  json::object document{
+    { "life", aMessage.incarnation_ },        { "number", aMessage.number_ },
+    { "follows", aMessage.follows_ },         { "whole", aMessage.whole_ },
+    { "behind", aMessage.storeUnavailable_ }, { "age", aMessage.age_.count() },
+    { "revisions", std::move(revisions) },    { "eras", std::move(eras) },
+    { "changes", std::move(changes) }
+  };
+  if (aMessage.statedEvacuations_) {
+    json::array& stated = document["stated-evacuations"].emplace_array();
+    for (const std::string& domain : *aMessage.statedEvacuations_) {
+      stated.emplace_back(domain);
+    }
+  }
+  return Compress(json::serialize(document));
 }
 
 absl::StatusOr<FeedMessage>
@@ -370,6 +374,12 @@
     for (const json::value& item : object.at("changes").as_array()) {
       message.changes_.push_back(DecodeChange(item.as_object()));
     }
+    if (const json::value* stated = object.if_contains("stated-evacuations")) {
+      message.statedEvacuations_.emplace();
+      for (const json::value& item : stated->as_array()) {
+        message.statedEvacuations_->emplace(item.as_string());
+      }
+    }
   } catch (const std::exception& fault) {
     return absl::InvalidArgumentError(fault.what());
   }
--- a/src/discovery/table_feed.h
+++ b/src/discovery/table_feed.h
@@ -7,6 +7,8 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +56,9 @@
   std::map<std::string, std::uint64_t> revisions_; ///< Of the tables, by kind.
   std::map<std::string, std::uint64_t> eras_; ///< Of the tables; none: zero.
   std::vector<FeedChange> changes_;           ///< If whole_: one per object.
+  /** Evacuations that others stated to a sender that has not read their table.
+   */
+  std::optional<std::set<std::string>> statedEvacuations_;
 };
 
 /** Adds the changes of a table since the last call to the feed. */
--- a/src/gateway/guidance/cold_phase.cpp
+++ b/src/gateway/guidance/cold_phase.cpp
@@ -8,6 +8,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <random>
 
 namespace camphorfield {
 
@@ -19,17 +20,20 @@
 constexpr double kReturnShare = 0.33;
 
 /** Time that callers who return when a service's servers are warm are spread
- * over, up to the next one; zero while they are still cold at that time. */
+ * over, up to the next one; zero while they are still cold at that time. The
+ * first callers of many daemons must not return together: at 83 daemons, 68 of
+ * 509 queries failed then. */
 Duration
-DelayAfterCold(const GatewayState& aState,
+DelayAfterCold(GatewayStep& aStep,
                const GatewayServiceState& aService,
                const GatewayRun& aRun,
                TimePoint aAt)
 {
+  const GatewayState& state = aStep.state_;
   TimePoint warmAt = kNever;
   double slots = 0.0;
   for (const std::uint64_t key : aService.backends_) {
-    const Backend& backend = aState.backends_.slots_[key & kSlotMask];
+    const Backend& backend = state.backends_.slots_[key & kSlotMask];
     if (IsUsable(backend)) {
       warmAt = std::min(warmAt, backend.cold_.until_);
       slots += backend.entry_.slots_;
@@ -41,9 +45,11 @@
   const auto before = std::distance(aService.coldPromises_.lower_bound(warmAt),
                                     aService.coldPromises_.end());
   const Duration latency = TypicalLatency(*aRun.load_, *aRun.route_);
+  std::uniform_real_distribution<double> jitter(0.0, 1.0);
   return Duration(static_cast<std::int64_t>(
-    static_cast<double>(before) * static_cast<double>(latency.count()) /
-    (slots * kReturnShare * aState.limitShare_)));
+    (static_cast<double>(before) + jitter(aStep.rng_)) *
+    static_cast<double>(latency.count()) /
+    (slots * kReturnShare * state.limitShare_)));
 }
 
 } // namespace
@@ -224,28 +230,26 @@
 // not rejected again for the same slot. Callers without a slot return when the
 // servers are warm, one after the other as these can serve them.
 Duration
-PromiseColdSlot(GatewayState& aState,
-                const GatewayRun& aRun,
-                Duration aWait,
-                TimePoint aNow)
+PromiseColdSlot(GatewayStep& aStep, const GatewayRun& aRun, Duration aWait)
 {
+  const TimePoint now = aStep.Time();
   if (aWait == Duration::max()) {
     return Duration::zero();
   }
   Duration wait = aWait;
   bool isFirst = true;
   for (const RequestPart& part : aRun.parts_) {
-    GatewayServiceState& service = aState.services_[part.service_];
+    GatewayServiceState& service = aStep.state_.services_[part.service_];
     std::multiset<TimePoint>& promises = service.coldPromises_;
-    promises.erase(promises.begin(), promises.upper_bound(aNow));
-    if (!HasColdServer(aState, service, aNow)) {
+    promises.erase(promises.begin(), promises.upper_bound(now));
+    if (!HasColdServer(aStep.state_, service, now)) {
       continue;
     }
     if (isFirst) {
-      wait += DelayAfterCold(aState, service, aRun, aNow + aWait);
+      wait += DelayAfterCold(aStep, service, aRun, now + aWait);
       isFirst = false;
     }
-    promises.insert(aNow + wait);
+    promises.insert(now + wait);
   }
   return wait;
 }
--- a/src/gateway/guidance/guidance_internal.h
+++ b/src/gateway/guidance/guidance_internal.h
@@ -73,14 +73,11 @@
 /**
  * Records that the caller of a rejected run is told to return.
  * @param aWait Time until its servers have room.
- * @return Time after which it should return: longer if others return when the
+ * @return Time after which it should return: longer if it returns when the
  * servers are warm.
  */
 Duration
-PromiseColdSlot(GatewayState& aState,
-                const GatewayRun& aRun,
-                Duration aWait,
-                TimePoint aNow);
+PromiseColdSlot(GatewayStep& aStep, const GatewayRun& aRun, Duration aWait);
 
 /** Counts a request that is sent to a server. */
 void
--- a/src/gateway/request/request_admit.cpp
+++ b/src/gateway/request/request_admit.cpp
@@ -455,7 +455,7 @@
   if (!admitted || wait > LongestWait(run, cold, now)) {
     ++state.stats_.limitRejections_;
     FinishFailed(
-      aStep, run, ProxyCode::NoServer, PromiseColdSlot(state, run, wait, now));
+      aStep, run, ProxyCode::NoServer, PromiseColdSlot(aStep, run, wait));
     return;
   }
   StartRun(aStep, run);
--- a/src/runtime/gateway_evacuations.cpp
+++ b/src/runtime/gateway_evacuations.cpp
@@ -38,22 +38,20 @@
   return tables;
 }
 
-// Unlike a server's entry, an evacuation that a restored store has again holds
-// at once: its name says everything, and too much of it costs only capacity.
 void
 GatewayHost::AdoptEvacuations()
 {
   const TableSync& table = store_.Table(kEvacuationsTable);
-  std::set<std::string> domains = peerEvacuations_;
-  evacuationsKnown_ = table.complete_;
-  if (table.complete_) {
-    domains.clear();
-    for (const auto& [name, object] : table.objects_) {
-      domains.insert(name);
-    }
+  if (evacuationsKnown_ != table.complete_) {
+    encodedFeed_.clear();
   }
+  evacuationsKnown_ = table.complete_;
   const EvacuationChange change =
-    GatewayAdoptEvacuations(gateway_, domains, ReadClock(), rng_, decisions_);
+    GatewayAdoptEvacuations(gateway_,
+                            EvacuationsInForce(table, peerEvacuations_),
+                            ReadClock(),
+                            rng_,
+                            decisions_);
   for (const std::string& domain : change.begun_) {
     WriteLog(LogLevel::Warning,
              "failure domain evacuated",
@@ -72,15 +70,28 @@
   }
 }
 
+std::optional<std::set<std::string>>
+GatewayHost::StatedEvacuations()
+{
+  return KnowsEvacuations() ? std::nullopt : peerEvacuations_;
+}
+
 void
 GatewayHost::TakePeerEvacuations(const FeedMessage& aMessage)
 {
-  const auto domains = FindEvacuations(aMessage, settings_.evacuationsKind_);
+  auto domains = FindEvacuations(aMessage, settings_.evacuationsKind_);
   if (!domains || store_.Table(kEvacuationsTable).complete_) {
     return;
   }
   needsNoEvacuations_ = true;
-  peerEvacuations_.insert(domains->begin(), domains->end());
+  if (peerEvacuations_) {
+    domains->insert(peerEvacuations_->begin(), peerEvacuations_->end());
+  }
+  if (peerEvacuations_ == domains) {
+    return;
+  }
+  peerEvacuations_ = std::move(domains);
+  encodedFeed_.clear();
   AdoptEvacuations();
   MembershipSetReady(membership_, IsReady());
 }
--- a/src/runtime/gateway_feed.cpp
+++ b/src/runtime/gateway_feed.cpp
@@ -114,6 +114,7 @@
     FeedMessage message =
       MakeFeedMessage(feed_, TablesToSend(), aIncarnation, aNumber);
     message.age_ = aAge;
+    message.statedEvacuations_ = StatedEvacuations();
     encodedFeed_ = EncodeFeed(message);
     encodedKey_ = key;
   }
@@ -137,6 +138,7 @@
   FeedMessage message;
   message.storeUnavailable_ = true;
   AddEvacuations(message, settings_.evacuationsKind_, TablesToSend());
+  message.statedEvacuations_ = StatedEvacuations();
   SendFeedText(aTo, EncodeFeed(message));
 }
 
@@ -222,8 +224,8 @@
              { { "reason", std::string(message.status().message()) } });
     return;
   }
+  TakePeerEvacuations(*message);
   if (message->storeUnavailable_) {
-    TakePeerEvacuations(*message);
     const TimePoint now = ReadClock().mono_;
     if (now - storeUnavailableAt_ >= kFeedTimeout) {
       storeUnavailableSince_ = now;
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -173,6 +173,8 @@
   void AdoptConfig();
   void AdoptServers();
   void AdoptEvacuations();
+  /** Those to pass on; none once the own table has been read. */
+  std::optional<std::set<std::string>> StatedEvacuations();
   void TakePeerEvacuations(const FeedMessage& aMessage);
   bool MayUseServers();
   void EndServerWait();
@@ -233,7 +235,7 @@
   ConfigLag configLag_;
   Duration configLagTime_{}; ///< See UpdateConfigLag.
   /** Evacuations that peers stated while the own table was not complete. */
-  std::set<std::string> peerEvacuations_;
+  std::optional<std::set<std::string>> peerEvacuations_;
   bool evacuationsKnown_ = false; ///< The own table has been read.
   /** A peer stated its table, or the wait for it is over. */
   bool needsNoEvacuations_ = false;
--- a/tests/gateway/cold_test.cpp
+++ b/tests/gateway/cold_test.cpp
@@ -115,6 +115,7 @@
   double load_;      ///< Queries a second.
   double served_;    ///< Least share that is answered.
   double coldShare_; ///< Least use of the rate, where only cold ones are left.
+  bool reshard_ = false; ///< The cold servers are of new shards.
 };
 
 void
@@ -131,6 +132,16 @@
   replay.Publish();
   const TimePoint begun = replay.Clock();
   replay.At(kColdAt, [&]() {
+    if (aCase.reshard_) {
+      GatewayRoute route = MakeQueryRoute(kShards, 0.85, 5);
+      for (std::string& shard : route.shards_) {
+        shard.insert(0, "new-");
+        replay.AddServer(shard, 1.0);
+        replay.AddServer(shard, 1.0);
+      }
+      replay.SetRoute(route);
+      replay.LimitCold(aCase.perSecond_, kColdFor);
+    }
     for (std::size_t i = 0; i < replay.Servers().size(); ++i) {
       ModelServer& server = replay.Servers()[i];
       if (aCase.othersLost_ && server.domain_ == "b") {
@@ -153,7 +164,8 @@
   std::size_t largest = 0;
   std::size_t least = SIZE_MAX;
   for (ModelServer& server : replay.Servers()) {
-    if (aCase.allCold_ || server.domain_ == "a") {
+    const bool unused = aCase.reshard_ && server.service_.substr(0, 3) != "new";
+    if (!unused && (aCase.allCold_ || server.domain_ == "a")) {
       std::vector<TimePoint> cold;
       for (const TimePoint at : server.arrivalTimes_) {
         if (at > begun + kColdAt + milliseconds(1) &&
@@ -257,6 +269,17 @@
     { "the others are lost, 6", 6, 10, true, false, false, 60, 0.9, 0.85 },
     { "the others are lost, 20", 20, 10, true, false, false, 60, 0.9, 0.6 },
     { "the others are lost, 40", 40, 10, true, false, false, 60, 0.9, 0.35 },
+    { "the others are lost, 83", 83, 10, true, false, false, 60, 0.9, 0.3 },
+    { "the others are lost, 295", 295, 10, true, false, false, 60, 0.7, 0.1 },
+    { "the others are lost, 295, high rate",
+      295,
+      40,
+      true,
+      false,
+      false,
+      60,
+      0.75,
+      0.05 },
     { "the others are lost, high rate",
       20,
       40,
@@ -268,6 +291,25 @@
       0.6 },
     { "all are cold", 20, 10, false, true, false, 60, 0.9, 0.4 },
     { "all restart", 20, 10, false, true, true, 60, 0.9, 0.15 },
+    { "shards change while the others are lost",
+      20,
+      10,
+      true,
+      false,
+      false,
+      60,
+      0.9,
+      0.6,
+      true },
+    { "all restart, others lost, 83",
+      83,
+      10,
+      true,
+      false,
+      true,
+      60,
+      0.9,
+      0.15 },
   };
   for (const ColdCase& item : cases) {
     CheckCold(item);
--- a/tests/gateway/evacuation_test.cpp
+++ b/tests/gateway/evacuation_test.cpp
@@ -27,6 +27,7 @@
   Return,       ///< The end of all evacuations.
   Announce,     ///< The list of servers comes again.
   Replace,      ///< A server of the domain gets a new start.
+  Release,      ///< All servers get a new start, one after another.
   Reshard,      ///< The route gets other shards, on servers of both domains.
   Crash,        ///< A server outside the domain crashes.
   End           ///< Number of steps.
@@ -36,7 +37,7 @@
 struct EvacuationCase
 {
   const char* name_;
-  std::size_t daemons_;
+  std::vector<std::size_t> daemons_;
   std::vector<std::pair<Duration, Step>> steps_;
   /** Intervals in which no request may reach the domain. */
   std::vector<std::pair<Duration, Duration>> silent_;
@@ -66,6 +67,14 @@
       ++aReplay.Servers()[1].incarnation_;
       aReplay.Announce();
       break;
+    case Step::Release:
+      for (std::size_t i = 0; i < aReplay.Servers().size(); ++i) {
+        aReplay.At(milliseconds(300) * i, [&aReplay, i]() {
+          ++aReplay.Servers()[i].incarnation_;
+          aReplay.Announce();
+        });
+      }
+      break;
     case Step::Reshard: {
       GatewayRoute route = MakeQueryRoute(kShards, 0.8, 5);
       for (std::string& shard : route.shards_) {
@@ -101,6 +110,37 @@
   return count;
 }
 
+void
+CheckEvacuation(const EvacuationCase& aCase, std::size_t aDaemons)
+{
+  const std::string name =
+    std::string(aCase.name_) + ", " + std::to_string(aDaemons) + " daemons";
+  Replay replay(aDaemons, 42);
+  replay.AddShards(kShards);
+  replay.SetRoute(MakeQueryRoute(kShards, 0.8, 5));
+  replay.Publish();
+  const TimePoint begun = replay.Clock();
+  for (const auto& [at, step] : aCase.steps_) {
+    const Step action = step;
+    replay.At(at, [&replay, action]() { Apply(replay, action); });
+  }
+  const ReplayLoad load{ kTarget, 40, milliseconds(10), seconds(2), 3 };
+  const ReplayResult result = replay.Run({ load }, seconds(10))[kTarget];
+  for (const auto& [from, to] : aCase.silent_) {
+    LONGS_EQUAL_TEXT(
+      0, CountArrivals(replay, "a", begun + from, begun + to), name.c_str());
+  }
+  const Duration returned = aCase.silent_.back().second;
+  CHECK_TEXT(CountArrivals(
+               replay, "a", begun + returned, begun + returned + seconds(4)) >
+               0,
+             name.c_str());
+  LONGS_EQUAL_TEXT(0, result.failed_, name.c_str());
+  const std::string text =
+    name + ": on time " + std::to_string(result.OnTimeShare());
+  CHECK_TEXT(result.OnTimeShare() >= aCase.onTime_, text.c_str());
+}
+
 } // namespace
 
 TEST_GROUP(Evacuation){};
@@ -212,34 +252,19 @@
   const Duration at8 = seconds(8);
   const std::vector<EvacuationCase> cases{
     { "begun and ended",
-      6,
-      { { at2, Step::Evacuate }, { at6, Step::Return } },
-      { { at2 + sent, at6 } },
-      0.97 },
-    { "many daemons",
-      40,
-      { { at2, Step::Evacuate }, { at6, Step::Return } },
-      { { at2 + sent, at6 } },
-      0.97 },
-    { "83 daemons",
-      83,
-      { { at2, Step::Evacuate }, { at6, Step::Return } },
-      { { at2 + sent, at6 } },
-      0.97 },
-    { "295 daemons",
-      295,
+      { 6, 40, 83, 295 },
       { { at2, Step::Evacuate }, { at6, Step::Return } },
       { { at2 + sent, at6 } },
       0.97 },
     { "shards change meanwhile",
-      6,
+      { 6, 83, 295 },
       { { at2, Step::Evacuate },
         { at3, Step::Reshard },
         { at6, Step::Return } },
       { { at2 + sent, at6 } },
       0.97 },
     { "begun and ended twice",
-      6,
+      { 6, 83 },
       { { at2, Step::Evacuate },
         { at3, Step::Evacuate },
         { at4, Step::Return },
@@ -249,62 +274,55 @@
       { { at2 + sent, at4 }, { at6 + sent, at8 } },
       0.97 },
     { "the list comes again",
-      6,
+      { 6 },
       { { at2, Step::Evacuate },
         { at3, Step::Announce },
         { at6, Step::Return } },
       { { at2 + sent, at6 } },
       0.97 },
     { "a server of the domain starts meanwhile",
-      6,
+      { 6 },
       { { at2, Step::Evacuate },
         { at3, Step::Replace },
         { at6, Step::Return } },
       { { at2 + sent, at6 } },
       0.97 },
+    { "rolling release of all servers",
+      { 6, 83, 295 },
+      { { at2, Step::Evacuate },
+        { at3, Step::Release },
+        { at8, Step::Return } },
+      { { at2 + sent, at8 } },
+      0.9 },
+    { "ended in a rolling release",
+      { 6, 83 },
+      { { at2, Step::Evacuate },
+        { at3, Step::Release },
+        { at4, Step::Return } },
+      { { at2 + sent, at4 } },
+      0.9 },
     { "a daemon starts meanwhile",
-      6,
+      { 6, 83 },
       { { at2, Step::EvacuateLate },
         { at3, Step::Evacuate },
         { at6, Step::Return } },
       { { at3 + sent, at6 } },
       0.97 },
     { "another server resets its connections meanwhile",
-      6,
+      { 6 },
       { { at2, Step::Evacuate }, { at3, Step::Crash }, { at6, Step::Return } },
       { { at2 + sent, at6 } },
       0.9 },
     { "all domains",
-      6,
+      { 6 },
       { { at2, Step::EvacuateBoth }, { at3, Step::Return } },
       { { at2 + sent, at3 } },
       0.85 },
   };
   for (const EvacuationCase& item : cases) {
-    Replay replay(item.daemons_, 42);
-    replay.AddShards(kShards);
-    replay.SetRoute(MakeQueryRoute(kShards, 0.8, 5));
-    replay.Publish();
-    const TimePoint begun = replay.Clock();
-    for (const auto& [at, step] : item.steps_) {
-      const Step action = step;
-      replay.At(at, [&replay, action]() { Apply(replay, action); });
-    }
-    const ReplayLoad load{ kTarget, 40, milliseconds(10), seconds(2), 3 };
-    const ReplayResult result = replay.Run({ load }, seconds(10))[kTarget];
-    for (const auto& [from, to] : item.silent_) {
-      LONGS_EQUAL_TEXT(
-        0, CountArrivals(replay, "a", begun + from, begun + to), item.name_);
+    for (const std::size_t daemons : item.daemons_) {
+      CheckEvacuation(item, daemons);
     }
-    const Duration returned = item.silent_.back().second;
-    CHECK_TEXT(CountArrivals(
-                 replay, "a", begun + returned, begun + returned + seconds(4)) >
-                 0,
-               item.name_);
-    LONGS_EQUAL_TEXT(0, result.failed_, item.name_);
-    const std::string text = std::string(item.name_) + ": on time " +
-                             std::to_string(result.OnTimeShare());
-    CHECK_TEXT(result.OnTimeShare() >= item.onTime_, text.c_str());
   }
 }
 
