Change: the soak test evacuates domains and makes servers cold

Cause: its store held no evacuations, and none of its servers was ever cold. Change: a domain is evacuated at most times, first when the faults begin, and another one's servers become cold then; servers are cold after each start, and some at other times. After a restore the evacuations are written again. Two rules are checked for all gateways together: requests to an evacuated domain later than bounds.evacuate-ms and 1 s after the acknowledgement, counted from the end of an outage and from the start or resumption of the gateway; and requests to a cold server in each second, from 1.5 s after its entry. Each run prints what the second rule applied to. evacuation.py uses the same rules and settings, and replaces all gateways while the store refuses evacuations; for this it reconnects the gateway that the store refuses before, as it does not get ready otherwise. The stand-in of tests/limits takes arrivals under the new name; nothing that it checks is changed.

--- a/tests/limits/parts.py
+++ b/tests/limits/parts.py
@@ -36,12 +36,9 @@
 class NoBook:
     """Takes what the soak's servers report; nothing is checked here."""
 
-    class guidance:  # noqa: N801 - takes the place of an object.
-        """Takes what servers report of their guidance."""
-
-        @staticmethod
-        def note_arrival(request, server):
-            """Ignore an arrival."""
+    @staticmethod
+    def note_arrival(request, server):
+        """Ignore an arrival."""
 
     @staticmethod
     def note_run(server, request, line, body):
--- a/tests/soak/book.py
+++ b/tests/soak/book.py
@@ -4,6 +4,7 @@
 """
 
 import wire
+from domains import Domains
 from guidance import Guidance
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -24,6 +25,7 @@
         self.statuses = {}  # (kind, status): count.
         self.violations = []
         self.guidance = Guidance(self.fail)
+        self.domains = Domains(self.fail)
         self.said = {}      # Proof: (server's life, what it said of itself).
 
     def fail(self, text):
@@ -44,6 +46,13 @@
         self.said[proof] = (server.life(), server.says)
         return proof
 
+    def note_arrival(self, request, server):
+        """Check that a server may be sent a request now."""
+        self.guidance.note_arrival(request, server)
+        if request in self.guidance.sent:
+            self.domains.note_arrival(
+                request, server, self.guidance.sent[request].life())
+
     def note_run(self, server, request, line, body):
         """Record and check that a server starts a request."""
         sent = self.sent.get(request)
--- a/tests/soak/book_test.py
+++ b/tests/soak/book_test.py
@@ -16,7 +16,8 @@
     """A server with the fields that Book reads."""
     name = f"i-{service}"
     return SimpleNamespace(name=name, service=service, says=Says(**says),
-                           life=lambda: name, links=lambda: 0)
+                           life=lambda: name, links=lambda: 0, zone="a",
+                           cold_since=0.0, warm_at=0.0)
 
 
 def make_book():
@@ -163,6 +164,46 @@
                 self.assertEqual(not book.violations, allowed)
 
 
+class DomainsTest(unittest.TestCase):
+    """Requests to evacuated domains and to cold servers."""
+
+    def test_requests_after_changes(self):
+        steady = [104 + i * 0.09 for i in range(11)]
+        for name, changes, times, allowed in (
+                ("evacuated, just known", {}, [105.9], True),
+                ("evacuated", {}, [106.1], False),
+                ("another domain", {"zone": "b"}, [106.1], True),
+                ("ended", {"ends": True}, [106.1], True),
+                ("the store was down", {"answers": 101}, [106.9], True),
+                ("the gateway was paused", {"resumed": 101}, [106.9], True),
+                ("long after both", {"answers": 101, "resumed": 101},
+                 [107.1], False),
+                ("cold", {"zone": "b", "warm": 110}, steady, True),
+                ("cold, too many", {"zone": "b", "warm": 110},
+                 steady + [104.95], False),
+                ("cold, not known yet", {"zone": "b", "warm": 110, "cold": 103},
+                 steady + [104.95], True),
+                ("warm by then", {"zone": "b", "warm": 103},
+                 steady + [104.95], True)):
+            with self.subTest(name), \
+                    mock.patch("domains.time.monotonic") as clock:
+                book = Book()
+                server = make_server("s0")
+                server.zone = changes.get("zone", "a")
+                server.cold_since = changes.get("cold", 100)
+                server.warm_at = changes.get("warm", 0)
+                clock.return_value = 100
+                book.domains.note_evacuated("a", True)
+                if "ends" in changes:
+                    book.domains.note_evacuated("a", False)
+                book.domains.answers_since = changes.get("answers", 0)
+                clock.return_value = changes.get("resumed", 0)
+                book.domains.note_life("gateway")
+                for number, clock.return_value in enumerate(sorted(times)):
+                    book.domains.note_arrival(f"r{number}", server, "gateway")
+                self.assertEqual(not book.violations, allowed)
+
+
 class BookTest(unittest.TestCase):
     """A valid book and one violation of each rule."""
 
--- a/tests/soak/evacuation.py
+++ b/tests/soak/evacuation.py
@@ -2,7 +2,8 @@
 
 Callers send requests all the time. Guards against requests that reach an
 evacuated domain: from gateways that the store refuses, from one that starts
-while the store doesn't tell evacuations, and after a restore; against
+while the store doesn't tell evacuations, in a release of all gateways
+meanwhile, and after a restore; against
 gateways that never get ready again when nobody knows the evacuations; and
 against cold servers that get more requests than they take. Exits with 1 if one
 of these happened.
@@ -16,12 +17,13 @@
 import tempfile
 import time
 
+import domains
 import soak
 import standins
 import wire
 
 ZONE = "a"
-EVACUATE_S = 5.0  # bounds.evacuate-ms
+EVACUATE_S = domains.EVACUATE_S
 RETURN_S = 12.0  # An object that a restored store lost ends by then.
 CALLERS = 24
 WARMUP_PER_S = 2
@@ -29,8 +31,6 @@
 WARMUP_MOST = WARMUP_PER_S * 1.5 + 5  # In any one second.
 COLD_S = 5.0  # A cold phase that servers state later.
 KNOWN_S = 0.5  # By then all gateways have read it.
-SETTINGS = [f"bounds.evacuate-ms={EVACUATE_S * 1000:g}",
-            "bounds.warmup-overage=1.5", "bounds.warmup-slack=5", ""]
 
 
 class Store(standins.Store):
@@ -38,7 +38,6 @@
 
     def __init__(self):
         super().__init__()
-        self.objects["evacuations"] = {}
         self.refused_kind = None
 
     async def answer(self, message):
@@ -69,10 +68,6 @@
             server.answer = note
         return server
 
-    def evacuate(self, begins):
-        """Write or remove the evacuation."""
-        self.store.put("evacuations", ZONE, {} if begins else None)
-
     async def expect_silence(self, what, settle_s, for_s):
         """No request may reach the domain after some time to settle."""
         begun = time.monotonic()
@@ -117,9 +112,8 @@
         begun = time.monotonic()
         for server in self.servers:
             if server.zone == ZONE:
-                server.warmup_left_ms = int(cold_s * 1000)
+                server.become_cold(cold_s)
                 self.list_server(server)
-                server.warmup_left_ms = 0
         await asyncio.sleep(cold_s)
         self.check_cold("cold servers", begun + KNOWN_S, begun + cold_s)
 
@@ -130,6 +124,11 @@
         await asyncio.sleep(1.0)
         await self.wait_ready()
 
+    async def release(self):
+        """Restart all gateways, one after another."""
+        for gateway in self.gateways:
+            await self.restart([gateway])
+
     async def play(self):
         """The sequence."""
         await self.expect_arrivals("before", 5)
@@ -138,7 +137,7 @@
         refused.store_link.mode = "refuse"
         refused.store_link.cut()
         await asyncio.sleep(1.0)
-        self.evacuate(True)
+        self.evacuate(ZONE, True)
         await self.expect_silence("one gateway refused", EVACUATE_S, 2.0)
         self.store.refused_kind = "evacuations"
         self.store.cut()
@@ -146,20 +145,25 @@
         await self.restart(self.gateways[1:2])
         print(f"start from peers: ready after {time.monotonic() - begun:.2f} s")
         await self.expect_silence("started while the kind is refused", 0.0, 4.0)
+        refused.store_link.mode = "ok"
+        release = asyncio.create_task(self.release())
+        await self.expect_silence("rolling release while the kind is refused",
+                                  0.0, 4.0 * len(self.gateways))
+        await release
         self.store.mode = "down"
         self.store.cut()
         await self.expect_silence("outage", 0.0, 3.0)
-        self.store.mode = "ok"
+        self.end_outage()
         self.store.refused_kind = None
-        refused.store_link.mode = "ok"
         await self.expect_silence("end of the outage", 0.0, 3.0)
         # The servers' entries and the configuration of the copy are current.
         self.store.restore()
+        self.book.domains.note_evacuated(ZONE, False)
         await self.expect_arrivals("restored without it", RETURN_S)
-        self.evacuate(True)
+        self.evacuate(ZONE, True)
         await self.expect_silence("evacuated again", EVACUATE_S, 2.0)
         begun = time.monotonic()
-        self.evacuate(False)
+        self.evacuate(ZONE, False)
         await self.expect_arrivals("ended", RETURN_S)
         await asyncio.sleep(WARMUP_S)
         self.check_cold("after the end", begun, begun + WARMUP_S)
@@ -201,19 +205,9 @@
     arguments = parser.parse_args()
     arguments.seed = 1
     arguments.seconds = 0
-    make_settings, make_config, make_entry = (
-        wire.make_settings, wire.make_config, wire.make_entry)
-
-    def configure(*items):
-        config = make_config(*items)
-        for service in config["services"]:
-            service |= {"warmup-s": WARMUP_S, "warmup-per-s": WARMUP_PER_S}
-        return config
-    wire.make_settings = lambda *items: (
-        make_settings(*items) + "\n".join(SETTINGS))
-    wire.make_config = configure
-    wire.make_entry = lambda server, sequence: make_entry(server, sequence) | {
-        "warmup-left-ms": getattr(server, "warmup_left_ms", 0)}
+    domains.WARMUP_S = WARMUP_S
+    domains.WARMUP_PER_S = WARMUP_PER_S
+    domains.WARMUP_MOST = WARMUP_MOST
     directory = tempfile.mkdtemp(prefix="camphorfield-evacuation-")
     run = Run(arguments, directory)
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,6 +17,7 @@
 import tempfile
 import time
 
+import domains
 import wire
 from book import Book
 from standins import Proxy, Says, Server, Store, reset
@@ -63,7 +64,7 @@
         with open(path, "w", encoding="utf-8") as file:
             file.write(wire.make_settings(
                 self.endpoints, self.zone, seeds, self.store_link.address,
-                GRACE_S))
+                GRACE_S) + "\n".join(domains.SETTINGS))
         if self.log is None:
             self.log = open(os.path.join(
                 self.soak.directory, self.endpoints.name + ".log"), "ab")
@@ -72,6 +73,7 @@
         self.process = await asyncio.create_subprocess_exec(
             self.soak.binary, "gateway", stdout=self.log, stderr=self.log,
             env={**os.environ, "CAMPHORFIELD_SETTINGS": path})
+        self.soak.book.domains.note_life(self.life())
 
     def has_started(self):
         """Whether the latest process got as far as to take signals."""
@@ -170,8 +172,12 @@
         """Write a configuration with a higher version to the store."""
         self.version += self.rng.randint(1, 4)
         self.book.allow(self.shards(), "plain", once)
-        self.store.put("config", "main", wire.make_config(
-            self.version, HOST_NAME, self.shards(), "plain", once))
+        config = wire.make_config(
+            self.version, HOST_NAME, self.shards(), "plain", once)
+        for service in config["services"]:
+            service |= {"warmup-s": domains.WARMUP_S,
+                        "warmup-per-s": domains.WARMUP_PER_S}
+        self.store.put("config", "main", config)
 
     async def start(self):
         """Start store, servers and gateways, and wait for readiness."""
@@ -314,6 +320,7 @@
             await asyncio.sleep(self.rng.uniform(0.2, 4))
             gateway.pauses += 1
             gateway.signal(signal.SIGCONT)
+            self.book.domains.note_life(gateway.life())
         elif what == "stop":
             gateway.signal(signal.SIGTERM)
         else:
@@ -353,7 +360,12 @@
         if self.rng.random() < 0.5:
             self.store.forget()
         await asyncio.sleep(self.rng.uniform(0.3, 4))
+        self.end_outage()
+
+    def end_outage(self):
+        """The store answers all gateways again."""
         self.store.mode = "ok"
+        self.book.domains.answers_since = time.monotonic()
 
     async def restore_store(self):
         """The store loses the latest changes; they are written again."""
@@ -367,11 +379,59 @@
         self.store.cut()
         await asyncio.sleep(self.rng.uniform(0.05, 2))
         self.store.restore()
-        self.store.mode = "ok"
+        self.end_outage()
         await asyncio.sleep(self.rng.uniform(0.05, 2))
         for server in self.servers:
             self.list_server(server)
         self.publish()
+        for zone in ZONES:
+            self.evacuate(zone, zone in self.book.domains.evacuated)
+
+    def evacuate(self, zone, begins):
+        """Write or remove an evacuation."""
+        self.store.put("evacuations", zone, {} if begins else None)
+        self.book.domains.note_evacuated(zone, begins)
+
+    async def evacuate_zones(self):
+        """Evacuate one domain after another until the end; servers of another
+        become cold then. The first begins at once, for a short seed."""
+        rng = random.Random(f"{self.seed}/evacuate")
+        while not self.is_over:
+            zone, other = rng.sample(ZONES, 2)
+            self.faults["evacuate"] += 1
+            self.evacuate(zone, True)
+            self.make_cold(
+                [server for server in self.servers if server.zone == other],
+                rng.uniform(5, 9))
+            await self.pass_time(rng.uniform(7, 12))
+            if rng.random() < 0.5 and not self.is_over:
+                self.evacuate(zone, True)  # Written again: it stays.
+                await self.pass_time(rng.uniform(0, 2))
+            if not self.is_over:
+                self.evacuate(zone, False)
+                await self.pass_time(rng.uniform(0.5, 4))
+
+    async def pass_time(self, for_s):
+        """Sleep, but not beyond the end of the faults."""
+        end = time.monotonic() + for_s
+        while time.monotonic() < end and not self.is_over:
+            await asyncio.sleep(0.1)
+
+    def make_cold(self, servers, cold_s):
+        """Servers state that they are cold."""
+        for server in servers:
+            server.become_cold(cold_s)
+            self.list_server(server)
+
+    async def make_servers_cold(self):
+        """Some servers state that they are cold, sometimes a whole domain."""
+        self.faults["cold"] += 1
+        zone = self.rng.choice(ZONES)
+        servers = [server for server in self.servers if server.zone == zone]
+        if self.rng.random() < 0.5:
+            servers = self.rng.sample(servers, self.rng.randint(1, 4))
+        self.make_cold(servers, self.rng.uniform(4, 8))
+        await asyncio.sleep(self.rng.uniform(0, 2))
 
     async def inject_server_fault(self):
         """Give a server one of the faults of standins.Server for a while."""
@@ -415,8 +475,7 @@
         await asyncio.sleep(self.rng.uniform(2, 4))
         if server.listener.is_serving():
             server.crash()
-            server.started_ms = int(time.time() * 1000)
-            await server.start()
+            await server.start_again()
         server.says = Says()
         self.list_server(server)
 
@@ -465,7 +524,8 @@
                  self.inject_server_fault, self.inject_server_fault,
                  self.inject_server_link_fault, self.crash_server,
                  self.inject_guidance, self.inject_guidance,
-                 self.replace_entry, self.change_config)
+                 self.replace_entry, self.change_config,
+                 self.make_servers_cold, self.make_servers_cold)
         while not self.is_over:
             await asyncio.sleep(self.rng.uniform(0.1, 1.5))
             await self.rng.choice(kinds)()
@@ -548,6 +608,7 @@
         callers.append(asyncio.create_task(self.watch_versions()))
         fault_tasks = [asyncio.create_task(self.inject_faults())
                        for _ in range(3)]
+        fault_tasks.append(asyncio.create_task(self.evacuate_zones()))
         await asyncio.sleep(self.seconds / 2)
         await self.reshard()
         await asyncio.sleep(self.seconds / 2)
@@ -556,6 +617,8 @@
         await asyncio.gather(*callers)
         await self.check_recovery()
         await self.check_crashing_content()
+        for zone in list(self.book.domains.evacuated):
+            self.evacuate(zone, False)
         for gateway in self.gateways:
             gateway.should_run = False
             gateway.signal(signal.SIGTERM)
@@ -594,6 +657,7 @@
           f"faults {dict(soak.faults)}, broken {len(soak.book.violations)}")
     print("  answers:", {f"{kind} {status}": count for (kind, status), count
                          in sorted(soak.book.statuses.items())})
+    print("  checks:", dict(soak.book.domains.seen))
     for text in soak.book.violations[:20]:
         print("  broken:", text)
     if soak.book.violations:
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -11,6 +11,7 @@
 import random
 import time
 
+import domains
 import wire
 
 HOST = "127.0.0.1"
@@ -124,7 +125,8 @@
     conditional writes."""
 
     def __init__(self):
-        self.objects = {"config": {}, "servers": {}, wire.EVIDENCE: {}}
+        self.objects = {"config": {}, "servers": {}, "evacuations": {},
+                        wire.EVIDENCE: {}}
         self.changes = []  # (revision, kind, object, deleted)
         self.revision = 100
         self.compacted_revision = 100  # Changes up to here were dropped.
@@ -258,6 +260,8 @@
         self.started_ms = int(time.time() * 1000)
         self.fault = "none"  # none, slow, errors, lost, extra, hang, full
         self.says = Says()
+        self.cold_since = 0.0  # When it last became cold.
+        self.warm_at = 0.0
         self.pause_s = None  # Rejects requests and asks for so long a pause.
         self.link = None
         self.crashes = []  # (time, request), by content that crashes it.
@@ -301,6 +305,11 @@
             fields[wire.LIMIT] = f"{self.says.limit:g}"
         return fields
 
+    def become_cold(self, cold_s):
+        """Take few requests from now on; its entry says so."""
+        self.cold_since = time.monotonic()
+        self.warm_at = self.cold_since + cold_s
+
     def crash(self):
         """Stop listening and reset all connections."""
         self.listener.close()
@@ -313,9 +322,14 @@
             return
         self.crash()
         await asyncio.sleep(pause_s)
+        await self.start_again()
+        self.listed(self)
+
+    async def start_again(self):
+        """Start as another incarnation, which is cold."""
         self.started_ms = int(time.time() * 1000)
+        self.become_cold(domains.WARMUP_S)
         await self.start()
-        self.listed(self)
 
     async def serve(self, reader, writer):
         """Answer requests on one connection."""
@@ -330,7 +344,7 @@
         if fields.get(wire.EXPECTED_SERVER, self.name) != self.name:
             return wire.make_response(421, {wire.NOT_RUN: "1"})
         said = {wire.REQUEST_ID: request, **self.guidance_fields()}
-        self.book.guidance.note_arrival(request, self)
+        self.book.note_arrival(request, self)
         if self.pause_s is not None:
             self.book.guidance.note_pause(request, self, self.pause_s)
             return wire.make_response(
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -1,6 +1,7 @@
 """HTTP messages and documents of callers, servers and the store."""
 
 import json
+import time
 
 REQUEST_ID = "request-id"
 REMAINING_MS = "deadline-ms"
@@ -103,7 +104,9 @@
     return {"service": server.service, "address": server.address,
             "zone": server.zone, "version": "v1",
             "concurrency": server.slots, "state": server.state,
-            "warmup-left-ms": 0, "seq": sequence, "born": server.started_ms}
+            "warmup-left-ms": max(
+                0, int((server.warm_at - time.monotonic()) * 1000)),
+            "seq": sequence, "born": server.started_ms}
 
 
 def make_object(name, revision, content):
