--- a/tests/gateway/cap_replay_fixture.cpp
+++ b/tests/gateway/cap_replay_fixture.cpp
@@ -1,6 +1,8 @@
 // Simulation of daemons with caps: message delays, views that differ, faults.
 #include "gateway/cap_replay_fixture.h"
 
+#include "gateway/replay_clock.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -98,22 +100,13 @@
 void
 CapReplay::At(Duration aAfter, std::function<void()> aAction)
 {
-  schedule_.push(
-    Scheduled{ now_ + aAfter,
-               order_++,
-               std::make_shared<std::function<void()>>(std::move(aAction)) });
+  ScheduleAction(schedule_, now_ + aAfter, order_, std::move(aAction));
 }
 
 void
 CapReplay::Run(Duration aTime)
 {
-  const TimePoint end = now_ + aTime;
-  while (!schedule_.empty() && schedule_.top().at_ <= end) {
-    const Scheduled next = schedule_.top();
-    schedule_.pop();
-    now_ = std::max(now_, next.at_);
-    (*next.action_)();
-  }
+  RunActions(schedule_, now_, now_ + aTime);
 }
 
 void
--- a/tests/gateway/cap_result_fixture.cpp
+++ b/tests/gateway/cap_result_fixture.cpp
@@ -1,5 +1,6 @@
 // Figures of a replay of caps.
 #include "gateway/cap_replay_fixture.h"
+#include "gateway/shared_fixture.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -35,16 +36,11 @@
   double fixedMissing = 0.0;
   for (const Customer& customer : customers_) {
     result.admitted_ += static_cast<double>(customer.sent_.size());
-    std::size_t first = 0;
-    for (std::size_t i = 0; i < customer.sent_.size(); ++i) {
-      while (customer.sent_[i] - customer.sent_[first] >= kCapWindow) {
-        ++first;
-      }
-      if (customer.sent_[first] >= customer.allowedFrom_) {
-        result.excess_ =
-          std::max(result.excess_,
-                   static_cast<double>(i - first + 1) - customer.allowed_);
-      }
+    const std::size_t largest =
+      CountLargestWindow(customer.sent_, kCapWindow, customer.allowedFrom_);
+    if (largest > 0) {
+      result.excess_ = std::max(
+        result.excess_, static_cast<double>(largest) - customer.allowed_);
     }
     for (const auto& [number, window] : customer.windows_) {
       reference += window[0];
--- a/tests/gateway/copy_test.cpp
+++ b/tests/gateway/copy_test.cpp
@@ -1,6 +1,7 @@
 // Servers that send an answer again where the next one is expected: an answer
 // must not be taken for that to another send of the same request.
 #include "gateway/replay_fixture.h"
+#include "gateway/shared_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -24,20 +25,6 @@
   bool hidesIds_;
 };
 
-GatewayRoute
-MakeRoute(RequestKind aKind)
-{
-  GatewayRoute route;
-  route.name_ = "plain";
-  route.prefix_ = "/plain/";
-  route.kind_ = aKind;
-  route.timeout_ = seconds(2);
-  route.objective_ = milliseconds(400);
-  route.maxAttempts_ = 2;
-  route.to_.push_back({ "shard0", 1.0 });
-  return route;
-}
-
 } // namespace
 
 TEST_GROUP(Copy){};
@@ -63,7 +50,7 @@
       server.sheds_ = item.sheds_;
     }
     replay.Config().services_["shard0"].maxConnections_ = item.maxConnections_;
-    replay.SetRoute(MakeRoute(RequestKind::NonIdempotent));
+    replay.SetRoute(MakePlainRoute(RequestKind::NonIdempotent, seconds(2)));
     replay.Publish();
     const std::uint64_t id = replay.SendRequest(0, "/plain/x", seconds(2));
     replay.Advance(seconds(4));
@@ -92,7 +79,7 @@
       server.queue_ = 1;
       server.lateCopies_ = true;
     }
-    replay.SetRoute(MakeRoute(kind));
+    replay.SetRoute(MakePlainRoute(kind, seconds(2)));
     replay.Publish();
     const auto results =
       replay.Run({ { "/plain/x", 1200.0, milliseconds(20) } }, seconds(10));
--- a/tests/gateway/innocent_test.cpp
+++ b/tests/gateway/innocent_test.cpp
@@ -1,6 +1,7 @@
 // Requests that are in flight when servers end or connections break for another
 // reason: their content must stay served.
 #include "gateway/replay_fixture.h"
+#include "gateway/shared_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -26,19 +27,6 @@
   std::function<void(Replay&)> apply_;
 };
 
-GatewayRoute
-MakeRoute()
-{
-  GatewayRoute route;
-  route.name_ = "plain";
-  route.prefix_ = "/plain/";
-  route.timeout_ = seconds(2);
-  route.objective_ = milliseconds(400);
-  route.maxAttempts_ = 2;
-  route.to_.push_back({ "shard0", 1.0 });
-  return route;
-}
-
 void
 Restart(Replay& aReplay, std::size_t aServer)
 {
@@ -143,7 +131,7 @@
       for (std::size_t i = 0; i < kServers; ++i) {
         replay.AddServer("shard0", 1.0).breaksInAnswers_ = true;
       }
-      replay.SetRoute(MakeRoute());
+      replay.SetRoute(MakePlainRoute(RequestKind::Idempotent, seconds(2)));
       replay.Publish();
       cause.apply_(replay);
       replay.Run({ { "/plain/x", 120.0, milliseconds(60) } }, kTime);
--- a/tests/gateway/limit_test.cpp
+++ b/tests/gateway/limit_test.cpp
@@ -1,6 +1,7 @@
 // Servers in need name the requests a second that they take from all daemons
 // together. They must not get more, and callers are served with what is left.
 #include "gateway/replay_fixture.h"
+#include "gateway/shared_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -23,22 +24,6 @@
 constexpr double kAllowedFactor = 1.5;
 constexpr double kAllowedExtra = 5.0;
 
-/** Most requests that a server got in a window after aFrom. */
-std::size_t
-LargestWindow(const ModelServer& aServer, TimePoint aFrom, TimePoint aTo)
-{
-  const std::vector<TimePoint>& times = aServer.arrivalTimes_;
-  std::size_t largest = 0;
-  for (auto first = std::lower_bound(times.begin(), times.end(), aFrom);
-       first != times.end() && *first < aTo;
-       ++first) {
-    const auto end =
-      std::lower_bound(first, times.end(), std::min(*first + kWindow, aTo));
-    largest = std::max(largest, static_cast<std::size_t>(end - first));
-  }
-  return largest;
-}
-
 /** Servers of the first shards that name a limit. */
 struct LimitCase
 {
@@ -90,8 +75,11 @@
       kAllowedFactor * item.perSecond_ * 4.0 + kAllowedExtra;
     for (std::size_t i = 0; i < item.shards_ * 2; ++i) {
       if (i % 2 < item.replicas_) {
-        const std::size_t largest = LargestWindow(
-          replay.Servers()[i], begun + limitedFrom + kGrace, begun + limitedTo);
+        const std::size_t largest =
+          CountLargestWindow(replay.Servers()[i].arrivalTimes_,
+                             kWindow,
+                             begun + limitedFrom + kGrace,
+                             begun + limitedTo);
         CHECK_TEXT(static_cast<double>(largest) <= allowed,
                    (std::string(item.name_) + ": " + std::to_string(largest) +
                     " of " + std::to_string(allowed))
--- a/tests/gateway/rules_test.cpp
+++ b/tests/gateway/rules_test.cpp
@@ -1,6 +1,7 @@
 // Guarantees to callers and servers under all faults of servers: truthful
 // outcomes, timeouts, connection limits and quarantine.
 #include "gateway/replay_fixture.h"
+#include "gateway/shared_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 #include <set>
@@ -17,15 +18,7 @@
 GatewayRoute
 PlainRoute(RequestKind aKind)
 {
-  GatewayRoute route;
-  route.name_ = "plain";
-  route.prefix_ = "/plain/";
-  route.kind_ = aKind;
-  route.timeout_ = seconds(4);
-  route.objective_ = milliseconds(400);
-  route.maxAttempts_ = 2;
-  route.to_.push_back({ "shard0", 1.0 });
-  return route;
+  return MakePlainRoute(aKind, seconds(4));
 }
 
 GatewayRoute
--- a/tests/gateway/stop_test.cpp
+++ b/tests/gateway/stop_test.cpp
@@ -1,6 +1,7 @@
 // A planned stop: every request that the daemon has taken is answered before
 // the process ends, however late it came.
 #include "gateway/replay_fixture.h"
+#include "gateway/shared_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 #include <string>
@@ -46,15 +47,7 @@
   for (const StopCase& item : cases) {
     Replay replay(1, 5);
     replay.AddShards(1);
-    GatewayRoute route;
-    route.name_ = "plain";
-    route.prefix_ = "/plain/";
-    route.kind_ = item.kind_;
-    route.timeout_ = seconds(8);
-    route.objective_ = milliseconds(400);
-    route.maxAttempts_ = 2;
-    route.to_.push_back({ "shard0", 1.0 });
-    replay.SetRoute(route);
+    replay.SetRoute(MakePlainRoute(item.kind_, seconds(8)));
     replay.Publish();
     // Connections stay open, but no answer comes.
     for (ModelServer& server : replay.Servers()) {
