--- a/src/app/check_cmd.cpp
+++ b/src/app/check_cmd.cpp
@@ -36,32 +36,32 @@
 }
 
 CheckReport
-CheckText(const std::string& aText, const CheckFlags& aFlags)
+CheckDecoding(const platform::ConfigDecoding& aDecoding,
+              const CheckFlags& aFlags)
 {
   CheckReport report;
-  const platform::ConfigDecoding decoding = platform::DecodeWhole(aText);
-  for (const std::string& fault : decoding.faults_) {
+  for (const std::string& fault : aDecoding.faults_) {
     report.findings_.push_back({ FindingCode::Unreadable, "", fault });
   }
-  if (decoding.config_ == nullptr) {
+  if (aDecoding.config_ == nullptr) {
     return report;
   }
-  report.version_ = decoding.config_->version_;
+  report.version_ = aDecoding.config_->version_;
   CheckContext context;
   constexpr double kMicros = 1e6;
   context.quotaWindow_ =
     Duration(static_cast<std::int64_t>(aFlags.quotaWindowSeconds_ * kMicros));
   for (ConfigFinding& finding :
-       CheckGatewayConfig(*decoding.config_, context)) {
+       CheckGatewayConfig(*aDecoding.config_, context)) {
     report.findings_.push_back(std::move(finding));
   }
   return report;
 }
 
-/** Adds the differences to the configuration in force; false if it can't be
- * read. */
+/** Adds the differences to the configuration in force; false if that one can't
+ * be read. */
 bool
-Compare(const std::string& aText,
+Compare(const SharedGatewayConfig& aAfter,
         const std::string& aAgainst,
         CheckReport& aReport)
 {
@@ -74,19 +74,17 @@
     std::cerr << aAgainst << ": " << before.status().message() << "\n";
     return false;
   }
-  const platform::ConfigDecoding after = platform::DecodeWhole(aText);
-  if (after.config_ == nullptr) {
+  if (aAfter == nullptr) {
     return true;
   }
-  if (after.config_->version_ <= (*before)->version_) {
-    aReport.findings_.push_back({ FindingCode::VersionNotHigher,
-                                  "",
-                                  absl::StrCat(after.config_->version_,
-                                               ", in force ",
-                                               (*before)->version_) });
+  if (aAfter->version_ <= (*before)->version_) {
+    aReport.findings_.push_back(
+      { FindingCode::VersionNotHigher,
+        "",
+        absl::StrCat(aAfter->version_, ", in force ", (*before)->version_) });
   }
   aReport.compared_ = true;
-  aReport.differences_ = DiffGatewayConfigs(**before, *after.config_);
+  aReport.differences_ = DiffGatewayConfigs(**before, *aAfter);
   return true;
 }
 
@@ -131,8 +129,10 @@
     }
     return RunCheck(aFlags.operator_);
   }
-  CheckReport report = CheckText(*text, aFlags);
-  if (!aFlags.against_.empty() && !Compare(*text, aFlags.against_, report)) {
+  const platform::ConfigDecoding decoding = platform::DecodeWhole(*text);
+  CheckReport report = CheckDecoding(decoding, aFlags);
+  if (!aFlags.against_.empty() &&
+      !Compare(decoding.config_, aFlags.against_, report)) {
     return kExitUnchecked;
   }
   std::cout << (aFlags.format_ == "json" ? RenderJson(report)
