Doc: one table for the settings page of the gateway's settings file

Cause: two functions printed sections on the same file, one as fixed text. bounds.evacuate-ms, bounds.warmup-overage, bounds.warmup-slack, bounds.stable-window-ms and zones.NAME were in neither.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,7 +6,6 @@
 #include "cli/explain_cmd.h"
 #include "cli/operator_cmd.h"
 #include "cli/settings_cmd.h"
-#include "settings_file.h"
 #include "settings_table.h"
 
 #include <CLI/CLI.hpp>
@@ -93,8 +92,7 @@
 
   app.add_subcommand("settings", "Print all settings as a page")
     ->callback([&app]() {
-      std::cout << RenderSettings(app) << platform::DescribeLimits()
-                << platform::RenderSettingsFile();
+      std::cout << RenderSettings(app) << platform::RenderSettingsFile();
     });
 
   ExplainFlags explainFlags;
