Add: rates against connections and cold servers in `camphorfield check`

Cause: two contradictions went unnoticed until callers below their cap were rejected: caps that sum to more than the servers' connections can carry, and warmup-per-s below the load that the caps allow. Change: findings 7027 and 7028, both warnings. A configuration states neither the number of servers (--servers-per-service, 3 by default) nor how long requests take, so each request is assumed to hold a connection for the objective of its route. The sum of the caps is compared with an upper bound for any mix of requests, so that the bound by itself gives no false finding. Ruled out: the rate of one cold server against its share of the connections, since every rate that protects a cold server is below that.

--- a/src/app/check_cmd.cpp
+++ b/src/app/check_cmd.cpp
@@ -21,6 +21,7 @@
 constexpr int kExitOk = 0;
 constexpr int kExitErrors = 1;
 constexpr int kExitUnchecked = 2;
+constexpr std::uint32_t kMaxServersPerService = 100000;
 
 std::optional<std::string>
 ReadText(const std::string& aPath)
@@ -51,6 +52,7 @@
   constexpr double kMicros = 1e6;
   context.quotaWindow_ =
     Duration(static_cast<std::int64_t>(aFlags.quotaWindowSeconds_ * kMicros));
+  context.serversPerService_ = aFlags.serversPerService_;
   for (ConfigFinding& finding :
        CheckGatewayConfig(*aDecoding.config_, context)) {
     report.findings_.push_back(std::move(finding));
@@ -111,6 +113,12 @@
                 aFlags.quotaWindowSeconds_,
                 "Window of the rate caps, seconds")
     ->capture_default_str();
+  aApp
+    .add_option("--servers-per-service",
+                aFlags.serversPerService_,
+                "Servers of each service, for what their connections carry")
+    ->check(CLI::Range(1U, kMaxServersPerService))
+    ->capture_default_str();
 }
 
 int
--- a/src/app/check_cmd.h
+++ b/src/app/check_cmd.h
@@ -4,6 +4,7 @@
 #include "cli/settings.h"
 
 #include <CLI/CLI.hpp>
+#include <cstdint>
 #include <string>
 
 namespace camphorfield {
@@ -15,6 +16,7 @@
   std::string against_;    ///< Configuration in force; empty: no comparison.
   std::string format_ = "text";
   double quotaWindowSeconds_ = 5.0;
+  std::uint32_t serversPerService_ = 3;
 };
 
 void
--- a/src/preflight/config_check.cpp
+++ b/src/preflight/config_check.cpp
@@ -5,6 +5,7 @@
 
 #include "gateway/fleet/directory.h"
 #include "gateway/gateway_const.h"
+#include "preflight/capacity_check.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
@@ -302,6 +303,9 @@
   CheckServices(checker);
   CheckOrganisations(checker);
   CheckLimits(checker);
+  for (ConfigFinding& finding : CheckCapacity(aConfig, aContext)) {
+    checker.findings_.push_back(std::move(finding));
+  }
   return std::move(checker.findings_);
 }
 
--- a/src/preflight/config_check.h
+++ b/src/preflight/config_check.h
@@ -13,6 +13,7 @@
 struct CheckContext
 {
   Duration quotaWindow_ = std::chrono::seconds(5); ///< Of rate caps.
+  std::uint32_t serversPerService_ = 3; ///< Not part of a configuration.
 };
 
 const ConfigFindingRow&
--- a/src/preflight/finding_type.h
+++ b/src/preflight/finding_type.h
@@ -45,6 +45,8 @@
   CapWithoutRate,
   LimitIsZero,
   IdleBelowHeader,
+  CapsAboveConnections,
+  WarmupBelowLoad,
   End ///< Number of codes.
 };
 
--- a/src/table/config_finding_table.h
+++ b/src/table/config_finding_table.h
@@ -49,6 +49,8 @@
   { FindingCode::CapWithoutRate,        7024, "CAP_WITHOUT_RATE",        Severity::Warning, "A burst without a rate limits nothing." },
   { FindingCode::LimitIsZero,           7025, "LIMIT_IS_ZERO",           Severity::Error,   "A limit of zero rejects every request." },
   { FindingCode::IdleBelowHeader,       7026, "IDLE_BELOW_HEADER",       Severity::Warning, "Idle connections are closed sooner than slow heads." },
+  { FindingCode::CapsAboveConnections,  7027, "CAPS_ABOVE_CONNECTIONS",  Severity::Warning, "If requests take their objective, the connections of the servers can't carry the sum of the caps: callers below their cap are rejected." },
+  { FindingCode::WarmupBelowLoad,       7028, "WARMUP_BELOW_LOAD",       Severity::Warning, "While all servers of the service are cold, they accept less than the load that the caps allow: callers below their cap are rejected." },
 } };
 // clang-format on
 
--- a/tests/preflight/config_check_test.cpp
+++ b/tests/preflight/config_check_test.cpp
@@ -143,6 +143,14 @@
       [](auto& aConfig) { aConfig.limits_.bodyBytes_ = 0; } },
     { FindingCode::IdleBelowHeader,
       [](auto& aConfig) { aConfig.limits_.idleTimeout_ = milliseconds(9); } },
+    { FindingCode::CapsAboveConnections,
+      [](auto& aConfig) {
+        aConfig.routes_.pop_back();
+        aConfig.services_.erase("s3");
+        (*aConfig.organisations_)[0].perSecond_ = 2000.0;
+      } },
+    { FindingCode::WarmupBelowLoad,
+      [](auto& aConfig) { aConfig.services_["s2"].warmupPerSecond_ = 3.0; } },
   };
   for (const FindingCase& item : cases) {
     GatewayConfig config = MakeConfig();
@@ -161,6 +169,137 @@
   }
 }
 
+/** Rates next to what the servers carry. Three servers with 55 connections
+ * carry 1897 queries a second of 80 ms, and 759 plain requests of 200 ms. */
+struct CapacityCase
+{
+  const char* name_;
+  std::function<void(GatewayConfig&, CheckContext&)> change_;
+  bool capsAbove_;
+  bool warmupBelow_;
+};
+
+// Rates that can't be served are found, and none that can: a warning on each
+// configuration would not be read.
+TEST(ConfigCheck, RatesAreComparedWithWhatServersCarry)
+{
+  const auto setRate = [](GatewayConfig& aConfig, double aPerSecond) {
+    (*aConfig.organisations_)[0].perSecond_ = aPerSecond;
+  };
+  const std::vector<CapacityCase> cases{
+    { "both routes carry the caps",
+      [&](auto& aConfig, auto&) { setRate(aConfig, 2650.0); },
+      false,
+      false },
+    { "above both routes",
+      [&](auto& aConfig, auto&) { setRate(aConfig, 2660.0); },
+      true,
+      false },
+    { "the sum of two organisations",
+      [&](auto& aConfig, auto&) {
+        setRate(aConfig, 1400.0);
+        aConfig.organisations_->push_back(
+          { "b", { "key-b" }, std::nullopt, 1400.0, 10.0 });
+      },
+      true,
+      false },
+    { "six servers of each service",
+      [&](auto& aConfig, auto& aContext) {
+        setRate(aConfig, 2660.0);
+        aContext.serversPerService_ = 6;
+      },
+      false,
+      false },
+    { "two routes to the same service",
+      [&](auto& aConfig, auto&) {
+        setRate(aConfig, 2000.0);
+        aConfig.routes_[1].to_[0].service_ = "s1";
+      },
+      true,
+      false },
+    { "a split over two services",
+      [&](auto& aConfig, auto&) {
+        setRate(aConfig, 3400.0);
+        aConfig.services_["s4"] = { "s4", 55 };
+        aConfig.routes_[1].to_.push_back({ "s4", 1.0 });
+      },
+      false,
+      false },
+    { "callers of a public route use no cap",
+      [&](auto& aConfig, auto&) {
+        setRate(aConfig, 2000.0);
+        aConfig.routes_[1].public_ = true;
+      },
+      true,
+      false },
+    { "a route without an objective",
+      [&](auto& aConfig, auto&) {
+        setRate(aConfig, 9000.0);
+        aConfig.routes_[1].objective_ = {};
+      },
+      false,
+      false },
+    { "no caps",
+      [&](auto& aConfig, auto&) {
+        setRate(aConfig, 0.0);
+        aConfig.services_["s1"].warmupPerSecond_ = 1.0;
+      },
+      false,
+      false },
+    { "cold servers take the caps",
+      [&](auto& aConfig, auto&) {
+        setRate(aConfig, 60.0);
+        aConfig.services_["s1"].warmupPerSecond_ = 20.0;
+      },
+      false,
+      false },
+    { "cold servers take less",
+      [&](auto& aConfig, auto&) {
+        setRate(aConfig, 61.0);
+        aConfig.services_["s1"].warmupPerSecond_ = 20.0;
+      },
+      false,
+      true },
+    { "caps above what the route carries",
+      [&](auto& aConfig, auto&) {
+        setRate(aConfig, 2000.0);
+        aConfig.services_["s3"].warmupPerSecond_ = 254.0;
+      },
+      false,
+      false },
+    { "a tenth of the route's requests",
+      [&](auto& aConfig, auto&) {
+        setRate(aConfig, 600.0);
+        aConfig.services_["s4"] = { "s4", 55 };
+        aConfig.routes_[1].to_ = { { "s3", 9.0 }, { "s4", 1.0 } };
+        aConfig.services_["s4"].warmupPerSecond_ = 20.0;
+      },
+      false,
+      false },
+    { "only a public route uses the service",
+      [&](auto& aConfig, auto&) {
+        setRate(aConfig, 100.0);
+        aConfig.routes_[1].public_ = true;
+        aConfig.services_["s3"].warmupPerSecond_ = 1.0;
+      },
+      false,
+      false },
+  };
+  for (const CapacityCase& item : cases) {
+    GatewayConfig config = MakeConfig();
+    config.routes_[1].objective_ = milliseconds(200);
+    CheckContext context;
+    item.change_(config, context);
+    const auto findings = CheckGatewayConfig(config, context);
+    CHECK_EQUAL_TEXT(item.capsAbove_,
+                     Has(findings, FindingCode::CapsAboveConnections),
+                     item.name_);
+    CHECK_EQUAL_TEXT(item.warmupBelow_,
+                     Has(findings, FindingCode::WarmupBelowLoad),
+                     item.name_);
+  }
+}
+
 /** A change, and whether it needs two versions. */
 struct DifferenceCase
 {
