Fix: an answer without memory counts against its server

Cause: an answer for which the gateway has no memory ended its connection with BackendEnd::Malformed. This counted as a failure of the server (ejection after several) and in the metric of invalid answers.

Change: such a connection ends with BackendEnd::NoMemory and the attempt with AttemptEnd::Dropped. It counts neither as a failure nor as evidence on content, and teaches no connection limit. The attempt may have run: it is repeated only within the budgets, and never if it is not idempotent.

The new case of BackendLink gets Malformed without the change.

--- a/src/gateway/backend/backend_conn.cpp
+++ b/src/gateway/backend/backend_conn.cpp
@@ -129,6 +129,20 @@
   }
 }
 
+/** Outcome of an attempt whose connection has ended. */
+AttemptEnd
+ToAttemptEnd(BackendEnd aEnd)
+{
+  switch (aEnd) {
+    case BackendEnd::Malformed:
+      return AttemptEnd::Garbled;
+    case BackendEnd::NoMemory:
+      return AttemptEnd::Dropped;
+    default:
+      return AttemptEnd::Broken;
+  }
+}
+
 /** A connection ended with a request in flight. */
 void
 HandleBusyClosed(GatewayStep& aStep,
@@ -142,17 +156,15 @@
   // A server may crash in its answer, too. Bytes that are no answer come from a
   // server that runs, and a process that ends closes its connections, so
   // attempts that end by silence show a lost VM or network instead.
-  if (run != nullptr && aClosed.end_ != BackendEnd::Malformed) {
+  const AttemptEnd end = ToAttemptEnd(aClosed.end_);
+  if (run != nullptr && end == AttemptEnd::Broken) {
     RecordBrokenConnection(aStep,
                            *FindSlot(state.backends_, aConn.backend_),
                            *run,
                            attempt.part_,
                            aClosed.end_);
   }
-  EndAttempt(aStep,
-             attemptKey,
-             aClosed.end_ == BackendEnd::Malformed ? AttemptEnd::Garbled
-                                                   : AttemptEnd::Broken);
+  EndAttempt(aStep, attemptKey, end);
 }
 
 } // namespace
@@ -345,6 +357,12 @@
   if (conn == nullptr) {
     return;
   }
+  if (aClosed.end_ == BackendEnd::NoMemory &&
+      conn->state_ != BackendConnState::Busy) {
+    // Shows nothing of the server, such as a limit of its connections.
+    RemoveConnection(aState, *conn);
+    return;
+  }
   switch (conn->state_) {
     case BackendConnState::Opening:
       HandleConnectFailure(step, *conn, aClosed.end_);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -26,6 +26,7 @@
   Failed,  ///< Complete answer with a failure; it may have run.
   Broken,  ///< No complete answer; it may have run.
   Garbled, ///< Invalid answer; it may have run.
+  Dropped, ///< No memory for the answer; it may have run.
   End      ///< Number of outcomes; also stands for a success.
 };
 
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -232,6 +232,7 @@
   Closed,    ///< Closed by the server.
   Reset,     ///< Connection reset.
   Malformed, ///< Invalid or unrequested bytes.
+  NoMemory,  ///< Ended by this daemon, which has no memory for the answer.
   End        ///< Number of reasons.
 };
 
--- a/src/runtime/backend_link.cpp
+++ b/src/runtime/backend_link.cpp
@@ -1,5 +1,6 @@
 // Backend connections of a gateway without fibers. Tells a refused connect, a
-// timeout, an orderly close, a reset and a malformed answer apart.
+// timeout, an orderly close, a reset, a malformed answer and one for which this
+// process has no memory apart.
 #include "runtime/backend_link.h"
 
 #include "runtime/address_func.h"
@@ -283,7 +284,7 @@
   }
   if (!hold_.Reserve(HeldBytes())) {
     CountLimit(owner_.account_, MemoryLimit::Answer);
-    Fail(BackendEnd::Malformed);
+    Fail(BackendEnd::NoMemory);
     return;
   }
   Read();
--- a/src/table/suspicion_table.h
+++ b/src/table/suspicion_table.h
@@ -15,6 +15,7 @@
 
 /** Names of the reasons for the end of a connection. */
 constexpr std::array<const char*, static_cast<std::size_t>(BackendEnd::End)>
-  kBackendEndNames{ "refused", "timed out", "closed", "reset", "malformed" };
+  kBackendEndNames{ "refused", "timed out", "closed",
+                    "reset",   "malformed", "no memory" };
 
 } // namespace camphorfield
--- a/tests/runtime/backend_link_test.cpp
+++ b/tests/runtime/backend_link_test.cpp
@@ -92,7 +92,7 @@
 
 /** Sends one request to a server that follows the script. */
 Seen
-Exchange(const Script& aScript)
+Exchange(const Script& aScript, MemoryAccount* aAccount = nullptr)
 {
   boost::asio::io_context context;
   tcp::acceptor acceptor(context,
@@ -121,7 +121,8 @@
         seen.end_ = aClosed.end_;
         context.stop();
       },
-      [](const UnreadAnswer&) {} });
+      [](const UnreadAnswer&) {} },
+    aAccount);
   sender = &links;
   links.Connect(BackendConnect{
     id,
@@ -415,3 +416,18 @@
     CHECK_TRUE_TEXT(seen.received_ < kEndlessBytes, item.name_);
   }
 }
+
+// An answer for which this process has no memory was taken for an invalid one,
+// which counts as a failure of its server.
+TEST(BackendLink, AnAnswerWithoutMemoryIsNotMalformed)
+{
+  MemoryAccount account(64UL << 10U);
+  const std::string head = std::string(kOk) + "Content-Length: 1000000\r\n\r\n";
+  const Seen seen = Exchange(
+    { "", head + std::string(200UL << 10U, 'x'), "", false }, &account);
+  CHECK_TRUE(seen.end_.has_value());
+  LONGS_EQUAL(BackendEnd::NoMemory, *seen.end_);
+  LONGS_EQUAL(0, seen.answers_.size());
+  LONGS_EQUAL(1, account.Counted(MemoryLimit::Answer));
+  LONGS_EQUAL(0, account.Budget().used_);
+}
