Fix: a daemon's frame has no time limit as a whole

Cause: each read of a frame counted as progress, so a frame that arrives byte by byte held its connection and its memory for ever. The limit of 10 s for one write was below the 13.4 s that the largest legal frame (32 MB) takes at 20 Mbit/s.

Change: a frame is sent and received within 10 s plus the time of its bytes at 20 Mbit/s (23.4 s for 32 MB), counted as limit slow_frame. One timer a frame, none a read.

--- a/src/runtime/memory_account.cpp
+++ b/src/runtime/memory_account.cpp
@@ -25,7 +25,7 @@
   static constexpr std::array<std::string_view,
                               static_cast<std::size_t>(MemoryLimit::End)>
     kNames{ "head",        "body",   "request", "stalled",
-            "connections", "answer", "frame" };
+            "connections", "answer", "frame",   "slow_frame" };
   return kNames[static_cast<std::size_t>(aLimit)];
 }
 
--- a/src/runtime/memory_account.h
+++ b/src/runtime/memory_account.h
@@ -21,6 +21,7 @@
   Connections, ///< Too many connections: a stalled or the new one was closed.
   Answer,      ///< No memory for a server's answer.
   Frame,       ///< No memory for a daemon's frame.
+  SlowFrame,   ///< A daemon's frame took too long.
   End          ///< Number of limits.
 };
 
--- a/src/runtime/peer_link.cpp
+++ b/src/runtime/peer_link.cpp
@@ -34,8 +34,6 @@
 constexpr auto kConnectTimeout = std::chrono::milliseconds(500);
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(20);
 constexpr auto kIdleLinkTimeout = std::chrono::seconds(60);
-/** A daemon that takes nothing for so long is not reachable. */
-constexpr auto kWriteTimeout = std::chrono::seconds(10);
 /** Longer frames are read in pieces of this size, as their length may be false.
  */
 constexpr std::size_t kPieceBytes = 64UL * 1024;
@@ -136,24 +134,49 @@
   aLink.connected_ = false;
 }
 
+/** Closes a socket unless it is destroyed within a time. */
+class SocketTimeout
+{
+public:
+  SocketTimeout(tcp::socket& aSocket, Duration aTime)
+    : timer_(aSocket.get_executor(), aTime)
+    , outcome_(std::make_shared<Outcome>())
+  {
+    // The handler may already be queued when the timer is cancelled; the
+    // outcome makes it do nothing.
+    timer_.async_wait(
+      [&aSocket, outcome = outcome_](const boost::system::error_code& aError) {
+        if (!aError && outcome->isWaiting_) {
+          outcome->hasExpired_ = true;
+          boost::system::error_code ignored;
+          aSocket.close(ignored);
+        }
+      });
+  }
+  ~SocketTimeout() { outcome_->isWaiting_ = false; }
+  SocketTimeout(const SocketTimeout&) = delete;
+  SocketTimeout& operator=(const SocketTimeout&) = delete;
+
+  bool HasExpired() const { return outcome_->hasExpired_; }
+
+private:
+  struct Outcome
+  {
+    bool isWaiting_ = true;
+    bool hasExpired_ = false;
+  };
+
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<Outcome> outcome_;
+};
+
 /** Awaits an operation on a link's socket, which a timeout closes. */
 template<typename Initiate>
 IoResult
 AwaitWithin(PeerLink& aLink, Duration aTimeout, const Initiate& aInitiate)
 {
-  boost::asio::steady_timer timer(aLink.socket_.get_executor(), aTimeout);
-  // The timer's handler may already be queued when the timer is cancelled; the
-  // flag makes it do nothing.
-  auto waiting = std::make_shared<bool>(true);
-  timer.async_wait([&aLink, waiting](const boost::system::error_code& aError) {
-    if (!aError && *waiting) {
-      Disconnect(aLink);
-    }
-  });
-  const IoResult result = AwaitIo(aInitiate);
-  *waiting = false;
-  timer.cancel();
-  return result;
+  const SocketTimeout timeout(aLink.socket_, aTimeout);
+  return AwaitIo(aInitiate);
 }
 
 bool
@@ -187,16 +210,15 @@
 }
 
 bool
-Write(PeerLink& aLink, const PeerFrame& aFrame)
+Write(PeerLink& aLink, const PeerFrame& aFrame, Duration aTimeout)
 {
   const Header header = EncodeLength(aFrame.payload_.size());
   const std::array<boost::asio::const_buffer, 2> buffers{
     boost::asio::buffer(header), boost::asio::buffer(aFrame.payload_)
   };
-  const IoResult written =
-    AwaitWithin(aLink, kWriteTimeout, [&](auto aHandler) {
-      boost::asio::async_write(aLink.socket_, buffers, aHandler);
-    });
+  const IoResult written = AwaitWithin(aLink, aTimeout, [&](auto aHandler) {
+    boost::asio::async_write(aLink.socket_, buffers, aHandler);
+  });
   return !written.error_;
 }
 
@@ -207,7 +229,9 @@
     Disconnect(aLink);
   }
   const bool ready = aLink.connected_ || Connect(aLink);
-  if (!ready || !Write(aLink, aFrame)) {
+  const Duration timeout =
+    FrameTimeout(aFrame.payload_.size(), aState.limits_.frameSlack_);
+  if (!ready || !Write(aLink, aFrame, timeout)) {
     Disconnect(aLink);
     ReportUnreachable(aState, aFrame);
   }
@@ -278,21 +302,13 @@
   return !read.error_;
 }
 
+/** Reads the payload of a frame; the peer may have announced too much. */
 bool
-ReadFrame(PeerLinksState& aState, Incoming& aFrom)
+ReadPayload(PeerLinksState& aState, Incoming& aFrom, std::size_t aLength)
 {
-  Header header{};
-  if (!ReadBytes(aFrom, boost::asio::buffer(header))) {
-    return false;
-  }
-  const std::size_t length = DecodeLength(header);
-  if (length > kMaxPeerFrameBytes) {
-    return false;
-  }
-  aFrom.hold_->Enter(HolderState::Reading);
   aFrom.payload_.clear();
-  for (std::size_t at = 0; at < length;) {
-    const std::size_t piece = std::min(kPieceBytes, length - at);
+  for (std::size_t at = 0; at < aLength;) {
+    const std::size_t piece = std::min(kPieceBytes, aLength - at);
     if (!aFrom.hold_->Reserve(
           kConnectionBytes + std::max(at + piece, aFrom.payload_.capacity()))) {
       CountLimit(aState.limits_.account_, MemoryLimit::Frame);
@@ -308,6 +324,31 @@
   return true;
 }
 
+// A peer that sends a byte from time to time makes progress with each read, so
+// the frame has a time limit as a whole.
+bool
+ReadFrame(PeerLinksState& aState, Incoming& aFrom)
+{
+  Header header{};
+  if (!ReadBytes(aFrom, boost::asio::buffer(header))) {
+    return false;
+  }
+  const std::size_t length = DecodeLength(header);
+  if (length > kMaxPeerFrameBytes) {
+    return false;
+  }
+  aFrom.hold_->Enter(HolderState::Reading);
+  const SocketTimeout timeout(aFrom.socket_,
+                              FrameTimeout(length, aState.limits_.frameSlack_));
+  if (ReadPayload(aState, aFrom, length)) {
+    return true;
+  }
+  if (timeout.HasExpired()) {
+    CountLimit(aState.limits_.account_, MemoryLimit::SlowFrame);
+  }
+  return false;
+}
+
 void
 ServePeer(PeerLinksState& aState, Incoming& aFrom)
 {
--- a/src/runtime/peer_link.h
+++ b/src/runtime/peer_link.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/id_type.h"
+#include "peer/frame_time.h"
 #include "runtime/event_sink.h"
 #include "runtime/memory_account.h"
 #include "runtime/worker.h"
@@ -27,8 +28,9 @@
 /** Bounds on what other daemons can make this one hold. */
 struct PeerLimits
 {
-  MemoryAccount* account_ = nullptr; ///< Of frames; null: no bound.
-  std::uint32_t maxConnections_ = 0; ///< Accepted ones; 0: no bound.
+  MemoryAccount* account_ = nullptr;  ///< Of frames; null: no bound.
+  std::uint32_t maxConnections_ = 0;  ///< Accepted ones; 0: no bound.
+  Duration frameSlack_ = kFrameSlack; ///< See FrameTimeout.
 };
 
 /**
