Fix: answers kept by the core and replies of the store are not counted

Cause: parts of queries that wait for the others, failures kept for callers and replies of the store were outside of the memory account.

Change: the core sums the answers that wait for their request, and the process counts them after each event. They may exceed the limit, as their requests are being served; new requests are refused then.

--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -269,7 +269,8 @@
   bool mayHaveRun_ = false;
   bool late_ = false; ///< Past softAt_ without enough parts.
   std::vector<RequestPart> parts_;
-  BackendAnswer failure_; ///< Latest complete answer that was a failure.
+  BackendAnswer failure_;       ///< Latest complete answer that was a failure.
+  std::uint64_t heldBytes_ = 0; ///< Of parts_ and failure_, see HoldAnswer.
   std::shared_ptr<const CostEstimate> cost_; ///< PlacementMode::Cost only.
 };
 
@@ -352,7 +353,7 @@
   std::uint64_t budgetDenied_ = 0;
   std::uint64_t connects_ = 0;
   std::uint64_t abandoned_ = 0; ///< Unneeded attempts left to finish.
-  std::uint64_t shed_ = 0;      ///< Answers that report "not run".
+  std::uint64_t shed_ = 0;               ///< Answers that report "not run".
   std::uint64_t ejections_ = 0;
   std::uint64_t garbled_ = 0; ///< Invalid or unrequested answers.
   std::uint64_t leavings_ =
@@ -415,6 +416,7 @@
   Pool<BackendConn> connections_;
   Pool<Attempt> attempts_;
   Pool<GatewayRun> runs_;
+  std::uint64_t heldBytes_ = 0; ///< Of answers that wait for their request.
   RateCaps caps_;
   std::map<std::uint64_t, AwaitingToken> awaiting_; ///< By request id.
   std::unordered_map<CallerRequestId, std::uint64_t> runOf_;
--- a/src/gateway/request/attempt_answer.cpp
+++ b/src/gateway/request/attempt_answer.cpp
@@ -184,7 +184,9 @@
     run->mayHaveRun_ = true;
   }
   if (aAnswer != nullptr) {
+    const std::uint64_t before = run->failure_.body_.capacity();
     run->failure_ = std::move(*aAnswer);
+    HoldAnswer(aStep.state_, *run, before, run->failure_.body_.capacity());
   }
   run->broken_ += aEnd == AttemptEnd::Broken ? 1 : 0;
   if (part.phase_ != PartPhase::Running || HasAttempts(part)) {
--- a/src/gateway/request/request_answer.cpp
+++ b/src/gateway/request/request_answer.cpp
@@ -182,6 +182,17 @@
 
 } // namespace
 
+void
+HoldAnswer(GatewayState& aState,
+           GatewayRun& aRun,
+           std::uint64_t aBefore,
+           std::uint64_t aBytes)
+{
+  aState.heldBytes_ -= aRun.heldBytes_;
+  aRun.heldBytes_ = aRun.heldBytes_ - aBefore + aBytes;
+  aState.heldBytes_ += aRun.heldBytes_;
+}
+
 // Attempts of a non-idempotent request are not cancelled.
 void
 CloseRun(GatewayStep& aStep, GatewayRun& aRun)
@@ -206,6 +217,7 @@
   --aRun.load_->inFlight_;
   --aRun.load_->fair_.inFlight_[FairClass(aRun.priority_)];
   state.runOf_.erase(aRun.id_);
+  state.heldBytes_ -= aRun.heldBytes_;
   const std::uint64_t key = aRun.key_;
   aRun = GatewayRun{};
   aRun.key_ = key;
--- a/src/gateway/request/request_internal.h
+++ b/src/gateway/request/request_internal.h
@@ -167,4 +167,12 @@
                     Duration aTimeout,
                     TimePoint aNow);
 
+/** Records the bytes of an answer that is kept until its request ends.
+ * @param aBefore Bytes of the answer that it replaces. */
+void
+HoldAnswer(GatewayState& aState,
+           GatewayRun& aRun,
+           std::uint64_t aBefore,
+           std::uint64_t aBytes);
+
 } // namespace camphorfield
--- a/src/gateway/request/request_run.cpp
+++ b/src/gateway/request/request_run.cpp
@@ -83,6 +83,8 @@
   if (part.body_.size() > kMaxHeldPartBytes) {
     part.body_ = MergeTopRecords({ part.body_ }, aRun.route_->topRecords_);
   }
+  HoldAnswer(
+    aStep.state_, aRun, 0, part.body_.capacity() + part.proof_.capacity());
   if (++aRun.done_ == aRun.needed_) {
     AdjustWindow(*aRun.load_,
                  aStep.Time() - aRun.arrivedAt_,
--- a/src/runtime/evidence_store.cpp
+++ b/src/runtime/evidence_store.cpp
@@ -23,6 +23,7 @@
 struct EvidenceStoreState
 {
   Worker& worker_;
+  MemoryAccount* account_;
   EvidenceCodec codec_;
   std::string address_;
   std::function<bool()> isKeeper_;
@@ -36,7 +37,7 @@
 EvidenceReply
 Exchange(EvidenceStoreState& aState, const EvidenceCall& aCall)
 {
-  HttpClient client(aState.worker_.Context());
+  HttpClient client(aState.worker_.Context(), aState.account_);
   HttpExchange exchange;
   exchange.end_ = client.Connect(aState.address_, kConnectTimeout);
   if (exchange.end_ == HttpEnd::Ok) {
@@ -78,6 +79,7 @@
 } // namespace
 
 EvidenceStore::EvidenceStore(Worker& aWorker,
+                             MemoryAccount* aAccount,
                              EvidenceCodec aCodec,
                              std::string aAddress,
                              bool aEnabled,
@@ -85,6 +87,7 @@
                              std::function<void(const EvidenceItems&)> aHandler)
   : state_(std::make_shared<EvidenceStoreState>(
       EvidenceStoreState{ aWorker,
+                          aAccount,
                           aCodec,
                           std::move(aAddress),
                           std::move(aIsKeeper),
--- a/src/runtime/evidence_store.h
+++ b/src/runtime/evidence_store.h
@@ -31,6 +31,7 @@
    * @param aHandler Gets evidence that this daemon did not know.
    */
   EvidenceStore(Worker& aWorker,
+                MemoryAccount* aAccount,
                 EvidenceCodec aCodec,
                 std::string aAddress,
                 bool aEnabled,
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -53,6 +53,7 @@
   , memory_(aSettings.heldBytes_)
   , rng_(aSettings.seed_)
   , gateway_(MakeGatewayState(aSettings.gateway_))
+  , answersHold_(&memory_, { .mayUseAll_ = true }, []() {})
   , membership_(MakeMembershipState(aSettings.membership_, ReadClock(), rng_))
   , backends_(
       aPool.At(0).Context(),
@@ -73,6 +74,7 @@
       [this](const std::string& aPayload) { OnFrame(aPayload); },
       PeerLimits{ &memory_, aSettings.maxPeerConnections_ })
   , store_(aPool.At(0),
+           &memory_,
            adapter_.store_,
            aSettings.storeAddress_,
            MakeKinds(aSettings),
@@ -81,6 +83,7 @@
            })
   , evidence_(
       aPool.At(0),
+      &memory_,
       adapter_.evidence_,
       aSettings.storeAddress_,
       aSettings.storesEvidence_,
@@ -151,6 +154,9 @@
     ApplyDecision(decision);
   }
   decisions_.clear();
+  // What is being served is not refused, also beyond the limit; new requests
+  // are.
+  answersHold_.Set(gateway_.heldBytes_);
   ArmTimer();
 }
 
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -210,6 +210,7 @@
   MemoryAccount memory_;
   Rng rng_;
   GatewayState gateway_;
+  MemoryHold answersHold_; ///< Of answers that gateway_ keeps.
   MembershipState membership_;
   BackendLinks backends_;
   PeerLinks peers_;
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -71,8 +71,10 @@
 /** Socket and read buffer of an HttpClient. */
 struct HttpClientState
 {
-  explicit HttpClientState(boost::asio::io_context& aContext)
+  HttpClientState(boost::asio::io_context& aContext, MemoryAccount* aAccount)
     : stream_(aContext)
+    , account_(aAccount)
+    , hold_(aAccount, { .mayUseAll_ = true }, []() {})
   {
   }
 
@@ -84,6 +86,8 @@
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_{ kMaxBufferBytes };
   bool aborted_ = false;
+  MemoryAccount* account_;
+  MemoryHold hold_; ///< Of the response while it is read.
   // Shared with the watch handlers, which may run after the client's end.
   std::shared_ptr<std::uint64_t> watchNumber_ =
     std::make_shared<std::uint64_t>(0);
@@ -99,10 +103,22 @@
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxResponseBytes);
   parser.header_limit(kMaxHeaderBytes);
-  const IoResult read = AwaitIo([&](auto aHandler) {
-    http::async_read(aState.stream_, aState.buffer_, parser, aHandler);
-  });
-  exchange.end_ = aState.EndOrAborted(read.error_);
+  parser.eager(true);
+  boost::system::error_code error;
+  while (!error && !parser.is_done()) {
+    error =
+      AwaitIo([&](auto aHandler) {
+        http::async_read_some(aState.stream_, aState.buffer_, parser, aHandler);
+      }).error_;
+    if (!aState.hold_.ReserveOrExceed(aState.buffer_.capacity() +
+                                      parser.get().body().capacity())) {
+      CountLimit(aState.account_, MemoryLimit::StoreReply);
+      error = http::error::body_limit;
+    }
+  }
+  // The caller decodes the response before the next event.
+  aState.hold_.Set(aState.buffer_.capacity());
+  exchange.end_ = aState.EndOrAborted(error);
   if (!parser.is_header_done()) {
     return exchange;
   }
@@ -116,8 +132,9 @@
 
 } // namespace
 
-HttpClient::HttpClient(boost::asio::io_context& aContext)
-  : state_(std::make_unique<HttpClientState>(aContext))
+HttpClient::HttpClient(boost::asio::io_context& aContext,
+                       MemoryAccount* aAccount)
+  : state_(std::make_unique<HttpClientState>(aContext, aAccount))
 {
 }
 
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -3,6 +3,7 @@
 
 #include "core/time_type.h"
 #include "runtime/http_type.h"
+#include "runtime/memory_account.h"
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -21,9 +22,10 @@
   Reset,     ///< The connection broke.
   TimedOut,  ///< Not completed within the timeout.
   Truncated, ///< The response ended before its stated length.
-  Malformed, ///< The response isn't valid HTTP or is too large.
-  Aborted,   ///< Abort was called.
-  End        ///< Number of ends.
+  /** The response isn't valid HTTP, is too large, or doesn't fit in memory. */
+  Malformed,
+  Aborted, ///< Abort was called.
+  End      ///< Number of ends.
 };
 
 /** Result of an exchange. */
@@ -38,7 +40,9 @@
 class HttpClient
 {
 public:
-  explicit HttpClient(boost::asio::io_context& aContext);
+  /** @param aAccount Of responses while they are read; null: not counted. */
+  explicit HttpClient(boost::asio::io_context& aContext,
+                      MemoryAccount* aAccount = nullptr);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- a/src/runtime/memory_account.cpp
+++ b/src/runtime/memory_account.cpp
@@ -24,8 +24,8 @@
 {
   static constexpr std::array<std::string_view,
                               static_cast<std::size_t>(MemoryLimit::End)>
-    kNames{ "head",        "body",   "request", "stalled",
-            "connections", "answer", "frame",   "slow_frame" };
+    kNames{ "head",   "body",  "request",    "stalled",    "connections",
+            "answer", "frame", "slow_frame", "store_reply" };
   return kNames[static_cast<std::size_t>(aLimit)];
 }
 
--- a/src/runtime/memory_account.h
+++ b/src/runtime/memory_account.h
@@ -22,6 +22,7 @@
   Answer,      ///< No memory for a server's answer.
   Frame,       ///< No memory for a daemon's frame.
   SlowFrame,   ///< A daemon's frame took too long.
+  StoreReply,  ///< No memory for a reply of the store.
   End          ///< Number of limits.
 };
 
--- a/src/runtime/store_reader.cpp
+++ b/src/runtime/store_reader.cpp
@@ -35,6 +35,7 @@
 struct StoreReaderState
 {
   Worker& worker_;
+  MemoryAccount* account_;
   StoreCodec codec_;
   std::string address_;
   TableHandler handler_;
@@ -53,7 +54,8 @@
   std::string fault;
   ++aState.calls_;
   if (aReader.client_ == nullptr) {
-    aReader.client_ = std::make_unique<HttpClient>(aState.worker_.Context());
+    aReader.client_ =
+      std::make_unique<HttpClient>(aState.worker_.Context(), aState.account_);
     exchange.end_ = aReader.client_->Connect(aState.address_, kConnectTimeout);
   }
   if (exchange.end_ == HttpEnd::Ok) {
@@ -117,12 +119,14 @@
 } // namespace
 
 StoreReader::StoreReader(Worker& aWorker,
+                         MemoryAccount* aAccount,
                          StoreCodec aCodec,
                          std::string aAddress,
                          const std::vector<std::string>& aKinds,
                          TableHandler aHandler)
   : state_(
       std::make_shared<StoreReaderState>(StoreReaderState{ aWorker,
+                                                           aAccount,
                                                            aCodec,
                                                            std::move(aAddress),
                                                            std::move(aHandler),
--- a/src/runtime/store_reader.h
+++ b/src/runtime/store_reader.h
@@ -31,10 +31,12 @@
 public:
   /**
    * @param aWorker Runs the fibers; all calls are on its thread.
+   * @param aAccount Of replies while they are read; null: not counted.
    * @param aAddress "IP:port" of the store.
    * @param aKinds Kinds of objects, one table each.
    */
   StoreReader(Worker& aWorker,
+              MemoryAccount* aAccount,
               StoreCodec aCodec,
               std::string aAddress,
               const std::vector<std::string>& aKinds,
