Fix: connections to servers are not bounded by limits.max-fds

Cause: each server got its share of connections, whatever the number of servers; together with callers and daemons they could exhaust the descriptors.

At the bound none is opened ahead. A service with waiting requests and without a connection gets that of the idle one used the least recently, the only one of its service last; if none is idle it looks again after 5 ms.

--- a/src/gateway/backend/backend_conn.cpp
+++ b/src/gateway/backend/backend_conn.cpp
@@ -64,6 +64,84 @@
   FreeIfUnused(aState, key);
 }
 
+/** Whether one more connection stays within the bound of this daemon. */
+bool
+HasDescriptor(const GatewayState& aState)
+{
+  const std::uint32_t most = aState.settings_.maxConnections_;
+  return most == 0 || aState.connections_.Count() < most;
+}
+
+/** Connections to the servers of a service that may be sent requests. */
+std::size_t
+CountConnections(const GatewayStep& aStep, ServiceNumber aService)
+{
+  std::size_t count = 0;
+  for (const std::uint64_t key : aStep.state_.services_[aService].backends_) {
+    const Backend& backend = aStep.state_.backends_.slots_[key & kSlotMask];
+    const bool isWanted = IsUsable(backend) &&
+                          aStep.Time() >= backend.ejectedUntil_ &&
+                          aStep.Time() >= backend.pausedUntil_;
+    count += isWanted ? backend.connections_.size() : 0;
+  }
+  return count;
+}
+
+/** Makes room for a connection: closes the idle one
+ * that was not used for the longest time, the only one of its service last.
+ * False if all are in use or being opened. */
+bool
+CloseLeastUsed(GatewayStep& aStep)
+{
+  const GatewayState& state = aStep.state_;
+  std::pair<bool, TimePoint> least{ true, kNever };
+  std::uint64_t found = 0;
+  for (const BackendConn& conn : state.connections_.slots_) {
+    if (conn.key_ == 0 || conn.state_ != BackendConnState::Idle) {
+      continue;
+    }
+    const Backend& backend = state.backends_.slots_[conn.backend_ & kSlotMask];
+    const std::pair<bool, TimePoint> use{
+      CountConnections(aStep, backend.service_) == 1, conn.usedAt_
+    };
+    if (found == 0 || use < least) {
+      least = use;
+      found = conn.key_;
+    }
+  }
+  if (found == 0) {
+    return false;
+  }
+  ++aStep.state_.stats_.connectionsClosed_;
+  CloseConnection(aStep, found);
+  return true;
+}
+
+/** Makes room for a connection to a server at the bound of this daemon. Only a
+ * service with waiting requests and without a connection gets it: others would
+ * take each other's. */
+bool
+MakeRoom(GatewayStep& aStep, const Backend& aBackend)
+{
+  GatewayServiceState& service = aStep.state_.services_[aBackend.service_];
+  if (service.queue_.empty() ||
+      CountConnections(aStep, aBackend.service_) > 0) {
+    return false;
+  }
+  if (CloseLeastUsed(aStep)) {
+    return true;
+  }
+  // Nothing wakes the queue when a connection of another service is idle.
+  const TimePoint at = aStep.Time() + kDescriptorRetryDelay;
+  if (service.wakeAt_ <= aStep.Time() || service.wakeAt_ > at) {
+    ++aStep.state_.stats_.connectionsDelayed_;
+    service.wakeAt_ = at;
+    AddTimer(aStep.state_.timers_,
+             { at, aBackend.service_, 0, GatewayTimer::QueueWake });
+  }
+  return false;
+}
+
 /** Exponential backoff; the jitter keeps daemons from retrying together. */
 void
 DelayReconnect(GatewayStep& aStep, Backend& aBackend)
@@ -191,7 +269,8 @@
         : JustifiedConnections(aStep.state_, aBackend, spare, aStep.Time());
   }
   wanted = std::min(wanted, MaxConnections(aStep, aBackend));
-  if (aBackend.connections_.size() < wanted) {
+  if (aBackend.connections_.size() < wanted &&
+      (HasDescriptor(aStep.state_) || MakeRoom(aStep, aBackend))) {
     StartConnect(aStep, aBackend);
   }
 }
@@ -233,7 +312,8 @@
                GatewayTimer::QueueWake });
     return;
   }
-  if (aBackend.connections_.size() >= MaxConnections(aStep, aBackend)) {
+  if (aBackend.connections_.size() >= MaxConnections(aStep, aBackend) ||
+      !HasDescriptor(state)) {
     std::uint64_t oldest = 0;
     TimePoint oldestAt = kNever;
     for (const std::uint64_t key : aBackend.connections_) {
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -73,6 +73,7 @@
    * limit, whatever the configuration says. See MakeColdRate. */
   double warmupOverage_ = 0.0;
   double warmupSlack_ = 0.0;
+  std::uint32_t maxConnections_ = 0; ///< To all servers; 0: no bound.
 };
 
 /** State of a connection to a backend server. */
@@ -352,7 +353,10 @@
   std::uint64_t crossDomainSends_ = 0; ///< To servers of other failure domains.
   std::uint64_t budgetDenied_ = 0;
   std::uint64_t connects_ = 0;
-  std::uint64_t abandoned_ = 0; ///< Unneeded attempts left to finish.
+  /** Idle connections closed because all of maxConnections_ were open. */
+  std::uint64_t connectionsClosed_ = 0;
+  std::uint64_t connectionsDelayed_ = 0; ///< Found all of them in use.
+  std::uint64_t abandoned_ = 0;          ///< Unneeded attempts left to finish.
   std::uint64_t shed_ = 0;               ///< Answers that report "not run".
   std::uint64_t ejections_ = 0;
   std::uint64_t garbled_ = 0; ///< Invalid or unrequested answers.
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -157,4 +157,7 @@
 /** Interval of the periodic maintenance of connections. */
 constexpr Duration kMaintenanceInterval = milliseconds(100);
 
+/** Wait for a connection to become idle when all are in use. */
+constexpr Duration kDescriptorRetryDelay = milliseconds(5);
+
 } // namespace camphorfield
--- a/src/ops/gateway_metrics.cpp
+++ b/src/ops/gateway_metrics.cpp
@@ -43,6 +43,8 @@
   { "camphorfield_gateway_far_sends_total",        "Sends to servers of other failure domains",   &GatewayStats::crossDomainSends_ },
   { "camphorfield_gateway_budget_denied_total",    "Hedges and retries that the budget denied",   &GatewayStats::budgetDenied_ },
   { "camphorfield_gateway_connects_total",         "Connections to servers asked for",            &GatewayStats::connects_ },
+  { "camphorfield_gateway_connections_closed_total", "Idle connections to servers closed for others", &GatewayStats::connectionsClosed_ },
+  { "camphorfield_gateway_connections_delayed_total", "Connections to servers that waited for a descriptor", &GatewayStats::connectionsDelayed_ },
   { "camphorfield_gateway_abandoned_total",        "Unneeded requests left to finish at servers", &GatewayStats::abandoned_ },
   { "camphorfield_gateway_shed_total",             "Answers of servers that say not run",         &GatewayStats::shed_ },
   { "camphorfield_gateway_ejections_total",        "Servers set aside",                           &GatewayStats::ejections_ },
