Fix: a test of early bytes depends on the server's thread

Cause of the uncaptured failure of runtime_test (1,040 of 1,045 checks): the case "a copy before the request is written" of BackendLink waited 20 ms for bytes that another thread sends. On a busy machine that thread had not yet accepted the connection; the copy then came after the request, as an answer.

Change: the client waits until the server has written its early bytes.

The captured count is the only evidence that it was this case. Ruled out by the count: ports in use, which leave 502 checks or none.

--- a/tests/runtime/backend_link_test.cpp
+++ b/tests/runtime/backend_link_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <future>
 #include <optional>
 #include <string>
 #include <thread>
@@ -69,12 +70,18 @@
   return sent;
 }
 
+/** @param aEarlySent Set once the early bytes are written. */
 std::size_t
-Serve(tcp::acceptor& aAcceptor, const Script& aScript)
+Serve(tcp::acceptor& aAcceptor,
+      const Script& aScript,
+      std::promise<void>* aEarlySent = nullptr)
 {
   tcp::socket socket = aAcceptor.accept();
   boost::system::error_code error;
   boost::asio::write(socket, boost::asio::buffer(aScript.early_), error);
+  if (aEarlySent != nullptr) {
+    aEarlySent->set_value();
+  }
   std::array<char, 1024> request{};
   socket.read_some(boost::asio::buffer(request), error);
   std::size_t sent =
@@ -98,7 +105,9 @@
   tcp::acceptor acceptor(context,
                          { boost::asio::ip::address_v4::loopback(), 0 });
   Seen seen;
-  std::thread server([&]() { seen.received_ = Serve(acceptor, aScript); });
+  std::promise<void> earlySent;
+  std::thread server(
+    [&]() { seen.received_ = Serve(acceptor, aScript, &earlySent); });
   GatewayCodec codec{};
   codec.encodeSend_ = EncodePlain;
   codec.decodeAnswer_ = DecodePlain;
@@ -110,7 +119,9 @@
     codec,
     BackendSink{
       [&](const BackendOpened&) {
-        // The event loop blocks, so that early bytes are there but unread.
+        // The event loop blocks, so that early bytes are there but unread. The
+        // connection is open before the server's thread has accepted it.
+        earlySent.get_future().wait();
         std::this_thread::sleep_for(std::chrono::milliseconds(20));
         BackendSend send;
         send.connection_ = id;
