--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -73,6 +73,7 @@
    * limit, whatever the configuration says. See MakeColdRate. */
   double warmupOverage_ = 0.0;
   double warmupSlack_ = 0.0;
+  std::uint32_t maxConnections_ = 0; ///< To all servers; 0: no bound.
 };
 
 /** State of a connection to a backend server. */
@@ -269,7 +270,8 @@
   bool mayHaveRun_ = false;
   bool late_ = false; ///< Past softAt_ without enough parts.
   std::vector<RequestPart> parts_;
-  BackendAnswer failure_; ///< Latest complete answer that was a failure.
+  BackendAnswer failure_;       ///< Latest complete answer that was a failure.
+  std::uint64_t heldBytes_ = 0; ///< Of parts_ and failure_, see HoldAnswer.
   std::shared_ptr<const CostEstimate> cost_; ///< PlacementMode::Cost only.
 };
 
@@ -351,8 +353,11 @@
   std::uint64_t crossDomainSends_ = 0; ///< To servers of other failure domains.
   std::uint64_t budgetDenied_ = 0;
   std::uint64_t connects_ = 0;
-  std::uint64_t abandoned_ = 0; ///< Unneeded attempts left to finish.
-  std::uint64_t shed_ = 0;      ///< Answers that report "not run".
+  /** Idle connections closed because all of maxConnections_ were open. */
+  std::uint64_t connectionsClosed_ = 0;
+  std::uint64_t connectionsDelayed_ = 0; ///< Found all of them in use.
+  std::uint64_t abandoned_ = 0;          ///< Unneeded attempts left to finish.
+  std::uint64_t shed_ = 0;               ///< Answers that report "not run".
   std::uint64_t ejections_ = 0;
   std::uint64_t garbled_ = 0; ///< Invalid or unrequested answers.
   std::uint64_t leavings_ =
@@ -417,6 +422,7 @@
   Pool<BackendConn> connections_;
   Pool<Attempt> attempts_;
   Pool<GatewayRun> runs_;
+  std::uint64_t heldBytes_ = 0; ///< Of answers that wait for their request.
   RateCaps caps_;
   std::map<std::uint64_t, AwaitingToken> awaiting_; ///< By request id.
   std::unordered_map<CallerRequestId, std::uint64_t> runOf_;
--- a/src/runtime/memory_account.h
+++ b/src/runtime/memory_account.h
@@ -21,6 +21,8 @@
   Connections, ///< Too many connections: a stalled or the new one was closed.
   Answer,      ///< No memory for a server's answer.
   Frame,       ///< No memory for a daemon's frame.
+  SlowFrame,   ///< A daemon's frame took too long.
+  StoreReply,  ///< No memory for a reply of the store.
   End          ///< Number of limits.
 };
 
