--- a/tests/membership/spread_test.cpp
+++ b/tests/membership/spread_test.cpp
@@ -195,8 +195,8 @@
 TEST(Spread, ConclusiveEvidenceOvertakesWeakEvidence)
 {
   const std::vector<FloodCase> cases{
-    { "one server each, five queries of 90 shards", 1, 5 * 90 * 4 },
-    { "several servers each, 200 queries", 3, 200 * 4 },
+    { "one server each, five queries of 90 shards", 1, 5UL * 90 * 4 },
+    { "several servers each, 200 queries", 3, 200UL * 4 },
   };
   for (const FloodCase& item : cases) {
     Fleet fleet(6, 3, 27);
