Codechange: a check on the names of connection ends, wording

Cause: a new value without a name gave a null string, which ended the process that logged it (found while the values were extended). Change: the build fails instead.

--- a/src/gateway/backend/backend_conn.cpp
+++ b/src/gateway/backend/backend_conn.cpp
@@ -87,9 +87,8 @@
   return count;
 }
 
-/** Makes room for a connection: closes the idle one
- * that was not used for the longest time, the only one of its service last.
- * False if all are in use or being opened. */
+/** Closes the idle connection that was not used for the longest time, and the
+ * only one of a service last. False if all are in use or being opened. */
 bool
 CloseLeastUsed(GatewayStep& aStep)
 {
--- a/src/table/suspicion_table.h
+++ b/src/table/suspicion_table.h
@@ -17,5 +17,7 @@
 constexpr std::array<const char*, static_cast<std::size_t>(BackendEnd::End)>
   kBackendEndNames{ "refused", "timed out", "closed",
                     "reset",   "malformed", "no memory" };
+// A missing name would be null, and end the process that logs it.
+static_assert(kBackendEndNames.back() != nullptr);
 
 } // namespace camphorfield
