Fix: the review's cases can't run with the soak's cold servers

Cause: their servers share the soak's entries, which now state the rest of a cold phase, and have none. Change: an entry of a server without a cold phase states zero.

--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -101,11 +101,13 @@
 
 def make_entry(server, sequence):
     """Store entry that a server publishes for itself."""
+    # Servers of review/ have no cold phase.
+    warm_at = getattr(server, "warm_at", 0.0)
     return {"service": server.service, "address": server.address,
             "zone": server.zone, "version": "v1",
             "concurrency": server.slots, "state": server.state,
             "warmup-left-ms": max(
-                0, int((server.warm_at - time.monotonic()) * 1000)),
+                0, int((warm_at - time.monotonic()) * 1000)),
             "seq": sequence, "born": server.started_ms}
 
 
