Codechange: one piece each for growth, live members, first grant, window share

Cause: rate caps had their own copy of the growth of a view that fleet_role tracks; live members were counted in two places; three functions set when an owner begins to grant; two constants of 0.9 had to agree, in admission and in fair admission. Change: HasGrown, CountAlive, GrantFrom and kOthersFactor serve all of them.

--- a/src/gateway/admission/admission.cpp
+++ b/src/gateway/admission/admission.cpp
@@ -15,10 +15,6 @@
  * objective. */
 constexpr double kRetryShare = 0.2;
 
-/** Use of the window from which on it counts as full. At most kOthersFactor of
- * fair admission, so that the sum changes no decision below it. */
-constexpr double kFullShare = 0.9;
-
 /** Shrinks the window at most once per aPause, because requests that were
  * admitted together are late together. */
 void
@@ -61,14 +57,13 @@
 // A service may take longer than the objective without any lack of capacity,
 // and the window of its route then shrinks for nothing. Requests that its
 // servers run at once wait for no other. The sum over the servers is taken only
-// when the window is nearly full: fair admission keeps some organisations to
-// nine tenths of it.
+// when it can change a decision: fair admission rejects from kOthersFactor on.
 double
 AdmissionWindow(const GatewayState& aState,
                 const RouteLoad& aLoad,
                 const GatewayRoute& aRoute)
 {
-  if (aLoad.inFlight_ < aLoad.window_ * kFullShare) {
+  if (aLoad.inFlight_ < aLoad.window_ * kOthersFactor) {
     return aLoad.window_;
   }
   return std::max(aLoad.window_, GuaranteedWindow(aState, aRoute));
--- a/src/gateway/admission/fair_admission.cpp
+++ b/src/gateway/admission/fair_admission.cpp
@@ -18,8 +18,6 @@
 /** Requests are admitted beyond the window up to this factor, for organisations
  * below their part. */
 constexpr double kEntitledFactor = 1.1;
-/** While there are such requests, others get this part of the window. */
-constexpr double kOthersFactor = 0.9;
 /** Time for which others keep away after a request in need. */
 constexpr Duration kNeedTime = std::chrono::milliseconds(300);
 constexpr double kUseHalfLifeSeconds = 1.0;
--- a/src/gateway/admission/fair_admission.h
+++ b/src/gateway/admission/fair_admission.h
@@ -14,6 +14,10 @@
 /** Priorities that are told apart; less urgent ones count as the last. */
 constexpr std::size_t kFairClasses = 8;
 
+/** While there are entitled requests in need, others get this part of the
+ * window. */
+constexpr double kOthersFactor = 0.9;
+
 /** Recent use of one organisation. */
 struct FairUser
 {
--- a/src/gateway/admission/rate_cap.cpp
+++ b/src/gateway/admission/rate_cap.cpp
@@ -8,8 +8,9 @@
 // Two owners at a time would double the rate. A daemon that becomes the owner
 // asks the one before to release the cap, and otherwise, e.g. if that one is
 // dead, grants nothing for kTakeoverTime, in which the other's view changes,
-// too. Its bucket starts empty, since the other may have granted the burst just
-// before. On a minority's side of a partition there is no owner.
+// too; less if it has just started. Its bucket starts empty, since the other
+// may have granted the burst just before. On a minority's side of a partition
+// there is no owner.
 #include "gateway/admission/rate_cap_internal.h"
 
 #include "core/hash_func.h"
--- a/src/gateway/admission/rate_cap.h
+++ b/src/gateway/admission/rate_cap.h
@@ -109,7 +109,7 @@
   DaemonId self_;
   CapView view_;
   std::uint32_t mostEntryDaemons_ = 0; ///< Since the start.
-  std::size_t grownTo_ = 0; ///< Members after the latest growth by a part.
+  std::size_t grownTo_ = 0;            ///< See HasGrown.
   TimePoint startedAt_{};
   TimePoint seenAt_{}; ///< Latest event, to detect pauses of this daemon.
   std::map<std::uint64_t, RateCap> caps_; ///< By hash of the name.
--- a/src/gateway/admission/rate_cap_owner.cpp
+++ b/src/gateway/admission/rate_cap_owner.cpp
@@ -3,6 +3,7 @@
 #include "gateway/admission/rate_cap_internal.h"
 
 #include "core/hash_func.h"
+#include "gateway/fleet/fleet_majority.h"
 
 #include <algorithm>
 #include <iterator>
@@ -15,9 +16,6 @@
  * received the gossip of it, and the view of a starting fleet has grown to its
  * size. Gossip reaches all of 600 daemons in 0.2 s (docs/CAPACITY.md). */
 constexpr Duration kJoinTime = std::chrono::milliseconds(500);
-/** Growth of the view that counts. The last members of a large fleet become
- * known one by one. */
-constexpr double kMinGrowth = 1.05;
 /** A daemon that has released a cap and is still the owner in its own view does
  * not grant for this time. */
 constexpr Duration kReleaseTime = std::chrono::seconds(5);
@@ -47,6 +45,15 @@
   return best;
 }
 
+/** Sets when the owner begins to grant; its tokens count from then on. */
+void
+GrantFrom(OwnedCap& aOwned, TimePoint aFrom)
+{
+  aOwned.grantsFrom_ = aFrom;
+  aOwned.tokensAt_ = aFrom;
+  aOwned.nextFree_ = aFrom;
+}
+
 /** Waits longer while this daemon gets to know the members of the fleet. */
 void
 AwaitMembers(OwnedCap& aOwned, TimePoint aNow)
@@ -54,10 +61,8 @@
   if (aOwned.joinedAt_ == TimePoint{} || aNow >= aOwned.grantsFrom_) {
     return;
   }
-  aOwned.grantsFrom_ =
-    std::min(aNow + kJoinTime, aOwned.joinedAt_ + kTakeoverTime);
-  aOwned.tokensAt_ = aOwned.grantsFrom_;
-  aOwned.nextFree_ = aOwned.grantsFrom_;
+  GrantFrom(aOwned,
+            std::min(aNow + kJoinTime, aOwned.joinedAt_ + kTakeoverTime));
 }
 
 /** When callers that are refused now should return, one after the other. */
@@ -120,11 +125,9 @@
 void
 StartOver(OwnedCap& aOwned, Duration aWait, TimePoint aNow)
 {
-  aOwned.grantsFrom_ = aNow + aWait;
+  GrantFrom(aOwned, aNow + aWait);
   aOwned.joinedAt_ = TimePoint{};
   aOwned.tokens_ = 0.0;
-  aOwned.tokensAt_ = aOwned.grantsFrom_;
-  aOwned.nextFree_ = aOwned.grantsFrom_;
 }
 
 // A daemon that was killed and comes back at once has stayed the owner in the
@@ -216,10 +219,8 @@
   if (!owned.active_ || !aRelease.owner_ || aNow >= owned.grantsFrom_) {
     return;
   }
-  owned.grantsFrom_ = aNow;
+  GrantFrom(owned, aNow);
   owned.tokens_ = aRelease.tokens_;
-  owned.tokensAt_ = aNow;
-  owned.nextFree_ = aNow;
   Refill(aCaps, aCap, aNow);
 }
 
@@ -267,11 +268,7 @@
   if (added.empty() && !removed) {
     return;
   }
-  const bool grows = static_cast<double>(aView.members_.size()) >
-                     kMinGrowth * static_cast<double>(aCaps.grownTo_);
-  if (grows) {
-    aCaps.grownTo_ = aView.members_.size();
-  }
+  const bool grows = HasGrown(aCaps.grownTo_, aView.members_.size());
   for (auto& [organisation, cap] : aCaps.caps_) {
     cap.hint_ = DaemonId{};
     const bool ownerLost = removed && cap.owner_.IsValid() &&
--- a/src/gateway/fleet/directory.cpp
+++ b/src/gateway/fleet/directory.cpp
@@ -170,4 +170,13 @@
     static_cast<double>(aMembers)));
 }
 
+std::size_t
+CountAlive(const std::vector<MemberRecord>& aMembers)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aMembers.begin(), aMembers.end(), [](const auto& aMember) {
+      return aMember.state_ == MemberState::Alive;
+    }));
+}
+
 } // namespace camphorfield
--- a/src/gateway/fleet/directory.h
+++ b/src/gateway/fleet/directory.h
@@ -82,4 +82,8 @@
 Duration
 FirstReadDelay(DaemonId aSelf, std::size_t aMembers);
 
+/** Number of live members. */
+std::size_t
+CountAlive(const std::vector<MemberRecord>& aMembers);
+
 } // namespace camphorfield
--- a/src/gateway/fleet/fleet_majority.cpp
+++ b/src/gateway/fleet/fleet_majority.cpp
@@ -15,8 +15,23 @@
  * members are suspected, and 1.5 s more pass until it grants. */
 constexpr Duration kMajorityGrace = std::chrono::seconds(2);
 
+/** Growth that counts. The last members of a large fleet become known one by
+ * one over seconds and change little in what is chosen by the view. */
+constexpr double kMinGrowth = 1.05;
+
 } // namespace
 
+bool
+HasGrown(std::size_t& aGrownTo, std::size_t aMembers)
+{
+  if (static_cast<double>(aMembers) <=
+      kMinGrowth * static_cast<double>(aGrownTo)) {
+    return false;
+  }
+  aGrownTo = aMembers;
+  return true;
+}
+
 bool
 SeesMajority(FleetSize& aSize, std::size_t aAlive, TimePoint aNow)
 {
--- a/src/gateway/fleet/fleet_majority.h
+++ b/src/gateway/fleet/fleet_majority.h
@@ -1,4 +1,5 @@
-/** Whether this daemon is on the larger side of a partition. */
+/** Growth of the fleet, and whether this daemon is on the larger side of a
+ * partition. */
 #pragma once
 
 #include "core/time_type.h"
@@ -15,6 +16,13 @@
   TimePoint majorityAt_{}; ///< Latest time with a majority; zero: never.
 };
 
+/**
+ * Whether a view of the fleet has grown by a part that counts.
+ * @param aGrownTo Its size when it last had; updated.
+ */
+bool
+HasGrown(std::size_t& aGrownTo, std::size_t aMembers);
+
 /** Whether the live members are more than half of the recent fleet. */
 bool
 SeesMajority(FleetSize& aSize, std::size_t aAlive, TimePoint aNow);
--- a/src/gateway/fleet/fleet_role.cpp
+++ b/src/gateway/fleet/fleet_role.cpp
@@ -26,9 +26,6 @@
  * for this time: too many daemons would exceed the servers' connection limits.
  */
 constexpr Duration kMembershipSettleTime = std::chrono::milliseconds(400);
-/** Growth that counts. The last members of a large fleet become known one by
- * one over seconds and change nothing in the choice of the strongest. */
-constexpr double kMinGrowth = 1.05;
 /** Until this time after its start, a daemon counts members that are alive but
  * not ready as entry daemons; afterwards only ready ones. */
 constexpr Duration kStartupPeriod = std::chrono::seconds(6);
@@ -70,15 +67,6 @@
     });
 }
 
-std::size_t
-CountAlive(const std::vector<MemberRecord>& aMembers)
-{
-  return static_cast<std::size_t>(
-    std::count_if(aMembers.begin(), aMembers.end(), [](const auto& aMember) {
-      return aMember.state_ == MemberState::Alive;
-    }));
-}
-
 void
 UpdateSlack(FleetRole& aRole,
             bool aEligible,
@@ -144,12 +132,10 @@
 void
 RecordFleetSize(FleetRole& aRole, std::size_t aMembers, TimePoint aNow)
 {
-  const auto count = static_cast<std::uint32_t>(aMembers);
-  if (count > kMinGrowth * aRole.grownTo_) {
+  if (HasGrown(aRole.grownTo_, aMembers)) {
     aRole.grownAt_ = aNow;
-    aRole.grownTo_ = count;
   }
-  aRole.daemonCounts_[aNow] = count;
+  aRole.daemonCounts_[aNow] = static_cast<std::uint32_t>(aMembers);
 }
 
 void
--- a/src/gateway/fleet/fleet_role.h
+++ b/src/gateway/fleet/fleet_role.h
@@ -26,9 +26,9 @@
   std::vector<DaemonId> coldOwners_;
 
   TimePoint startedAt_{};
-  TimePoint grownAt_{};       ///< Latest growth of the member list by a part.
-  std::uint32_t grownTo_ = 0; ///< Its size then.
-  FleetSize size_;            ///< Live members.
+  TimePoint grownAt_{};     ///< Latest growth of the member list by a part.
+  std::size_t grownTo_ = 0; ///< Its size then.
+  FleetSize size_;          ///< Live members.
   /** Start of the present time as an entry daemon in a majority; kNever
    * otherwise. */
   TimePoint slackEarnedSince_ = kNever;
--- a/src/gateway/request/request_internal.h
+++ b/src/gateway/request/request_internal.h
@@ -108,6 +108,14 @@
 
 // request_answer.cpp
 
+/** Records the bytes of an answer that is kept until its request ends.
+ * @param aBefore Bytes of the answer that it replaces. */
+void
+HoldAnswer(GatewayState& aState,
+           GatewayRun& aRun,
+           std::uint64_t aBefore,
+           std::uint64_t aBytes);
+
 /** Cancels what is in flight for a run, and frees the run. */
 void
 CloseRun(GatewayStep& aStep, GatewayRun& aRun);
@@ -167,12 +175,4 @@
                     Duration aTimeout,
                     TimePoint aNow);
 
-/** Records the bytes of an answer that is kept until its request ends.
- * @param aBefore Bytes of the answer that it replaces. */
-void
-HoldAnswer(GatewayState& aState,
-           GatewayRun& aRun,
-           std::uint64_t aBefore,
-           std::uint64_t aBytes);
-
 } // namespace camphorfield
--- a/src/runtime/gateway_caps.cpp
+++ b/src/runtime/gateway_caps.cpp
@@ -18,17 +18,16 @@
     return;
   }
   CapView view;
-  std::size_t alive = 0;
   for (const MemberRecord& member : *members_) {
     const bool present = member.state_ == MemberState::Alive ||
                          member.state_ == MemberState::Suspect;
-    alive += member.state_ == MemberState::Alive ? 1 : 0;
     if (present && !(stopping_ && member.id_ == membership_.self_.id_)) {
       view.members_.push_back(member.id_);
     }
   }
   std::sort(view.members_.begin(), view.members_.end());
-  view.majority_ = MayGoOnGranting(role_.size_, alive, ReadClock().mono_);
+  view.majority_ =
+    MayGoOnGranting(role_.size_, CountAlive(*members_), ReadClock().mono_);
   view.entryDaemons_ = static_cast<std::uint32_t>(
     ChooseEntryDaemons(*members_, MaxEntryDaemons(gateway_), EntryScope::Ready)
       .size());
