Codechange: share the largest window and the reshard of the gateway's tests

Cause: cold_test and fleet_test counted the largest second by copies of CountLargestWindow, and cold_test and evacuation_test renamed shards alike. Change: they call shared_fixture. All assertions stay as they are.

--- a/tests/gateway/cold_test.cpp
+++ b/tests/gateway/cold_test.cpp
@@ -2,6 +2,7 @@
 // against daemons that each hold one unused request, differ in their view of
 // the fleet or in their clocks, or have just started, exceeding the bound.
 #include "gateway/replay_fixture.h"
+#include "gateway/shared_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -19,20 +20,6 @@
 constexpr double kOverage = 1.5;
 constexpr double kSlack = 5.0;
 
-/** Most times in any one second. */
-std::size_t
-LargestSecond(const std::vector<TimePoint>& aTimes, TimePoint aFrom)
-{
-  std::size_t largest = 0;
-  for (auto first = std::lower_bound(aTimes.begin(), aTimes.end(), aFrom);
-       first != aTimes.end();
-       ++first) {
-    const auto end = std::lower_bound(first, aTimes.end(), *first + seconds(1));
-    largest = std::max(largest, static_cast<std::size_t>(end - first));
-  }
-  return largest;
-}
-
 /** Daemons that use every slot that they get. */
 struct SlotCase
 {
@@ -133,13 +120,7 @@
   const TimePoint begun = replay.Clock();
   replay.At(kColdAt, [&]() {
     if (aCase.reshard_) {
-      GatewayRoute route = MakeQueryRoute(kShards, 0.85, 5);
-      for (std::string& shard : route.shards_) {
-        shard.insert(0, "new-");
-        replay.AddServer(shard, 1.0);
-        replay.AddServer(shard, 1.0);
-      }
-      replay.SetRoute(route);
+      Reshard(replay, MakeQueryRoute(kShards, 0.85, 5));
       replay.LimitCold(aCase.perSecond_, kColdFor);
     }
     for (std::size_t i = 0; i < replay.Servers().size(); ++i) {
@@ -173,7 +154,7 @@
           cold.push_back(at);
         }
       }
-      largest = std::max(largest, LargestSecond(cold, begun));
+      largest = std::max(largest, CountLargestWindow(cold, seconds(1)));
       least = std::min(least, cold.size());
     }
   }
@@ -233,7 +214,7 @@
   for (const SlotCase& item : cases) {
     Rng rng(7);
     const std::vector<TimePoint> sent = SendAll(item, rng);
-    const std::size_t largest = LargestSecond(sent, TimePoint{});
+    const std::size_t largest = CountLargestWindow(sent, seconds(1));
     const double used = static_cast<double>(sent.size()) / item.perSecond_ / 10;
     const std::string text = std::string(item.name_) + ": " +
                              std::to_string(largest) + " in 1 s, used " +
--- a/tests/gateway/evacuation_test.cpp
+++ b/tests/gateway/evacuation_test.cpp
@@ -2,6 +2,7 @@
 // Guards against requests to an evacuated domain on any path, requests that are
 // lost or sent twice because of an evacuation, and load that returns at once.
 #include "gateway/replay_fixture.h"
+#include "gateway/shared_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -75,17 +76,10 @@
         });
       }
       break;
-    case Step::Reshard: {
-      GatewayRoute route = MakeQueryRoute(kShards, 0.8, 5);
-      for (std::string& shard : route.shards_) {
-        shard.insert(0, "new-");
-        aReplay.AddServer(shard, 1.0);
-        aReplay.AddServer(shard, 1.0);
-      }
-      aReplay.SetRoute(route);
+    case Step::Reshard:
+      Reshard(aReplay, MakeQueryRoute(kShards, 0.8, 5));
       aReplay.Announce();
       break;
-    }
     default:
       aReplay.Crash(0, ModelFault::Reset);
       break;
--- a/tests/gateway/fleet_test.cpp
+++ b/tests/gateway/fleet_test.cpp
@@ -4,6 +4,7 @@
 #include "gateway/fleet/fleet_role.h"
 #include "gateway/guidance/cold_server.h"
 #include "gateway/request/retry_budget.h"
+#include "gateway/shared_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -186,12 +187,7 @@
   std::vector<TimePoint> times =
     found == coldSends_.end() ? std::vector<TimePoint>{} : found->second;
   std::sort(times.begin(), times.end());
-  std::size_t largest = 0;
-  for (auto first = times.begin(); first != times.end(); ++first) {
-    const auto end = std::lower_bound(first, times.end(), *first + seconds(1));
-    largest = std::max(largest, static_cast<std::size_t>(end - first));
-  }
-  return largest;
+  return CountLargestWindow(times, seconds(1));
 }
 
 double
--- a/tests/gateway/shared_fixture.cpp
+++ b/tests/gateway/shared_fixture.cpp
@@ -19,6 +19,17 @@
   return route;
 }
 
+void
+Reshard(Replay& aReplay, GatewayRoute aRoute)
+{
+  for (std::string& shard : aRoute.shards_) {
+    shard.insert(0, "new-");
+    aReplay.AddServer(shard, 1.0);
+    aReplay.AddServer(shard, 1.0);
+  }
+  aReplay.SetRoute(aRoute);
+}
+
 std::size_t
 CountLargestWindow(const std::vector<TimePoint>& aTimes,
                    Duration aWindow,
--- a/tests/gateway/shared_fixture.h
+++ b/tests/gateway/shared_fixture.h
@@ -1,7 +1,7 @@
 /** Routes and counts that several tests of the gateway use. */
 #pragma once
 
-#include "gateway/gateway_type.h"
+#include "gateway/replay_fixture.h"
 
 #include <cstddef>
 #include <vector>
@@ -13,6 +13,10 @@
 GatewayRoute
 MakePlainRoute(RequestKind aKind, Duration aTimeout);
 
+/** Cuts the index anew: the shards of a route, renamed, on two servers each. */
+void
+Reshard(Replay& aReplay, GatewayRoute aRoute);
+
 /** Most of the times, in ascending order, that are in one window of the given
  * length which begins at or after aFrom and is cut off at aTo. */
 std::size_t
