Change: the review's scripts end in order on a signal

Cause: a script that is stopped from outside would leave its gateways behind, and a machine with a low soft limit would give them fewer descriptors than their settings say. Change: review/lib-2/lab.py handles SIGTERM and SIGINT, and raises its own soft limit up to limits.max-fds where the hard limit allows it.

--- a/review/lib-2/lab.py
+++ b/review/lib-2/lab.py
@@ -8,6 +8,7 @@
 import asyncio
 import os
 import random
+import resource
 import signal
 import socket
 import subprocess
@@ -93,6 +94,9 @@
 """
 
 
+MAX_FDS = 4100  # limits.max-fds; the processes inherit the limit.
+
+
 class CannotRun(Exception):
     """The case could not be set up."""
 
@@ -340,11 +344,28 @@
         self.record.file.flush()
 
 
+def allow_descriptors():
+    """Give this process and its children what limits.max-fds says, if the
+    hard limit of the machine allows it."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = MAX_FDS if hard == resource.RLIM_INFINITY else min(MAX_FDS, hard)
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
+def end_on_signal(number, _):
+    """End in order, so that the processes that were started end, too."""
+    raise SystemExit(f"signal {number}")
+
+
 def run_case(folder, gateways, play):
     """Play a case and exit; play(lab) returns HELD or BROKEN."""
     if not os.path.exists(os.path.join(ROOT, "target", "camphorfield")):
         print("target/camphorfield is missing: run the deploy file's build")
         return FAILED_TO_RUN
+    allow_descriptors()
+    signal.signal(signal.SIGTERM, end_on_signal)
+    signal.signal(signal.SIGINT, end_on_signal)
     try:
         lab = Lab(folder, gateways)
     except (CannotRun, OSError) as error:
@@ -356,7 +377,7 @@
         return await asyncio.wait_for(play(lab), 110)
     try:
         result = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except (CannotRun, asyncio.TimeoutError, OSError, SystemExit) as error:
         lab.record.say(f"can't run: {error!r}")
         result = FAILED_TO_RUN
     except Exception:  # A fault of the script itself is no verdict.
