--- a/review/7/case.py
+++ b/review/7/case.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import bisect
+import json
 import os
 import signal
 import sys
@@ -48,7 +49,6 @@
     _, _, body = await labs.exchange(gateway.directory, wire.make_request(
         "GET", f"/resolve?name={labs.HOST_NAME}&region=kigali"
         f"&zone={gateway.zone}", {"host": labs.HOST_NAME}))
-    import json
     return json.loads(body)["addrs"]
 
 
