Change: the review's scripts remove their temporary folder

Cause: each run left the settings and logs of its gateways behind. Change: review/lib-2/lab.py removes the folder once the gateways have ended.

--- a/review/lib-2/lab.py
+++ b/review/lib-2/lab.py
@@ -9,6 +9,7 @@
 import os
 import random
 import resource
+import shutil
 import signal
 import socket
 import subprocess
@@ -341,6 +342,7 @@
         for gateway in self.gateways:
             if gateway.process is not None:
                 gateway.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
         self.record.file.flush()
 
 
