Fix: the review's scripts exit with 2 when they can't run

Cause: run_case ends by os._exit, so the codes that its early returns gave were lost, and a script without the program exited with 0, as if the rule had held.

--- a/review/lib-2/lab.py
+++ b/review/lib-2/lab.py
@@ -364,7 +364,7 @@
     """Play a case and exit; play(lab) returns HELD or BROKEN."""
     if not os.path.exists(os.path.join(ROOT, "target", "camphorfield")):
         print("target/camphorfield is missing: run the deploy file's build")
-        return FAILED_TO_RUN
+        sys.exit(FAILED_TO_RUN)
     allow_descriptors()
     signal.signal(signal.SIGTERM, end_on_signal)
     signal.signal(signal.SIGINT, end_on_signal)
@@ -372,7 +372,7 @@
         lab = Lab(folder, gateways)
     except (CannotRun, OSError) as error:
         print(f"can't run: {error}")
-        return FAILED_TO_RUN
+        sys.exit(FAILED_TO_RUN)
 
     async def run():
         await lab.store.start()
