Fix: a failed order that ran is answered with a status that promises it did not

Cause: a failure of a server was forwarded unchanged unless it was marked "not run". Statuses 408, 421, 429 and 503 promise callers that the request has not run and never will; from a server they say so only with that mark.

Change: one table of statuses (core/answer_status) decides for plain routes, orders and the daemon command. The daemon command takes an unmarked 408, 421 or 429 for "may have run", as it did 503 already.

--- a/src/gateway/request/attempt_answer.cpp
+++ b/src/gateway/request/attempt_answer.cpp
@@ -10,6 +10,7 @@
 #include "gateway/request/request_internal.h"
 #include "gateway/request/route_times.h"
 
+#include "core/answer_status.h"
 #include "core/hash_func.h"
 
 #include <algorithm>
@@ -19,15 +20,6 @@
 
 namespace {
 
-constexpr std::uint32_t kStatusOk = 200;
-constexpr std::uint32_t kStatusMultiple = 300;
-
-bool
-IsSuccess(const BackendAnswer& aAnswer)
-{
-  return aAnswer.status_ >= kStatusOk && aAnswer.status_ < kStatusMultiple;
-}
-
 /** Part that an attempt belongs to, or null if its run has ended. */
 RequestPart*
 FindPart(GatewayState& aState, const Attempt& aAttempt)
@@ -130,10 +122,11 @@
   if (aAnswer.notRun_ || aAnswer.status_ == kStatusMisdirected) {
     return aTrusted ? AttemptEnd::NotRun : AttemptEnd::Garbled;
   }
-  if (IsSuccess(aAnswer) && (aAnswer.proof_.empty() || aAnswer.encoded_)) {
-    return AttemptEnd::Garbled;
+  if (ClassifyStatus(aAnswer.status_) != StatusClass::Success) {
+    return AttemptEnd::Failed;
   }
-  return IsSuccess(aAnswer) ? AttemptEnd::End : AttemptEnd::Failed;
+  return aAnswer.proof_.empty() || aAnswer.encoded_ ? AttemptEnd::Garbled
+                                                    : AttemptEnd::End;
 }
 
 void
--- a/src/gateway/request/request_run.cpp
+++ b/src/gateway/request/request_run.cpp
@@ -6,12 +6,37 @@
 #include "gateway/request/request_internal.h"
 #include "gateway/request/topk_merge.h"
 
+#include "core/answer_status.h"
+
 #include <utility>
 
 namespace camphorfield {
 
 namespace {
 
+/**
+ * Whether the caller gets a server's failure unchanged.
+ *
+ * Callers send a request that runs at most once again after a status that
+ * promises that it didn't run. Without the server's report the request may have
+ * run, whatever the status.
+ */
+bool
+IsForwardable(const BackendAnswer& aFailure, RequestKind aKind)
+{
+  if (aFailure.notRun_ || aFailure.encoded_) {
+    return false;
+  }
+  switch (ClassifyStatus(aFailure.status_)) {
+    case StatusClass::Failure:
+      return true;
+    case StatusClass::PromisedNotRun:
+      return aKind == RequestKind::Idempotent;
+    default:
+      return false;
+  }
+}
+
 /** Finishes a query when all parts have ended, when it is late with enough
  * parts, or when enough parts are no longer possible. */
 void
@@ -111,11 +136,7 @@
     }
     return;
   }
-  // A failure answer of a server is forwarded unchanged, unless it reports that
-  // the request did not run.
-  if (aRun.mayHaveRun_ && aRun.failure_.status_ != 0 &&
-      !aRun.failure_.notRun_ && !aRun.failure_.encoded_ &&
-      aRun.failure_.status_ >= 300) {
+  if (aRun.mayHaveRun_ && IsForwardable(aRun.failure_, aRun.route_->kind_)) {
     FinishForwarded(aStep, aRun, std::move(aRun.failure_));
     return;
   }
--- a/src/runtime/server_codec.cpp
+++ b/src/runtime/server_codec.cpp
@@ -3,6 +3,8 @@
 // answer.
 #include "runtime/server_link.h"
 
+#include "core/answer_status.h"
+
 #include <boost/json.hpp>
 #include <charconv>
 
@@ -77,6 +79,10 @@
   if (notRun) {
     return SubStatus::NotRun;
   }
+  // A server that doesn't report so may have run it, whatever the status means.
+  if (ClassifyStatus(aResponse.status_) == StatusClass::PromisedNotRun) {
+    return SubStatus::Failed;
+  }
   if (aResponse.status_ >= 400 && aResponse.status_ < 500) {
     return SubStatus::Rejected;
   }
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -20,7 +20,7 @@
 {
   None,
   Shed,   ///< Answers "not run" to every request.
-  Fail,   ///< Answers with status 500 after the work.
+  Fail,   ///< Answers with failStatus_ after the work.
   Reset,  ///< Resets the connection after the work.
   Garble, ///< Answers without a proof.
   Twice,  ///< First sends an answer with the previous id.
@@ -53,6 +53,7 @@
   Duration pauseFor_{};
   Duration pauseAt_{}; ///< Offset of the first pause.
   ModelFault fault_ = ModelFault::None;
+  std::uint32_t failStatus_ = 500; ///< See ModelFault::Fail.
   /** Connections that were idle for longer are dropped silently: the next
    * request on them is reset. Zero: never. */
   Duration dropsIdle_{};
--- a/tests/gateway/replay_server_fixture.cpp
+++ b/tests/gateway/replay_server_fixture.cpp
@@ -304,7 +304,7 @@
   connection.job_ = 0;
   const ProxyMessage& message = *job.send_.message_;
   BackendAnswer answer;
-  answer.status_ = server.fault_ == ModelFault::Fail ? 500 : 200;
+  answer.status_ = server.fault_ == ModelFault::Fail ? server.failStatus_ : 200;
   answer.requestId_ = message.requestId_;
   answer.proof_ = server.id_ + "/" + message.requestId_;
   answer.load_ =
