Add: review case 14, a request under which servers go dark (BUDGET)

Cause: attempts that end by silence or at the caller's time limit are no evidence against a request's content.

--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,5 +1,4 @@
-"""Clients from outside send chunked bodies of legal size that stop just short of
-their end and stay open, until the process has more memory than its machine."""
+"""A request under which servers go dark for some seconds is never rejected."""
 
 import os
 import sys
@@ -8,112 +7,150 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib-3"))
 from stand import *  # noqa: E402,F403
 
-MEMORY_MB = 160        # Of the smaller machines of sccpa-search-grown.
-CLIENTS = 1100
-BODY = (60000, 262000)  # max-body-bytes is 262,144.
-PAUSE_S = 1.0          # A client whose connection ended comes back after this.
-LONGEST_S = 40.0
-CONNECTIONS = 12       # Of ordinary consumers.
-WORK_S = 0.22          # notice-fetch
-MOST_LOST = 3          # LOST: more than three times.
+SERVERS = 4            # Of cuentas-franquicia.
+DARK_S = 4.5           # srv_crash, dark: for_s 4.1 to 4.7
+DEADLINE_MS = 4000     # The time limit of libro-local.
+AGAIN_S = 5.0          # The request comes again after this time.
+TIMES = 13
+IN_TOUCH_S = 4.0       # stable-window-ms
+MOST_RETRIES = 3
+ORDINARY = 22.5        # Other requests a second.
+POISON = "/libro/poison"
+
+
+class DarkServer(Server):
+    """Goes silent when it begins to run one request; its connections stay open
+    until it is back, as a new lifetime at the same address."""
+
+    crashes = []  # (time, request id) of all servers
+    trouble = True
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.dark = False
+        self.life = 0
+        self.writers = set()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            await super().serve(reader, writer)
+        finally:
+            self.writers.discard(writer)
+
+    async def answer(self, reader, writer, line, fields, body):
+        request_id = self.run(line, fields, body)
+        life = self.life
+        if self.trouble and f" {POISON} " in line:
+            self.crashes.append((time.monotonic(), request_id))
+            self.record.note(f"{self.name} goes dark under {request_id}")
+            self.dark = True
+            asyncio.create_task(self.restart())
+        else:
+            await asyncio.sleep(self.work_s)
+        while self.dark or life != self.life:
+            await asyncio.sleep(0.1)  # The connection is reset in restart().
+        content = random.randbytes(self.size)
+        writer.write(response(200, {
+            "Request-Id": request_id,
+            "Server-Stamp": f"{self.name}.{request_id}"}, content))
+        await writer.drain()
+
+    async def restart(self):
+        self.life += 1
+        loop = asyncio.get_running_loop()
+        listening = self.listener.sockets[0]
+        loop.remove_reader(listening.fileno())
+        await asyncio.sleep(DARK_S)
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.listener.close()
+        self.dark = False
+        self.listener = await asyncio.start_server(
+            self.serve, self.ip, self.port, limit=1 << 22)
+        self.born = int(time.time() * 1000)
+        self.seq = 1
+        self.enter()
+        self.record.note(f"{self.name} is back")
+
+
+async def beats(servers):
+    """Each server that isn't dark writes its entry anew."""
+    while True:
+        await asyncio.sleep(1.2)
+        for server in servers:
+            if not server.dark:
+                server.enter()
 
 
 async def case(record, temporary, trouble, started):
+    DarkServer.trouble = trouble
     store = Store()
     await store.start()
     servers = []
-    for _ in range(3):
-        server = Server(record, store, "notices-portal", "a", WORK_S)
+    for number in range(SERVERS):
+        server = DarkServer(record, store, "cuentas-franquicia", "abc"[number % 3],
+                            0.09)
         await server.start()
         servers.append(server)
     store.put("config", "main", config(
-        11, [route("notice", "/notice/", "notices-portal")], ["notices-portal"]))
-    gateway = Gateway(store, 1, [], temporary,
-                      more=[f"limits.memory-mb={MEMORY_MB}"])
-    started.append(gateway)
-    await gateway.start()
-    if not await until_ready(gateway):
-        return 2
-    host, port = gateway.front.rsplit(":", 1)
-    over = asyncio.Event()
-    content = b"x" * BODY[1]
-    counts = {"sent": 0, "served": 0, "opened": 0, "most MB": 0.0}
-    lost = []
-    killed = False
-
-    async def consumer():
-        while not over.is_set():
-            answered, request_id, writer = 0, "", None
-            try:
-                reader, writer = await asyncio.wait_for(
-                    asyncio.open_connection(host, int(port)), 1.0)
-                while not over.is_set():
-                    counts["sent"] += 1
-                    request_id = f"c{counts['sent']:08x}"
-                    record.note(f"consumer sends {request_id}")
-                    writer.write(request("GET", "/notice/1", {
-                        "Request-Id": request_id, "Deadline-Ms": 8000}))
-                    line, fields = await read_head(reader)
-                    await read_body(reader, fields)
-                    answered += 1
-                    record.note(f"{request_id} gets {line.split(' ')[1]}")
-                    counts["served"] += line.split(" ")[1] == "200"
-            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
-                ran = any(request_id == run[1] for server in servers
-                          for run in server.runs[-400:])
-                record.note(f"{request_id} gets a closed connection, kept: "
-                            f"{answered > 0}, ran: {ran}")
-                if answered > 0 and ran:
-                    lost.append(request_id)
-                if killed:
-                    return
-                await asyncio.sleep(0.2)
-            finally:
-                if writer is not None:
-                    writer.close()
-
-    async def client(number):
-        while not over.is_set() and not killed:
-            writer = None
-            try:
-                reader, writer = await asyncio.open_connection(host, int(port))
-                counts["opened"] += 1
-                size = random.randrange(*BODY)
-                writer.write((f"POST /notice/2 HTTP/1.1\r\nHost: {HOST}\r\n"
-                              f"Request-Id: x{number:04x}{counts['opened']:06x}\r\n"
-                              "Deadline-Ms: 2000\r\n"
-                              "Transfer-Encoding: chunked\r\n\r\n").encode())
-                writer.write(b"%x\r\n" % size + content[:size])
-                await writer.drain()
-                await reader.read(1000)  # Stays open until it is closed.
-            except OSError:
-                pass
-            finally:
-                if writer is not None:
-                    writer.close()
-            await asyncio.sleep(PAUSE_S)
-
-    tasks = [asyncio.create_task(consumer()) for _ in range(CONNECTIONS)]
-    await asyncio.sleep(3)
-    before = gateway.resident_mb()
-    if trouble:
-        tasks += [asyncio.create_task(client(i)) for i in range(CLIENTS)]
-    end = time.monotonic() + LONGEST_S
-    while time.monotonic() < end and not killed:
-        used = gateway.resident_mb()
-        counts["most MB"] = max(counts["most MB"], used)
-        if used > MEMORY_MB:
-            killed = True
-            gateway.signal(signal.SIGKILL)
-            record.say(f"{used:.0f} MB of {MEMORY_MB}: the platform kills it")
-        await asyncio.sleep(0.05)
-    await asyncio.sleep(0.5)
-    over.set()
-    record.say(f"before: {before:.0f} MB; {counts}; killed for memory: {killed}; "
-               f"requests lost: {len(lost)}")
-    if counts["served"] == 0:
+        11, [route("libro", "/libro/", "cuentas-franquicia",
+                   **{"timeout-ms": DEADLINE_MS, "slo-ms": 400})], ["cuentas-franquicia"]))
+    gateways = [Gateway(store, i + 1, [], temporary, zone)
+                for i, zone in enumerate("abc")]
+    for gateway in gateways:
+        gateway.seeds = [other.control for other in gateways]
+        started.append(gateway)
+        await gateway.start()
+    for gateway in gateways:
+        if not await until_ready(gateway):
+            return 2
+    tasks = [asyncio.create_task(beats(servers))]
+    await asyncio.sleep(IN_TOUCH_S)
+    counts = {}
+
+    async def send(path, request_id, timeout):
+        record.note(f"consumer sends {request_id}: GET {path}")
+        got = await fetch(random.choice(gateways).front, request("GET", path, {
+            "Request-Id": request_id, "Deadline-Ms": DEADLINE_MS}), timeout)
+        status = got[0] if got else None
+        record.note(f"{request_id} gets {status}")
+        return status
+
+    async def ordinary(number):
+        status = await send(f"/libro/{number}", f"o{number:07x}", 5.0)
+        counts[status] = counts.get(status, 0) + 1
+
+    async def load():
+        number = 0
+        while True:
+            await asyncio.sleep(1 / ORDINARY)
+            number += 1
+            tasks.append(asyncio.create_task(ordinary(number)))
+
+    tasks.append(asyncio.create_task(load()))
+    answers = []
+
+    async def poison(number):
+        answers.append(await send(POISON, f"p{number:07x}", 5.0))
+
+    for number in range(TIMES):
+        await asyncio.sleep(AGAIN_S)
+        tasks.append(asyncio.create_task(poison(number)))
+    await asyncio.sleep(5.0)
+    crashes = sorted(DarkServer.crashes)
+    late = set()
+    if len(crashes) >= 3:
+        late = {request_id for at, request_id in crashes
+                if at > crashes[2][0] + IN_TOUCH_S}
+    record.say(f"sent {TIMES} times, answered {answers}; {len(crashes)} servers "
+               f"went dark; {len(late)} retries reached servers later than "
+               f"{IN_TOUCH_S:g} s after the third; other requests: {counts}")
+    for task in tasks:
+        task.cancel()
+    if counts.get(200, 0) == 0:
         return 2
-    return 1 if killed and len(lost) > MOST_LOST else 0
+    return 1 if len(late) > MOST_RETRIES else 0
 
 
 serve_case(FOLDER, case)
