--- a/review/lib-3/stand.py
+++ b/review/lib-3/stand.py
@@ -435,6 +435,10 @@
     started = []
 
     async def main():
+        loop = asyncio.get_running_loop()
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
             try:
                 return await asyncio.wait_for(
@@ -442,6 +446,9 @@
             except asyncio.TimeoutError:
                 record.say("the case took too long")
                 return 2
+            except asyncio.CancelledError:
+                record.say("ended by a signal")
+                return 2
             finally:
                 for gateway in started:
                     gateway.signal(signal.SIGCONT)
