--- a/proto/peer.thrift
+++ b/proto/peer.thrift
@@ -41,6 +41,8 @@
   5: optional list<i64> servers
   6: optional list<i64> requests
   7: optional list<i64> moments
+  8: optional i64 firstCrashedBy
+  9: optional i64 lastAliveAt
 }
 
 /** Exactly one field is set. */
--- a/src/core/crash_evidence.h
+++ b/src/core/crash_evidence.h
@@ -24,13 +24,14 @@
  * and would otherwise condemn what one caller repeats. */
 constexpr std::uint64_t kExactMoment = std::uint64_t{ 1 } << 62U;
 
-/** One crash of a server. */
+/** One crash of a server. Times are Unix times in units of a moment. */
 struct ServerCrash
 {
   std::uint64_t server_ = 0;  ///< Hash of its incarnation.
   std::uint64_t request_ = 0; ///< Hash of the id of the request that it ran.
-  /** Unix time in units of a moment; zero: not required. */
-  std::uint64_t moment_ = 0;
+  std::uint64_t moment_ = 0;  ///< Zero: not known so exactly, or not required.
+  std::uint64_t aliveAt_ = 0; ///< It had not crashed then; zero: unknown.
+  std::uint64_t crashedBy_ = 0; ///< It had crashed then; zero: unknown.
 };
 
 /**
@@ -51,6 +52,10 @@
   /** Times of crashes: the smallest kMomentsToQuarantine, ascending; empty: not
    * required. */
   std::vector<std::uint64_t> moments_;
+  /** The first of the crashes had happened by then; zero: unknown. */
+  std::uint64_t firstCrashedBy_ = 0;
+  /** The last of the servers had not crashed then; zero: unknown. */
+  std::uint64_t lastAliveAt_ = 0;
 
   bool operator==(const CrashEvidence& aOther) const = default;
 };
@@ -68,6 +73,15 @@
 bool
 JoinEvidence(CrashEvidence& aInto, const CrashEvidence& aFrom);
 
+/** Whether it says only since when a server is silent: a report of one daemon
+ * to the others, see server_silence.cpp. Its times are in microseconds. */
+bool
+IsSilenceReport(const CrashEvidence& aEvidence);
+
+/** Whether the evidence is on content that only equal requests share. */
+bool
+IsExact(const CrashEvidence& aEvidence);
+
 /** Whether the content may be rejected. */
 bool
 IsConclusive(const CrashEvidence& aEvidence);
--- a/src/gateway/backend/backend_conn.cpp
+++ b/src/gateway/backend/backend_conn.cpp
@@ -9,6 +9,8 @@
 #include "gateway/guidance/guidance_internal.h"
 #include "gateway/request/request_internal.h"
 
+#include "table/suspicion_table.h"
+
 #include <algorithm>
 
 namespace camphorfield {
@@ -184,7 +186,7 @@
                                                    : "connections not accepted";
   if (backend->connections_.size() == backend->opening_) {
     RecordFailure(aStep, *backend, reason);
-    RecordCrash(aStep, key, reason);
+    RecordCrash(aStep, key, CrashSign::Unreachable, reason);
   }
   MarkService(aStep.state_, backend->service_);
 }
@@ -231,15 +233,14 @@
   const Attempt& attempt = *FindSlot(state.attempts_, attemptKey);
   const GatewayRun* run = FindSlot(state.runs_, attempt.run_);
   // A server may crash in its answer, too. Bytes that are no answer come from a
-  // server that runs, and a process that ends closes its connections, so
-  // attempts that end by silence show a lost VM or network instead.
+  // server that runs.
   const AttemptEnd end = ToAttemptEnd(aClosed.end_);
   if (run != nullptr && end == AttemptEnd::Broken) {
-    RecordBrokenConnection(aStep,
-                           *FindSlot(state.backends_, aConn.backend_),
-                           *run,
-                           attempt.part_,
-                           aClosed.end_);
+    RecordLostAttempt(aStep,
+                      *run,
+                      attempt,
+                      AttemptLoss::Broken,
+                      kBackendEndNames[static_cast<std::size_t>(aClosed.end_)]);
   }
   EndAttempt(aStep, attemptKey, end);
 }
@@ -411,8 +412,9 @@
   conn->usedAt_ = aNow.mono_;
   conn->expiresAt_ = aNow.mono_ + kDefaultKeepAlive;
   --backend.opening_;
-  backend.restarts_ += backend.crashed_ ? 1 : 0;
   if (backend.crashed_) {
+    ++backend.restarts_;
+    backend.incarnation_ = HashIncarnation(backend);
     AssumeCold(step, backend, "it has restarted");
   }
   backend.crashed_ = false;
--- a/src/gateway/backend/backend_health.cpp
+++ b/src/gateway/backend/backend_health.cpp
@@ -286,7 +286,8 @@
 void
 EjectMisdirected(GatewayStep& aStep, Backend& aBackend)
 {
-  RecordCrash(aStep, aBackend.key_, "another server has its address");
+  RecordCrash(
+    aStep, aBackend.key_, CrashSign::Gone, "another server has its address");
   aBackend.ejection_ = kEjectionCeiling;
   Eject(aStep, aBackend, "another server has its address");
 }
--- a/src/gateway/backend/backend_table.cpp
+++ b/src/gateway/backend/backend_table.cpp
@@ -19,9 +19,8 @@
 void
 RecordReplaced(GatewayStep& aStep, const BackendEntry& aEntry)
 {
-  const std::deque<BrokenConnection>& broken = aStep.state_.broken_;
   std::set<std::uint64_t> replaced;
-  for (const BrokenConnection& one : broken) {
+  for (const LostAttempt& one : aStep.state_.lost_) {
     const Backend* backend = FindSlot(aStep.state_.backends_, one.backend_);
     if (!one.crashed_ && backend != nullptr &&
         backend->entry_.address_ == aEntry.address_) {
@@ -29,7 +28,7 @@
     }
   }
   for (const std::uint64_t key : replaced) {
-    RecordCrash(aStep, key, "another server has its address");
+    RecordCrash(aStep, key, CrashSign::Gone, "another server has its address");
   }
 }
 
@@ -38,12 +37,14 @@
 {
   GatewayState& state = aStep.state_;
   RecordReplaced(aStep, aEntry);
+  RefuteCrash(aStep, aEntry);
   Backend& backend = AllocateSlot(state.backends_);
   const std::uint64_t key = backend.key_;
   backend = Backend{};
   backend.key_ = key;
   backend.entry_ = aEntry;
   backend.service_ = FindOrAddService(state, aEntry.service_);
+  backend.incarnation_ = HashIncarnation(backend);
   backend.leaving_ =
     state.leavingSince_.count({ aEntry.id_, aEntry.startedMillis_ }) > 0;
   RestoreGuidance(aStep, backend);
@@ -65,7 +66,7 @@
 {
   GatewayState& state = aStep.state_;
   if (IsUsable(aBackend)) {
-    RecordCrash(aStep, aBackend.key_, "no longer listed");
+    RecordCrash(aStep, aBackend.key_, CrashSign::Gone, "no longer listed");
   }
   KeepGuidance(aStep, aBackend);
   aBackend.listed_ = false;
--- a/src/gateway/crash/crash_guard.h
+++ b/src/gateway/crash/crash_guard.h
@@ -27,29 +27,58 @@
 bool
 IsSuspectedOnAllShards(const GatewayState& aState, const ContentKeys& aContent);
 
-/** Records a connection that broke with a request in flight. */
+/** Hash of a server's id, start and restarts. */
+std::uint64_t
+HashIncarnation(const Backend& aBackend);
+
+/** How it shows that a server has crashed. */
+enum class CrashSign : std::uint8_t
+{
+  Unreachable, ///< It accepts no connections; a machine that is silent may run.
+  Gone         ///< Its entry has lapsed, or another server has its place.
+};
+
+/**
+ * Records that an attempt of a run ends without an answer, unless its server
+ * has answered others meanwhile.
+ * @param aReason Why its connection ended; AttemptLoss::Broken only.
+ */
 void
-RecordBrokenConnection(GatewayStep& aStep,
-                       const Backend& aBackend,
-                       const GatewayRun& aRun,
-                       std::uint32_t aPart,
-                       BackendEnd aEnd);
+RecordLostAttempt(GatewayStep& aStep,
+                  const GatewayRun& aRun,
+                  const Attempt& aAttempt,
+                  AttemptLoss aLoss,
+                  const char* aReason = "");
 
-/** Records that a server has crashed: its connections broke because of that. */
+/** Counts the silence of servers as crashes under content that has crashed
+ * many, until their fate is known. */
+void
+AssumeCrashes(GatewayStep& aStep);
+
+/** Records that a server has crashed: it answers no attempt because of that. */
 void
 RecordCrash(GatewayStep& aStep,
             std::uint64_t aBackend,
+            CrashSign aSign,
             const std::string& aReason);
 
-/**
- * Drops the broken connections of a server that has answered a request: it has
- * not crashed between the opening of the connection and the send.
- */
+/** Records an answer of a server. Drops the lost attempts during which it was
+ * up: after the opening of the connection and before the send. */
 void
-RefuteCrash(GatewayState& aState,
-            std::uint64_t aBackend,
-            TimePoint aOpenedAt,
-            TimePoint aSentAt);
+RecordLifeSign(GatewayStep& aStep,
+               Backend& aBackend,
+               TimePoint aOpenedAt,
+               TimePoint aSentAt);
+
+/** Records the answer of a server to an attempt that was cancelled. */
+void
+RecordLateAnswer(GatewayStep& aStep,
+                 Backend& aBackend,
+                 const std::string& aRequestId);
+
+/** Drops the evidence from the crash of an incarnation that is listed again. */
+void
+RefuteCrash(GatewayStep& aStep, const BackendEntry& aEntry);
 
 /** Drops the evidence against content that has been answered. */
 void
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,8 @@
 // are opened ahead of load, and the daemon's processor load is estimated.
 #include "gateway/admission/admission_internal.h"
 #include "gateway/backend/backend_internal.h"
+#include "gateway/crash/crash_guard.h"
+#include "gateway/crash/server_silence.h"
 #include "gateway/gateway_func.h"
 #include "gateway/guidance/guidance_internal.h"
 #include "gateway/request/request_internal.h"
@@ -76,6 +78,8 @@
       UpdateCpuLoad(aStep.state_, aStep.Time());
       MaintainColdPlan(aStep.state_, aStep.now_);
       MaintainConnections(aStep);
+      AssumeCrashes(aStep);
+      ReportSilences(aStep);
       AddTimer(aStep.state_.timers_,
                { aStep.Time() + kMaintenanceInterval,
                  0,
--- a/src/gateway/gateway_base.h
+++ b/src/gateway/gateway_base.h
@@ -67,6 +67,9 @@
   /** Time after which each reachable daemon has a new configuration in force;
    * zero: unknown. */
   Duration configApply_{};
+  /** Time after which the platform has dropped the entry of a silent server;
+   * zero: unknown. */
+  Duration entryLapse_{};
   DaemonId self_;
   CapTolerance capTolerance_; ///< Rates of organisations.
   /** Bound on the requests that reach a cold server in a second; both zero: no
@@ -100,6 +103,15 @@
   CarriedIds carried_;
 };
 
+/** The latest answer of a server. */
+struct LifeSign
+{
+  TimePoint at_{};
+  /** When its connection was opened. The connection has one incarnation of the
+   * server at its other end, but a later one may have the same id. */
+  TimePoint openedAt_{};
+};
+
 /** One incarnation of a backend server. */
 struct Backend
 {
@@ -130,11 +142,13 @@
   bool echoesIds_ = false; ///< An answer had its request's id.
   bool leaving_ = false;   ///< It said so in an answer.
   bool crashed_ = false;   ///< Cleared when a connection opens again.
+  LifeSign lifeSign_;
   /** Ends after which it accepted connections again, before its next entry was
    * known. */
   std::uint64_t restarts_ = 0;
-  TimePoint pausedUntil_{}; ///< It wants no requests before.
-  bool evacuated_ = false;  ///< Its failure domain is.
+  std::uint64_t incarnation_ = 0; ///< Hash of id, start and restarts_.
+  TimePoint pausedUntil_{};       ///< It wants no requests before.
+  bool evacuated_ = false;        ///< Its failure domain is.
   ColdPhase cold_;
   BackendWork work_; ///< PlacementMode::Cost only.
 };
@@ -294,6 +308,8 @@
   TimePoint sentAt_{};
   Duration expected_{}; ///< Median latency of the route when it was sent.
   bool hedge_ = false;
+  TimePoint aliveAt_{}; ///< Latest answer of the server before it was sent.
+  bool isLost_ = false; ///< It is among the lost attempts already.
   std::shared_ptr<const CostEstimate> cost_{}; ///< PlacementMode::Cost only.
   PlacementEstimate estimate_{};               ///< When it was sent.
   /** Of a hedge: time in thousandths of the expected one, if the delay on the
@@ -309,26 +325,53 @@
   TimePoint until_{};
 };
 
-/** A connection that broke with a request in flight. It is evidence against the
- * content if the server has crashed and the request ends without an answer. */
-struct BrokenConnection
+/** How an attempt ended without an answer. */
+enum class AttemptLoss : std::uint8_t
+{
+  Broken,    ///< Its connection ended.
+  Silent,    ///< It was given up because its server was silent.
+  Cancelled, ///< Its request ended before.
+  End        ///< Number of ways.
+};
+
+/** An attempt that ended without an answer. It is evidence against the content
+ * if the server has crashed and the request ends without an answer. */
+struct LostAttempt
 {
   TimePoint at_{};
+  TimePoint sentAt_{};
+  std::int64_t lostUnixMicros_ = 0; ///< Unix time of at_, microseconds.
+  std::int64_t sentUnixMicros_ = 0; ///< The same of sentAt_.
+  AttemptLoss loss_ = AttemptLoss::Broken;
   std::uint64_t backend_ = 0;
-  std::string server_;           ///< Its id.
-  std::uint64_t serverHash_ = 0; ///< Hash of its incarnation.
-  std::uint64_t run_ = 0;        ///< Zero once the request has ended.
+  std::string server_;             ///< Its id.
+  std::int64_t startedMillis_ = 0; ///< Of the server, in its entry.
+  std::uint64_t serverHash_ = 0;   ///< Backend::incarnation_.
+  std::uint64_t run_ = 0;          ///< Zero once the request has ended.
   std::uint32_t part_ = 0;
   ContentKeys content_{};
   std::uint64_t service_ = 0; ///< Hash of the part's service.
   bool isPartial_ = false;    ///< Other parts of the request were answered.
-  std::uint64_t moment_ = 0;  ///< Of the break, see ServerCrash.
-  bool crashed_ = false;      ///< The server turned out to have crashed.
+  /** Between these the server crashed, if it did, as far as this attempt tells.
+   * Unix times in microseconds; zero: unknown. */
+  std::int64_t aliveUnixMicros_ = 0;
+  std::int64_t crashedByUnixMicros_ = 0;
+  bool crashed_ = false;   ///< The server turned out to have crashed.
+  bool isAssumed_ = false; ///< crashed_, but its fate isn't known yet.
+  bool reported_ = false;  ///< Other daemons know of the server's silence.
   std::string requestId_;
   std::string caller_;
   std::string target_; ///< Host, path and query.
 };
 
+/** A server's silence as one daemon sees it. Unix times in microseconds. */
+struct SilenceReport
+{
+  std::int64_t aliveUnixMicros_ = 0;     ///< Its latest answer; zero: unknown.
+  std::int64_t crashedByUnixMicros_ = 0; ///< It had crashed then, if it did.
+  TimePoint until_{};
+};
+
 /** Planned end of the process. */
 struct PlannedStop
 {
@@ -369,6 +412,10 @@
   /** Requests rejected because servers' limits left no room in time. */
   std::uint64_t limitRejections_ = 0;
   std::uint64_t crashesSuspected_ = 0; ///< Requests in flight at a crash.
+  /** Attempts without an answer whose server has been silent since. */
+  std::uint64_t silentAttempts_ = 0;
+  std::uint64_t silencesReported_ = 0; ///< To other daemons.
+  std::uint64_t crashesRefuted_ = 0;   ///< Of crashesSuspected_: it still runs.
   /** Unknown keys rejected as not ready, because the tables were stale. */
   std::uint64_t staleKeyRejections_ = 0;
   std::uint64_t revokedRuns_ = 0; ///< Requests whose key was withdrawn.
@@ -429,7 +476,13 @@
   std::vector<ServiceNumber> marked_;
   BasicTimerHeap<GatewayTimer> timers_;
   std::map<std::uint64_t, SuspectContent> suspects_; ///< By fingerprint.
-  std::deque<BrokenConnection> broken_;
+  std::deque<LostAttempt> lost_;                     ///< In the order of at_.
+  /** When content was found last that crashes servers, Unix microseconds. */
+  std::int64_t culpritUnixMicros_ = 0;
+  /** What daemons report, by Backend::incarnation_. */
+  std::map<std::uint64_t, std::vector<SilenceReport>> silences_;
+  TimePoint silenceReportsFrom_{};   ///< Begin of the second that is counted.
+  std::uint32_t silenceReports_ = 0; ///< Sent in that second.
   /** Until then each query runs on one shard first, see query_probe.cpp. */
   TimePoint crashWaveUntil_{};
   std::uint32_t daemons_ = 1;  ///< Daemons sharing servers' connections.
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -138,8 +138,24 @@
 /** Time after a broken connection in which it may turn out that its server has
  * crashed: the platform drops a silent server's entry after some seconds. */
 constexpr Duration kCrashWindow = seconds(6);
-/** Broken connections that are remembered for as long. */
-constexpr std::size_t kMaxBroken = 1024;
+/** The same after an attempt without an answer. The server's fate is known when
+ * its entry lapses or it starts again, which takes longer while the store is
+ * unavailable; a server that still runs answers another request before. */
+constexpr Duration kSilentCrashWindow = seconds(20);
+/** Silence of a server after which it counts as crashed under content that has
+ * crashed many; longer than servers pause. */
+constexpr Duration kSuspectSilence = milliseconds(400);
+/** Reports of silent servers that a daemon sends in a second: where a network
+ * fails, all servers are silent. */
+constexpr std::uint32_t kMaxSilenceReports = 8;
+/** Reports on one server that are remembered. */
+constexpr std::size_t kMaxReportsOfServer = 16;
+/** Servers with such reports. */
+constexpr std::size_t kMaxSilentServers = 256;
+/** Clocks of daemons may differ by this. */
+constexpr Duration kClockTolerance = milliseconds(500);
+/** Attempts without an answer that are remembered for as long. */
+constexpr std::size_t kMaxLostAttempts = 1024;
 constexpr Duration kSuspectTtl = seconds(300);
 /** The same for evidence on what many requests share: a wrong quarantine
  * concerns more callers. */
--- a/src/gateway/gateway_func.h
+++ b/src/gateway/gateway_func.h
@@ -6,6 +6,7 @@
 #include "machine/event_type.h"
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -85,6 +86,15 @@
                     const Now& aNow,
                     Duration aLeft = Duration::max());
 
+/**
+ * Returns what this daemon adds to another one's report of a silent server.
+ * @param aEvidence Evidence of any kind, after GatewayAdoptSuspect.
+ */
+std::optional<SuspectFound>
+GatewayReplyToReport(GatewayState& aState,
+                     const CrashEvidence& aEvidence,
+                     const Now& aNow);
+
 /** Rejects or forwards a request. Each gets exactly one ProxyAnswer, unless its
  * caller leaves. */
 void
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -314,6 +314,7 @@
   Broke,       ///< Its connection broke with the request in flight.
   Crashed,     ///< It turned out to have crashed.
   Quarantined, ///< The content is rejected from now on.
+  Refuted,     ///< It has not crashed: the same incarnation still runs.
   End          ///< Number of events.
 };
 
--- a/src/gateway/request/attempt.cpp
+++ b/src/gateway/request/attempt.cpp
@@ -66,7 +66,8 @@
                      conn.key_,
                      aStep.Time(),
                      TypicalLatency(*aRun.load_, *aRun.route_),
-                     aHedge };
+                     aHedge,
+                     backend.lifeSign_.at_ };
   if (aRun.cost_ != nullptr) {
     attempt.cost_ = aRun.cost_;
     attempt.estimate_ = state.placement_.chosen_;
--- a/src/gateway/request/attempt_answer.cpp
+++ b/src/gateway/request/attempt_answer.cpp
@@ -243,6 +243,7 @@
     RecordPendingTime(aStep, *FindSlot(state.backends_, slot->backend_), *slot);
     return;
   }
+  RecordLostAttempt(aStep, *run, *slot, AttemptLoss::Silent);
   const Attempt attempt = Detach(aStep, aAttempt);
   RecordAttemptEnd(aStep,
                    *FindSlot(state.backends_, attempt.backend_),
@@ -336,7 +337,7 @@
   // If it was a copy, the answer is still to come.
   aAnswer.closing_ = aAnswer.closing_ || !isTrusted;
   const Attempt attempt = Detach(step, key);
-  RefuteCrash(aState, backend.key_, conn->openedAt_, attempt.sentAt_);
+  RecordLifeSign(step, backend, conn->openedAt_, attempt.sentAt_);
   RecordGuidance(step, backend, aAnswer);
   Release(step, attempt, aAnswer);
   GatewayRun* run = FindSlot(aState.runs_, attempt.run_);
@@ -367,6 +368,7 @@
   const bool isOther = !requestId.empty() && aUnread.requestHash_ != 0 &&
                        HashText(requestId) != aUnread.requestHash_;
   if (backend != nullptr && !isOther) {
+    RecordLateAnswer(step, *backend, requestId);
     RecordGuidance(step, *backend, aUnread.answer_);
   }
 }
--- a/src/gateway/request/request_answer.cpp
+++ b/src/gateway/request/request_answer.cpp
@@ -180,6 +180,25 @@
                      });
 }
 
+/** Records the attempts that are in flight at the end of their run. */
+void
+RecordUnanswered(GatewayStep& aStep, const GatewayRun& aRun)
+{
+  for (const RequestPart& part : aRun.parts_) {
+    if (part.phase_ == PartPhase::Done) {
+      continue;
+    }
+    for (const std::uint64_t key : part.attempts_) {
+      if (key != 0) {
+        RecordLostAttempt(aStep,
+                          aRun,
+                          *FindSlot(aStep.state_.attempts_, key),
+                          AttemptLoss::Cancelled);
+      }
+    }
+  }
+}
+
 } // namespace
 
 void
@@ -199,6 +218,7 @@
 {
   GatewayState& state = aStep.state_;
   const bool stop = aRun.route_->kind_ == RequestKind::Idempotent;
+  RecordUnanswered(aStep, aRun);
   SettleSuspicion(aStep, aRun);
   for (RequestPart& part : aRun.parts_) {
     if (part.phase_ == PartPhase::Waiting) {
--- a/src/membership/rumor.cpp
+++ b/src/membership/rumor.cpp
@@ -90,9 +90,10 @@
     return RumorRank::First;
   }
   const CrashEvidence& evidence = quarantine->evidence_;
-  return evidence.requests_.size() > 1  ? RumorRank::First
-         : evidence.servers_.size() > 1 ? RumorRank::Second
-                                        : RumorRank::Last;
+  return evidence.requests_.size() > 1 ? RumorRank::First
+         : evidence.servers_.size() > 1 || IsSilenceReport(evidence)
+           ? RumorRank::Second
+           : RumorRank::Last;
 }
 
 std::size_t
@@ -102,9 +103,11 @@
     return kRumorBytes + leaving->server_.size();
   }
   const CrashEvidence& evidence = std::get<QuarantineRumor>(aRumor).evidence_;
+  const std::size_t times = (evidence.firstCrashedBy_ != 0 ? 1U : 0U) +
+                            (evidence.lastAliveAt_ != 0 ? 1U : 0U);
   return kRumorBytes +
          kHashBytes * (evidence.servers_.size() + evidence.requests_.size() +
-                       evidence.moments_.size());
+                       evidence.moments_.size() + times);
 }
 
 bool
--- a/src/ops/gateway_metrics.cpp
+++ b/src/ops/gateway_metrics.cpp
@@ -58,7 +58,10 @@
   { "camphorfield_gateway_evacuated_parts_total",  "Waiting parts that lost all servers to evacuations", &GatewayStats::evacuatedParts_ },
   { "camphorfield_gateway_cold_phases_total",      "Times that a server with a limit became cold", &GatewayStats::coldPhases_ },
   { "camphorfield_gateway_cold_sends_total",       "Requests sent to cold servers",               &GatewayStats::coldSends_ },
-  { "camphorfield_gateway_crashes_suspected_total", "Requests in flight when their server crashed",   &GatewayStats::crashesSuspected_ },
+  { "camphorfield_gateway_crashes_suspected_total", "Requests in flight when their server crashed", &GatewayStats::crashesSuspected_ },
+  { "camphorfield_gateway_crashes_refuted_total", "Of these, whose server turned out to run",   &GatewayStats::crashesRefuted_ },
+  { "camphorfield_gateway_silences_reported_total", "Reports to other daemons of silent servers", &GatewayStats::silencesReported_ },
+  { "camphorfield_gateway_silent_attempts_total", "Requests without an answer from servers that were silent",   &GatewayStats::silentAttempts_ },
 };
 
 /** Counter of the spread of tables. */
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -592,6 +592,16 @@
   this->moments = val;
 __isset.moments = true;
 }
+
+void QuarantineRumor::__set_firstCrashedBy(const int64_t val) {
+  this->firstCrashedBy = val;
+__isset.firstCrashedBy = true;
+}
+
+void QuarantineRumor::__set_lastAliveAt(const int64_t val) {
+  this->lastAliveAt = val;
+__isset.lastAliveAt = true;
+}
 std::ostream& operator<<(std::ostream& out, const QuarantineRumor& obj)
 {
   obj.printTo(out);
@@ -712,6 +722,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->firstCrashedBy);
+          this->__isset.firstCrashedBy = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastAliveAt);
+          this->__isset.lastAliveAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -788,6 +814,16 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.firstCrashedBy) {
+    xfer += oprot->writeFieldBegin("firstCrashedBy", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->firstCrashedBy);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.lastAliveAt) {
+    xfer += oprot->writeFieldBegin("lastAliveAt", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->lastAliveAt);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -802,6 +838,8 @@
   swap(a.servers, b.servers);
   swap(a.requests, b.requests);
   swap(a.moments, b.moments);
+  swap(a.firstCrashedBy, b.firstCrashedBy);
+  swap(a.lastAliveAt, b.lastAliveAt);
   swap(a.__isset, b.__isset);
 }
 
@@ -813,6 +851,8 @@
   servers = other22.servers;
   requests = other22.requests;
   moments = other22.moments;
+  firstCrashedBy = other22.firstCrashedBy;
+  lastAliveAt = other22.lastAliveAt;
   __isset = other22.__isset;
 }
 QuarantineRumor& QuarantineRumor::operator=(const QuarantineRumor& other23) {
@@ -823,6 +863,8 @@
   servers = other23.servers;
   requests = other23.requests;
   moments = other23.moments;
+  firstCrashedBy = other23.firstCrashedBy;
+  lastAliveAt = other23.lastAliveAt;
   __isset = other23.__isset;
   return *this;
 }
@@ -836,6 +878,8 @@
   out << ", " << "servers="; (__isset.servers ? (out << to_string(servers)) : (out << "<null>"));
   out << ", " << "requests="; (__isset.requests ? (out << to_string(requests)) : (out << "<null>"));
   out << ", " << "moments="; (__isset.moments ? (out << to_string(moments)) : (out << "<null>"));
+  out << ", " << "firstCrashedBy="; (__isset.firstCrashedBy ? (out << to_string(firstCrashedBy)) : (out << "<null>"));
+  out << ", " << "lastAliveAt="; (__isset.lastAliveAt ? (out << to_string(lastAliveAt)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -295,7 +295,7 @@
 std::ostream& operator<<(std::ostream& out, const LeavingRumor& obj);
 
 typedef struct _QuarantineRumor__isset {
-  _QuarantineRumor__isset() : fingerprint(false), crashes(false), untilUnixMicros(false), epoch(false), servers(false), requests(false), moments(false) {}
+  _QuarantineRumor__isset() : fingerprint(false), crashes(false), untilUnixMicros(false), epoch(false), servers(false), requests(false), moments(false), firstCrashedBy(false), lastAliveAt(false) {}
   bool fingerprint :1;
   bool crashes :1;
   bool untilUnixMicros :1;
@@ -303,6 +303,8 @@
   bool servers :1;
   bool requests :1;
   bool moments :1;
+  bool firstCrashedBy :1;
+  bool lastAliveAt :1;
 } _QuarantineRumor__isset;
 
 class QuarantineRumor : public virtual ::apache::thrift::TBase {
@@ -314,7 +316,9 @@
                   : fingerprint(0),
                     crashes(0),
                     untilUnixMicros(0),
-                    epoch(0) {
+                    epoch(0),
+                    firstCrashedBy(0),
+                    lastAliveAt(0) {
   }
 
   virtual ~QuarantineRumor() noexcept;
@@ -325,6 +329,8 @@
   std::vector<int64_t>  servers;
   std::vector<int64_t>  requests;
   std::vector<int64_t>  moments;
+  int64_t firstCrashedBy;
+  int64_t lastAliveAt;
 
   _QuarantineRumor__isset __isset;
 
@@ -342,6 +348,10 @@
 
   void __set_moments(const std::vector<int64_t> & val);
 
+  void __set_firstCrashedBy(const int64_t val);
+
+  void __set_lastAliveAt(const int64_t val);
+
   bool operator == (const QuarantineRumor & rhs) const
   {
     if (__isset.fingerprint != rhs.__isset.fingerprint)
@@ -372,6 +382,14 @@
       return false;
     else if (__isset.moments && !(moments == rhs.moments))
       return false;
+    if (__isset.firstCrashedBy != rhs.__isset.firstCrashedBy)
+      return false;
+    else if (__isset.firstCrashedBy && !(firstCrashedBy == rhs.firstCrashedBy))
+      return false;
+    if (__isset.lastAliveAt != rhs.__isset.lastAliveAt)
+      return false;
+    else if (__isset.lastAliveAt && !(lastAliveAt == rhs.lastAliveAt))
+      return false;
     return true;
   }
   bool operator != (const QuarantineRumor &rhs) const {
--- a/src/peer/gossip_wire.cpp
+++ b/src/peer/gossip_wire.cpp
@@ -36,6 +36,14 @@
       { evidence.requests_.begin(), evidence.requests_.end() });
     wireQuarantine.__set_moments(
       { evidence.moments_.begin(), evidence.moments_.end() });
+    if (evidence.firstCrashedBy_ != 0) {
+      wireQuarantine.__set_firstCrashedBy(
+        static_cast<std::int64_t>(evidence.firstCrashedBy_));
+    }
+    if (evidence.lastAliveAt_ != 0) {
+      wireQuarantine.__set_lastAliveAt(
+        static_cast<std::int64_t>(evidence.lastAliveAt_));
+    }
   }
   out.__set_quarantine(wireQuarantine);
   return out;
@@ -63,7 +71,9 @@
     { static_cast<std::uint32_t>(aWire.quarantine.epoch),
       { aWire.quarantine.servers.begin(), aWire.quarantine.servers.end() },
       { aWire.quarantine.requests.begin(), aWire.quarantine.requests.end() },
-      { aWire.quarantine.moments.begin(), aWire.quarantine.moments.end() } });
+      { aWire.quarantine.moments.begin(), aWire.quarantine.moments.end() },
+      static_cast<std::uint64_t>(aWire.quarantine.firstCrashedBy),
+      static_cast<std::uint64_t>(aWire.quarantine.lastAliveAt) });
   return quarantine;
 }
 
--- a/src/runtime/gateway_host.cpp
+++ b/src/runtime/gateway_host.cpp
@@ -176,13 +176,7 @@
       } else if constexpr (std::is_same_v<Item, BackendDisconnect>) {
         backends_.Disconnect(aItem);
       } else if constexpr (std::is_same_v<Item, SuspectFound>) {
-        QuarantineRumor rumor;
-        rumor.fingerprint_ = Fingerprint{ aItem.fingerprint_ };
-        rumor.evidence_ = aItem.evidence_;
-        rumor.untilUnixMicros_ =
-          ReadClock().unixMicros_ + Duration(kSuspectTtl).count();
-        HandleMembershipEvent(SpreadRumor{ rumor });
-        evidence_.Record(aItem.fingerprint_, aItem.evidence_, true);
+        SpreadEvidence(aItem);
       } else if constexpr (std::is_same_v<Item, CapSend>) {
         SendCapMessage(aItem);
       } else if constexpr (std::is_same_v<Item, RequestRecord>) {
@@ -217,15 +211,37 @@
   }
 }
 
+void
+GatewayHost::SpreadEvidence(const SuspectFound& aFound)
+{
+  const bool isReport = IsSilenceReport(aFound.evidence_);
+  const Duration timeToLive =
+    isReport ? Duration(kSilentCrashWindow) : Duration(kSuspectTtl);
+  QuarantineRumor rumor;
+  rumor.fingerprint_ = Fingerprint{ aFound.fingerprint_ };
+  rumor.evidence_ = aFound.evidence_;
+  rumor.untilUnixMicros_ = ReadClock().unixMicros_ + timeToLive.count();
+  HandleMembershipEvent(SpreadRumor{ rumor });
+  if (!isReport) {
+    evidence_.Record(aFound.fingerprint_, aFound.evidence_, true);
+  }
+}
+
 void
 GatewayHost::AdoptEvidence(const QuarantineRumor& aRumor)
 {
   const std::uint64_t fingerprint = aRumor.fingerprint_.value_;
-  evidence_.Record(fingerprint, aRumor.evidence_, false);
-  if (GatewayAdoptSuspect(
-        gateway_, fingerprint, aRumor.evidence_, ReadClock())) {
+  const Now now = ReadClock();
+  if (!IsSilenceReport(aRumor.evidence_)) {
+    evidence_.Record(fingerprint, aRumor.evidence_, false);
+  }
+  if (GatewayAdoptSuspect(gateway_, fingerprint, aRumor.evidence_, now)) {
     LogQuarantine(fingerprint, "evidence of another daemon");
   }
+  if (const auto reply =
+        GatewayReplyToReport(gateway_, aRumor.evidence_, now)) {
+    SpreadEvidence(*reply);
+  }
 }
 
 void
--- a/src/runtime/gateway_host.h
+++ b/src/runtime/gateway_host.h
@@ -160,6 +160,7 @@
   void ApplyDecisions();
   void ApplyDecision(GatewayDecision& aDecision);
   void ApplyMembershipDecisions();
+  void SpreadEvidence(const SuspectFound& aFound);
   void AdoptEvidence(const QuarantineRumor& aRumor);
   void AdoptStoredEvidence(const EvidenceItems& aItems);
   void LogQuarantine(std::uint64_t aFingerprint, const char* aReason);
--- a/src/table/suspicion_table.h
+++ b/src/table/suspicion_table.h
@@ -11,7 +11,8 @@
 constexpr std::array<const char*, static_cast<std::size_t>(SuspicionEvent::End)>
   kSuspicionMessages{ "connection broke under a request",
                       "server crashed under a request",
-                      "content quarantined" };
+                      "content quarantined",
+                      "server did not crash under a request" };
 
 /** Names of the reasons for the end of a connection. */
 constexpr std::array<const char*, static_cast<std::size_t>(BackendEnd::End)>
--- a/tests/adapter/evidence_codec_test.cpp
+++ b/tests/adapter/evidence_codec_test.cpp
@@ -16,10 +16,13 @@
   EvidenceCall call;
   call.op_ = aOp;
   call.revision_ = 41;
-  call.items_[0xfedcba9876543210U] = {
-    { 2, { 1, 0xffffffffffffffffU }, { 3 }, { kExactMoment | 9U } },
-    1700000000123000
-  };
+  call.items_[0xfedcba9876543210U] = { { 2,
+                                         { 1, 0xffffffffffffffffU },
+                                         { 3 },
+                                         { kExactMoment | 9U },
+                                         kExactMoment | 8U,
+                                         kExactMoment | 12U },
+                                       1700000000123000 };
   return call;
 }
 
--- a/tests/adapter/settings_file_test.cpp
+++ b/tests/adapter/settings_file_test.cpp
@@ -35,6 +35,7 @@
                                       "port-range=7380,7395\n"
                                       "seeds=10.1.0.9:8106,10.2.0.2:8106\n"
                                       "bounds.grace-s=6\n"
+                                      "heartbeat-ms=1200\n"
                                       "bounds.retry-budget-ratio=0.2\n"
                                       "bounds.budget-slack=52\n"
                                       "platform.address=10.200.1.7:8102\n"
@@ -54,6 +55,9 @@
   LONGS_EQUAL(1, settings->seeds_.size());
   DOUBLES_EQUAL(52.0, settings->budget_.slack_, 1e-9);
   CHECK_TRUE(settings->stopGrace_ == seconds(6));
+  CHECK_TRUE(settings->heartbeat_ == std::chrono::milliseconds(1200));
+  CHECK_TRUE(MakeHostSettings(*settings).gateway_.entryLapse_ >
+             3 * settings->heartbeat_);
 }
 
 // Each further table that is read costs calls of the store.
--- a/tests/core/crash_evidence_test.cpp
+++ b/tests/core/crash_evidence_test.cpp
@@ -17,11 +17,17 @@
     std::vector<CrashEvidence> reports;
     for (int i = 0; i < 6; ++i) {
       CrashEvidence report;
-      AddCrash(report, { 1 + rng() % 9, 1 + rng() % 5, rng() % 6 });
-      AddCrash(report, { 1 + rng() % 9, 1 + rng() % 5, rng() % 6 });
+      AddCrash(
+        report,
+        { 1 + rng() % 9, 1 + rng() % 5, rng() % 6, rng() % 6, rng() % 6 });
+      AddCrash(
+        report,
+        { 1 + rng() % 9, 1 + rng() % 5, rng() % 6, rng() % 6, rng() % 6 });
       if (rng() % 5 == 0) {
         RefuteEvidence(report);
-        AddCrash(report, { 1 + rng() % 9, 1 + rng() % 5, rng() % 6 });
+        AddCrash(
+          report,
+          { 1 + rng() % 9, 1 + rng() % 5, rng() % 6, rng() % 6, rng() % 6 });
       }
       reports.push_back(report);
     }
@@ -94,3 +100,54 @@
     CHECK_FALSE_TEXT(IsConclusive(evidence), item.name_);
   }
 }
+
+// A silent server's crash is known to lie between two moments only. Three that
+// happened together must not look like crashes at different times.
+TEST(CrashEvidence, CrashesTogetherSeemApart)
+{
+  struct Case
+  {
+    const char* name_;
+    std::uint64_t flag_;
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> crashes_;
+    bool conclusive_;
+  };
+  const std::vector<Case> cases{
+    { "found at different times",
+      kExactMoment,
+      { { 4, 6 }, { 5, 14 }, { 2, 30 } },
+      false },
+    { "one lived on for a moment",
+      kExactMoment,
+      { { 4, 6 }, { 7, 14 }, { 2, 30 } },
+      false },
+    { "one lived on", kExactMoment, { { 4, 6 }, { 8, 14 }, { 2, 30 } }, true },
+    { "last signs of life are unknown",
+      kExactMoment,
+      { { 0, 6 }, { 0, 14 }, { 0, 30 } },
+      false },
+    { "shared content, one lived on",
+      0,
+      { { 4, 6 }, { 9, 14 }, { 2, 30 } },
+      false },
+    { "shared content, one lived on for two seconds",
+      0,
+      { { 4, 6 }, { 10, 14 }, { 2, 30 } },
+      true },
+  };
+  for (const Case& item : cases) {
+    CrashEvidence evidence;
+    std::uint64_t number = 1;
+    for (const auto& [aliveAt, crashedBy] : item.crashes_) {
+      AddCrash(evidence,
+               { number,
+                 number,
+                 0,
+                 aliveAt == 0 ? 0 : aliveAt | item.flag_,
+                 crashedBy | item.flag_ });
+      ++number;
+    }
+    CHECK_TEXT(IsConclusive(evidence) == item.conclusive_, item.name_);
+    CHECK_TEXT(IsExact(evidence) == (item.flag_ != 0), item.name_);
+  }
+}
--- a/tests/gateway/answer_memory_test.cpp
+++ b/tests/gateway/answer_memory_test.cpp
@@ -132,7 +132,7 @@
                    decisions);
     LONGS_EQUAL_TEXT(item.sends_, CountOf<BackendSend>(decisions), item.name_);
     LONGS_EQUAL_TEXT(item.failures_, backend.failedInRow_, item.name_);
-    LONGS_EQUAL_TEXT(item.suspicions_, state.broken_.size(), item.name_);
+    LONGS_EQUAL_TEXT(item.suspicions_, state.lost_.size(), item.name_);
     LONGS_EQUAL_TEXT(0, backend.connectionLimit_, item.name_);
     CHECK_TEXT(backend.connectAfter_ <= replay.Clock(), item.name_);
   }
--- a/tests/gateway/crash_test.cpp
+++ b/tests/gateway/crash_test.cpp
@@ -44,15 +44,19 @@
   bool inAnswers_ = false; ///< Crashes and resets come in answers.
   /** Tries come in groups of kGroup, kGroupStep apart, as often as this. */
   Duration groupEvery_{};
+  bool dark_ = false; ///< Servers go silent; their connections stay open.
+  Duration triesFrom_{};
+  RequestKind kind_ = RequestKind::Idempotent; ///< Of a plain route.
+  Duration leavesAfter_{}; ///< The caller of a try; zero: after its answer.
 };
 
 GatewayRoute
-MakePlainRoute()
+MakePlainRoute(RequestKind aKind = RequestKind::Idempotent)
 {
   GatewayRoute route;
   route.name_ = "plain";
   route.prefix_ = "/plain/";
-  route.kind_ = RequestKind::Idempotent;
+  route.kind_ = aKind;
   route.timeout_ = seconds(4);
   route.objective_ = milliseconds(800);
   route.maxAttempts_ = 2;
@@ -75,7 +79,7 @@
       for (int i = 0; i < 5; ++i) {
         replay_.AddServer("shard0", 1.0);
       }
-      replay_.SetRoute(MakePlainRoute());
+      replay_.SetRoute(MakePlainRoute(aCase.kind_));
     } else {
       replay_.SetRoute(MakeQueryRoute(aCase.shards_, 0.75, 5));
     }
@@ -93,7 +97,7 @@
   {
     const std::string prefix = case_.shards_ == 0 ? "/plain/" : "/query/";
     const bool grouped = case_.groupEvery_ > Duration::zero();
-    for (Duration at{}; at < kTime;
+    for (Duration at = case_.triesFrom_; at < kTime;
          at += grouped ? case_.groupEvery_ : kPoisonEvery) {
       const std::string query =
         case_.variesQuery_ ? "?page=" + std::to_string(at.count()) : "";
@@ -138,19 +142,27 @@
   void Send(Duration aAt, const std::string& aTarget)
   {
     replay_.At(aAt, [this, aTarget]() {
+      const std::size_t daemon = rng_() % case_.daemons_;
       const std::uint64_t id = replay_.SendRequest(
-        rng_() % case_.daemons_,
+        daemon,
         aTarget,
         seconds(2),
         case_.variesCaller_ ? "c" + std::to_string(rng_() % 60) : "c");
       if (aTarget.find("good") != std::string::npos) {
         good_.push_back(id);
+      } else if (case_.leavesAfter_ > Duration::zero()) {
+        replay_.At(case_.leavesAfter_,
+                   [this, daemon, id]() { replay_.CancelRequest(daemon, id); });
       }
     });
   }
 
   void Crash(std::size_t aServer)
   {
+    if (case_.dark_) {
+      GoDark(aServer);
+      return;
+    }
     replay_.Crash(aServer, case_.after_);
     ModelServer& server = replay_.Servers()[aServer];
     replay_.At(case_.unlistedAfter_, [this, &server]() {
@@ -166,6 +178,19 @@
     });
   }
 
+  void GoDark(std::size_t aServer)
+  {
+    replay_.GoDark(aServer);
+    if (case_.unlistedAfter_ < case_.backAfter_) {
+      replay_.At(case_.unlistedAfter_, [this, aServer]() {
+        replay_.Servers()[aServer].listed_ = false;
+        replay_.Announce();
+      });
+    }
+    replay_.At(case_.backAfter_,
+               [this, aServer]() { replay_.Restart(aServer); });
+  }
+
   CrashCase case_;
   Replay replay_;
   Rng rng_;
@@ -201,14 +226,57 @@
   return cases;
 }
 
-} // namespace
-
-TEST_GROUP(Crash){};
+/** Servers that go dark for a while under a request. */
+std::vector<CrashCase>
+DarkCases()
+{
+  CrashCase dark{ "servers go dark, six daemons", 6 };
+  dark.dark_ = true;
+  dark.triesFrom_ = seconds(3);
+  std::vector<CrashCase> cases;
+  const auto add = [&cases](CrashCase aCase, const char* aName) {
+    aCase.name_ = aName;
+    cases.push_back(aCase);
+  };
+  add(dark, "six daemons");
+  CrashCase varied = dark;
+  varied.daemons_ = 1;
+  add(varied, "one daemon");
+  varied = dark;
+  varied.daemons_ = 20;
+  add(varied, "twenty daemons");
+  varied = dark;
+  varied.unlistedAfter_ = varied.backAfter_ = milliseconds(4500);
+  add(varied, "entries stay until the servers are back");
+  varied = dark;
+  varied.variesQuery_ = varied.variesCaller_ = true;
+  add(varied, "query string and address vary");
+  varied = dark;
+  varied.lostReports_ = 0.5;
+  add(varied, "half of the reports are lost");
+  varied = dark;
+  varied.kind_ = RequestKind::NonIdempotent;
+  add(varied, "requests that are sent once");
+  varied = dark;
+  varied.leavesAfter_ = milliseconds(300);
+  add(varied, "callers leave");
+  varied = dark;
+  varied.groupEvery_ = milliseconds(5200);
+  add(varied, "tries in groups while servers are down in between");
+  varied = dark;
+  varied.shards_ = 8;
+  add(varied, "a query, all shards");
+  varied.crashingShards_ = 1;
+  add(varied, "a query, one shard of eight");
+  return cases;
+}
 
-TEST(Crash, RepeatedRequestGoesOnCrashingServers)
+/** Requests that crash servers too late, by name of the case and seed. */
+std::string
+FindLateRequests(const std::vector<CrashCase>& aCases)
 {
   std::string failures;
-  for (const CrashCase& item : CrashCases()) {
+  for (const CrashCase& item : aCases) {
     for (const std::uint64_t seed : { 1, 2, 3 }) {
       CrashDay day(item, seed);
       day.Run();
@@ -222,14 +290,15 @@
       }
     }
   }
-  STRCMP_EQUAL("", failures.c_str());
+  return failures;
 }
 
-// Requests that were in flight when another one crashed their server.
-TEST(Crash, ContentBesideACrashingRequestIsQuarantined)
+/** Requests rejected for content that crashes nothing, likewise. */
+std::string
+FindQuarantinedGood(const std::vector<CrashCase>& aCases)
 {
   std::string failures;
-  for (const CrashCase& item : CrashCases()) {
+  for (const CrashCase& item : aCases) {
     for (const std::uint64_t seed : { 1, 2, 3 }) {
       CrashDay day(item, seed);
       day.Run();
@@ -240,7 +309,35 @@
       }
     }
   }
-  STRCMP_EQUAL("", failures.c_str());
+  return failures;
+}
+
+} // namespace
+
+TEST_GROUP(Crash){};
+
+TEST(Crash, RepeatedRequestGoesOnCrashingServers)
+{
+  STRCMP_EQUAL("", FindLateRequests(CrashCases()).c_str());
+}
+
+// Guards against review/14: a machine that goes dark ends no connection, so
+// that nothing was kept of the request that it ran.
+TEST(Crash, RequestUnderWhichServersGoDarkIsNeverQuarantined)
+{
+  STRCMP_EQUAL("", FindLateRequests(DarkCases()).c_str());
+}
+
+// Requests that were in flight when another one crashed their server.
+TEST(Crash, ContentBesideACrashingRequestIsQuarantined)
+{
+  STRCMP_EQUAL("", FindQuarantinedGood(CrashCases()).c_str());
+}
+
+// Requests to servers that went dark under another one.
+TEST(Crash, ContentBesideADarkServerIsQuarantined)
+{
+  STRCMP_EQUAL("", FindQuarantinedGood(DarkCases()).c_str());
 }
 
 // Content that is quarantined while a request with it is being served.
--- a/tests/gateway/innocent_test.cpp
+++ b/tests/gateway/innocent_test.cpp
@@ -87,6 +87,76 @@
   }
 }
 
+/** All servers go dark together, and are back one after the other. */
+void
+LosePowerDark(Replay& aReplay, Duration aAt)
+{
+  for (std::size_t i = 0; i < kServers; ++i) {
+    aReplay.At(aAt, [&aReplay, i]() { aReplay.GoDark(i); });
+    aReplay.At(aAt + milliseconds(4200) + i * milliseconds(150),
+               [&aReplay, i]() { aReplay.Restart(i); });
+  }
+  aReplay.At(aAt + milliseconds(3600), [&aReplay]() {
+    for (ModelServer& server : aReplay.Servers()) {
+      server.listed_ = false;
+    }
+    aReplay.Announce();
+  });
+}
+
+/** Servers go dark one after the other, under nothing, up to two at a time. */
+void
+DarkenServers(Replay& aReplay)
+{
+  for (std::size_t i = 0; i < 2 * kServers; ++i) {
+    const std::size_t server = i % kServers;
+    const Duration at = seconds(4) + i * milliseconds(2500);
+    aReplay.At(at, [&aReplay, server]() { aReplay.GoDark(server); });
+    aReplay.At(at + milliseconds(3600), [&aReplay, server]() {
+      aReplay.Servers()[server].listed_ = false;
+      aReplay.Announce();
+    });
+    aReplay.At(at + milliseconds(4500),
+               [&aReplay, server]() { aReplay.Restart(server); });
+  }
+}
+
+/** A server neither answers nor reaches the store for 4.5 s, then it goes on.
+ */
+void
+Freeze(Replay& aReplay, std::size_t aServer, Duration aAt)
+{
+  aReplay.At(aAt, [&aReplay, aServer]() { aReplay.GoDark(aServer); });
+  aReplay.At(aAt + milliseconds(3600), [&aReplay, aServer]() {
+    aReplay.Servers()[aServer].listed_ = false;
+    aReplay.Announce();
+  });
+  aReplay.At(aAt + milliseconds(4500), [&aReplay, aServer]() {
+    aReplay.Servers()[aServer].fault_ = ModelFault::None;
+    aReplay.Servers()[aServer].listed_ = true;
+    aReplay.Announce();
+  });
+}
+
+/** The link between the daemons and a service is cut, twice. */
+void
+CutLink(Replay& aReplay)
+{
+  for (const Duration at : { seconds(5), seconds(18) }) {
+    for (std::size_t i = 0; i < kServers; ++i) {
+      Freeze(aReplay, i, at);
+    }
+  }
+}
+
+void
+FreezeServers(Replay& aReplay)
+{
+  for (std::size_t i = 0; i < kServers; ++i) {
+    Freeze(aReplay, i, seconds(4) + i * milliseconds(2500));
+  }
+}
+
 void
 GarbleAnswers(Replay& aReplay)
 {
@@ -123,6 +193,16 @@
         LosePower(aReplay, seconds(5));
       } },
     { "copies and dropped connections", GarbleAnswers },
+    { "servers go dark in turn", DarkenServers },
+    { "servers go dark together",
+      [](Replay& aReplay) { LosePowerDark(aReplay, seconds(5)); } },
+    { "servers go dark together, twice",
+      [](Replay& aReplay) {
+        LosePowerDark(aReplay, seconds(5));
+        LosePowerDark(aReplay, seconds(17));
+      } },
+    { "a link is cut", CutLink },
+    { "servers freeze in turn", FreezeServers },
   };
   std::string failures;
   for (const OtherCause& cause : causes) {
--- a/tests/gateway/replay_fixture.cpp
+++ b/tests/gateway/replay_fixture.cpp
@@ -218,6 +218,10 @@
       At(std::chrono::milliseconds(50 + rng_() % 400), [this, i, aFound]() {
         GatewayAdoptSuspect(
           daemons_[i].state_, aFound.fingerprint_, aFound.evidence_, NowOf());
+        if (const auto reply = GatewayReplyToReport(
+              daemons_[i].state_, aFound.evidence_, NowOf())) {
+          Report(i, *reply);
+        }
       });
     }
   }
--- a/tests/gateway/replay_fixture.h
+++ b/tests/gateway/replay_fixture.h
@@ -173,6 +173,13 @@
   void Evacuate(const std::set<std::string>& aDomains, std::size_t aFirst = 0);
   /** Resets a server's connections; from then on it has the given fault. */
   void Crash(std::size_t aServer, ModelFault aAfter = ModelFault::Down);
+  /** Makes a server silent; its connections stay open. */
+  void GoDark(std::size_t aServer)
+  {
+    servers_[aServer].fault_ = ModelFault::Silent;
+  }
+  /** Starts a server again: its connections are reset, its work is lost. */
+  void Restart(std::size_t aServer);
   /** Called after each crash by a request, instead of leaving it down. */
   void OnCrash(std::function<void(std::size_t aServer)> aAction);
   const std::vector<ModelCrash>& Crashes() const { return crashes_; }
--- a/tests/gateway/replay_server_fixture.cpp
+++ b/tests/gateway/replay_server_fixture.cpp
@@ -254,6 +254,26 @@
   }
 }
 
+void
+Replay::Restart(std::size_t aServer)
+{
+  Crash(aServer, ModelFault::None);
+  ModelServer& server = servers_[aServer];
+  for (const auto& jobs :
+       { server.running_,
+         { server.waiting_.begin(), server.waiting_.end() } }) {
+    for (const std::uint64_t job : jobs) {
+      jobs_.erase(job);
+    }
+  }
+  server.waiting_.clear();
+  server.running_.clear();
+  server.draining_ = false;
+  server.listed_ = true;
+  ++server.incarnation_;
+  Announce();
+}
+
 void
 Replay::StartJobs(std::size_t aServer)
 {
--- a/tests/peer/peer_codec_test.cpp
+++ b/tests/peer/peer_codec_test.cpp
@@ -99,21 +99,24 @@
 GossipPing
 FullPing()
 {
-  return GossipPing{
-    3,
-    { FullRecord(), MinimalRecord() },
-    { LeavingRumor{ "b1", false, 123, true },
-      QuarantineRumor{
-        Fingerprint{ 0x9000000000000000ULL },
-        2,
-        456,
-        { 7, { 1, 2, 0x9000000000000000ULL }, { 4, 5 }, { 6 } } } },
-    0xaaaaaaaaaaaaaaaaULL,
-    true,
-    DaemonId{ 0xbbbbbbbbbbbbbbbbULL },
-    AdoptedSet{
-      Generation{ 4 }, 0xccccccccccccccccULL, std::string("\0\x81", 2) }
-  };
+  return GossipPing{ 3,
+                     { FullRecord(), MinimalRecord() },
+                     { LeavingRumor{ "b1", false, 123, true },
+                       QuarantineRumor{ Fingerprint{ 0x9000000000000000ULL },
+                                        2,
+                                        456,
+                                        { 7,
+                                          { 1, 2, 0x9000000000000000ULL },
+                                          { 4, 5 },
+                                          { 6 },
+                                          0x9000000000000008ULL,
+                                          12 } } },
+                     0xaaaaaaaaaaaaaaaaULL,
+                     true,
+                     DaemonId{ 0xbbbbbbbbbbbbbbbbULL },
+                     AdoptedSet{ Generation{ 4 },
+                                 0xccccccccccccccccULL,
+                                 std::string("\0\x81", 2) } };
 }
 
 /** One message of each kind. */
@@ -244,9 +247,13 @@
   CHECK_TRUE(quarantine.fingerprint_.value_ == 0x9000000000000000ULL);
   LONGS_EQUAL(2, quarantine.crashes_);
   LONGS_EQUAL(456, quarantine.untilUnixMicros_);
-  CHECK_TRUE(
-    quarantine.evidence_ ==
-    (CrashEvidence{ 7, { 1, 2, 0x9000000000000000ULL }, { 4, 5 }, { 6 } }));
+  CHECK_TRUE(quarantine.evidence_ ==
+             (CrashEvidence{ 7,
+                             { 1, 2, 0x9000000000000000ULL },
+                             { 4, 5 },
+                             { 6 },
+                             0x9000000000000008ULL,
+                             12 }));
   const GossipProbe probe = RoundTripBody(GossipProbe{ 6, FullRecord() });
   LONGS_EQUAL(6, probe.sequence_);
   CheckRecord(FullRecord(), probe.target_);
