Fix: requests that a server lost before it crashed are held against their content

Cause: a cancelled attempt closes its connection, and the server's later answers come on newer ones, which could be to another incarnation. They were no signs of life, so that a crash within 20 s counted against partial queries from before.

Change: an answer on a newer connection counts once it is 2 s old, since the entry of a server that starts again is known by then. Crashes that an attempt can't have caused are neither counted nor logged.

--- a/src/gateway/crash/crash_guard.cpp
+++ b/src/gateway/crash/crash_guard.cpp
@@ -128,15 +128,6 @@
   return crash;
 }
 
-/** Whether the crash of its server may be due to a lost attempt. */
-bool
-MayBeCause(const LostAttempt& aLost)
-{
-  // Sent to a server that had crashed already, or given up before.
-  return aLost.sentUnixMicros_ <= aLost.crashedByUnixMicros_ &&
-         aLost.aliveUnixMicros_ <= aLost.lostUnixMicros_;
-}
-
 /** Whether a server went silent before other content was found that crashes
  * servers. That content explains the crash better; without this, much of what
  * is in flight while servers go dark one after the other would be quarantined.
@@ -166,6 +157,14 @@
                                            std::move(aReason) });
 }
 
+bool
+MayBeCause(const LostAttempt& aLost)
+{
+  // Sent to a server that had crashed already, or given up before.
+  return aLost.sentUnixMicros_ <= aLost.crashedByUnixMicros_ &&
+         aLost.aliveUnixMicros_ <= aLost.lostUnixMicros_;
+}
+
 // The run may go on to crash a second server, and others follow it meanwhile.
 bool
 CompletesEvidence(GatewayState& aState, const LostAttempt& aLost)
--- a/src/gateway/crash/crash_internal.h
+++ b/src/gateway/crash/crash_internal.h
@@ -13,6 +13,10 @@
                 const LostAttempt& aLost,
                 std::string aReason);
 
+/** Whether the crash of its server may be due to a lost attempt. */
+bool
+MayBeCause(const LostAttempt& aLost);
+
 /** Whether a crash under a run without any answer completes the evidence. */
 bool
 CompletesEvidence(GatewayState& aState, const LostAttempt& aLost);
--- a/src/gateway/crash/crash_type.h
+++ b/src/gateway/crash/crash_type.h
@@ -68,6 +68,9 @@
    * Unix times in microseconds; zero: unknown. */
   std::int64_t aliveUnixMicros_ = 0;
   std::int64_t crashedByUnixMicros_ = 0;
+  /** When the server first answered a later request on a newer connection, Unix
+   * time in microseconds; zero: it hasn't. */
+  std::int64_t answeredUnixMicros_ = 0;
   bool crashed_ = false;   ///< The server turned out to have crashed.
   bool isAssumed_ = false; ///< crashed_, but its fate isn't known yet.
   bool reported_ = false;  ///< Other daemons know of the server's silence.
--- a/src/gateway/crash/lost_attempt.cpp
+++ b/src/gateway/crash/lost_attempt.cpp
@@ -29,12 +29,26 @@
   return aLost.at_ + window < aNow;
 }
 
+/** Whether the server has answered on a newer connection so long ago that it
+ * can't have been another incarnation, whose entry would be known. */
+bool
+AnsweredBefore(const LostAttempt& aLost, std::int64_t aNowUnixMicros)
+{
+  return aLost.answeredUnixMicros_ != 0 &&
+         aNowUnixMicros - aLost.answeredUnixMicros_ >
+           Duration(kRestartNotice).count();
+}
+
 void
 SetCrashed(const GatewayStep& aStep, LostAttempt& aLost)
 {
   const CrashTimes times = CrashTimesOf(aStep, aLost);
   aLost.aliveUnixMicros_ = times.aliveUnixMicros_;
   aLost.crashedByUnixMicros_ = times.crashedByUnixMicros_;
+  if (AnsweredBefore(aLost, aStep.now_.unixMicros_)) {
+    aLost.aliveUnixMicros_ =
+      std::max(aLost.aliveUnixMicros_, aLost.answeredUnixMicros_);
+  }
   aLost.crashed_ = true;
 }
 
@@ -236,6 +250,9 @@
     }
     SetCrashed(aStep, lost);
     lost.isAssumed_ = true;
+    if (!MayBeCause(lost)) {
+      continue;
+    }
     ReportSuspicion(aStep, SuspicionEvent::Crashed, lost, "silent");
     if (lost.run_ == 0 || CompletesEvidence(state, lost)) {
       AddEvidence(aStep, lost);
@@ -263,6 +280,9 @@
       continue;
     }
     SetCrashed(aStep, lost);
+    if (!MayBeCause(lost)) {
+      continue;
+    }
     ++aStep.state_.stats_.crashesSuspected_;
     ReportSuspicion(aStep, SuspicionEvent::Crashed, lost, aReason);
     if (lost.run_ == 0 || CompletesEvidence(aStep.state_, lost)) {
@@ -282,6 +302,12 @@
     return;
   }
   const std::uint64_t key = aBackend.key_;
+  for (LostAttempt& lost : aStep.state_.lost_) {
+    if (lost.backend_ == key && lost.at_ < aSentAt &&
+        lost.answeredUnixMicros_ == 0) {
+      lost.answeredUnixMicros_ = aStep.now_.unixMicros_;
+    }
+  }
   DropLostAttempts(aStep, [=, &aStep](const LostAttempt& aOne) {
     if (aOne.backend_ != key) {
       return false;
@@ -289,6 +315,9 @@
     if (aOne.loss_ == AttemptLoss::Broken) {
       return aOpenedAt < aOne.at_ && aOne.at_ < aSentAt;
     }
+    if (!aOne.crashed_ && AnsweredBefore(aOne, aStep.now_.unixMicros_)) {
+      return true;
+    }
     // The same connection as before: its server has not started again.
     return aOpenedAt < aOne.sentAt_ &&
            (aOne.at_ < aSentAt || aOne.sentAt_ + kSilenceFloor < aStep.Time());
--- a/src/gateway/gateway_const.h
+++ b/src/gateway/gateway_const.h
@@ -145,6 +145,8 @@
 /** Silence of a server after which it counts as crashed under content that has
  * crashed many; longer than servers pause. */
 constexpr Duration kSuspectSilence = milliseconds(400);
+/** Time after which the entry of a server that has started again is known. */
+constexpr Duration kRestartNotice = seconds(2);
 /** Reports of silent servers that a daemon sends in a second: where a network
  * fails, all servers are silent. */
 constexpr std::uint32_t kMaxSilenceReports = 8;
