--- a/tests/gateway/innocent_test.cpp
+++ b/tests/gateway/innocent_test.cpp
@@ -229,3 +229,32 @@
   }
   STRCMP_EQUAL("", failures.c_str());
 }
+
+// A server pauses under a request, answers others on newer connections, and
+// crashes for another reason later.
+TEST(Innocent, RequestLostBeforeACrashCountsAsItsCause)
+{
+  Replay replay(1, 1);
+  ModelServer& server = replay.AddServer("shard0", 1.0);
+  server.accepts_ = 1;
+  replay.SetRoute(MakePlainRoute(RequestKind::Idempotent, seconds(2)));
+  replay.Publish();
+  replay.Advance(seconds(1));
+  replay.GoDark(0);
+  replay.SendRequest(0, "/plain/x", milliseconds(900));
+  replay.Advance(seconds(1));
+  server.fault_ = ModelFault::None;
+  replay.Advance(seconds(1));
+  const std::uint64_t later =
+    replay.SendRequest(0, "/plain/y", milliseconds(900));
+  replay.Advance(seconds(3));
+  const ProxyAnswer* answer = replay.AnswerOf(later);
+  CHECK_TRUE(answer != nullptr && answer->code_ == ProxyCode::Forwarded);
+  replay.Crash(0);
+  server.listed_ = false;
+  replay.Announce();
+  replay.Advance(seconds(1));
+  const GatewayStats& stats = replay.Daemon(0).stats_;
+  LONGS_EQUAL(1, stats.silentAttempts_);
+  LONGS_EQUAL(0, stats.crashesSuspected_);
+}
